--- /dev/null
+++ b/cli/cli.c
@@ -0,0 +1,427 @@
+/* cli.c -- options, requests and printing that all subcommands share */
+#include "cli/cli.h"
+
+#include <curl/curl.h>
+#include <glib.h>
+#include <sodium.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "node/clock.h"
+
+#define FIELD_KEY_BASE 4096
+#define MORE_KEY_BASE 1024 /* keys of further options lie from here on */
+#define PAUSE_US 100000u
+
+enum common_key { KEY_HOSTS = 512, KEY_KEY, KEY_JSON, KEY_TIMEOUT, KEY_CA };
+
+static const struct argp_option COMMON[] = {
+    {"hosts", KEY_HOSTS, "LIST", 0,
+     "IP:port of the system's hosts, comma-separated (FILBERTPATH_HOSTS)", 90},
+    {"key", KEY_KEY, "SECRET", 0, "key to present (FILBERTPATH_KEY)", 90},
+    {"json", KEY_JSON, NULL, 0, "print answers as JSON", 90},
+    {"ca", KEY_CA, "FILE", 0, "use https, and trust this certificate", 90},
+    {"timeout-ms", KEY_TIMEOUT, "N", 0,
+     "give up after this many milliseconds (10000)", 90},
+};
+#define COMMON_COUNT (sizeof(COMMON) / sizeof(COMMON[0]))
+
+static bool
+is_skipped(const struct cli_parse *parse, const char *name)
+{
+    for (const char *const *at = parse->skip; at != NULL && *at != NULL;
+         at++) {
+        if (strcmp(*at, name) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+take_common(struct cli *cli, int key, const char *arg)
+{
+    uint64_t number;
+
+    switch (key) {
+    case KEY_HOSTS:
+        cli->hosts = arg;
+        return true;
+    case KEY_KEY:
+        cli->key = arg;
+        return true;
+    case KEY_JSON:
+        cli->json = true;
+        return true;
+    case KEY_CA:
+        cli->tls = true;
+        cli->ca = arg;
+        return true;
+    case KEY_TIMEOUT:
+        if (!g_ascii_string_to_unsigned(arg, 10, 1, 3600000, &number, NULL)) {
+            return false;
+        }
+        cli->timeout_ms = (uint32_t)number;
+        return true;
+    default:
+        return false;
+    }
+}
+
+static void
+take_field(struct argp_state *state, struct cli_parse *parse, int key,
+           const char *arg)
+{
+    const struct fp_field *field = &parse->schema->fields[key];
+    char why[300];
+
+    if (fp_set_field(field, parse->record, arg == NULL ? "true" : arg, why,
+                     sizeof(why)) != FP_OK) {
+        argp_error(state, "%s", why);
+    }
+}
+
+static error_t
+parse_option(int key, char *arg, struct argp_state *state)
+{
+    struct cli_parse *parse = state->input;
+
+    if (key >= FIELD_KEY_BASE && key < FIELD_KEY_BASE + 1024) {
+        take_field(state, parse, key - FIELD_KEY_BASE, arg);
+        return 0;
+    }
+    if (key >= MORE_KEY_BASE && key < FIELD_KEY_BASE) {
+        if (!parse->take_more(parse->ctx, key, arg)) {
+            argp_error(state, "'%s' is not accepted here", arg);
+        }
+        return 0;
+    }
+    if (key == ARGP_KEY_ARG) {
+        if (parse->word_count >= parse->max_words) {
+            argp_error(state, "'%s' is one word too many", arg);
+        }
+        parse->words[parse->word_count++] = arg;
+        return 0;
+    }
+    if (key >= KEY_HOSTS && key <= KEY_CA) {
+        if (!take_common(parse->cli, key, arg)) {
+            argp_error(state, "'%s' is not from 1 to 3600000", arg);
+        }
+        return 0;
+    }
+    return ARGP_ERR_UNKNOWN;
+}
+
+/* Option names use '-', field names '_'. */
+static char *
+option_name(const char *field)
+{
+    char *name = g_strdup(field);
+
+    g_strdelimit(name, "_", '-');
+    return name;
+}
+
+static void
+add_fields(const struct cli_parse *parse, GArray *options, GPtrArray *names)
+{
+    for (uint32_t i = 0;
+         parse->schema != NULL && i < parse->schema->field_count; i++) {
+        const struct fp_field *field = &parse->schema->fields[i];
+        struct argp_option option = {
+            .key = FIELD_KEY_BASE + (int)i, .doc = field->doc, .group = 1};
+
+        if (field->doc == NULL || is_skipped(parse, field->name) ||
+            field->kind == FP_LIST) {
+            continue;
+        }
+        g_ptr_array_add(names, option_name(field->name));
+        option.name = names->pdata[names->len - 1];
+        if (field->kind == FP_BOOL) {
+            option.arg = "true|false";
+            option.flags = OPTION_ARG_OPTIONAL;
+        }
+        else {
+            option.arg = field->kind == FP_STR || field->kind == FP_BLOB ||
+                                 field->kind == FP_ENUM
+                             ? "TEXT"
+                             : "N";
+        }
+        g_array_append_val(options, option);
+    }
+}
+
+bool
+cli_parse(struct cli_parse *parse, int argc, char **argv)
+{
+    GArray *options = g_array_new(TRUE, FALSE, sizeof(struct argp_option));
+    GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+    struct argp argp = {NULL, parse_option, parse->usage, parse->doc,
+                        NULL, NULL,         NULL};
+    error_t rc;
+
+    add_fields(parse, options, names);
+    for (const struct argp_option *at = parse->more;
+         at != NULL && at->name != NULL; at++) {
+        g_array_append_val(options, *at);
+    }
+    g_array_append_vals(options, COMMON, COMMON_COUNT);
+    argp.options = (struct argp_option *)options->data;
+    rc = argp_parse(&argp, argc, argv, 0, NULL, parse);
+    g_array_free(options, TRUE);
+    g_ptr_array_free(names, TRUE);
+    return rc == 0;
+}
+
+char **
+cli_hosts(const struct cli *cli)
+{
+    return g_strsplit(cli->hosts == NULL ? "127.0.0.1:7101" : cli->hosts, ",",
+                      64);
+}
+
+static size_t
+on_data(char *data, size_t size, size_t count, void *ctx)
+{
+    g_string_append_len(ctx, data, (gssize)(size * count));
+    return size * count;
+}
+
+static void
+read_answer(struct cli_answer *answer, GString *text)
+{
+    const char *name;
+
+    answer->body = json_loads(text->str, JSON_DECODE_ANY, NULL);
+    answer->text = g_string_free(text, FALSE);
+    name = json_string_value(json_object_get(answer->body, "error"));
+    if (answer->status >= 200 && answer->status < 300) {
+        answer->err = FP_OK;
+    }
+    else {
+        answer->err = name == NULL ? FP_ERR_INTERNAL : fp_err_by_name(name);
+    }
+}
+
+void
+cli_request_host(const struct cli *cli, const char *host, const char *method,
+                 const char *path, const json_t *body,
+                 struct cli_answer *answer)
+{
+    CURL *easy = curl_easy_init();
+    struct curl_slist *headers = NULL;
+    GString *text = g_string_new(NULL);
+    char *url =
+        g_strdup_printf("%s://%s%s", cli->tls ? "https" : "http", host, path);
+    char *send = body == NULL ? NULL : json_dumps(body, JSON_COMPACT);
+    long status = 0;
+
+    memset(answer, 0, sizeof(*answer));
+    curl_easy_setopt(easy, CURLOPT_URL, url);
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)cli->timeout_ms);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_data);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, text);
+    if (cli->ca != NULL) {
+        curl_easy_setopt(easy, CURLOPT_CAINFO, cli->ca);
+    }
+    headers = curl_slist_append(headers, "Content-Type: application/json");
+    headers = curl_slist_append(headers, "Expect:");
+    if (cli->key != NULL) {
+        char *line = g_strdup_printf("Authorization: Bearer %s", cli->key);
+
+        headers = curl_slist_append(headers, line);
+        g_free(line);
+    }
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
+    if (strcmp(method, "POST") == 0) {
+        curl_easy_setopt(easy, CURLOPT_POST, 1L);
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, send ? send : "");
+    }
+    if (curl_easy_perform(easy) == CURLE_OK) {
+        curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+        answer->status = (int)status;
+        read_answer(answer, text);
+    }
+    else {
+        answer->err = FP_ERR_NETWORK;
+        g_string_free(text, TRUE);
+    }
+    curl_slist_free_all(headers);
+    curl_easy_cleanup(easy);
+    g_free(url);
+    free(send);
+}
+
+/* Whether another host may be asked after this answer. */
+static bool
+try_next(const struct cli_answer *answer, bool resend)
+{
+    const struct fp_err_row *row = fp_err_row(answer->err);
+
+    if (answer->err == FP_OK) {
+        return false;
+    }
+    if (answer->status == 0) {
+        return true; /* the caller of POST without change ID passes resend */
+    }
+    if (answer->err == FP_ERR_UNKNOWN_OUTCOME) {
+        return resend;
+    }
+    return answer->status == 503 && row->retry && row->ran == FP_NOT_RUN;
+}
+
+void
+cli_request(const struct cli *cli, const char *method, const char *path,
+            const json_t *body, bool resend, struct cli_answer *answer)
+{
+    char **hosts = cli_hosts(cli);
+    uint64_t end_ms = clock_mono_ms() + cli->timeout_ms;
+    unsigned count = g_strv_length(hosts);
+
+    for (unsigned i = 0;; i++) {
+        cli_request_host(cli, hosts[i % count], method, path, body, answer);
+        if (!try_next(answer, resend) || clock_mono_ms() >= end_ms) {
+            break;
+        }
+        cli_answer_free(answer);
+        if (i % count + 1 == count) {
+            g_usleep(PAUSE_US);
+        }
+    }
+    g_strfreev(hosts);
+}
+
+void
+cli_answer_free(struct cli_answer *answer)
+{
+    json_decref(answer->body);
+    g_free(answer->text);
+    memset(answer, 0, sizeof(*answer));
+}
+
+int
+cli_fail(const struct cli *cli, const struct cli_answer *answer)
+{
+    const struct fp_err_row *row = fp_err_row(answer->err);
+    const char *detail =
+        json_string_value(json_object_get(answer->body, "detail"));
+    json_int_t version =
+        json_integer_value(json_object_get(answer->body, "version"));
+
+    if (cli->json && answer->body != NULL) {
+        cli_print(cli, answer->body);
+    }
+    else {
+        fprintf(stderr, "filbertpath: %s (%s): %s\n", row->name,
+                fp_ran_name(row->ran), detail ? detail : row->text);
+        if (answer->err == FP_ERR_VERSION) {
+            fprintf(stderr, "filbertpath: the current version is %lld\n",
+                    (long long)version);
+        }
+    }
+    return row->exit_code;
+}
+
+int
+cli_error(enum fp_err err, const char *format, ...)
+{
+    va_list args;
+
+    fputs("filbertpath: ", stderr);
+    va_start(args, format);
+    vfprintf(stderr, format, args);
+    va_end(args);
+    fputc('\n', stderr);
+    return fp_err_row(err)->exit_code;
+}
+
+void
+cli_change_id(char *change_id, size_t bytes)
+{
+    unsigned char random[16];
+
+    if (change_id[0] == '\0' && bytes > 2 * sizeof(random)) {
+        randombytes_buf(random, sizeof(random));
+        sodium_bin2hex(change_id, bytes, random, sizeof(random));
+    }
+}
+
+static void
+print_value(const json_t *value)
+{
+    char *text;
+
+    if (json_is_string(value)) {
+        printf("%s", json_string_value(value));
+        return;
+    }
+    text = json_dumps(value, JSON_COMPACT | JSON_ENCODE_ANY);
+    printf("%s", text);
+    free(text);
+}
+
+static void
+print_object(const json_t *object, int indent)
+{
+    const char *name;
+    json_t *value;
+
+    json_object_foreach((json_t *)object, name, value)
+    {
+        printf("%*s%s:", indent, "", name);
+        if (json_is_object(value) && json_object_size(value) > 0) {
+            putchar('\n');
+            print_object(value, indent + 2);
+            continue;
+        }
+        putchar(' ');
+        print_value(value);
+        putchar('\n');
+    }
+}
+
+/* A list of records: one line for each, empty and zero members left out. */
+static void
+print_row(const json_t *row)
+{
+    const char *name;
+    json_t *value;
+    bool first = true;
+
+    json_object_foreach((json_t *)row, name, value)
+    {
+        if ((json_is_string(value) && json_string_length(value) == 0) ||
+            (json_is_integer(value) && json_integer_value(value) == 0) ||
+            json_is_false(value)) {
+            continue;
+        }
+        printf("%s%s=", first ? "" : " ", name);
+        print_value(value);
+        first = false;
+    }
+    putchar('\n');
+}
+
+void
+cli_print(const struct cli *cli, const json_t *body)
+{
+    size_t index;
+    json_t *row;
+
+    if (cli->json) {
+        json_dumpf(body, stdout, JSON_INDENT(2) | JSON_ENCODE_ANY);
+        putchar('\n');
+        return;
+    }
+    if (json_is_array(body)) {
+        json_array_foreach((json_t *)body, index, row)
+        {
+            print_row(row);
+        }
+        return;
+    }
+    print_object(body, 0);
+}
--- /dev/null
+++ b/cli/process.c
@@ -0,0 +1,91 @@
+/* process.c -- subcommands that are processes of their own */
+#include <stdio.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "bench/bench.h"
+#include "bench/standin.h"
+#include "cli/cli.h"
+#include "node/serve.h"
+
+static GLogLevelFlags
+level_of(const char *name)
+{
+    if (name == NULL || strcmp(name, "notice") == 0) {
+        return G_LOG_LEVEL_MESSAGE;
+    }
+    if (strcmp(name, "warning") == 0) {
+        return G_LOG_LEVEL_WARNING;
+    }
+    return strcmp(name, "debug") == 0 ? G_LOG_LEVEL_DEBUG : G_LOG_LEVEL_INFO;
+}
+
+static int
+load(struct cli *cli, const char *doc, int argc, char **argv,
+     struct settings **settings)
+{
+    const char *words[1] = {NULL};
+    struct cli_parse parse = {.cli = cli,
+                              .usage = "SETTINGS",
+                              .doc = doc,
+                              .words = words,
+                              .max_words = 1};
+    char why[700];
+    enum fp_err err;
+
+    *settings = NULL;
+    cli_parse(&parse, argc, argv);
+    if (words[0] == NULL) {
+        return cli_error(FP_ERR_BAD_REQUEST, "needs: SETTINGS, a YAML file");
+    }
+    err = settings_load(words[0], settings, why, sizeof(why));
+    return err == FP_OK ? 0 : cli_error(err, "%s", why);
+}
+
+static int
+run_serve(struct cli *cli, int argc, char **argv)
+{
+    struct settings *settings;
+    char why[400];
+    int code =
+        load(cli, "Runs one host until SIGTERM.", argc, argv, &settings);
+    enum fp_err err;
+
+    if (code != 0) {
+        return code;
+    }
+    log_open(settings->log.format != NULL &&
+                 strcmp(settings->log.format, "json") == 0,
+             level_of(settings->log.level));
+    err = serve_run(settings, why, sizeof(why));
+    if (err != FP_OK) {
+        code = cli_error(err, "%s", why);
+    }
+    settings_free(settings);
+    return code;
+}
+
+static int
+run_check(struct cli *cli, int argc, char **argv)
+{
+    struct settings *settings;
+    int code = load(cli, "Checks a settings file without starting anything.",
+                    argc, argv, &settings);
+
+    if (code == 0) {
+        printf("%s: host %s, %u hosts, %s\n", "good", settings->host,
+               settings->hosts_count,
+               settings->data_folder ? settings->data_folder : "no disk");
+        settings_free(settings);
+    }
+    return code;
+}
+
+const struct cli_command CLI_PROCESSES[] = {
+    {"serve", "SETTINGS", "run one host", run_serve},
+    {"check", "SETTINGS", "check a settings file", run_check},
+    {"standin", "NAME", "a stand-in target, for demonstrations and tests",
+     standin_main},
+    {"bench", "route|log|decide", "measure", bench_main},
+    {NULL, NULL, NULL, NULL},
+};
--- /dev/null
+++ b/core/cell.c
@@ -0,0 +1,658 @@
+/* cell.c -- the tables of a cell, dispatch of changes, save and load */
+#include "core/cell.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "core/cellpriv.h"
+
+static const cell_apply_fn APPLY[CHANGE_TYPE_COUNT] = {
+    [CHANGE_TEAM] = cell_apply_team,
+    [CHANGE_KEY] = cell_apply_key,
+    [CHANGE_QUEUE] = cell_apply_queue,
+    [CHANGE_HOURS] = cell_apply_hours,
+    [CHANGE_LABELS] = cell_apply_labels,
+    [CHANGE_TARGET] = cell_apply_target,
+    [CHANGE_TARGET_STATE] = cell_apply_target_state,
+    [CHANGE_SUBMIT] = cell_apply_submit,
+    [CHANGE_PLACE] = cell_apply_place,
+    [CHANGE_END] = cell_apply_end,
+    [CHANGE_CANCEL] = cell_apply_cancel,
+    [CHANGE_OWN] = cell_apply_own,
+    [CHANGE_GRANT] = cell_apply_grant,
+    [CHANGE_RUN_GONE] = cell_apply_run_gone,
+    [CHANGE_INTENT] = cell_apply_intent,
+    [CHANGE_OUTCOME] = cell_apply_outcome,
+};
+
+static void
+free_seen(void *item)
+{
+    struct seen *seen = item;
+
+    g_free(seen->detail);
+    g_free(seen);
+}
+
+static void
+make_tables(struct cell *cell)
+{
+    cell->teams =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, cell_free_team);
+    cell->keys = g_hash_table_new(g_str_hash, g_str_equal);
+    cell->key_names =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    cell->queues =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, cell_free_queue);
+    cell->hours =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, cell_free_hours);
+    cell->targets =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    cell->jobs = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+                                       cell_free_job);
+    cell->seen =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_seen);
+    cell->idempotency = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                              cell_free_idempotency);
+    g_queue_init(&cell->ended);
+    g_queue_init(&cell->seen_order);
+    g_queue_init(&cell->idempotency_order);
+}
+
+static void
+drop_tables(struct cell *cell)
+{
+    g_queue_clear(&cell->ended);
+    g_queue_clear(&cell->seen_order);
+    g_queue_clear(&cell->idempotency_order);
+    g_hash_table_destroy(cell->idempotency);
+    g_hash_table_destroy(cell->seen);
+    g_hash_table_destroy(cell->jobs);
+    g_hash_table_destroy(cell->targets);
+    g_hash_table_destroy(cell->hours);
+    g_hash_table_destroy(cell->queues);
+    g_hash_table_destroy(cell->keys);
+    g_hash_table_destroy(cell->key_names);
+    g_hash_table_destroy(cell->teams);
+}
+
+static void
+put_seen(struct cell *cell, const char *change_id, uint32_t err,
+         uint64_t version, uint64_t id, const char *detail)
+{
+    struct seen *seen;
+
+    if (g_hash_table_contains(cell->seen, change_id)) {
+        return;
+    }
+    seen = g_new0(struct seen, 1);
+    g_strlcpy(seen->change_id, change_id, sizeof(seen->change_id));
+    seen->err = err;
+    seen->version = version;
+    seen->id = id;
+    seen->detail = detail[0] == '\0' ? NULL : g_strdup(detail);
+    g_hash_table_insert(cell->seen, seen->change_id, seen);
+    g_queue_push_tail(&cell->seen_order, seen);
+    while (g_queue_get_length(&cell->seen_order) > CELL_SEEN_MAX) {
+        struct seen *oldest = g_queue_pop_head(&cell->seen_order);
+
+        g_hash_table_remove(cell->seen, oldest->change_id);
+    }
+}
+
+/* Answers a resent change as the first time. */
+static bool
+answer_from_seen(const struct cell *cell, const char *change_id,
+                 struct change_answer *answer)
+{
+    const struct seen *seen;
+
+    if (change_id[0] == '\0') {
+        return false;
+    }
+    seen = g_hash_table_lookup(cell->seen, change_id);
+    if (seen == NULL) {
+        return false;
+    }
+    answer->err = seen->err;
+    answer->version = seen->version;
+    answer->id = seen->id;
+    if (seen->detail != NULL) {
+        g_strlcpy(answer->detail, seen->detail, sizeof(answer->detail));
+    }
+    return true;
+}
+
+struct cell *
+cell_new(const struct cell_ops *ops)
+{
+    struct cell *cell = g_new0(struct cell, 1);
+
+    if (ops != NULL) {
+        cell->ops = *ops;
+    }
+    make_tables(cell);
+    return cell;
+}
+
+void
+cell_free(struct cell *cell)
+{
+    if (cell == NULL) {
+        return;
+    }
+    drop_tables(cell);
+    g_free(cell);
+}
+
+void
+cell_refuse(struct change_answer *answer, enum fp_err err, const char *format,
+            ...)
+{
+    va_list args;
+
+    answer->err = err;
+    va_start(args, format);
+    vsnprintf(answer->detail, sizeof(answer->detail), format, args);
+    va_end(args);
+}
+
+bool
+cell_version_ok(struct change_answer *answer, bool check, uint64_t given,
+                uint64_t current)
+{
+    if (!check || given == current) {
+        return true;
+    }
+    cell_refuse(answer, FP_ERR_VERSION,
+                "field version: %llu is not the current one, which is %llu",
+                (unsigned long long)given, (unsigned long long)current);
+    answer->version = current;
+    return false;
+}
+
+void
+cell_notify_task(struct cell *cell, struct task *task, enum task_state was)
+{
+    if (cell->ops.task_changed != NULL) {
+        cell->ops.task_changed(cell->ops.ctx, task, was);
+    }
+}
+
+void
+cell_notify_target(struct cell *cell, struct target *target)
+{
+    if (cell->ops.target_changed != NULL) {
+        cell->ops.target_changed(cell->ops.ctx, target);
+    }
+}
+
+void
+cell_apply(struct cell *cell, uint64_t index, const uint8_t *data,
+           size_t size_bytes, struct change_answer *answer)
+{
+    uint32_t type = 0;
+    const struct fp_schema *schema = NULL;
+    struct change_head *head;
+
+    memset(answer, 0, sizeof(*answer));
+    if (fp_peek_type(data, size_bytes, &type) == FP_OK) {
+        schema = change_schema(type);
+    }
+    if (schema == NULL) {
+        cell_refuse(answer, FP_ERR_CORRUPT, "unknown type of change");
+        cell->refused[answer->err]++;
+        return;
+    }
+    head = g_malloc0(schema->size_bytes);
+    if (fp_decode(schema, data, size_bytes, head) != FP_OK) {
+        cell_refuse(answer, FP_ERR_CORRUPT, "malformed change");
+        goto done;
+    }
+    cell->now_ms = MAX(cell->now_ms, head->at_ms);
+    if (answer_from_seen(cell, head->change_id, answer)) {
+        goto done;
+    }
+    APPLY[type](cell, index, head, answer);
+    if (head->change_id[0] != '\0') {
+        put_seen(cell, head->change_id, answer->err, answer->version,
+                 answer->id, answer->detail);
+    }
+    cell_forget_ended(cell);
+    cell_forget_idempotency(cell);
+
+done:
+    if (answer->err != FP_OK) {
+        cell->refused[answer->err]++;
+    }
+    fp_record_free(schema, head);
+    g_free(head);
+}
+
+static void
+save_record(GByteArray *out, const struct fp_schema *schema,
+            const void *record)
+{
+    struct fp_blob blob;
+    uint32_t size;
+
+    fp_encode(schema, record, &blob);
+    size = GUINT32_TO_LE(blob.size_bytes);
+    g_byte_array_append(out, (const guint8 *)&size, sizeof(size));
+    g_byte_array_append(out, blob.data, blob.size_bytes);
+    fp_blob_free(&blob);
+}
+
+static gint
+compare_names(gconstpointer a, gconstpointer b)
+{
+    return strcmp(a, b);
+}
+
+static gint
+compare_ids(gconstpointer a, gconstpointer b)
+{
+    uint64_t x = *(const uint64_t *)a;
+    uint64_t y = *(const uint64_t *)b;
+
+    return x < y ? -1 : x > y;
+}
+
+/* Sorted, so that equal states give equal bytes. */
+static void
+save_table(GByteArray *out, GHashTable *table, const struct fp_schema *schema)
+{
+    GList *names = g_list_sort(g_hash_table_get_keys(table), compare_names);
+
+    for (GList *at = names; at != NULL; at = at->next) {
+        save_record(out, schema, g_hash_table_lookup(table, at->data));
+    }
+    g_list_free(names);
+}
+
+static void
+save_grants(GByteArray *out, const struct cell *cell)
+{
+    GList *names =
+        g_list_sort(g_hash_table_get_keys(cell->teams), compare_names);
+
+    for (GList *at = names; at != NULL; at = at->next) {
+        const struct team *team = cell_team(cell, at->data);
+
+        for (guint i = 0; i < team->grants->len; i++) {
+            const struct grant *grant =
+                &g_array_index(team->grants, struct grant, i);
+            struct change_grant change = {.run_id = grant->run_id,
+                                          .units = grant->units};
+
+            g_strlcpy(change.team, team->conf.name, sizeof(change.team));
+            g_strlcpy(change.host, grant->host, sizeof(change.host));
+            save_record(out, &CHANGE_GRANT_SCHEMA, &change);
+        }
+    }
+    g_list_free(names);
+}
+
+static void
+save_tasks(GByteArray *out, const struct job *job)
+{
+    for (uint32_t i = 0; i < job->rec.count; i++) {
+        const struct task *task = &job->tasks[i];
+        struct record_task record = {
+            .id = task->id,
+            .state = task->state,
+            .attempt = task->attempt,
+            .failures = task->failures,
+            .exit_code = task->exit_code,
+            .last_outcome = task->last_outcome,
+            .started_ms = task->started_ms,
+            .ended_ms = task->ended_ms,
+            .retry_at_ms = task->retry_at_ms,
+            .cancelling = task->cancelling,
+        };
+
+        if (task->target != NULL) {
+            g_strlcpy(record.target, task->target->rec.name,
+                      sizeof(record.target));
+        }
+        save_record(out, &RECORD_TASK_SCHEMA, &record);
+    }
+}
+
+static void
+save_jobs(GByteArray *out, const struct cell *cell)
+{
+    GList *ids = g_list_sort(g_hash_table_get_keys(cell->jobs), compare_ids);
+
+    for (GList *at = ids; at != NULL; at = at->next) {
+        const struct job *job = g_hash_table_lookup(cell->jobs, at->data);
+
+        save_record(out, &CHANGE_SUBMIT_SCHEMA, &job->rec);
+        save_tasks(out, job);
+    }
+    g_list_free(ids);
+}
+
+static void
+save_idempotency(GByteArray *out, const struct cell *cell)
+{
+    for (GList *at = cell->idempotency_order.head; at != NULL; at = at->next) {
+        const struct idempotency *item = at->data;
+        const char *split = strchr(item->key, '\n');
+        struct record_idempotency record = {
+            .run_id = item->run_id,
+            .state = item->state,
+            .deadline_ms = item->deadline_ms,
+            .ended_ms = item->ended_ms,
+            .err = item->err,
+            .status = item->status,
+            .body = item->body,
+        };
+
+        memcpy(record.team, item->key, (size_t)(split - item->key));
+        g_strlcpy(record.key, split + 1, sizeof(record.key));
+        g_strlcpy(record.digest, item->digest, sizeof(record.digest));
+        if (item->content_type != NULL) {
+            g_strlcpy(record.content_type, item->content_type,
+                      sizeof(record.content_type));
+        }
+        save_record(out, &RECORD_IDEMPOTENCY_SCHEMA, &record);
+    }
+}
+
+static void
+save_seen(GByteArray *out, const struct cell *cell)
+{
+    for (GList *at = cell->seen_order.head; at != NULL; at = at->next) {
+        const struct seen *seen = at->data;
+        struct change_answer answer = {
+            .err = seen->err, .version = seen->version, .id = seen->id};
+        struct record_seen record = {{0}, {NULL, 0}};
+
+        if (seen->detail != NULL) {
+            g_strlcpy(answer.detail, seen->detail, sizeof(answer.detail));
+        }
+        g_strlcpy(record.change_id, seen->change_id, sizeof(record.change_id));
+        fp_encode(&CHANGE_ANSWER_SCHEMA, &answer, &record.answer);
+        save_record(out, &RECORD_SEEN_SCHEMA, &record);
+        fp_blob_free(&record.answer);
+    }
+}
+
+void
+cell_save(const struct cell *cell, struct fp_blob *out)
+{
+    GByteArray *bytes = g_byte_array_new();
+    struct record_cell record = {.now_ms = cell->now_ms,
+                                 .config_version = cell->config_version};
+
+    save_record(bytes, &RECORD_CELL_SCHEMA, &record);
+    save_table(bytes, cell->teams, &CHANGE_TEAM_SCHEMA);
+    save_table(bytes, cell->key_names, &CHANGE_KEY_SCHEMA);
+    save_table(bytes, cell->queues, &CHANGE_QUEUE_SCHEMA);
+    save_table(bytes, cell->hours, &CHANGE_HOURS_SCHEMA);
+    save_table(bytes, cell->targets, &CHANGE_TARGET_SCHEMA);
+    save_grants(bytes, cell);
+    save_jobs(bytes, cell);
+    save_idempotency(bytes, cell);
+    save_seen(bytes, cell);
+    out->size_bytes = bytes->len;
+    out->data = g_byte_array_free(bytes, FALSE);
+}
+
+static void
+load_grant(struct cell *cell, const struct change_grant *change)
+{
+    struct team *team = cell_team(cell, change->team);
+    struct grant grant = {.run_id = change->run_id, .units = change->units};
+
+    if (team != NULL) {
+        g_strlcpy(grant.host, change->host, sizeof(grant.host));
+        g_array_append_val(team->grants, grant);
+        team->granted += grant.units;
+    }
+}
+
+static bool
+load_seen(struct cell *cell, const struct record_seen *record)
+{
+    struct change_answer answer;
+
+    if (fp_decode(&CHANGE_ANSWER_SCHEMA, record->answer.data,
+                  record->answer.size_bytes, &answer) != FP_OK) {
+        return false;
+    }
+    put_seen(cell, record->change_id, answer.err, answer.version, answer.id,
+             answer.detail);
+    fp_record_free(&CHANGE_ANSWER_SCHEMA, &answer);
+    return true;
+}
+
+static bool
+load_decoded(struct cell *cell, uint32_t type, void *record)
+{
+    char why[160];
+
+    switch (type) {
+    case RECORD_CELL:
+        cell->now_ms = ((struct record_cell *)record)->now_ms;
+        cell->config_version = ((struct record_cell *)record)->config_version;
+        return true;
+    case CHANGE_TEAM:
+        cell_put_team(cell, record);
+        return true;
+    case CHANGE_KEY:
+        cell_put_key(cell, record);
+        return true;
+    case CHANGE_QUEUE:
+        return cell_put_queue(cell, record, why, sizeof(why)) == FP_OK;
+    case CHANGE_HOURS:
+        return cell_put_hours(cell, record, why, sizeof(why)) == FP_OK;
+    case CHANGE_TARGET:
+        cell_put_target(cell, record);
+        return true;
+    case CHANGE_GRANT:
+        load_grant(cell, record);
+        return true;
+    case CHANGE_SUBMIT:
+        return cell_put_job(cell, record) != NULL;
+    case RECORD_TASK:
+        cell_put_task(cell, record);
+        return true;
+    case RECORD_IDEMPOTENCY:
+        cell_put_idempotency(cell, record);
+        return true;
+    case RECORD_SEEN:
+        return load_seen(cell, record);
+    default:
+        return false;
+    }
+}
+
+static const struct fp_schema *
+snapshot_schema(uint32_t type)
+{
+    switch (type) {
+    case RECORD_TASK:
+        return &RECORD_TASK_SCHEMA;
+    case RECORD_IDEMPOTENCY:
+        return &RECORD_IDEMPOTENCY_SCHEMA;
+    case RECORD_SEEN:
+        return &RECORD_SEEN_SCHEMA;
+    case RECORD_CELL:
+        return &RECORD_CELL_SCHEMA;
+    default:
+        return change_schema(type);
+    }
+}
+
+static bool
+load_record(struct cell *cell, const uint8_t *data, uint32_t size_bytes)
+{
+    uint32_t type;
+    const struct fp_schema *schema;
+    void *record;
+    bool ok;
+
+    if (fp_peek_type(data, size_bytes, &type) != FP_OK) {
+        return false;
+    }
+    schema = snapshot_schema(type);
+    if (schema == NULL) {
+        return false;
+    }
+    record = g_malloc0(schema->size_bytes);
+    ok = fp_decode(schema, data, size_bytes, record) == FP_OK;
+    if (ok) {
+        ok = load_decoded(cell, type, record);
+        fp_record_free(schema, record);
+    }
+    g_free(record);
+    return ok;
+}
+
+enum fp_err
+cell_load(struct cell *cell, const struct fp_blob *blob)
+{
+    uint32_t at = 0;
+
+    drop_tables(cell);
+    make_tables(cell);
+    cell->idempotency_bytes = 0;
+    memset(cell->state_counts, 0, sizeof(cell->state_counts));
+    while (at + sizeof(uint32_t) <= blob->size_bytes) {
+        uint32_t size;
+
+        memcpy(&size, blob->data + at, sizeof(size));
+        size = GUINT32_FROM_LE(size);
+        at += sizeof(size);
+        if (size > blob->size_bytes - at ||
+            !load_record(cell, blob->data + at, size)) {
+            drop_tables(cell);
+            make_tables(cell);
+            return FP_ERR_CORRUPT;
+        }
+        at += size;
+    }
+    return at == blob->size_bytes ? FP_OK : FP_ERR_CORRUPT;
+}
+
+struct team *
+cell_team(const struct cell *cell, const char *name)
+{
+    return g_hash_table_lookup(cell->teams, name);
+}
+
+struct queue *
+cell_queue(const struct cell *cell, const char *name)
+{
+    return g_hash_table_lookup(cell->queues, name);
+}
+
+struct target *
+cell_target(const struct cell *cell, const char *name)
+{
+    return g_hash_table_lookup(cell->targets, name);
+}
+
+struct job *
+cell_job(const struct cell *cell, uint64_t id)
+{
+    return g_hash_table_lookup(cell->jobs, &id);
+}
+
+struct task *
+cell_task(const struct cell *cell, uint64_t id)
+{
+    struct job *job = cell_job(cell, id / TASK_ID_PER_JOB);
+    uint64_t index = id % TASK_ID_PER_JOB;
+
+    return job == NULL || index >= job->rec.count ? NULL : &job->tasks[index];
+}
+
+enum fp_err
+cell_key_team(const struct cell *cell, const char *hash, const char **team)
+{
+    const struct change_key *key = g_hash_table_lookup(cell->keys, hash);
+
+    if (key == NULL || key->withdrawn) {
+        return FP_ERR_NO_KEY;
+    }
+    *team = key->team;
+    return FP_OK;
+}
+
+enum fp_err
+cell_may_use(const struct queue *queue, const char *team)
+{
+    if (queue->conf.open) {
+        return FP_OK;
+    }
+    if (team == NULL) {
+        return FP_ERR_NO_KEY;
+    }
+    if (queue->conf.team[0] != '\0' && strcmp(queue->conf.team, team) != 0) {
+        return FP_ERR_NOT_ALLOWED;
+    }
+    return FP_OK;
+}
+
+static bool
+check_target(const struct target *target, char *why, size_t why_bytes)
+{
+    struct use sum = {0, 0, 0, 0};
+
+    for (const struct task *task = target->first; task != NULL;
+         task = task->next_here) {
+        sum.running++;
+        sum.cpu_milli += task->job->rec.cpu_milli;
+        sum.memory_mb += task->job->rec.memory_mb;
+        sum.accel += task->job->rec.accel;
+    }
+    if (sum.running != target->use.running ||
+        sum.cpu_milli != target->use.cpu_milli ||
+        sum.memory_mb != target->use.memory_mb ||
+        sum.accel != target->use.accel) {
+        snprintf(why, why_bytes, "target %s: sums differ from its tasks",
+                 target->rec.name);
+        return false;
+    }
+    if (sum.cpu_milli > target->rec.cpu_milli ||
+        sum.memory_mb > target->rec.memory_mb ||
+        sum.accel > target->rec.accel) {
+        snprintf(why, why_bytes, "target %s is overcommitted",
+                 target->rec.name);
+        return false;
+    }
+    return true;
+}
+
+bool
+cell_check(const struct cell *cell, char *why, size_t why_bytes)
+{
+    GHashTableIter iter;
+    struct target *target;
+    struct team *team;
+
+    g_hash_table_iter_init(&iter, cell->targets);
+    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&target)) {
+        if (!check_target(target, why, why_bytes)) {
+            return false;
+        }
+    }
+    g_hash_table_iter_init(&iter, cell->teams);
+    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&team)) {
+        uint32_t granted = 0;
+
+        for (guint i = 0; i < team->grants->len; i++) {
+            granted += g_array_index(team->grants, struct grant, i).units;
+        }
+        if (granted != team->granted) {
+            snprintf(why, why_bytes, "team %s: grants differ from their sum",
+                     team->conf.name);
+            return false;
+        }
+    }
+    return true;
+}
--- /dev/null
+++ b/core/cellconf.c
@@ -0,0 +1,396 @@
+/* cellconf.c -- configuration: teams, keys, queues, quiet hours, labels */
+#include <stdio.h>
+#include <string.h>
+
+#include "core/cellpriv.h"
+
+static bool
+name_ok(const char *name, struct change_answer *answer)
+{
+    for (const char *at = name; *at != '\0'; at++) {
+        if (!g_ascii_isalnum(*at) && strchr("-_.", *at) == NULL) {
+            cell_refuse(answer, FP_ERR_BAD_REQUEST,
+                        "field name: '%.60s' may hold only letters, digits, "
+                        "'-', '_' and '.'",
+                        name);
+            return false;
+        }
+    }
+    if (name[0] == '\0') {
+        cell_refuse(answer, FP_ERR_BAD_REQUEST, "field name: is missing");
+        return false;
+    }
+    return true;
+}
+
+static void
+config_accepted(struct cell *cell, uint64_t index,
+                struct change_answer *answer)
+{
+    cell->config_version = index;
+    answer->version = index;
+    if (cell->ops.config_changed != NULL) {
+        cell->ops.config_changed(cell->ops.ctx);
+    }
+}
+
+void
+cell_free_team(void *item)
+{
+    struct team *team = item;
+
+    g_array_free(team->grants, TRUE);
+    g_free(team);
+}
+
+void
+cell_free_queue(void *item)
+{
+    struct queue *queue = item;
+
+    selector_free(queue->selector);
+    g_free(queue);
+}
+
+void
+cell_free_hours(void *item)
+{
+    struct hours *hours = item;
+
+    selector_free(hours->work);
+    selector_free(hours->hosts);
+    g_free(hours);
+}
+
+void
+cell_put_team(struct cell *cell, const struct change_team *conf)
+{
+    struct team *team = cell_team(cell, conf->name);
+
+    if (team == NULL) {
+        team = g_new0(struct team, 1);
+        team->grants = g_array_new(FALSE, TRUE, sizeof(struct grant));
+        team->conf = *conf;
+        g_hash_table_insert(cell->teams, team->conf.name, team);
+    }
+    team->conf = *conf;
+    if (team->conf.weight == 0) {
+        team->conf.weight = 1;
+    }
+}
+
+static bool
+team_in_use(const struct cell *cell, const struct team *team)
+{
+    GHashTableIter iter;
+    struct job *job;
+    struct change_key *key;
+
+    g_hash_table_iter_init(&iter, cell->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&job)) {
+        if (job->team == team) {
+            return true;
+        }
+    }
+    g_hash_table_iter_init(&iter, cell->key_names);
+    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&key)) {
+        if (!key->withdrawn && strcmp(key->team, team->conf.name) == 0) {
+            return true;
+        }
+    }
+    return team->granted > 0;
+}
+
+void
+cell_apply_team(struct cell *cell, uint64_t index, void *change,
+                struct change_answer *answer)
+{
+    struct change_team *conf = change;
+    struct team *team = cell_team(cell, conf->name);
+
+    if (!name_ok(conf->name, answer) ||
+        !cell_version_ok(answer, conf->check_version, conf->version,
+                         team == NULL ? 0 : team->conf.version)) {
+        return;
+    }
+    if (conf->remove) {
+        if (team == NULL) {
+            cell_refuse(answer, FP_ERR_NOT_FOUND, "no team %s", conf->name);
+            return;
+        }
+        if (team_in_use(cell, team)) {
+            cell_refuse(answer, FP_ERR_NOT_ALLOWED,
+                        "team %s still has keys, jobs or requests",
+                        conf->name);
+            return;
+        }
+        g_hash_table_remove(cell->teams, conf->name);
+    }
+    else {
+        conf->version = index;
+        cell_put_team(cell, conf);
+    }
+    config_accepted(cell, index, answer);
+}
+
+void
+cell_put_key(struct cell *cell, const struct change_key *conf)
+{
+    struct change_key *key = g_hash_table_lookup(cell->key_names, conf->name);
+
+    if (key != NULL) {
+        g_hash_table_remove(cell->keys, key->hash);
+    }
+    else {
+        key = g_new0(struct change_key, 1);
+        *key = *conf;
+        g_hash_table_insert(cell->key_names, key->name, key);
+    }
+    *key = *conf;
+    g_hash_table_insert(cell->keys, key->hash, key);
+}
+
+void
+cell_apply_key(struct cell *cell, uint64_t index, void *change,
+               struct change_answer *answer)
+{
+    struct change_key *conf = change;
+    const struct change_key *key =
+        g_hash_table_lookup(cell->key_names, conf->name);
+    const struct change_key *same;
+
+    if (!name_ok(conf->name, answer) ||
+        !cell_version_ok(answer, conf->check_version, conf->version,
+                         key == NULL ? 0 : key->version)) {
+        return;
+    }
+    if (key != NULL && conf->hash[0] == '\0') {
+        g_strlcpy(conf->hash, key->hash, sizeof(conf->hash));
+    }
+    if (key != NULL && conf->team[0] == '\0') {
+        g_strlcpy(conf->team, key->team, sizeof(conf->team));
+    }
+    same = g_hash_table_lookup(cell->keys, conf->hash);
+    if (strlen(conf->hash) != 64) {
+        cell_refuse(answer, FP_ERR_BAD_REQUEST,
+                    "field hash: needs 64 hexadecimal digits");
+        return;
+    }
+    if (same != NULL && same != key) {
+        cell_refuse(answer, FP_ERR_BAD_REQUEST,
+                    "field hash: key %s has this secret", same->name);
+        return;
+    }
+    if (cell_team(cell, conf->team) == NULL) {
+        cell_refuse(answer, FP_ERR_NOT_FOUND, "field team: no team '%s'",
+                    conf->team);
+        return;
+    }
+    conf->version = index;
+    cell_put_key(cell, conf);
+    config_accepted(cell, index, answer);
+}
+
+enum fp_err
+cell_put_queue(struct cell *cell, const struct change_queue *conf, char *why,
+               size_t why_bytes)
+{
+    struct queue *queue = cell_queue(cell, conf->name);
+    struct selector *selector = NULL;
+    enum fp_err err = labels_check(conf->labels, why, why_bytes);
+
+    if (err == FP_OK) {
+        err = selector_new(conf->selector, &selector, why, why_bytes);
+    }
+    if (err != FP_OK) {
+        return err;
+    }
+    if (queue == NULL) {
+        queue = g_new0(struct queue, 1);
+        queue->conf = *conf;
+        g_hash_table_insert(cell->queues, queue->conf.name, queue);
+    }
+    selector_free(queue->selector);
+    queue->selector = selector;
+    queue->conf = *conf;
+    return FP_OK;
+}
+
+/* Ended jobs let go of the queue; an open one keeps it from being removed. */
+static bool
+release_queue(struct cell *cell, const struct queue *queue)
+{
+    GHashTableIter iter;
+    struct job *job;
+
+    g_hash_table_iter_init(&iter, cell->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&job)) {
+        if (job->queue == queue && job->open > 0) {
+            return false;
+        }
+    }
+    g_hash_table_iter_init(&iter, cell->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&job)) {
+        if (job->queue == queue) {
+            job->queue = NULL;
+        }
+    }
+    return true;
+}
+
+void
+cell_apply_queue(struct cell *cell, uint64_t index, void *change,
+                 struct change_answer *answer)
+{
+    struct change_queue *conf = change;
+    const struct queue *queue = cell_queue(cell, conf->name);
+    enum fp_err err;
+
+    if (!name_ok(conf->name, answer) ||
+        !cell_version_ok(answer, conf->check_version, conf->version,
+                         queue == NULL ? 0 : queue->conf.version)) {
+        return;
+    }
+    if (conf->team[0] != '\0' && cell_team(cell, conf->team) == NULL) {
+        cell_refuse(answer, FP_ERR_NOT_FOUND, "field team: no team '%s'",
+                    conf->team);
+        return;
+    }
+    if (conf->remove) {
+        if (queue == NULL) {
+            cell_refuse(answer, FP_ERR_NOT_FOUND, "no queue %s", conf->name);
+            return;
+        }
+        if (!release_queue(cell, queue)) {
+            cell_refuse(answer, FP_ERR_NOT_ALLOWED,
+                        "queue %s still has open jobs", conf->name);
+            return;
+        }
+        g_hash_table_remove(cell->queues, conf->name);
+    }
+    else {
+        conf->version = index;
+        err =
+            cell_put_queue(cell, conf, answer->detail, sizeof(answer->detail));
+        if (err != FP_OK) {
+            answer->err = err;
+            return;
+        }
+    }
+    config_accepted(cell, index, answer);
+}
+
+enum fp_err
+cell_put_hours(struct cell *cell, const struct change_hours *conf, char *why,
+               size_t why_bytes)
+{
+    struct hours *hours = g_hash_table_lookup(cell->hours, conf->name);
+    struct selector *work = NULL;
+    struct selector *hosts = NULL;
+    enum fp_err err = selector_new(conf->selector, &work, why, why_bytes);
+
+    if (err == FP_OK) {
+        err = selector_new(conf->hosts, &hosts, why, why_bytes);
+    }
+    if (err != FP_OK) {
+        selector_free(work);
+        return err;
+    }
+    if (hours == NULL) {
+        hours = g_new0(struct hours, 1);
+        hours->conf = *conf;
+        g_hash_table_insert(cell->hours, hours->conf.name, hours);
+    }
+    selector_free(hours->work);
+    selector_free(hours->hosts);
+    hours->conf = *conf;
+    hours->work = work;
+    hours->hosts = hosts;
+    return FP_OK;
+}
+
+void
+cell_apply_hours(struct cell *cell, uint64_t index, void *change,
+                 struct change_answer *answer)
+{
+    struct change_hours *conf = change;
+    const struct hours *hours = g_hash_table_lookup(cell->hours, conf->name);
+    enum fp_err err;
+
+    if (!name_ok(conf->name, answer) ||
+        !cell_version_ok(answer, conf->check_version, conf->version,
+                         hours == NULL ? 0 : hours->conf.version)) {
+        return;
+    }
+    if (conf->remove) {
+        if (!g_hash_table_remove(cell->hours, conf->name)) {
+            cell_refuse(answer, FP_ERR_NOT_FOUND, "no rule %s", conf->name);
+            return;
+        }
+    }
+    else {
+        conf->version = index;
+        err =
+            cell_put_hours(cell, conf, answer->detail, sizeof(answer->detail));
+        if (err != FP_OK) {
+            answer->err = err;
+            return;
+        }
+    }
+    config_accepted(cell, index, answer);
+}
+
+/* All labels of a target in one text, with the built-in ones. */
+static void
+join_labels(struct target *target)
+{
+    const struct change_target *rec = &target->rec;
+
+    snprintf(target->labels, sizeof(target->labels),
+             "target=%s,data-centre=%s,rack=%s%s%s%s%s", rec->name,
+             rec->data_centre, rec->rack, rec->given_labels[0] ? "," : "",
+             rec->given_labels, rec->labels[0] ? "," : "", rec->labels);
+}
+
+struct target *
+cell_put_target(struct cell *cell, const struct change_target *rec)
+{
+    struct target *target = cell_target(cell, rec->name);
+
+    if (target == NULL) {
+        target = g_new0(struct target, 1);
+        target->rec = *rec;
+        g_hash_table_insert(cell->targets, target->rec.name, target);
+    }
+    target->rec = *rec;
+    join_labels(target);
+    return target;
+}
+
+void
+cell_apply_labels(struct cell *cell, uint64_t index, void *change,
+                  struct change_answer *answer)
+{
+    struct change_labels *conf = change;
+    struct target *target = cell_target(cell, conf->target);
+
+    if (target == NULL) {
+        cell_refuse(answer, FP_ERR_NOT_FOUND, "no target '%s'", conf->target);
+        return;
+    }
+    if (!cell_version_ok(answer, conf->check_version, conf->version,
+                         target->rec.labels_version)) {
+        return;
+    }
+    answer->err =
+        labels_check(conf->labels, answer->detail, sizeof(answer->detail));
+    if (answer->err != FP_OK) {
+        return;
+    }
+    g_strlcpy(target->rec.given_labels, conf->labels,
+              sizeof(target->rec.given_labels));
+    target->rec.labels_version = index;
+    join_labels(target);
+    cell_notify_target(cell, target);
+    config_accepted(cell, index, answer);
+}
--- /dev/null
+++ b/core/cellwork.c
@@ -0,0 +1,718 @@
+/* cellwork.c -- targets, jobs, placements and their ends */
+#include <stdio.h>
+#include <string.h>
+
+#include "core/cellpriv.h"
+
+static void
+add_use(struct use *use, const struct change_submit *size)
+{
+    use->running++;
+    use->cpu_milli += size->cpu_milli;
+    use->memory_mb += size->memory_mb;
+    use->accel += size->accel;
+}
+
+static void
+subtract_use(struct use *use, const struct change_submit *size)
+{
+    use->running--;
+    use->cpu_milli -= size->cpu_milli;
+    use->memory_mb -= size->memory_mb;
+    use->accel -= size->accel;
+}
+
+static void
+set_state(struct cell *cell, struct task *task, enum task_state state)
+{
+    cell->state_counts[task->state]--;
+    cell->state_counts[state]++;
+    if (task->state == TASK_WAITING) {
+        task->job->team->waiting--;
+    }
+    if (state == TASK_WAITING) {
+        task->job->team->waiting++;
+    }
+    task->state = state;
+}
+
+static void
+put_on_target(struct task *task, struct target *target)
+{
+    task->target = target;
+    task->prev_here = NULL;
+    task->next_here = target->first;
+    if (target->first != NULL) {
+        target->first->prev_here = task;
+    }
+    target->first = task;
+    add_use(&target->use, &task->job->rec);
+    add_use(&task->job->team->use, &task->job->rec);
+}
+
+static void
+take_off_target(struct task *task)
+{
+    struct target *target = task->target;
+
+    if (task->prev_here != NULL) {
+        task->prev_here->next_here = task->next_here;
+    }
+    else {
+        target->first = task->next_here;
+    }
+    if (task->next_here != NULL) {
+        task->next_here->prev_here = task->prev_here;
+    }
+    task->prev_here = NULL;
+    task->next_here = NULL;
+    task->target = NULL;
+    subtract_use(&target->use, &task->job->rec);
+    subtract_use(&task->job->team->use, &task->job->rec);
+}
+
+static void
+task_ended(struct cell *cell, struct task *task)
+{
+    struct job *job = task->job;
+
+    task->ended_ms = cell->now_ms;
+    job->open--;
+    if (job->open == 0) {
+        job->ended_ms = cell->now_ms;
+        g_queue_push_tail(&cell->ended, job);
+    }
+}
+
+static bool
+outside_limit(uint64_t limit, uint64_t used, uint64_t each, uint32_t count)
+{
+    return limit != 0 && used + each * count > limit;
+}
+
+bool
+cell_within_limit(const struct team *team, const struct change_submit *size,
+                  uint32_t count)
+{
+    const struct change_team *conf = &team->conf;
+    uint64_t running = (uint64_t)team->use.running + team->granted;
+
+    return !outside_limit(conf->limit_running, running, 1, count) &&
+           !outside_limit(conf->limit_cpu_milli, team->use.cpu_milli,
+                          size->cpu_milli, count) &&
+           !outside_limit(conf->limit_memory_mb, team->use.memory_mb,
+                          size->memory_mb, count) &&
+           !outside_limit(conf->limit_accel, team->use.accel, size->accel,
+                          count);
+}
+
+bool
+cell_fits(const struct target *target, const struct change_submit *size)
+{
+    const struct change_target *rec = &target->rec;
+    const struct use *use = &target->use;
+
+    return use->cpu_milli + size->cpu_milli <= rec->cpu_milli &&
+           use->memory_mb + size->memory_mb <= rec->memory_mb &&
+           use->accel + size->accel <= rec->accel;
+}
+
+bool
+cell_selects(const struct job *job, const struct target *target)
+{
+    return selector_match(job->selector, target->labels) &&
+           (job->queue == NULL ||
+            selector_match(job->queue->selector, target->labels));
+}
+
+/* How many tasks of the job an empty target could hold. */
+static uint64_t
+most_on(const struct job *job, const struct target *target)
+{
+    const struct change_submit *size = &job->rec;
+    const struct change_target *rec = &target->rec;
+    uint64_t most = JOB_MAX_TASKS;
+
+    if (!cell_selects(job, target)) {
+        return 0;
+    }
+    if (size->cpu_milli > 0) {
+        most = MIN(most, rec->cpu_milli / size->cpu_milli);
+    }
+    if (size->memory_mb > 0) {
+        most = MIN(most, rec->memory_mb / size->memory_mb);
+    }
+    if (size->accel > 0) {
+        most = MIN(most, rec->accel / size->accel);
+    }
+    return most;
+}
+
+static bool
+limit_admits(const struct job *job, char *why, size_t why_bytes)
+{
+    uint32_t count = job->rec.kind == WORK_GANG ? job->rec.count : 1;
+    struct team empty = {.conf = job->team->conf};
+
+    if (cell_within_limit(&empty, &job->rec, count)) {
+        return true;
+    }
+    snprintf(why, why_bytes,
+             "team %s: its upper limit is below the size of this work",
+             job->team->conf.name);
+    return false;
+}
+
+enum fp_err
+cell_can_ever_run(const struct cell *cell, const struct job *job, char *why,
+                  size_t why_bytes)
+{
+    uint32_t need = job->rec.kind == WORK_GANG ? job->rec.count : 1;
+    uint64_t room = 0;
+    GHashTableIter iter;
+    struct target *target;
+
+    if (selector_contradicts(job->selector)) {
+        snprintf(why, why_bytes, "field selector: its terms contradict");
+        return FP_ERR_CANNOT_RUN;
+    }
+    if (!limit_admits(job, why, why_bytes)) {
+        return FP_ERR_CANNOT_RUN;
+    }
+    if (g_hash_table_size(cell->targets) == 0) {
+        return FP_OK; /* nothing has announced itself yet */
+    }
+    g_hash_table_iter_init(&iter, cell->targets);
+    while (room < need &&
+           g_hash_table_iter_next(&iter, NULL, (gpointer *)&target)) {
+        room += most_on(job, target);
+    }
+    if (room >= need) {
+        return FP_OK;
+    }
+    snprintf(why, why_bytes,
+             "no known target holds this: %u task(s) of %u cpu_milli, %u MB, "
+             "%u accel with these selectors; room for %u",
+             need, job->rec.cpu_milli, job->rec.memory_mb, job->rec.accel,
+             (unsigned)room);
+    return FP_ERR_CANNOT_RUN;
+}
+
+void
+cell_free_job(void *item)
+{
+    struct job *job = item;
+
+    selector_free(job->selector);
+    fp_blob_free(&job->rec.payload);
+    g_free(job->tasks);
+    g_free(job);
+}
+
+/* Makes the job's record without entering it; takes over rec's payload. */
+static struct job *
+make_job(struct cell *cell, struct change_submit *rec, char *why,
+         size_t why_bytes)
+{
+    struct job *job = g_new0(struct job, 1);
+
+    job->team = cell_team(cell, rec->team);
+    if (job->team == NULL ||
+        selector_new(rec->selector, &job->selector, why, why_bytes) != FP_OK) {
+        g_free(job);
+        return NULL;
+    }
+    job->queue = cell_queue(cell, rec->queue);
+    job->rec = *rec;
+    rec->payload.data = NULL;
+    rec->payload.size_bytes = 0;
+    return job;
+}
+
+static void
+enter_job(struct cell *cell, struct job *job)
+{
+    job->tasks = g_new0(struct task, job->rec.count);
+    job->open = job->rec.count;
+    for (uint32_t i = 0; i < job->rec.count; i++) {
+        struct task *task = &job->tasks[i];
+
+        task->job = job;
+        task->id = job->rec.id * TASK_ID_PER_JOB + i;
+        task->state = TASK_WAITING;
+        job->team->waiting++;
+        cell->state_counts[TASK_WAITING]++;
+    }
+    g_hash_table_insert(cell->jobs, &job->rec.id, job);
+}
+
+struct job *
+cell_put_job(struct cell *cell, struct change_submit *rec)
+{
+    char why[160];
+    struct job *job = make_job(cell, rec, why, sizeof(why));
+
+    if (job != NULL) {
+        enter_job(cell, job);
+    }
+    return job;
+}
+
+void
+cell_put_task(struct cell *cell, const struct record_task *record)
+{
+    struct task *task = cell_task(cell, record->id);
+    struct target *target = cell_target(cell, record->target);
+
+    if (task == NULL) {
+        return;
+    }
+    set_state(cell, task, record->state);
+    task->attempt = record->attempt;
+    task->failures = record->failures;
+    task->exit_code = record->exit_code;
+    task->last_outcome = record->last_outcome;
+    task->started_ms = record->started_ms;
+    task->retry_at_ms = record->retry_at_ms;
+    task->cancelling = record->cancelling;
+    if (task->state == TASK_RUNNING && target != NULL) {
+        put_on_target(task, target);
+    }
+    if (task->state != TASK_WAITING && task->state != TASK_RUNNING) {
+        task_ended(cell, task);
+        task->ended_ms = record->ended_ms;
+    }
+}
+
+/* A team for work of open queues that names none. */
+static void
+ensure_open_team(struct cell *cell, const char *name)
+{
+    struct change_team conf = {.weight = 1};
+
+    if (strcmp(name, CELL_OPEN_TEAM) == 0 && cell_team(cell, name) == NULL) {
+        g_strlcpy(conf.name, name, sizeof(conf.name));
+        cell_put_team(cell, &conf);
+    }
+}
+
+static bool
+check_submit(struct cell *cell, struct change_submit *rec,
+             struct change_answer *answer)
+{
+    const struct queue *queue = cell_queue(cell, rec->queue);
+    const struct team *team;
+    uint32_t most;
+
+    if (queue == NULL) {
+        cell_refuse(answer, FP_ERR_NOT_FOUND, "field queue: no queue '%s'",
+                    rec->queue);
+        return false;
+    }
+    if (rec->team[0] == '\0') {
+        g_strlcpy(rec->team,
+                  queue->conf.team[0] ? queue->conf.team : CELL_OPEN_TEAM,
+                  sizeof(rec->team));
+        ensure_open_team(cell, rec->team);
+    }
+    team = cell_team(cell, rec->team);
+    if (team == NULL) {
+        cell_refuse(answer, FP_ERR_NO_KEY, "no team '%s'", rec->team);
+        return false;
+    }
+    rec->kind = queue->conf.kind;
+    rec->count = MAX(rec->count, 1);
+    if (rec->labels[0] == '\0') {
+        g_strlcpy(rec->labels, queue->conf.labels, sizeof(rec->labels));
+    }
+    if (rec->cpu_milli == 0 && rec->memory_mb == 0 && rec->accel == 0) {
+        cell_refuse(answer, FP_ERR_BAD_REQUEST,
+                    "fields cpu_milli, memory_mb, accel: at least one must be "
+                    "above 0");
+        return false;
+    }
+    most =
+        team->conf.max_waiting ? team->conf.max_waiting : DEFAULT_TEAM_WAITING;
+    if (team->waiting + rec->count > most) {
+        cell_refuse(answer, FP_ERR_BUSY,
+                    "team %s has %u tasks waiting, at most %u may",
+                    team->conf.name, team->waiting, most);
+        return false;
+    }
+    answer->err =
+        labels_check(rec->labels, answer->detail, sizeof(answer->detail));
+    return answer->err == FP_OK;
+}
+
+void
+cell_apply_submit(struct cell *cell, uint64_t index, void *change,
+                  struct change_answer *answer)
+{
+    struct change_submit *rec = change;
+    struct job *job;
+
+    if (!check_submit(cell, rec, answer)) {
+        return;
+    }
+    rec->id = index;
+    rec->submitted_ms = cell->now_ms;
+    job = make_job(cell, rec, answer->detail, sizeof(answer->detail));
+    if (job == NULL) {
+        answer->err = FP_ERR_BAD_REQUEST;
+        return;
+    }
+    answer->err =
+        cell_can_ever_run(cell, job, answer->detail, sizeof(answer->detail));
+    if (answer->err != FP_OK) {
+        cell_free_job(job);
+        return;
+    }
+    enter_job(cell, job);
+    answer->id = index;
+    for (uint32_t i = 0; i < job->rec.count; i++) {
+        cell_notify_task(cell, &job->tasks[i], TASK_WAITING);
+    }
+}
+
+static enum fp_err
+check_place(struct cell *cell, const struct place_item *item,
+            struct change_answer *answer)
+{
+    const struct task *task = cell_task(cell, item->task_id);
+    const struct target *target = cell_target(cell, item->target);
+    unsigned long long id = item->task_id;
+
+    if (task == NULL || target == NULL) {
+        cell_refuse(answer, FP_ERR_NOT_FOUND, "task %llu or target '%s'", id,
+                    item->target);
+    }
+    else if (task->state != TASK_WAITING || task->cancelling ||
+             item->attempt != task->attempt + 1) {
+        cell_refuse(answer, FP_ERR_STALE, "task %llu is %s, attempt %u", id,
+                    TASK_STATE_NAMES[task->state], task->attempt);
+    }
+    else if (target->rec.state != TARGET_UP) {
+        cell_refuse(answer, FP_ERR_NO_TARGET, "target %s is %s",
+                    target->rec.name, TARGET_STATE_NAMES[target->rec.state]);
+    }
+    else if (!cell_selects(task->job, target)) {
+        cell_refuse(answer, FP_ERR_NOT_ALLOWED,
+                    "target %s is not selected by task %llu", target->rec.name,
+                    id);
+    }
+    else if (!cell_fits(target, &task->job->rec)) {
+        cell_refuse(answer, FP_ERR_OVERCOMMIT,
+                    "task %llu does not fit on target %s", id,
+                    target->rec.name);
+    }
+    else if (!cell_within_limit(task->job->team, &task->job->rec, 1)) {
+        cell_refuse(answer, FP_ERR_LIMIT, "team %s is at its limit",
+                    task->job->team->conf.name);
+    }
+    return answer->err;
+}
+
+void
+cell_apply_place(struct cell *cell, uint64_t index, void *change,
+                 struct change_answer *answer)
+{
+    const struct fp_list *list = &((struct change_place *)change)->items;
+    const struct place_item *items = list->items;
+    uint32_t done = 0;
+
+    (void)index;
+    while (done < list->count) {
+        struct task *task = cell_task(cell, items[done].task_id);
+
+        if (check_place(cell, &items[done], answer) != FP_OK) {
+            break;
+        }
+        put_on_target(task, cell_target(cell, items[done].target));
+        set_state(cell, task, TASK_RUNNING);
+        done++;
+    }
+    if (answer->err != FP_OK) {
+        while (done > 0) {
+            struct task *task = cell_task(cell, items[--done].task_id);
+
+            take_off_target(task);
+            set_state(cell, task, TASK_WAITING);
+        }
+        return;
+    }
+    for (uint32_t i = 0; i < list->count; i++) {
+        struct task *task = cell_task(cell, items[i].task_id);
+
+        task->attempt = items[i].attempt;
+        task->started_ms = cell->now_ms;
+        cell_notify_task(cell, task, TASK_WAITING);
+    }
+}
+
+static uint32_t
+max_attempts(const struct job *job)
+{
+    return job->rec.max_attempts ? job->rec.max_attempts
+                                 : DEFAULT_MAX_ATTEMPTS;
+}
+
+/* A service is kept running: it has no attempt budget and no good end. */
+static enum task_state
+state_after(const struct task *task, enum end_outcome outcome)
+{
+    if (task->cancelling) {
+        return outcome == END_DONE ? TASK_DONE : TASK_CANCELLED;
+    }
+    if (outcome == END_DONE) {
+        return TASK_DONE;
+    }
+    if (outcome == END_FAILED && task->job->rec.kind != WORK_SERVICE &&
+        task->failures >= max_attempts(task->job)) {
+        return TASK_FAILED;
+    }
+    return TASK_WAITING;
+}
+
+static void
+end_attempt(struct cell *cell, struct task *task, enum end_outcome outcome,
+            uint32_t exit_code, uint64_t retry_at_ms)
+{
+    struct target *target = task->target;
+    enum task_state state;
+
+    take_off_target(task);
+    task->last_outcome = outcome;
+    task->exit_code = exit_code;
+    task->retry_at_ms = retry_at_ms;
+    if (outcome == END_FAILED) {
+        task->failures++;
+    }
+    state = state_after(task, outcome);
+    set_state(cell, task, state);
+    if (state != TASK_WAITING) {
+        task_ended(cell, task);
+    }
+    if (cell->ops.attempt_ended != NULL) {
+        cell->ops.attempt_ended(cell->ops.ctx, task, target);
+    }
+    cell_notify_task(cell, task, TASK_RUNNING);
+}
+
+void
+cell_apply_end(struct cell *cell, uint64_t index, void *change,
+               struct change_answer *answer)
+{
+    const struct fp_list *list = &((struct change_end *)change)->items;
+    const struct end_item *items = list->items;
+
+    (void)index;
+    for (uint32_t i = 0; i < list->count; i++) {
+        struct task *task = cell_task(cell, items[i].task_id);
+
+        if (task == NULL || task->state != TASK_RUNNING ||
+            task->attempt != items[i].attempt) {
+            answer->err = FP_ERR_STALE;
+            continue;
+        }
+        end_attempt(cell, task, items[i].outcome, items[i].exit_code,
+                    items[i].retry_at_ms);
+    }
+}
+
+static uint64_t
+cancel_task(struct cell *cell, struct task *task)
+{
+    if (task->state == TASK_WAITING) {
+        set_state(cell, task, TASK_CANCELLED);
+        task_ended(cell, task);
+        cell_notify_task(cell, task, TASK_WAITING);
+        return 1;
+    }
+    if (task->state == TASK_RUNNING && !task->cancelling) {
+        task->cancelling = true;
+        cell_notify_task(cell, task, TASK_RUNNING);
+        return 1;
+    }
+    return 0;
+}
+
+static uint64_t
+cancel_job(struct cell *cell, struct job *job)
+{
+    uint64_t count = 0;
+
+    for (uint32_t i = 0; i < job->rec.count; i++) {
+        count += cancel_task(cell, &job->tasks[i]);
+    }
+    return count;
+}
+
+static bool
+team_matches(const struct job *job, const char *team)
+{
+    return team[0] == '\0' || strcmp(job->rec.team, team) == 0;
+}
+
+static gint
+compare_jobs(gconstpointer a, gconstpointer b)
+{
+    uint64_t x = ((const struct job *)a)->rec.id;
+    uint64_t y = ((const struct job *)b)->rec.id;
+
+    return x < y ? -1 : x > y;
+}
+
+/* In order of job ID, so that callbacks come alike on every host. */
+static uint64_t
+cancel_queue(struct cell *cell, const struct change_cancel *cancel)
+{
+    GList *jobs =
+        g_list_sort(g_hash_table_get_values(cell->jobs), compare_jobs);
+    uint64_t count = 0;
+
+    for (GList *at = jobs; at != NULL; at = at->next) {
+        struct job *job = at->data;
+
+        if (strcmp(job->rec.queue, cancel->queue) == 0 &&
+            team_matches(job, cancel->team)) {
+            count += cancel_job(cell, job);
+        }
+    }
+    g_list_free(jobs);
+    return count;
+}
+
+void
+cell_apply_cancel(struct cell *cell, uint64_t index, void *change,
+                  struct change_answer *answer)
+{
+    const struct change_cancel *cancel = change;
+    struct job *job = cell_job(cell, cancel->id);
+    struct task *task = cell_task(cell, cancel->id);
+
+    (void)index;
+    if (cancel->id == 0) {
+        answer->id = cancel_queue(cell, cancel);
+    }
+    else if (job != NULL && team_matches(job, cancel->team)) {
+        answer->id = cancel_job(cell, job);
+    }
+    else if (task != NULL && team_matches(task->job, cancel->team)) {
+        answer->id = cancel_task(cell, task);
+    }
+    else {
+        cell_refuse(answer, FP_ERR_NOT_FOUND, "no job or task %llu",
+                    (unsigned long long)cancel->id);
+    }
+}
+
+void
+cell_forget_ended(struct cell *cell)
+{
+    struct job *job = g_queue_peek_head(&cell->ended);
+
+    while (job != NULL &&
+           (job->ended_ms + CELL_ENDED_KEEP_MS < cell->now_ms ||
+            g_queue_get_length(&cell->ended) > CELL_ENDED_MAX)) {
+        g_queue_pop_head(&cell->ended);
+        if (cell->ops.job_removed != NULL) {
+            cell->ops.job_removed(cell->ops.ctx, job);
+        }
+        g_hash_table_remove(cell->jobs, &job->rec.id);
+        job = g_queue_peek_head(&cell->ended);
+    }
+}
+
+/* A target that was started anew confirms that its old attempts ended. */
+static void
+lose_attempts(struct cell *cell, struct target *target)
+{
+    while (target->first != NULL) {
+        end_attempt(cell, target->first, END_LOST, 0, 0);
+    }
+}
+
+static bool
+check_target_rec(const struct change_target *rec, struct change_answer *answer)
+{
+    if (rec->name[0] == '\0' || strpbrk(rec->name, ",=|! \n") != NULL) {
+        cell_refuse(answer, FP_ERR_BAD_REQUEST,
+                    "field name: '%.60s' is no name for a target", rec->name);
+        return false;
+    }
+    if (rec->run_id == 0) {
+        cell_refuse(answer, FP_ERR_BAD_REQUEST,
+                    "field run_id: must differ at each start, above 0");
+        return false;
+    }
+    answer->err =
+        labels_check(rec->labels, answer->detail, sizeof(answer->detail));
+    return answer->err == FP_OK;
+}
+
+/* What the system decided for a target outlives its announcements. */
+static void
+keep_decisions(struct change_target *rec, const struct change_target *old)
+{
+    rec->owner_run = old->owner_run;
+    rec->owner_epoch = old->owner_epoch;
+    rec->owner_clean = old->owner_clean;
+    rec->was_owned = old->was_owned;
+    rec->labels_version = old->labels_version;
+    memcpy(rec->owner_host, old->owner_host, sizeof(rec->owner_host));
+    memcpy(rec->given_labels, old->given_labels, sizeof(rec->given_labels));
+}
+
+void
+cell_apply_target(struct cell *cell, uint64_t index, void *change,
+                  struct change_answer *answer)
+{
+    struct change_target *rec = change;
+    struct target *target = cell_target(cell, rec->name);
+
+    if (!check_target_rec(rec, answer)) {
+        return;
+    }
+    if (target != NULL) {
+        if (target->rec.run_id != rec->run_id) {
+            lose_attempts(cell, target);
+        }
+        else if (rec->cpu_milli < target->use.cpu_milli ||
+                 rec->memory_mb < target->use.memory_mb ||
+                 rec->accel < target->use.accel) {
+            cell_refuse(answer, FP_ERR_OVERCOMMIT,
+                        "target %s: committed work is above the new size",
+                        rec->name);
+            return;
+        }
+        keep_decisions(rec, &target->rec);
+    }
+    if (rec->slots == 0) {
+        rec->slots = DEFAULT_SLOTS;
+    }
+    rec->version = index;
+    answer->version = index;
+    cell_notify_target(cell, cell_put_target(cell, rec));
+}
+
+void
+cell_apply_target_state(struct cell *cell, uint64_t index, void *change,
+                        struct change_answer *answer)
+{
+    const struct change_target_state *set = change;
+    struct target *target = cell_target(cell, set->name);
+
+    if (target == NULL) {
+        cell_refuse(answer, FP_ERR_NOT_FOUND, "no target '%s'", set->name);
+        return;
+    }
+    if (set->run_id != 0 && set->run_id != target->rec.run_id) {
+        cell_refuse(answer, FP_ERR_STALE, "target %s has started anew",
+                    set->name);
+        return;
+    }
+    target->rec.state = set->state;
+    target->rec.version = index;
+    answer->version = index;
+    cell_notify_target(cell, target);
+}
--- /dev/null
+++ b/core/raft.c
@@ -0,0 +1,800 @@
+/* raft.c -- roles, votes and following; raftlead.c holds the leader's part */
+#include "core/raft.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "core/raftpriv.h"
+
+static void
+reset_election(struct raft *raft, uint64_t now_ms)
+{
+    uint64_t spread =
+        raft->times.election_max_ms - raft->times.election_min_ms;
+
+    raft->election_at_ms = now_ms + raft->times.election_min_ms +
+                           raft->ops.random(raft->ops.ctx, (uint32_t)spread);
+}
+
+static void
+save_vote(struct raft *raft)
+{
+    uint64_t write =
+        raft->ops.write_vote(raft->ops.ctx, raft->term, raft->voted_for);
+
+    raft_note_write(raft, write, 0);
+}
+
+bool
+raft_is_voter(const struct raft *raft, uint64_t id)
+{
+    const struct fp_list *list = &raftlog_members(&raft->log)->members.list;
+    const struct raft_member *member = list->items;
+
+    for (uint32_t i = 0; i < list->count; i++) {
+        if (member[i].id == id && member[i].role == RAFT_VOTER) {
+            return true;
+        }
+    }
+    return false;
+}
+
+uint32_t
+raft_voter_count(const struct raft *raft)
+{
+    const struct fp_list *list = &raftlog_members(&raft->log)->members.list;
+    const struct raft_member *member = list->items;
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < list->count; i++) {
+        if (member[i].role == RAFT_VOTER) {
+            count++;
+        }
+    }
+    return count;
+}
+
+uint64_t
+raft_note_write(struct raft *raft, uint64_t write, uint64_t last_index)
+{
+    struct pending_write pending = {write, last_index};
+
+    if (!raft->has_disk) {
+        if (last_index > raft->synced) {
+            raft->synced = last_index;
+        }
+        return 0;
+    }
+    g_array_append_val(raft->pending, pending);
+    raft->last_write = write;
+    return write;
+}
+
+/* A truncated tail must not count as synced when its write completes. */
+static void
+forget_tail(struct raft *raft, uint64_t index)
+{
+    raftlog_truncate(&raft->log, index);
+    for (guint i = 0; i < raft->pending->len; i++) {
+        struct pending_write *pending =
+            &g_array_index(raft->pending, struct pending_write, i);
+
+        pending->last_index = MIN(pending->last_index, index - 1);
+    }
+    raft->synced = MIN(raft->synced, index - 1);
+}
+
+void
+raft_advance_commit(struct raft *raft, uint64_t index)
+{
+    index = MIN(index, raftlog_last_index(&raft->log));
+    if (index > raft->commit) {
+        raft->commit = index;
+    }
+    while (raft->applied < raft->commit) {
+        const struct raft_entry *entry =
+            raftlog_at(&raft->log, raft->applied + 1);
+
+        raft->applied++;
+        if (entry->kind == RAFT_CHANGE) {
+            raft->ops.apply(raft->ops.ctx, entry);
+        }
+    }
+    if (raft->applied >= raft->fresh_commit &&
+        raft->fresh_next_ms > raft->fresh_until_ms) {
+        raft->fresh_until_ms = raft->fresh_next_ms;
+    }
+}
+
+void
+raft_become_follower(struct raft *raft, uint64_t term, uint64_t now_ms)
+{
+    bool was_leader = raft->state == RAFT_LEADER;
+
+    if (was_leader) {
+        raft_stop_leading(raft);
+    }
+    raft->state = RAFT_FOLLOWER;
+    if (term > raft->term) {
+        raft->term = term;
+        raft->voted_for = 0;
+        raft->leader_id = 0;
+        raft->leader_host[0] = '\0';
+        save_vote(raft);
+    }
+    if (was_leader) {
+        raft->leader_id = 0;
+        raft->leader_host[0] = '\0';
+    }
+    reset_election(raft, now_ms);
+    raft->ops.changed(raft->ops.ctx);
+}
+
+static void
+ask_votes(struct raft *raft, bool pre, bool transfer)
+{
+    const struct fp_list *list = &raftlog_members(&raft->log)->members.list;
+    const struct raft_member *member = list->items;
+    struct msg_vote msg = {
+        .from_id = raft->id,
+        .term = pre ? raft->term + 1 : raft->term,
+        .pre = pre,
+        .transfer = transfer,
+        .last_index = raftlog_last_index(&raft->log),
+        .last_term = raftlog_last_term(&raft->log),
+    };
+
+    for (uint32_t i = 0; i < list->count; i++) {
+        if (member[i].role == RAFT_VOTER && member[i].id != raft->id) {
+            msg.to_id = member[i].id;
+            raft->ops.send(raft->ops.ctx, msg.to_id, &MSG_VOTE_SCHEMA, &msg,
+                           pre ? 0 : raft->last_write);
+        }
+    }
+}
+
+/* A candidate adds its own vote in raft_synced(), once it is on disk. */
+static void
+add_vote(struct raft *raft, uint64_t id)
+{
+    if (raft_is_voter(raft, id)) {
+        g_hash_table_add(raft->votes, g_memdup2(&id, sizeof(id)));
+    }
+}
+
+static bool
+has_quorum(const struct raft *raft)
+{
+    return g_hash_table_size(raft->votes) * 2 > raft_voter_count(raft);
+}
+
+static void
+stand_for_election(struct raft *raft, bool transfer, uint64_t now_ms)
+{
+    raft->state = RAFT_CANDIDATE;
+    raft->term++;
+    raft->voted_for = raft->id;
+    raft->leader_id = 0;
+    raft->leader_host[0] = '\0';
+    save_vote(raft);
+    g_hash_table_remove_all(raft->votes);
+    reset_election(raft, now_ms);
+    ask_votes(raft, false, transfer);
+    raft->ops.changed(raft->ops.ctx);
+}
+
+static void
+ask_before_election(struct raft *raft, uint64_t now_ms)
+{
+    raft->state = RAFT_PRE_CANDIDATE;
+    raft->leader_id = 0;
+    raft->leader_host[0] = '\0';
+    g_hash_table_remove_all(raft->votes);
+    add_vote(raft, raft->id);
+    reset_election(raft, now_ms);
+    if (has_quorum(raft)) {
+        stand_for_election(raft, false, now_ms);
+        return;
+    }
+    ask_votes(raft, true, false);
+}
+
+static bool
+log_is_current(const struct raft *raft, const struct msg_vote *msg)
+{
+    uint64_t last_term = raftlog_last_term(&raft->log);
+
+    if (msg->last_term != last_term) {
+        return msg->last_term > last_term;
+    }
+    return msg->last_index >= raftlog_last_index(&raft->log);
+}
+
+/* The promise behind the leader lease: no vote soon after a leader's word. */
+static bool
+leader_is_recent(const struct raft *raft, uint64_t now_ms)
+{
+    if (raft->state == RAFT_LEADER) {
+        return true;
+    }
+    return now_ms < raft->contact_ms + raft->times.election_min_ms;
+}
+
+static void
+on_vote(struct raft *raft, const struct msg_vote *msg, uint64_t now_ms)
+{
+    struct msg_vote_reply reply = {
+        .from_id = raft->id, .to_id = msg->from_id, .pre = msg->pre};
+    uint64_t after = 0;
+
+    if (!raft->has_disk || raft->failed) {
+        return;
+    }
+    if (!msg->transfer && leader_is_recent(raft, now_ms)) {
+        return;
+    }
+    if (msg->pre) {
+        reply.granted = msg->term > raft->term && log_is_current(raft, msg);
+        reply.term = reply.granted ? msg->term : raft->term;
+    }
+    else {
+        if (msg->term > raft->term) {
+            raft_become_follower(raft, msg->term, now_ms);
+        }
+        reply.granted =
+            msg->term == raft->term && log_is_current(raft, msg) &&
+            (raft->voted_for == 0 || raft->voted_for == msg->from_id);
+        if (reply.granted && raft->voted_for == 0) {
+            raft->voted_for = msg->from_id;
+            save_vote(raft);
+            reset_election(raft, now_ms);
+        }
+        reply.term = raft->term;
+        after = raft->last_write;
+    }
+    raft->ops.send(raft->ops.ctx, msg->from_id, &MSG_VOTE_REPLY_SCHEMA, &reply,
+                   after);
+}
+
+static void
+on_vote_reply(struct raft *raft, const struct msg_vote_reply *msg,
+              uint64_t now_ms)
+{
+    if (!msg->granted) {
+        if (msg->term > raft->term) {
+            raft_become_follower(raft, msg->term, now_ms);
+        }
+        return;
+    }
+    if (msg->pre && raft->state == RAFT_PRE_CANDIDATE &&
+        msg->term == raft->term + 1) {
+        add_vote(raft, msg->from_id);
+        if (has_quorum(raft)) {
+            stand_for_election(raft, false, now_ms);
+        }
+    }
+    else if (!msg->pre && raft->state == RAFT_CANDIDATE &&
+             msg->term == raft->term) {
+        add_vote(raft, msg->from_id);
+        if (has_quorum(raft)) {
+            raft_become_leader(raft, now_ms);
+        }
+    }
+}
+
+static void
+follow(struct raft *raft, uint64_t term, uint64_t leader_id, const char *host,
+       uint64_t now_ms)
+{
+    if (term > raft->term || raft->state != RAFT_FOLLOWER) {
+        raft_become_follower(raft, term, now_ms);
+    }
+    raft->contact_ms = now_ms;
+    reset_election(raft, now_ms);
+    if (raft->leader_id != leader_id) {
+        raft->leader_id = leader_id;
+        if (host != NULL) {
+            g_strlcpy(raft->leader_host, host, sizeof(raft->leader_host));
+        }
+        raft->ops.changed(raft->ops.ctx);
+    }
+}
+
+/* Adds the entries that the log does not have; a conflicting tail goes. */
+static void
+take_entries(struct raft *raft, const struct fp_list *list)
+{
+    const struct raft_entry *entries = list->items;
+    uint32_t from = 0;
+
+    while (from < list->count &&
+           (entries[from].index <= raft->log.base_index ||
+            raftlog_term(&raft->log, entries[from].index) ==
+                entries[from].term)) {
+        from++;
+    }
+    if (from == list->count) {
+        return;
+    }
+    if (entries[from].index <= raftlog_last_index(&raft->log)) {
+        forget_tail(raft, entries[from].index);
+    }
+    for (uint32_t i = from; i < list->count; i++) {
+        struct raft_entry copy = entries[i];
+
+        copy.data = fp_blob_copy(copy.data.data, copy.data.size_bytes);
+        raftlog_append(&raft->log, &copy);
+    }
+    raft_note_write(raft,
+                    raft->ops.write_entries(raft->ops.ctx, entries + from,
+                                            list->count - from),
+                    raftlog_last_index(&raft->log));
+}
+
+/* Entries of one append must be consecutive and start after prev_index, and
+ * must not contradict what is committed here.
+ */
+static bool
+append_is_sound(const struct raft *raft, const struct msg_append *msg)
+{
+    const struct raft_entry *entries = msg->entries.items;
+
+    for (uint32_t i = 0; i < msg->entries.count; i++) {
+        uint64_t known = raftlog_term(&raft->log, entries[i].index);
+
+        if (entries[i].index != msg->prev_index + 1 + i ||
+            entries[i].term > msg->term) {
+            return false;
+        }
+        if (entries[i].index <= raft->commit &&
+            entries[i].index > raft->log.base_index &&
+            known != entries[i].term) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+note_freshness(struct raft *raft, const struct msg_append *msg)
+{
+    if (msg->fresh_asked_ms == 0) {
+        return;
+    }
+    raft->fresh_next_ms = msg->fresh_asked_ms + raft->times.fresh_ms;
+    raft->fresh_commit = msg->commit_index;
+}
+
+static void
+on_append(struct raft *raft, const struct msg_append *msg, uint64_t now_ms)
+{
+    struct msg_append_reply reply = {.from_id = raft->id,
+                                     .to_id = msg->from_id,
+                                     .echo_sent_ms = msg->sent_ms,
+                                     .asked_ms = now_ms};
+    uint64_t last;
+
+    if (raft->failed) {
+        return;
+    }
+    if (msg->term < raft->term) {
+        reply.term = raft->term;
+        raft->ops.send(raft->ops.ctx, msg->from_id, &MSG_APPEND_REPLY_SCHEMA,
+                       &reply, raft->last_write);
+        return;
+    }
+    if (!append_is_sound(raft, msg)) {
+        return;
+    }
+    follow(raft, msg->term, msg->from_id, msg->leader_host, now_ms);
+    reply.term = raft->term;
+    last = raftlog_last_index(&raft->log);
+    if (msg->prev_index > last ||
+        (msg->prev_index > raft->log.base_index &&
+         raftlog_term(&raft->log, msg->prev_index) != msg->prev_term)) {
+        reply.hint_index = MIN(last, msg->prev_index - 1) + 1;
+        if (msg->prev_index <= last) {
+            reply.hint_index = MAX(raft->commit + 1, raft->log.base_index + 1);
+        }
+    }
+    else {
+        take_entries(raft, &msg->entries);
+        reply.accepted = true;
+        reply.match_index =
+            MAX(msg->prev_index + msg->entries.count, raft->log.base_index);
+        note_freshness(raft, msg);
+        raft_advance_commit(raft, MIN(msg->commit_index, reply.match_index));
+    }
+    reply.applied_index = raft->applied;
+    raft->ops.send(raft->ops.ctx, msg->from_id, &MSG_APPEND_REPLY_SCHEMA,
+                   &reply, raft->last_write);
+}
+
+static void
+install_snapshot(struct raft *raft, struct raft_snapshot *snap)
+{
+    if (!raft->ops.restore(raft->ops.ctx, snap)) {
+        fp_blob_free(&snap->data);
+        fp_record_free(&RAFT_MEMBERS_SCHEMA, &snap->members);
+        return;
+    }
+    raftlog_clear(&raft->log);
+    raftlog_init(&raft->log, snap->last_index, snap->last_term,
+                 &snap->members);
+    raft->commit = snap->last_index;
+    raft->applied = snap->last_index;
+    g_array_set_size(raft->pending, 0);
+    raft->synced = 0;
+    raft_note_write(raft,
+                    raft->ops.write_snapshot(raft->ops.ctx, snap, NULL, 0),
+                    snap->last_index);
+    fp_blob_free(&raft->snapshot.data);
+    fp_record_free(&RAFT_MEMBERS_SCHEMA, &raft->snapshot.members);
+    raft->snapshot = *snap;
+    if (!raft->has_disk) {
+        fp_blob_free(&raft->snapshot.data);
+    }
+}
+
+static void
+drop_incoming(struct raft *raft)
+{
+    if (raft->incoming.data != NULL) {
+        g_byte_array_free(raft->incoming.data, TRUE);
+        raft->incoming.data = NULL;
+    }
+}
+
+static void
+finish_incoming(struct raft *raft, const struct msg_snapshot *msg)
+{
+    struct raft_snapshot snap = {.last_index = msg->last_index,
+                                 .last_term = msg->last_term};
+    struct raft_members members = {msg->members};
+
+    fp_record_copy(&RAFT_MEMBERS_SCHEMA, &snap.members, &members);
+    snap.data =
+        fp_blob_copy(raft->incoming.data->data, raft->incoming.data->len);
+    drop_incoming(raft);
+    if (snap.last_index > raft->commit) {
+        install_snapshot(raft, &snap);
+        return;
+    }
+    fp_blob_free(&snap.data);
+    fp_record_free(&RAFT_MEMBERS_SCHEMA, &snap.members);
+}
+
+static void
+on_snapshot(struct raft *raft, const struct msg_snapshot *msg, uint64_t now_ms)
+{
+    struct incoming *in = &raft->incoming;
+    struct msg_snapshot_reply reply = {.from_id = raft->id,
+                                       .to_id = msg->from_id,
+                                       .last_index = msg->last_index,
+                                       .echo_sent_ms = msg->sent_ms};
+
+    if (raft->failed || msg->term < raft->term) {
+        return;
+    }
+    follow(raft, msg->term, msg->from_id, NULL, now_ms);
+    reply.term = raft->term;
+    if (msg->last_index <= raft->commit) {
+        reply.received_bytes = msg->total_bytes;
+        raft->ops.send(raft->ops.ctx, msg->from_id, &MSG_SNAPSHOT_REPLY_SCHEMA,
+                       &reply, raft->last_write);
+        return;
+    }
+    if (in->data == NULL || in->last_index != msg->last_index ||
+        in->last_term != msg->last_term) {
+        drop_incoming(raft);
+        in->data = g_byte_array_new();
+        in->last_index = msg->last_index;
+        in->last_term = msg->last_term;
+    }
+    if (msg->offset_bytes == in->data->len) {
+        g_byte_array_append(in->data, msg->chunk.data, msg->chunk.size_bytes);
+    }
+    reply.received_bytes = in->data->len;
+    if (in->data->len == msg->total_bytes) {
+        finish_incoming(raft, msg);
+    }
+    raft->ops.send(raft->ops.ctx, msg->from_id, &MSG_SNAPSHOT_REPLY_SCHEMA,
+                   &reply, raft->last_write);
+}
+
+static void
+on_timeout_now(struct raft *raft, const struct msg_timeout_now *msg,
+               uint64_t now_ms)
+{
+    if (msg->term != raft->term || raft->failed ||
+        !raft_is_voter(raft, raft->id)) {
+        return;
+    }
+    stand_for_election(raft, true, now_ms);
+}
+
+void
+raft_default_times(struct raft_times *times)
+{
+    static const struct raft_times defaults = {
+        .heartbeat_ms = 100,
+        .election_min_ms = 600,
+        .election_max_ms = 1200,
+        .fresh_ms = 2000,
+        .drift_permille = 10,
+        .resend_ms = 300,
+        .observer_ms = 10000,
+    };
+
+    *times = defaults;
+}
+
+struct raft *
+raft_new(struct raft_init *init, const struct raft_times *times,
+         const struct raft_ops *ops, uint64_t now_ms)
+{
+    struct raft *raft = g_new0(struct raft, 1);
+    struct raft_entry *entries = init->entries.items;
+
+    raft->id = init->id;
+    g_strlcpy(raft->host, init->host, sizeof(raft->host));
+    raft->has_disk = init->has_disk;
+    raft->times = *times;
+    raft->ops = *ops;
+    raft->term = init->term;
+    raft->voted_for = init->voted_for;
+    raft->snapshot = init->snapshot;
+    raftlog_init(&raft->log, init->snapshot.last_index,
+                 init->snapshot.last_term, &init->snapshot.members);
+    for (uint32_t i = 0; i < init->entries.count; i++) {
+        raftlog_append(&raft->log, &entries[i]);
+    }
+    g_free(init->entries.items);
+    raft->commit = raft->log.base_index;
+    raft->applied = raft->log.base_index;
+    raft->synced = raftlog_last_index(&raft->log);
+    raft->pending = g_array_new(FALSE, FALSE, sizeof(struct pending_write));
+    raft->votes =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    raft->followers =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    raft->contact_ms = now_ms;
+    reset_election(raft, now_ms);
+    memset(init, 0, sizeof(*init));
+    return raft;
+}
+
+void
+raft_free(struct raft *raft)
+{
+    if (raft == NULL) {
+        return;
+    }
+    raftlog_clear(&raft->log);
+    drop_incoming(raft);
+    fp_blob_free(&raft->snapshot.data);
+    fp_record_free(&RAFT_MEMBERS_SCHEMA, &raft->snapshot.members);
+    g_array_free(raft->pending, TRUE);
+    g_hash_table_destroy(raft->votes);
+    g_hash_table_destroy(raft->followers);
+    g_free(raft);
+}
+
+enum fp_err
+raft_bootstrap(struct raft *raft, uint64_t now_ms)
+{
+    struct raft_members members = {{NULL, 0}};
+    struct raft_member *member;
+    struct raft_entry entry = {.index = 1, .term = 1, .kind = RAFT_MEMBERS};
+
+    if (!raft->has_disk) {
+        return FP_ERR_DISK;
+    }
+    if (raftlog_last_index(&raft->log) != 0 || raft->term != 0 ||
+        raft->leader_id != 0) {
+        return FP_ERR_STALE;
+    }
+    member = fp_list_add(&members.list, sizeof(*member));
+    member->id = raft->id;
+    g_strlcpy(member->host, raft->host, sizeof(member->host));
+    member->role = RAFT_VOTER;
+    fp_encode(&RAFT_MEMBERS_SCHEMA, &members, &entry.data);
+    fp_record_free(&RAFT_MEMBERS_SCHEMA, &members);
+    raft->term = 1;
+    save_vote(raft);
+    raftlog_append(&raft->log, &entry);
+    raft_note_write(raft, raft->ops.write_entries(raft->ops.ctx, &entry, 1),
+                    1);
+    raft->election_at_ms = now_ms;
+    return FP_OK;
+}
+
+void
+raft_tick(struct raft *raft, uint64_t now_ms)
+{
+    if (raft->failed) {
+        return;
+    }
+    if (raft->state == RAFT_LEADER) {
+        raft_lead_tick(raft, now_ms);
+    }
+    else if (now_ms >= raft->election_at_ms) {
+        if (raft->has_disk && raft_is_voter(raft, raft->id)) {
+            ask_before_election(raft, now_ms);
+        }
+        else {
+            raft->leader_id = 0;
+            reset_election(raft, now_ms);
+        }
+    }
+}
+
+void
+raft_receive(struct raft *raft, uint32_t type, const void *msg,
+             uint64_t now_ms)
+{
+    switch (type) {
+    case MSG_HELLO:
+        raft_lead_hello(raft, msg, now_ms);
+        break;
+    case MSG_APPEND:
+        on_append(raft, msg, now_ms);
+        break;
+    case MSG_APPEND_REPLY:
+        raft_lead_reply(raft, msg, now_ms);
+        break;
+    case MSG_VOTE:
+        on_vote(raft, msg, now_ms);
+        break;
+    case MSG_VOTE_REPLY:
+        on_vote_reply(raft, msg, now_ms);
+        break;
+    case MSG_SNAPSHOT:
+        on_snapshot(raft, msg, now_ms);
+        break;
+    case MSG_SNAPSHOT_REPLY:
+        raft_lead_snapshot_reply(raft, msg, now_ms);
+        break;
+    case MSG_TIMEOUT_NOW:
+        on_timeout_now(raft, msg, now_ms);
+        break;
+    default:
+        break;
+    }
+}
+
+void
+raft_synced(struct raft *raft, uint64_t write, uint64_t now_ms)
+{
+    guint done = 0;
+
+    while (done < raft->pending->len) {
+        const struct pending_write *pending =
+            &g_array_index(raft->pending, struct pending_write, done);
+
+        if (pending->write > write) {
+            break;
+        }
+        raft->synced = MAX(raft->synced, pending->last_index);
+        done++;
+    }
+    g_array_remove_range(raft->pending, 0, done);
+    if (raft->state == RAFT_CANDIDATE && raft->pending->len == 0) {
+        add_vote(raft, raft->id);
+        if (has_quorum(raft)) {
+            raft_become_leader(raft, now_ms);
+        }
+    }
+    if (raft->state == RAFT_LEADER) {
+        raft_lead_synced(raft, now_ms);
+    }
+}
+
+void
+raft_disk_failed(struct raft *raft, uint64_t now_ms)
+{
+    raft_become_follower(raft, raft->term, now_ms);
+    raft->failed = true;
+    raft->fresh_until_ms = 0;
+    raft->fresh_next_ms = 0;
+}
+
+void
+raft_compact(struct raft *raft, const struct fp_blob *state)
+{
+    struct raft_snapshot *snap = &raft->snapshot;
+    const struct members_at *members =
+        raftlog_members_at(&raft->log, raft->applied);
+    uint64_t keep = raft->has_disk ? RAFT_KEEP_ENTRIES : 0;
+
+    if (raft->applied <= snap->last_index) {
+        return;
+    }
+    fp_blob_free(&snap->data);
+    fp_record_free(&RAFT_MEMBERS_SCHEMA, &snap->members);
+    snap->last_index = raft->applied;
+    snap->last_term = raftlog_term(&raft->log, raft->applied);
+    fp_record_copy(&RAFT_MEMBERS_SCHEMA, &snap->members, &members->members);
+    if (raft->applied > raft->log.base_index + keep) {
+        raftlog_compact(&raft->log, raft->applied - keep);
+    }
+    if (!raft->has_disk) {
+        return;
+    }
+    snap->data = fp_blob_copy(state->data, state->size_bytes);
+    raft_note_write(
+        raft,
+        raft->ops.write_snapshot(
+            raft->ops.ctx, snap, raftlog_at(&raft->log, raft->applied + 1),
+            (uint32_t)(raftlog_last_index(&raft->log) - raft->applied)),
+        raftlog_last_index(&raft->log));
+}
+
+enum raft_state
+raft_state(const struct raft *raft)
+{
+    return raft->state;
+}
+
+uint64_t
+raft_term(const struct raft *raft)
+{
+    return raft->term;
+}
+
+uint64_t
+raft_id(const struct raft *raft)
+{
+    return raft->id;
+}
+
+uint64_t
+raft_commit_index(const struct raft *raft)
+{
+    return raft->commit;
+}
+
+uint64_t
+raft_applied_index(const struct raft *raft)
+{
+    return raft->applied;
+}
+
+uint64_t
+raft_last_index(const struct raft *raft)
+{
+    return raftlog_last_index(&raft->log);
+}
+
+uint32_t
+raft_log_length(const struct raft *raft)
+{
+    return raft->log.entries->len;
+}
+
+const char *
+raft_leader_host(const struct raft *raft)
+{
+    return raft->state == RAFT_LEADER ? raft->host : raft->leader_host;
+}
+
+const struct raft_members *
+raft_members(const struct raft *raft)
+{
+    return &raftlog_members(&raft->log)->members;
+}
+
+const struct raft_entry *
+raft_entry_at(const struct raft *raft, uint64_t index)
+{
+    return raftlog_at(&raft->log, index);
+}
+
+bool
+raft_fresh(const struct raft *raft, uint64_t now_ms)
+{
+    if (raft->state == RAFT_LEADER) {
+        return raft_leads(raft, now_ms);
+    }
+    return now_ms < raft->fresh_until_ms;
+}
--- /dev/null
+++ b/core/raftlead.c
@@ -0,0 +1,663 @@
+/* raftlead.c -- the leader's part: replication, leases, members, transfer */
+#include <glib.h>
+#include <string.h>
+
+#include "core/raftpriv.h"
+
+#define TRANSFER_MAX_MS 2000u
+
+static struct follower *
+find_follower(const struct raft *raft, uint64_t id)
+{
+    return g_hash_table_lookup(raft->followers, &id);
+}
+
+static struct follower *
+add_follower(struct raft *raft, uint64_t id, const char *host, bool observer,
+             uint64_t now_ms)
+{
+    struct follower *follower = find_follower(raft, id);
+
+    if (follower == NULL) {
+        follower = g_new0(struct follower, 1);
+        follower->id = id;
+        follower->next = raftlog_last_index(&raft->log) + 1;
+        follower->heard_ms = now_ms;
+        follower->progress_ms = now_ms;
+        g_hash_table_insert(raft->followers, &follower->id, follower);
+    }
+    g_strlcpy(follower->host, host, sizeof(follower->host));
+    follower->observer = observer;
+    return follower;
+}
+
+/* Brings the followers in line with the newest list of members. A member that
+ * was removed goes on as an observer until it falls silent.
+ */
+static void
+follow_members(struct raft *raft, uint64_t now_ms)
+{
+    const struct fp_list *list = &raftlog_members(&raft->log)->members.list;
+    const struct raft_member *member = list->items;
+    GHashTableIter iter;
+    struct follower *follower;
+
+    g_hash_table_iter_init(&iter, raft->followers);
+    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&follower)) {
+        follower->observer = true;
+    }
+    for (uint32_t i = 0; i < list->count; i++) {
+        if (member[i].id != raft->id) {
+            add_follower(raft, member[i].id, member[i].host, false, now_ms);
+        }
+    }
+}
+
+/* The time that a quorum, this replica included, has echoed. */
+static uint64_t
+quorum_value(const struct raft *raft, uint64_t own, bool of_match)
+{
+    const struct fp_list *list = &raftlog_members(&raft->log)->members.list;
+    const struct raft_member *member = list->items;
+    uint64_t values[MSG_MAX_MEMBERS];
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < list->count; i++) {
+        const struct follower *follower = find_follower(raft, member[i].id);
+        uint64_t value = 0;
+        uint32_t at = count;
+
+        if (member[i].role != RAFT_VOTER) {
+            continue;
+        }
+        if (member[i].id == raft->id) {
+            value = own;
+        }
+        else if (follower != NULL) {
+            value = of_match ? follower->match : follower->acked_ms;
+        }
+        while (at > 0 && values[at - 1] < value) {
+            values[at] = values[at - 1];
+            at--;
+        }
+        values[at] = value;
+        count++;
+    }
+    return count == 0 ? 0 : values[count / 2];
+}
+
+/* Followers promise no vote for election_min_ms after they heard an append
+ * that left at its echoed time; clocks may differ in rate by the drift bound.
+ */
+static void
+renew_lease(struct raft *raft, uint64_t now_ms)
+{
+    uint64_t acked_ms = quorum_value(raft, now_ms, false);
+    uint64_t span_ms = raft->times.election_min_ms *
+                       (1000 - raft->times.drift_permille) / 1000;
+
+    if (acked_ms != 0 && raft->transfer_to == 0) {
+        raft->lease_until_ms = MAX(raft->lease_until_ms, acked_ms + span_ms);
+    }
+}
+
+static void
+commit_by_quorum(struct raft *raft)
+{
+    uint64_t index = quorum_value(raft, raft->synced, true);
+
+    /* Entries of older terms are committed only along with one of ours. */
+    if (index > raft->commit &&
+        raftlog_term(&raft->log, index) == raft->term) {
+        raft_advance_commit(raft, index);
+        raft->commit_news = true;
+    }
+}
+
+static void
+send_chunk(struct raft *raft, struct follower *follower, uint64_t now_ms)
+{
+    const struct raft_snapshot *snap = &raft->snapshot;
+    uint64_t left = snap->data.size_bytes - follower->snap_offset;
+    struct msg_snapshot msg = {
+        .from_id = raft->id,
+        .to_id = follower->id,
+        .term = raft->term,
+        .last_index = snap->last_index,
+        .last_term = snap->last_term,
+        .members = snap->members.list,
+        .offset_bytes = follower->snap_offset,
+        .total_bytes = snap->data.size_bytes,
+        .sent_ms = now_ms,
+    };
+
+    msg.chunk.data = snap->data.data + follower->snap_offset;
+    msg.chunk.size_bytes = (uint32_t)MIN(left, MSG_SNAPSHOT_CHUNK_BYTES);
+    follower->snap_sent_ms = now_ms;
+    follower->sent_ms = now_ms;
+    raft->ops.send(raft->ops.ctx, follower->id, &MSG_SNAPSHOT_SCHEMA, &msg, 0);
+}
+
+static void
+start_snapshot(struct raft *raft, struct follower *follower, uint64_t now_ms)
+{
+    follower->snapshotting = true;
+    follower->snap_offset = 0;
+    send_chunk(raft, follower, now_ms);
+}
+
+/* Sends what the follower lacks; a new commit index goes out at once, since
+ * proposers elsewhere wait for it. An empty append serves as heartbeat. */
+static void
+send_append(struct raft *raft, struct follower *follower, uint64_t now_ms)
+{
+    struct msg_append msg = {.from_id = raft->id,
+                             .to_id = follower->id,
+                             .term = raft->term,
+                             .prev_index = follower->next - 1,
+                             .commit_index = raft->commit,
+                             .sent_ms = now_ms};
+    const struct raft_entry *first = raftlog_at(&raft->log, follower->next);
+    uint64_t bytes = 0;
+    uint64_t available;
+
+    if (follower->snapshotting) {
+        return;
+    }
+    if (follower->next <= raft->log.base_index) {
+        start_snapshot(raft, follower, now_ms);
+        return;
+    }
+    g_strlcpy(msg.leader_host, raft->host, sizeof(msg.leader_host));
+    msg.prev_term = raftlog_term(&raft->log, msg.prev_index);
+    if (raft_leads(raft, now_ms)) {
+        msg.fresh_asked_ms = follower->asked_ms;
+    }
+    available = raftlog_last_index(&raft->log) + 1 - follower->next;
+    if (raft->unflushed != 0 && raft->unflushed >= follower->next) {
+        available = raft->unflushed - follower->next;
+    }
+    while (msg.entries.count < MIN(available, MSG_APPEND_MAX_ENTRIES) &&
+           bytes < RAFT_APPEND_MAX_BYTES) {
+        bytes += first[msg.entries.count].data.size_bytes;
+        msg.entries.count++;
+    }
+    msg.entries.items = (void *)first;
+    follower->next += msg.entries.count;
+    follower->sent_ms = now_ms;
+    raft->ops.send(raft->ops.ctx, follower->id, &MSG_APPEND_SCHEMA, &msg, 0);
+}
+
+static void
+send_to_all(struct raft *raft, uint64_t now_ms)
+{
+    GHashTableIter iter;
+    struct follower *follower;
+
+    g_hash_table_iter_init(&iter, raft->followers);
+    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&follower)) {
+        send_append(raft, follower, now_ms);
+    }
+}
+
+static void
+append_own(struct raft *raft, enum raft_kind kind, struct fp_blob data)
+{
+    struct raft_entry entry = {.index = raftlog_last_index(&raft->log) + 1,
+                               .term = raft->term,
+                               .kind = kind,
+                               .data = data};
+
+    raftlog_append(&raft->log, &entry);
+    if (raft->unflushed == 0) {
+        raft->unflushed = entry.index;
+    }
+}
+
+static void
+append_members(struct raft *raft, struct raft_members *members)
+{
+    struct fp_blob data;
+
+    fp_encode(&RAFT_MEMBERS_SCHEMA, members, &data);
+    append_own(raft, RAFT_MEMBERS, data);
+}
+
+static bool
+members_settled(const struct raft *raft)
+{
+    return raftlog_members(&raft->log)->index <= raft->commit &&
+           raft->commit >= raft->noop_index;
+}
+
+static struct raft_member *
+find_member(const struct raft_members *members, uint64_t id, const char *host)
+{
+    struct raft_member *member = members->list.items;
+
+    for (uint32_t i = 0; i < members->list.count; i++) {
+        if (member[i].id == id ||
+            (host != NULL && strcmp(member[i].host, host) == 0)) {
+            return &member[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+change_role(struct raft *raft, uint64_t id, enum raft_role role)
+{
+    struct raft_members members;
+
+    fp_record_copy(&RAFT_MEMBERS_SCHEMA, &members, raft_members(raft));
+    find_member(&members, id, NULL)->role = role;
+    append_members(raft, &members);
+    fp_record_free(&RAFT_MEMBERS_SCHEMA, &members);
+}
+
+static void
+remove_member(struct raft *raft, uint64_t id)
+{
+    struct raft_members members;
+    struct raft_member *member;
+    struct raft_member *end;
+
+    fp_record_copy(&RAFT_MEMBERS_SCHEMA, &members, raft_members(raft));
+    member = find_member(&members, id, NULL);
+    end = (struct raft_member *)members.list.items + members.list.count;
+    memmove(member, member + 1, (size_t)(end - member - 1) * sizeof(*member));
+    members.list.count--;
+    append_members(raft, &members);
+    fp_record_free(&RAFT_MEMBERS_SCHEMA, &members);
+}
+
+static void
+add_learner(struct raft *raft, uint64_t id, const char *host, uint64_t now_ms)
+{
+    struct raft_members members;
+    struct raft_member *member;
+
+    fp_record_copy(&RAFT_MEMBERS_SCHEMA, &members, raft_members(raft));
+    member = fp_list_add(&members.list, sizeof(*member));
+    member->id = id;
+    g_strlcpy(member->host, host, sizeof(member->host));
+    member->role = RAFT_LEARNER;
+    append_members(raft, &members);
+    fp_record_free(&RAFT_MEMBERS_SCHEMA, &members);
+    follow_members(raft, now_ms);
+}
+
+/* A learner votes once all that is committed now is on its disk. */
+static void
+promote_learners(struct raft *raft)
+{
+    const struct fp_list *list = &raft_members(raft)->list;
+    const struct raft_member *member = list->items;
+
+    for (uint32_t i = 0; i < list->count; i++) {
+        const struct follower *follower = find_follower(raft, member[i].id);
+
+        if (member[i].role == RAFT_LEARNER && follower != NULL &&
+            follower->match >= raft->commit) {
+            change_role(raft, member[i].id, RAFT_VOTER);
+            return;
+        }
+    }
+}
+
+static void
+continue_members(struct raft *raft, uint64_t now_ms)
+{
+    if (!members_settled(raft)) {
+        return;
+    }
+    if (raft->adding_id != 0) {
+        add_learner(raft, raft->adding_id, raft->adding_host, now_ms);
+        raft->adding_id = 0;
+        return;
+    }
+    promote_learners(raft);
+}
+
+static void
+continue_transfer(struct raft *raft, uint64_t now_ms)
+{
+    const struct follower *target = find_follower(raft, raft->transfer_to);
+    struct msg_timeout_now msg = {
+        .from_id = raft->id, .to_id = raft->transfer_to, .term = raft->term};
+
+    if (now_ms >= raft->transfer_end_ms || target == NULL) {
+        raft->transfer_to = 0;
+        return;
+    }
+    if (target->match < raftlog_last_index(&raft->log)) {
+        return;
+    }
+    raft->ops.send(raft->ops.ctx, msg.to_id, &MSG_TIMEOUT_NOW_SCHEMA, &msg, 0);
+    raft_become_follower(raft, raft->term, now_ms);
+}
+
+static void
+tick_follower(struct raft *raft, struct follower *follower, uint64_t now_ms)
+{
+    bool lagging = follower->match + 1 < follower->next;
+
+    if (follower->snapshotting) {
+        if (now_ms >= follower->snap_sent_ms + raft->times.resend_ms) {
+            send_chunk(raft, follower, now_ms);
+        }
+        return;
+    }
+    if (lagging && now_ms >= follower->progress_ms + raft->times.resend_ms) {
+        follower->next = follower->match + 1;
+        follower->progress_ms = now_ms;
+        send_append(raft, follower, now_ms);
+    }
+    else if (now_ms >= follower->sent_ms + raft->times.heartbeat_ms) {
+        send_append(raft, follower, now_ms);
+    }
+}
+
+void
+raft_become_leader(struct raft *raft, uint64_t now_ms)
+{
+    struct fp_blob empty = {NULL, 0};
+
+    raft->state = RAFT_LEADER;
+    raft->leader_id = raft->id;
+    raft->since_ms = now_ms;
+    raft->lease_until_ms = 0;
+    raft->transfer_to = 0;
+    raft->adding_id = 0;
+    g_hash_table_remove_all(raft->followers);
+    follow_members(raft, now_ms);
+    append_own(raft, RAFT_NOOP, empty);
+    raft->noop_index = raftlog_last_index(&raft->log);
+    raft->ops.changed(raft->ops.ctx);
+    raft_flush(raft, now_ms);
+}
+
+void
+raft_stop_leading(struct raft *raft)
+{
+    raft->lease_until_ms = 0;
+    raft->fresh_until_ms = 0;
+    raft->fresh_next_ms = 0;
+    raft->transfer_to = 0;
+    if (raft->unflushed != 0) {
+        raftlog_truncate(&raft->log, raft->unflushed);
+        raft->unflushed = 0;
+    }
+    g_hash_table_remove_all(raft->followers);
+}
+
+void
+raft_lead_tick(struct raft *raft, uint64_t now_ms)
+{
+    GHashTableIter iter;
+    struct follower *follower;
+
+    renew_lease(raft, now_ms);
+    if (quorum_value(raft, now_ms, false) + raft->times.election_max_ms <
+            now_ms &&
+        raft->since_ms + raft->times.election_max_ms < now_ms) {
+        raft_become_follower(raft, raft->term, now_ms);
+        return;
+    }
+    if (!raft_is_voter(raft, raft->id) && members_settled(raft)) {
+        raft_become_follower(raft, raft->term, now_ms);
+        return;
+    }
+    g_hash_table_iter_init(&iter, raft->followers);
+    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&follower)) {
+        if (follower->observer &&
+            now_ms > follower->heard_ms + raft->times.observer_ms) {
+            g_hash_table_iter_remove(&iter);
+            continue;
+        }
+        tick_follower(raft, follower, now_ms);
+    }
+    continue_members(raft, now_ms);
+    if (raft->transfer_to != 0) {
+        continue_transfer(raft, now_ms);
+    }
+}
+
+void
+raft_lead_hello(struct raft *raft, const struct msg_hello *msg,
+                uint64_t now_ms)
+{
+    if (raft->state != RAFT_LEADER || msg->from_id == 0 ||
+        find_follower(raft, msg->from_id) != NULL) {
+        return;
+    }
+    add_follower(raft, msg->from_id, msg->host, true, now_ms);
+    send_append(raft, find_follower(raft, msg->from_id), now_ms);
+}
+
+void
+raft_lead_reply(struct raft *raft, const struct msg_append_reply *msg,
+                uint64_t now_ms)
+{
+    struct follower *follower;
+
+    if (msg->term > raft->term) {
+        raft_become_follower(raft, msg->term, now_ms);
+        return;
+    }
+    if (raft->state != RAFT_LEADER || msg->term < raft->term) {
+        return;
+    }
+    follower = find_follower(raft, msg->from_id);
+    if (follower == NULL) {
+        return;
+    }
+    follower->heard_ms = now_ms;
+    follower->acked_ms = MAX(follower->acked_ms, msg->echo_sent_ms);
+    follower->asked_ms = MAX(follower->asked_ms, msg->asked_ms);
+    renew_lease(raft, now_ms);
+    if (!msg->accepted) {
+        follower->next =
+            MAX(MIN(msg->hint_index, follower->next), follower->match + 1);
+        send_append(raft, follower, now_ms);
+        return;
+    }
+    follower->applied = MAX(follower->applied, msg->applied_index);
+    if (msg->match_index > follower->match) {
+        follower->match =
+            MIN(msg->match_index, raftlog_last_index(&raft->log));
+        follower->progress_ms = now_ms;
+        follower->next = MAX(follower->next, follower->match + 1);
+        commit_by_quorum(raft);
+    }
+    if (follower->next <= raftlog_last_index(&raft->log) &&
+        raft->unflushed == 0) {
+        send_append(raft, follower, now_ms);
+    }
+}
+
+void
+raft_lead_snapshot_reply(struct raft *raft,
+                         const struct msg_snapshot_reply *msg, uint64_t now_ms)
+{
+    struct follower *follower;
+
+    if (raft->state != RAFT_LEADER || msg->term != raft->term) {
+        return;
+    }
+    follower = find_follower(raft, msg->from_id);
+    if (follower == NULL || !follower->snapshotting) {
+        return;
+    }
+    follower->heard_ms = now_ms;
+    follower->acked_ms = MAX(follower->acked_ms, msg->echo_sent_ms);
+    if (msg->last_index != raft->snapshot.last_index) {
+        start_snapshot(raft, follower, now_ms);
+        return;
+    }
+    follower->snap_offset = msg->received_bytes;
+    if (msg->received_bytes < raft->snapshot.data.size_bytes) {
+        send_chunk(raft, follower, now_ms);
+        return;
+    }
+    follower->snapshotting = false;
+    follower->match = MAX(follower->match, msg->last_index);
+    follower->next = follower->match + 1;
+    send_append(raft, follower, now_ms);
+}
+
+void
+raft_lead_synced(struct raft *raft, uint64_t now_ms)
+{
+    renew_lease(raft, now_ms);
+    commit_by_quorum(raft);
+}
+
+enum fp_err
+raft_propose(struct raft *raft, const void *data, uint32_t size_bytes,
+             uint64_t *index)
+{
+    if (raft->state != RAFT_LEADER || raft->transfer_to != 0) {
+        return FP_ERR_NO_LEADER;
+    }
+    if (size_bytes > MSG_ENTRY_MAX_BYTES) {
+        return FP_ERR_TOO_LARGE;
+    }
+    append_own(raft, RAFT_CHANGE, fp_blob_copy(data, size_bytes));
+    *index = raftlog_last_index(&raft->log);
+    return FP_OK;
+}
+
+void
+raft_flush(struct raft *raft, uint64_t now_ms)
+{
+    uint64_t first = raft->unflushed;
+    uint64_t last = raftlog_last_index(&raft->log);
+
+    if (raft->state != RAFT_LEADER || (first == 0 && !raft->commit_news)) {
+        return;
+    }
+    raft->commit_news = false;
+    if (first == 0) {
+        send_to_all(raft, now_ms);
+        return;
+    }
+    raft->unflushed = 0;
+    raft_note_write(raft,
+                    raft->ops.write_entries(raft->ops.ctx,
+                                            raftlog_at(&raft->log, first),
+                                            (uint32_t)(last - first + 1)),
+                    last);
+    follow_members(raft, now_ms);
+    send_to_all(raft, now_ms);
+}
+
+enum fp_err
+raft_member_add(struct raft *raft, uint64_t id, const char *host)
+{
+    const struct raft_member *old;
+    const struct follower *follower = find_follower(raft, id);
+
+    if (raft->state != RAFT_LEADER) {
+        return FP_ERR_NO_LEADER;
+    }
+    if (!members_settled(raft) || raft->adding_id != 0) {
+        return FP_ERR_BUSY;
+    }
+    old = find_member(raft_members(raft), id, host);
+    if (old != NULL && old->id == id) {
+        return FP_OK;
+    }
+    if (follower == NULL) {
+        return FP_ERR_NOT_FOUND;
+    }
+    raft->adding_id = id;
+    g_strlcpy(raft->adding_host, host, sizeof(raft->adding_host));
+    if (old != NULL) {
+        remove_member(raft, old->id);
+    }
+    return FP_OK;
+}
+
+enum fp_err
+raft_member_remove(struct raft *raft, uint64_t id)
+{
+    if (raft->state != RAFT_LEADER) {
+        return FP_ERR_NO_LEADER;
+    }
+    if (!members_settled(raft) || raft->adding_id != 0) {
+        return FP_ERR_BUSY;
+    }
+    if (find_member(raft_members(raft), id, NULL) == NULL) {
+        return FP_ERR_NOT_FOUND;
+    }
+    if (raft_is_voter(raft, id) && raft_voter_count(raft) == 1) {
+        return FP_ERR_NOT_ALLOWED;
+    }
+    remove_member(raft, id);
+    return FP_OK;
+}
+
+void
+raft_transfer(struct raft *raft, uint64_t now_ms)
+{
+    GHashTableIter iter;
+    struct follower *follower;
+    const struct follower *best = NULL;
+
+    if (raft->state != RAFT_LEADER) {
+        return;
+    }
+    g_hash_table_iter_init(&iter, raft->followers);
+    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&follower)) {
+        if (raft_is_voter(raft, follower->id) &&
+            (best == NULL || follower->match > best->match)) {
+            best = follower;
+        }
+    }
+    if (best == NULL) {
+        return;
+    }
+    /* The lease ends here: the successor may be elected within it. */
+    raft_flush(raft, now_ms);
+    raft->transfer_to = best->id;
+    raft->transfer_end_ms = now_ms + TRANSFER_MAX_MS;
+    raft->lease_until_ms = 0;
+    continue_transfer(raft, now_ms);
+}
+
+uint64_t
+raft_lease_until_ms(const struct raft *raft)
+{
+    return raft->state == RAFT_LEADER ? raft->lease_until_ms : 0;
+}
+
+bool
+raft_leads(const struct raft *raft, uint64_t now_ms)
+{
+    return raft->state == RAFT_LEADER && now_ms < raft->lease_until_ms &&
+           raft->applied >= raft->noop_index;
+}
+
+uint64_t
+raft_leading_since_ms(const struct raft *raft)
+{
+    return raft->since_ms;
+}
+
+void
+raft_each_follower(const struct raft *raft,
+                   void (*each)(void *ctx, uint64_t id, const char *host,
+                                uint64_t match_index, uint64_t applied_index,
+                                uint64_t heard_ms),
+                   void *ctx)
+{
+    GHashTableIter iter;
+    struct follower *follower;
+
+    g_hash_table_iter_init(&iter, raft->followers);
+    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&follower)) {
+        each(ctx, follower->id, follower->host, follower->match,
+             follower->applied, follower->heard_ms);
+    }
+}
--- /dev/null
+++ b/node/apiquery.c
@@ -0,0 +1,377 @@
+/* apiquery.c -- the HTTP routes that only read */
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/resource.h>
+
+#include "node/apipriv.h"
+
+#define LIST_MAX 1000u
+
+void
+api_get_health(struct api *api, struct http_request *request, const char *rest)
+{
+    (void)api;
+    (void)rest;
+    http_reply(request, 200, "text/plain", "ok\n", 3, 0);
+}
+
+/* For the balancer: 200 while callers should come here. */
+void
+api_get_ready(struct api *api, struct http_request *request, const char *rest)
+{
+    (void)rest;
+    if (api->parts.ready(api->parts.ctx)) {
+        http_reply(request, 200, "text/plain", "ready\n", 6, 0);
+    }
+    else {
+        http_reply(request, 503, "text/plain", "not ready\n", 10, 0);
+    }
+}
+
+static uint32_t
+count_up(const struct cell *cell)
+{
+    GHashTableIter iter;
+    struct target *target;
+    uint32_t count = 0;
+
+    g_hash_table_iter_init(&iter, cell->targets);
+    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&target)) {
+        if (target->rec.state == TARGET_UP) {
+            count++;
+        }
+    }
+    return count;
+}
+
+static json_t *
+task_counts(const struct cell *cell)
+{
+    json_t *counts = json_object();
+
+    for (int i = 0; i < TASK_STATE_COUNT; i++) {
+        json_object_set_new(counts, TASK_STATE_NAMES[i],
+                            json_integer(cell->state_counts[i]));
+    }
+    return counts;
+}
+
+static json_t *
+status_body(const struct api *api)
+{
+    const struct replica *replica = api->parts.replica;
+    const struct cell *cell = replica_cell(replica);
+    const struct raft *raft = replica_raft(replica);
+
+    return json_pack("{s:s,s:s,s:b,s:b,s:b,s:I,s:I,s:I,s:I,s:i,s:i,s:o}",
+                     "host", api->parts.settings->host, "leader",
+                     raft_leader_host(raft), "is_leader",
+                     replica_leads(replica), "fresh", replica_fresh(replica),
+                     "ready", api->parts.ready(api->parts.ctx), "term",
+                     (json_int_t)raft_term(raft), "commit_index",
+                     (json_int_t)raft_commit_index(raft), "applied_index",
+                     (json_int_t)raft_applied_index(raft), "config_version",
+                     (json_int_t)cell->config_version, "targets",
+                     g_hash_table_size(cell->targets), "targets_up",
+                     count_up(cell), "tasks", task_counts(cell));
+}
+
+void
+api_get_status(struct api *api, struct http_request *request, const char *rest)
+{
+    (void)rest;
+    api_reply(request, 200, status_body(api), 0);
+}
+
+static json_t *
+process_body(void)
+{
+    struct rusage usage;
+
+    getrusage(RUSAGE_SELF, &usage);
+    return json_pack(
+        "{s:I,s:I,s:I}", "user_us",
+        (json_int_t)usage.ru_utime.tv_sec * 1000000 + usage.ru_utime.tv_usec,
+        "system_us",
+        (json_int_t)usage.ru_stime.tv_sec * 1000000 + usage.ru_stime.tv_usec,
+        "peak_memory_kb", (json_int_t)usage.ru_maxrss);
+}
+
+static json_t *
+refused_body(const struct cell *cell)
+{
+    json_t *refused = json_object();
+
+    for (int i = 0; i < FP_ERR_COUNT; i++) {
+        if (cell->refused[i] > 0) {
+            json_object_set_new(refused, fp_err_row((enum fp_err)i)->name,
+                                json_integer((json_int_t)cell->refused[i]));
+        }
+    }
+    return refused;
+}
+
+static json_t *
+dump_body(const struct api *api)
+{
+    const struct cell *cell = replica_cell(api->parts.replica);
+    json_t *dump = json_pack(
+        "{s:o,s:o,s:o,s:o,s:o,s:{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:o}}", "status",
+        status_body(api), "process", process_body(), "replica",
+        replica_dump(api->parts.replica), "gateway",
+        gateway_dump(api->parts.gateway), "owner",
+        owner_dump(api->parts.owner), "cell", "teams",
+        (json_int_t)g_hash_table_size(cell->teams), "keys",
+        (json_int_t)g_hash_table_size(cell->key_names), "queues",
+        (json_int_t)g_hash_table_size(cell->queues), "targets",
+        (json_int_t)g_hash_table_size(cell->targets), "jobs",
+        (json_int_t)g_hash_table_size(cell->jobs), "change_ids",
+        (json_int_t)g_hash_table_size(cell->seen), "idempotency_keys",
+        (json_int_t)g_hash_table_size(cell->idempotency), "refused",
+        refused_body(cell));
+
+    api->parts.dump_leader(api->parts.ctx, dump);
+    return dump;
+}
+
+void
+api_get_dump(struct api *api, struct http_request *request, const char *rest)
+{
+    char why[160] = "";
+    json_t *dump = dump_body(api);
+
+    (void)rest;
+    json_object_set_new(
+        dump, "invariants_hold",
+        json_boolean(
+            cell_check(replica_cell(api->parts.replica), why, sizeof(why))));
+    json_object_set_new(dump, "invariant_broken", json_string(why));
+    api_reply(request, 200, dump, 0);
+}
+
+/* Every number of the dump as one line "filbertpath_part_name number". */
+static void
+flatten(GString *out, const char *prefix, const json_t *object)
+{
+    const char *key;
+    json_t *value;
+
+    json_object_foreach((json_t *)object, key, value)
+    {
+        char *name = g_strdup_printf("%s_%s", prefix, key);
+
+        g_strdelimit(name, "-. ", '_');
+        if (json_is_object(value)) {
+            flatten(out, name, value);
+        }
+        else if (json_is_integer(value)) {
+            g_string_append_printf(out, "%s %lld\n", name,
+                                   (long long)json_integer_value(value));
+        }
+        else if (json_is_boolean(value)) {
+            g_string_append_printf(out, "%s %d\n", name, json_is_true(value));
+        }
+        g_free(name);
+    }
+}
+
+void
+api_get_metrics(struct api *api, struct http_request *request,
+                const char *rest)
+{
+    GString *out = g_string_new(NULL);
+    json_t *dump = dump_body(api);
+
+    (void)rest;
+    flatten(out, "filbertpath", dump);
+    json_decref(dump);
+    http_reply(request, 200, "text/plain; version=0.0.4", out->str, out->len,
+               0);
+    g_string_free(out, TRUE);
+}
+
+static gint
+compare_names(gconstpointer a, gconstpointer b)
+{
+    return strcmp(a, b);
+}
+
+static json_t *
+list_table(GHashTable *table, const struct fp_schema *schema)
+{
+    GList *names = g_list_sort(g_hash_table_get_keys(table), compare_names);
+    json_t *list = json_array();
+
+    for (GList *at = names; at != NULL; at = at->next) {
+        json_t *object =
+            fp_to_json(schema, g_hash_table_lookup(table, at->data));
+
+        json_object_del(object, "check_version");
+        json_object_del(object, "change_id");
+        json_object_del(object, "remove");
+        json_array_append_new(list, object);
+    }
+    g_list_free(names);
+    return list;
+}
+
+/* GET /v1/config/KIND */
+void
+api_get_config(struct api *api, struct http_request *request, const char *rest)
+{
+    const struct cell *cell = replica_cell(api->parts.replica);
+    json_t *list = NULL;
+
+    if (!replica_fresh(api->parts.replica)) {
+        http_reply_error(request, FP_ERR_NOT_FRESH, "");
+        return;
+    }
+    if (strcmp(rest, "team") == 0) {
+        list = list_table(cell->teams, &CHANGE_TEAM_SCHEMA);
+    }
+    else if (strcmp(rest, "key") == 0) {
+        list = list_table(cell->key_names, &CHANGE_KEY_SCHEMA);
+    }
+    else if (strcmp(rest, "queue") == 0) {
+        list = list_table(cell->queues, &CHANGE_QUEUE_SCHEMA);
+    }
+    else if (strcmp(rest, "hours") == 0) {
+        list = list_table(cell->hours, &CHANGE_HOURS_SCHEMA);
+    }
+    if (list == NULL) {
+        http_reply_error(request, FP_ERR_NOT_FOUND,
+                         "config is one of: team, key, queue, hours");
+        return;
+    }
+    api_reply(request, 200, list, 0);
+}
+
+void
+api_get_targets(struct api *api, struct http_request *request,
+                const char *rest)
+{
+    const struct cell *cell = replica_cell(api->parts.replica);
+    json_t *list = list_table(cell->targets, &CHANGE_TARGET_SCHEMA);
+    size_t index;
+    json_t *object;
+
+    (void)rest;
+    json_array_foreach(list, index, object)
+    {
+        const struct target *target = cell_target(
+            cell, json_string_value(json_object_get(object, "name")));
+
+        json_object_set_new(
+            object, "committed",
+            json_pack("{s:i,s:I,s:I,s:I}", "running", target->use.running,
+                      "cpu_milli", (json_int_t)target->use.cpu_milli,
+                      "memory_mb", (json_int_t)target->use.memory_mb, "accel",
+                      (json_int_t)target->use.accel));
+    }
+    api_reply(request, 200, list, 0);
+}
+
+static json_t *
+task_body(const struct task *task)
+{
+    return json_pack(
+        "{s:I,s:s,s:i,s:i,s:i,s:s,s:s,s:I,s:I,s:b}", "id",
+        (json_int_t)task->id, "state", TASK_STATE_NAMES[task->state],
+        "attempt", task->attempt, "failures", task->failures, "exit_code",
+        task->exit_code, "last_outcome",
+        task->attempt == 0 || task->state == TASK_RUNNING
+            ? ""
+            : END_OUTCOME_NAMES[task->last_outcome],
+        "target", task->target == NULL ? "" : task->target->rec.name,
+        "started_ms", (json_int_t)task->started_ms, "ended_ms",
+        (json_int_t)task->ended_ms, "cancelling", task->cancelling);
+}
+
+static json_t *
+job_body(const struct job *job, bool with_tasks)
+{
+    uint32_t counts[TASK_STATE_COUNT] = {0};
+    json_t *body;
+    json_t *tasks = json_array();
+
+    for (uint32_t i = 0; i < job->rec.count; i++) {
+        counts[job->tasks[i].state]++;
+        if (with_tasks) {
+            json_array_append_new(tasks, task_body(&job->tasks[i]));
+        }
+    }
+    body =
+        json_pack("{s:I,s:s,s:s,s:s,s:i,s:I}", "id", (json_int_t)job->rec.id,
+                  "queue", job->rec.queue, "team", job->rec.team, "kind",
+                  WORK_KIND_NAMES[job->rec.kind], "count", job->rec.count,
+                  "submitted_ms", (json_int_t)job->rec.submitted_ms);
+    for (int i = 0; i < TASK_STATE_COUNT; i++) {
+        json_object_set_new(body, TASK_STATE_NAMES[i],
+                            json_integer(counts[i]));
+    }
+    if (with_tasks) {
+        json_object_set(body, "tasks", tasks);
+    }
+    json_decref(tasks);
+    return body;
+}
+
+/* GET /v1/jobs/ID: operators any job, teams their own. */
+void
+api_get_job(struct api *api, struct http_request *request, const char *rest)
+{
+    const struct cell *cell = replica_cell(api->parts.replica);
+    const struct job *job = cell_job(cell, g_ascii_strtoull(rest, NULL, 10));
+    char team[NAME_BYTES] = "";
+    char hash[72];
+
+    if (!api_is_operator(api, request)) {
+        enum fp_err err = gateway_team(cell, request, team, hash);
+
+        if (err != FP_OK) {
+            http_reply_error(request, err, "");
+            return;
+        }
+        if (job != NULL && strcmp(job->rec.team, team) != 0 &&
+            !(job->queue != NULL && job->queue->conf.open)) {
+            job = NULL; /* other teams' jobs are not even admitted to exist */
+        }
+    }
+    if (!replica_fresh(api->parts.replica)) {
+        http_reply_error(request, FP_ERR_NOT_FRESH, "");
+        return;
+    }
+    if (job == NULL) {
+        http_reply_error(request, FP_ERR_NOT_FOUND, "no such job");
+        return;
+    }
+    api_reply(request, 200, job_body(job, true), 0);
+}
+
+static gint
+newest_first(gconstpointer a, gconstpointer b)
+{
+    uint64_t x = ((const struct job *)a)->rec.id;
+    uint64_t y = ((const struct job *)b)->rec.id;
+
+    return x > y ? -1 : x < y;
+}
+
+/* GET /v1/jobs: the newest LIST_MAX. */
+void
+api_get_jobs(struct api *api, struct http_request *request, const char *rest)
+{
+    const struct cell *cell = replica_cell(api->parts.replica);
+    GList *jobs =
+        g_list_sort(g_hash_table_get_values(cell->jobs), newest_first);
+    json_t *list = json_array();
+
+    (void)rest;
+    for (GList *at = jobs; at != NULL && json_array_size(list) < LIST_MAX;
+         at = at->next) {
+        json_array_append_new(list, job_body(at->data, false));
+    }
+    g_list_free(jobs);
+    api_reply(request, 200, list, 0);
+}
--- /dev/null
+++ b/node/bus.c
@@ -0,0 +1,427 @@
+/* bus.c -- typed messages between the system's hosts, over ZeroMQ */
+#include "node/bus.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+#include <zmq.h>
+
+#include "base/log.h"
+
+#define SEND_QUEUE_MAX 4096
+#define RECEIVE_QUEUE_MAX 16384
+#define RECEIVE_BATCH 256
+#define ZAP_ENDPOINT "inproc://zeromq.zap.01"
+#define ZAP_FRAMES_MAX 16
+
+struct peer {
+    char *host;
+    void *dealer;
+    bool cut_to;
+    bool cut_from;
+};
+
+struct bus {
+    const struct settings *settings;
+    struct bus_ops ops;
+    struct bus_counters counters;
+    void *context;
+    void *router;
+    void *zap;         /* NULL without CURVE */
+    GHashTable *peers; /* host name to struct peer */
+    uv_poll_t poll;
+    uv_poll_t zap_poll;
+    uv_prepare_t again; /* ZeroMQ's descriptor is edge-triggered */
+    bool open;
+};
+
+static void
+free_peer(void *item)
+{
+    struct peer *peer = item;
+
+    if (peer->dealer != NULL) {
+        zmq_close(peer->dealer);
+    }
+    g_free(peer->host);
+    g_free(peer);
+}
+
+static void
+set_int(void *socket, int option, int value)
+{
+    zmq_setsockopt(socket, option, &value, sizeof(value));
+}
+
+static void
+set_common(void *socket)
+{
+    set_int(socket, ZMQ_LINGER, 0);
+    set_int(socket, ZMQ_SNDHWM, SEND_QUEUE_MAX);
+    set_int(socket, ZMQ_RCVHWM, RECEIVE_QUEUE_MAX);
+}
+
+static void
+set_curve_server(void *socket, const struct settings_curve *curve)
+{
+    set_int(socket, ZMQ_CURVE_SERVER, 1);
+    zmq_setsockopt(socket, ZMQ_CURVE_SECRETKEY, curve->secret_key,
+                   strlen(curve->secret_key) + 1);
+}
+
+static void
+set_curve_client(void *socket, const struct settings_curve *curve,
+                 const char *server_key)
+{
+    zmq_setsockopt(socket, ZMQ_CURVE_SERVERKEY, server_key,
+                   strlen(server_key) + 1);
+    zmq_setsockopt(socket, ZMQ_CURVE_PUBLICKEY, curve->public_key,
+                   strlen(curve->public_key) + 1);
+    zmq_setsockopt(socket, ZMQ_CURVE_SECRETKEY, curve->secret_key,
+                   strlen(curve->secret_key) + 1);
+}
+
+static void
+deliver(struct bus *bus, const char *from, const uint8_t *data, size_t size)
+{
+    const struct peer *peer = g_hash_table_lookup(bus->peers, from);
+    const struct fp_schema *schema = NULL;
+    uint32_t type = 0;
+    void *msg;
+
+    bus->counters.received++;
+    bus->counters.received_bytes += size;
+    if (peer != NULL && peer->cut_from) {
+        bus->counters.cut++;
+        return;
+    }
+    if (fp_peek_type(data, size, &type) == FP_OK) {
+        schema = msg_schema(type);
+    }
+    if (schema == NULL) {
+        bus->counters.malformed++;
+        return;
+    }
+    msg = g_malloc0(schema->size_bytes);
+    if (fp_decode(schema, data, size, msg) == FP_OK) {
+        bus->ops.received(bus->ops.ctx, from, type, msg);
+        fp_record_free(schema, msg);
+    }
+    else {
+        bus->counters.malformed++;
+    }
+    g_free(msg);
+}
+
+/* Takes one message: the sender's name and one payload frame. */
+static bool
+receive_one(struct bus *bus)
+{
+    char from[MSG_HOST_BYTES] = {0};
+    zmq_msg_t payload;
+    int length = zmq_recv(bus->router, from, sizeof(from) - 1, ZMQ_DONTWAIT);
+    bool more = true;
+
+    if (length < 0) {
+        return false;
+    }
+    zmq_msg_init(&payload);
+    if (zmq_msg_recv(&payload, bus->router, ZMQ_DONTWAIT) >= 0) {
+        more = zmq_msg_more(&payload) != 0;
+        if (!more && length < (int)sizeof(from)) {
+            deliver(bus, from, zmq_msg_data(&payload), zmq_msg_size(&payload));
+        }
+        else {
+            bus->counters.malformed++;
+        }
+    }
+    while (more && zmq_msg_recv(&payload, bus->router, ZMQ_DONTWAIT) >= 0) {
+        more = zmq_msg_more(&payload) != 0;
+    }
+    zmq_msg_close(&payload);
+    return true;
+}
+
+static void
+receive_all(struct bus *bus)
+{
+    for (int i = 0; i < RECEIVE_BATCH && receive_one(bus); i++) {
+    }
+}
+
+static void
+on_readable(uv_poll_t *poll, int status, int events)
+{
+    (void)status;
+    (void)events;
+    receive_all(poll->data);
+}
+
+static void
+on_prepare(uv_prepare_t *prepare)
+{
+    struct bus *bus = prepare->data;
+    int events = 0;
+    size_t size = sizeof(events);
+
+    zmq_getsockopt(bus->router, ZMQ_EVENTS, &events, &size);
+    if (events & ZMQ_POLLIN) {
+        receive_all(bus);
+    }
+}
+
+static bool
+known_key(const struct settings *settings, const uint8_t *key)
+{
+    char text[41];
+
+    zmq_z85_encode(text, key, 32);
+    for (unsigned i = 0; i < settings->hosts_count; i++) {
+        if (strcmp(settings->hosts[i].public_key, text) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Answers one question of ZeroMQ's authentication protocol (RFC 27): version,
+ * request ID, domain, address, identity, mechanism, credentials.
+ */
+static bool
+answer_zap(struct bus *bus)
+{
+    uint8_t frames[ZAP_FRAMES_MAX][256];
+    int sizes[ZAP_FRAMES_MAX];
+    int count = 0;
+    int more = 1;
+    size_t more_size = sizeof(more);
+    bool allowed;
+    const char *status;
+
+    while (more && count < ZAP_FRAMES_MAX) {
+        sizes[count] =
+            zmq_recv(bus->zap, frames[count], sizeof(frames[0]), ZMQ_DONTWAIT);
+        if (sizes[count] < 0) {
+            return false;
+        }
+        count++;
+        zmq_getsockopt(bus->zap, ZMQ_RCVMORE, &more, &more_size);
+    }
+    allowed = count == 7 && sizes[5] == 5 &&
+              memcmp(frames[5], "CURVE", 5) == 0 && sizes[6] == 32 &&
+              known_key(bus->settings, frames[6]);
+    status = allowed ? "200" : "400";
+    if (!allowed) {
+        log_warn(LOG_BUS, "a process with an unknown key was refused");
+    }
+    zmq_send(bus->zap, "1.0", 3, ZMQ_SNDMORE);
+    zmq_send(bus->zap, frames[1], (size_t)MAX(sizes[1], 0), ZMQ_SNDMORE);
+    zmq_send(bus->zap, status, 3, ZMQ_SNDMORE);
+    zmq_send(bus->zap, "", 0, ZMQ_SNDMORE);
+    zmq_send(bus->zap, "", 0, ZMQ_SNDMORE);
+    zmq_send(bus->zap, "", 0, 0);
+    return true;
+}
+
+static void
+on_zap(uv_poll_t *poll, int status, int events)
+{
+    (void)status;
+    (void)events;
+    while (answer_zap(poll->data)) {
+    }
+}
+
+static int
+socket_fd(void *socket)
+{
+    int fd = -1;
+    size_t size = sizeof(fd);
+
+    zmq_getsockopt(socket, ZMQ_FD, &fd, &size);
+    return fd;
+}
+
+static void
+watch(uv_loop_t *loop, uv_poll_t *poll, void *socket, uv_poll_cb cb,
+      struct bus *bus)
+{
+    uv_poll_init(loop, poll, socket_fd(socket));
+    poll->data = bus;
+    uv_poll_start(poll, UV_READABLE, cb);
+}
+
+static void
+connect_peer(struct bus *bus, const struct settings_host *host)
+{
+    struct peer *peer = g_new0(struct peer, 1);
+    char *endpoint = g_strdup_printf("tcp://%s", host->bus);
+    const char *own = bus->settings->host;
+
+    peer->host = g_strdup(host->name);
+    peer->dealer = zmq_socket(bus->context, ZMQ_DEALER);
+    set_common(peer->dealer);
+    set_int(peer->dealer, ZMQ_IMMEDIATE, 1);
+    set_int(peer->dealer, ZMQ_RECONNECT_IVL, 50);
+    set_int(peer->dealer, ZMQ_RECONNECT_IVL_MAX, 500);
+    set_int(peer->dealer, ZMQ_HEARTBEAT_IVL, 1000);
+    set_int(peer->dealer, ZMQ_HEARTBEAT_TIMEOUT, 3000);
+    zmq_setsockopt(peer->dealer, ZMQ_ROUTING_ID, own, strlen(own));
+    if (bus->settings->curve != NULL) {
+        set_curve_client(peer->dealer, bus->settings->curve, host->public_key);
+    }
+    zmq_connect(peer->dealer, endpoint);
+    g_free(endpoint);
+    g_hash_table_insert(bus->peers, peer->host, peer);
+}
+
+static bool
+bind_router(struct bus *bus, char *why, unsigned why_bytes)
+{
+    const struct settings_host *own =
+        settings_find(bus->settings, bus->settings->host);
+    char *endpoint = g_strdup_printf("tcp://%s", own->bus);
+    int64_t most = MSG_MAX_BYTES;
+    int rc;
+
+    bus->router = zmq_socket(bus->context, ZMQ_ROUTER);
+    set_common(bus->router);
+    set_int(bus->router, ZMQ_ROUTER_HANDOVER, 1);
+    zmq_setsockopt(bus->router, ZMQ_MAXMSGSIZE, &most, sizeof(most));
+    if (bus->settings->curve != NULL) {
+        set_curve_server(bus->router, bus->settings->curve);
+    }
+    rc = zmq_bind(bus->router, endpoint);
+    if (rc != 0) {
+        snprintf(why, why_bytes, "bus %s: %s", own->bus, zmq_strerror(errno));
+    }
+    g_free(endpoint);
+    return rc == 0;
+}
+
+enum fp_err
+bus_new(uv_loop_t *loop, const struct settings *settings,
+        const struct bus_ops *ops, struct bus **out, char *why,
+        unsigned why_bytes)
+{
+    struct bus *bus = g_new0(struct bus, 1);
+
+    *out = NULL;
+    bus->settings = settings;
+    bus->ops = *ops;
+    bus->context = zmq_ctx_new();
+    bus->peers =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
+    if (settings->curve != NULL) {
+        bus->zap = zmq_socket(bus->context, ZMQ_REP);
+        set_int(bus->zap, ZMQ_LINGER, 0);
+        zmq_bind(bus->zap, ZAP_ENDPOINT);
+        watch(loop, &bus->zap_poll, bus->zap, on_zap, bus);
+    }
+    if (!bind_router(bus, why, why_bytes)) {
+        bus_free(bus);
+        return FP_ERR_NETWORK;
+    }
+    watch(loop, &bus->poll, bus->router, on_readable, bus);
+    uv_prepare_init(loop, &bus->again);
+    bus->again.data = bus;
+    uv_prepare_start(&bus->again, on_prepare);
+    bus->open = true;
+    for (unsigned i = 0; i < settings->hosts_count; i++) {
+        if (strcmp(settings->hosts[i].name, settings->host) != 0) {
+            connect_peer(bus, &settings->hosts[i]);
+        }
+    }
+    *out = bus;
+    return FP_OK;
+}
+
+enum fp_err
+bus_send(struct bus *bus, const char *host, const struct fp_schema *schema,
+         const void *msg)
+{
+    struct peer *peer = g_hash_table_lookup(bus->peers, host);
+    struct fp_blob blob;
+    int rc;
+
+    if (peer == NULL) {
+        return FP_ERR_NOT_CONNECTED;
+    }
+    if (peer->cut_to) {
+        bus->counters.cut++;
+        return FP_OK; /* a silent cut tells the sender nothing */
+    }
+    fp_encode(schema, msg, &blob);
+    if (blob.size_bytes > MSG_MAX_BYTES) {
+        fp_blob_free(&blob);
+        return FP_ERR_TOO_LARGE;
+    }
+    rc = zmq_send(peer->dealer, blob.data, blob.size_bytes, ZMQ_DONTWAIT);
+    if (rc >= 0) {
+        bus->counters.sent++;
+        bus->counters.sent_bytes += blob.size_bytes;
+    }
+    else {
+        bus->counters.refused++;
+    }
+    fp_blob_free(&blob);
+    return rc >= 0 ? FP_OK : FP_ERR_NOT_CONNECTED;
+}
+
+enum fp_err
+bus_cut(struct bus *bus, const char *host, bool to, bool from)
+{
+    struct peer *peer = g_hash_table_lookup(bus->peers, host);
+
+    if (peer == NULL) {
+        return FP_ERR_NOT_FOUND;
+    }
+    peer->cut_to = to;
+    peer->cut_from = from;
+    return FP_OK;
+}
+
+const struct bus_counters *
+bus_counters(const struct bus *bus)
+{
+    return &bus->counters;
+}
+
+static void
+close_bus(uv_handle_t *handle)
+{
+    struct bus *bus = handle->data;
+
+    g_free(bus);
+}
+
+void
+bus_free(struct bus *bus)
+{
+    if (bus == NULL) {
+        return;
+    }
+    if (bus->zap != NULL) {
+        uv_poll_stop(&bus->zap_poll);
+        uv_close((uv_handle_t *)&bus->zap_poll, NULL);
+    }
+    if (bus->open) {
+        uv_poll_stop(&bus->poll);
+        uv_close((uv_handle_t *)&bus->poll, NULL);
+    }
+    g_hash_table_destroy(bus->peers);
+    if (bus->router != NULL) {
+        zmq_close(bus->router);
+    }
+    if (bus->zap != NULL) {
+        zmq_close(bus->zap);
+    }
+    zmq_ctx_term(bus->context);
+    if (bus->open) {
+        uv_close((uv_handle_t *)&bus->again, close_bus);
+    }
+    else {
+        g_free(bus);
+    }
+}
--- /dev/null
+++ b/node/gateway.c
@@ -0,0 +1,870 @@
+/* gateway.c -- callers' requests: admission, choice of owner, retries,
+ * at-most-once
+ */
+#include "node/gateway.h"
+
+#include <glib.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "node/keys.h"
+
+#define TRIES_MAX 4u
+#define BACKOFF_MS 5u           /* doubles with each try, jittered */
+#define GRACE_MS 150u           /* for an owner's answer at the deadline */
+#define BUDGET_PART 0.1         /* retries a request pays into the budget */
+#define BUDGET_MAX 50.0         /* saved up at most */
+#define IN_PROGRESS_LOOK_MS 25u /* a resend looks for the first outcome */
+#define AGE_WINDOW_MS 600000u   /* clocks of two hosts drift little in it */
+
+enum exchange_step {
+    STEP_INTENT,  /* the intent is being committed */
+    STEP_WAIT,    /* a resend waits for the first one's outcome */
+    STEP_BACKOFF, /* before the next try */
+    STEP_OWNER,   /* an owner has it */
+    STEP_OUTCOME  /* the outcome is being committed */
+};
+
+/* One caller's request from its arrival to its answer. */
+struct exchange {
+    struct gateway *gateway;
+    struct http_request *request;
+    struct msg_call msg; /* request_id differs for each try */
+    char service[NAME_BYTES];
+    enum exchange_step step;
+    uint64_t deadline_ms;
+    uint64_t next_ms; /* STEP_BACKOFF, STEP_WAIT: when to go on */
+    char tried[TRIES_MAX][MSG_HOST_BYTES];
+    uint32_t tries;
+    bool recorded; /* an intent is in the log */
+    /* The result so far. */
+    enum fp_err err;
+    uint32_t retry_after_ms;
+    uint32_t status;
+    char content_type[128];
+    struct fp_blob body;
+    char target[NAME_BYTES];
+};
+
+/* A request that another gateway handed to this owner. */
+struct foreign {
+    struct gateway *gateway;
+    char host[MSG_HOST_BYTES];
+    uint64_t request_id;
+};
+
+/* The clock of another host against this one's: the least difference seen
+ * stands for a message without delay.
+ */
+struct offset {
+    int64_t least_ms;
+    uint64_t since_ms;
+};
+
+struct gateway {
+    struct replica *replica;
+    const struct settings *settings;
+    struct owner *owner;
+    struct pick *pick;
+    GHashTable *exchanges; /* the set of struct exchange */
+    GHashTable *waiting;   /* request ID to struct exchange, at an owner */
+    GHashTable *offsets;   /* host to struct offset */
+    uint64_t next_id;
+    double budget;
+    uint64_t requests;
+    uint64_t retries;
+    uint64_t foreign;
+    uint64_t expired; /* requests of others that came too late */
+    uint64_t answers[FP_ERR_COUNT];
+    uint64_t foreign_in_flight;
+};
+
+static const char *
+method_of(const struct exchange *exchange)
+{
+    return exchange->msg.method;
+}
+
+static void
+free_exchange(struct exchange *exchange)
+{
+    g_hash_table_remove(exchange->gateway->exchanges, exchange);
+    fp_record_free(&MSG_CALL_SCHEMA, &exchange->msg);
+    fp_blob_free(&exchange->body);
+    g_free(exchange);
+}
+
+static void
+reply_error(struct exchange *exchange, const char *detail)
+{
+    const struct fp_err_row *row = fp_err_row(exchange->err);
+    uint32_t retry_after_ms = exchange->retry_after_ms
+                                  ? exchange->retry_after_ms
+                                  : row->retry_after_ms;
+    json_t *object = json_pack("{s:s,s:s,s:s,s:b,s:i}", "error", row->name,
+                               "work", fp_ran_name(row->ran), "detail",
+                               detail[0] ? detail : row->text, "retry",
+                               row->retry, "tries", exchange->tries);
+    char *text;
+
+    if (row->retry) {
+        json_object_set_new(object, "retry_after_ms",
+                            json_integer(retry_after_ms));
+    }
+    text = json_dumps(object, JSON_COMPACT);
+    http_reply(exchange->request, row->http_status, "application/json", text,
+               strlen(text), row->retry ? retry_after_ms : 0);
+    free(text);
+    json_decref(object);
+}
+
+/* Gives the caller its final answer, once. */
+static void
+answer_caller(struct exchange *exchange, const char *detail)
+{
+    if (exchange->request == NULL) {
+        return;
+    }
+    exchange->gateway->answers[exchange->err]++;
+    if (exchange->err == FP_OK) {
+        http_reply(exchange->request, (int)exchange->status,
+                   exchange->content_type, exchange->body.data,
+                   exchange->body.size_bytes, 0);
+    }
+    else {
+        reply_error(exchange, detail);
+    }
+    exchange->request = NULL;
+}
+
+static void
+finish(struct exchange *exchange, const char *detail)
+{
+    answer_caller(exchange, detail);
+    free_exchange(exchange);
+}
+
+static void
+fail(struct exchange *exchange, enum fp_err err, const char *detail)
+{
+    exchange->err = err;
+    finish(exchange, detail);
+}
+
+static void
+on_outcome(void *ctx, enum fp_err err, const struct change_answer *answer)
+{
+    struct exchange *exchange = ctx;
+
+    (void)answer;
+    if (err != FP_OK) {
+        /* The work ran or not as it did; only the record is in doubt, and a
+         * resend will learn "may have run" from the intent. */
+        log_info(LOG_ROUTE, "An outcome was not recorded: %s.",
+                 fp_err_row(err)->name);
+    }
+    finish(exchange, "");
+}
+
+/* Commits what an unrepeatable request came to, then answers. When it
+ * certainly did not run its intent is withdrawn, so that the caller may send
+ * it again under the same key.
+ */
+static void
+record_outcome(struct exchange *exchange)
+{
+    struct gateway *gateway = exchange->gateway;
+    struct change_outcome change = {
+        .run_id = replica_run_id(gateway->replica),
+        .not_run = exchange->err != FP_OK &&
+                   fp_err_row(exchange->err)->ran == FP_NOT_RUN,
+        .err = exchange->err,
+        .status = exchange->status,
+    };
+
+    exchange->step = STEP_OUTCOME;
+    g_strlcpy(change.team, exchange->msg.team, sizeof(change.team));
+    g_strlcpy(change.key, exchange->msg.idempotency_key, sizeof(change.key));
+    g_strlcpy(change.content_type, exchange->content_type,
+              sizeof(change.content_type));
+    if (exchange->body.size_bytes <= OUTCOME_BODY_MAX_BYTES) {
+        change.body = exchange->body;
+    }
+    else {
+        change.err = FP_ERR_ANSWER_TOO_LARGE;
+    }
+    replica_propose(gateway->replica, &CHANGE_OUTCOME_SCHEMA, &change,
+                    on_outcome, exchange);
+}
+
+static void
+conclude(struct exchange *exchange)
+{
+    if (exchange->recorded) {
+        record_outcome(exchange);
+    }
+    else {
+        finish(exchange, "");
+    }
+}
+
+static bool
+may_retry(const struct exchange *exchange)
+{
+    const struct fp_err_row *row = fp_err_row(exchange->err);
+
+    if (exchange->tries >= TRIES_MAX || exchange->gateway->budget < 1.0 ||
+        exchange->err == FP_ERR_DEADLINE || exchange->err == FP_ERR_LIMIT ||
+        exchange->err == FP_ERR_NOT_FOUND) {
+        return false;
+    }
+    if (row->ran == FP_NOT_RUN) {
+        return row->retry;
+    }
+    return exchange->msg.repeatable && (exchange->err == FP_ERR_MAY_HAVE_RUN ||
+                                        exchange->err == FP_ERR_TRUNCATED ||
+                                        exchange->err == FP_ERR_CROSSED);
+}
+
+/* A refusal for want of room is final once every owner has refused. */
+static bool
+has_untried_owner(struct exchange *exchange, uint64_t now_ms)
+{
+    const char *tried[TRIES_MAX];
+
+    for (uint32_t i = 0; i < exchange->tries; i++) {
+        tried[i] = exchange->tried[i];
+    }
+    return pick_owner(exchange->gateway->pick, exchange->service, tried,
+                      exchange->tries, 0, now_ms) != NULL;
+}
+
+static void
+retry_or_conclude(struct exchange *exchange)
+{
+    uint64_t now_ms = clock_mono_ms();
+    uint32_t backoff_ms = BACKOFF_MS << MIN(exchange->tries, 8);
+    uint32_t wait_ms =
+        backoff_ms / 2 + randombytes_uniform(backoff_ms / 2 + 1);
+
+    if (!may_retry(exchange) || now_ms + wait_ms >= exchange->deadline_ms ||
+        !has_untried_owner(exchange, now_ms)) {
+        conclude(exchange);
+        return;
+    }
+    exchange->gateway->budget -= 1.0;
+    exchange->gateway->retries++;
+    exchange->step = STEP_BACKOFF;
+    exchange->next_ms = now_ms + wait_ms;
+}
+
+static void
+take_result(struct exchange *exchange, enum fp_err err, uint32_t status,
+            const char *content_type, const void *body, uint32_t body_bytes,
+            uint32_t retry_after_ms)
+{
+    fp_blob_free(&exchange->body);
+    exchange->err = err;
+    exchange->status = status;
+    exchange->retry_after_ms = retry_after_ms;
+    g_strlcpy(exchange->content_type, content_type,
+              sizeof(exchange->content_type));
+    if (err == FP_OK) {
+        exchange->body = fp_blob_copy(body, body_bytes);
+        conclude(exchange);
+        return;
+    }
+    retry_or_conclude(exchange);
+}
+
+static void
+on_own_result(void *ctx, const struct owner_result *result)
+{
+    struct exchange *exchange = ctx;
+
+    pick_returned(exchange->gateway->pick, exchange->gateway->settings->host,
+                  exchange->service);
+    take_result(exchange, result->err, result->status, result->content_type,
+                result->body, (uint32_t)result->body_bytes,
+                result->retry_after_ms);
+}
+
+static void
+hand_over(struct exchange *exchange, const char *host, uint64_t now_ms)
+{
+    struct gateway *gateway = exchange->gateway;
+    struct msg_call *msg = &exchange->msg;
+
+    g_strlcpy(exchange->tried[exchange->tries], host, MSG_HOST_BYTES);
+    exchange->tries++;
+    exchange->step = STEP_OWNER;
+    msg->request_id = ++gateway->next_id;
+    msg->sent_ms = now_ms;
+    msg->budget_ms = (uint32_t)(exchange->deadline_ms - now_ms);
+    pick_sent(gateway->pick, host, exchange->service);
+    if (strcmp(host, gateway->settings->host) == 0) {
+        owner_run(gateway->owner, msg, on_own_result, exchange);
+        return;
+    }
+    if (replica_send(gateway->replica, host, &MSG_CALL_SCHEMA, msg) != FP_OK) {
+        pick_forget(gateway->pick, host);
+        take_result(exchange, FP_ERR_NOT_CONNECTED, 0, "", NULL, 0, 0);
+        return;
+    }
+    g_hash_table_insert(gateway->waiting, &msg->request_id, exchange);
+}
+
+static void
+try_owner(struct exchange *exchange)
+{
+    struct gateway *gateway = exchange->gateway;
+    uint64_t now_ms = clock_mono_ms();
+    uint64_t random;
+    const char *tried[TRIES_MAX];
+    const char *host;
+
+    if (now_ms >= exchange->deadline_ms) {
+        exchange->err = FP_ERR_DEADLINE;
+        conclude(exchange);
+        return;
+    }
+    if (!replica_fresh(gateway->replica)) {
+        exchange->err = FP_ERR_NOT_FRESH;
+        conclude(exchange);
+        return;
+    }
+    for (uint32_t i = 0; i < exchange->tries; i++) {
+        tried[i] = exchange->tried[i];
+    }
+    randombytes_buf(&random, sizeof(random));
+    host = pick_owner(gateway->pick, exchange->service, tried, exchange->tries,
+                      random, now_ms);
+    if (host == NULL) {
+        exchange->err = FP_ERR_NO_TARGET;
+        conclude(exchange);
+        return;
+    }
+    hand_over(exchange, host, now_ms);
+}
+
+/* The first request under this key has ended or is past its deadline: this
+ * one gets the first one's outcome.
+ */
+static void
+answer_resend(struct exchange *exchange, const struct change_answer *answer)
+{
+    if (!answer->ended) {
+        fail(exchange, FP_ERR_MAY_HAVE_RUN,
+             "The first request under this key has no known outcome.");
+        return;
+    }
+    exchange->err = answer->err;
+    exchange->status = answer->status;
+    g_strlcpy(exchange->content_type, answer->content_type,
+              sizeof(exchange->content_type));
+    exchange->body = fp_blob_copy(answer->body.data, answer->body.size_bytes);
+    finish(exchange, "The outcome of the first request under this key.");
+}
+
+/* Another request came first under this key. */
+static void
+take_earlier(struct exchange *exchange, const struct change_answer *answer)
+{
+    bool over = clock_wall_ms() > answer->deadline_ms + GRACE_MS * 2;
+
+    if (!answer->ended && answer->err != FP_OK) {
+        fail(exchange, answer->err, answer->detail);
+    }
+    else if (answer->ended || over) {
+        answer_resend(exchange, answer);
+    }
+    else if (clock_mono_ms() + IN_PROGRESS_LOOK_MS >= exchange->deadline_ms) {
+        fail(exchange, FP_ERR_IN_PROGRESS, "");
+    }
+    else {
+        exchange->step = STEP_WAIT;
+        exchange->next_ms = clock_mono_ms() + IN_PROGRESS_LOOK_MS;
+    }
+}
+
+static void propose_intent(struct exchange *exchange);
+
+/* Looks at this host's copy of the record; once the intent was withdrawn this
+ * request takes its place.
+ */
+static void
+look_again(struct exchange *exchange)
+{
+    struct change_answer answer = {.err = FP_OK};
+
+    if (cell_outcome(replica_cell(exchange->gateway->replica),
+                     exchange->msg.team, exchange->msg.idempotency_key,
+                     &answer)) {
+        take_earlier(exchange, &answer);
+    }
+    else {
+        propose_intent(exchange);
+    }
+    fp_record_free(&CHANGE_ANSWER_SCHEMA, &answer);
+}
+
+static void
+on_intent(void *ctx, enum fp_err err, const struct change_answer *answer)
+{
+    struct exchange *exchange = ctx;
+
+    if (err == FP_ERR_UNKNOWN_OUTCOME) {
+        /* The intent may be in the log, but nothing was sent for it: it is
+         * this process's own, so it can be withdrawn as not run. */
+        exchange->recorded = true;
+        exchange->err = FP_ERR_NO_LEADER;
+        record_outcome(exchange);
+        return;
+    }
+    if (err != FP_OK) {
+        fail(exchange, err, "");
+        return;
+    }
+    if (answer->first) {
+        exchange->recorded = true;
+        try_owner(exchange); /* past the deadline it only withdraws */
+        return;
+    }
+    take_earlier(exchange, answer);
+}
+
+static void
+propose_intent(struct exchange *exchange)
+{
+    struct gateway *gateway = exchange->gateway;
+    struct change_intent change = {.run_id = replica_run_id(gateway->replica),
+                                   .deadline_ms = clock_wall_ms() +
+                                                  exchange->deadline_ms -
+                                                  clock_mono_ms()};
+    const char *texts[] = {method_of(exchange), exchange->msg.path,
+                           exchange->msg.queue, exchange->msg.content_type};
+
+    exchange->step = STEP_INTENT;
+    g_strlcpy(change.team, exchange->msg.team, sizeof(change.team));
+    g_strlcpy(change.key, exchange->msg.idempotency_key, sizeof(change.key));
+    key_digest(texts, 4, exchange->msg.body.data,
+               exchange->msg.body.size_bytes, change.digest);
+    replica_propose(gateway->replica, &CHANGE_INTENT_SCHEMA, &change,
+                    on_intent, exchange);
+}
+
+enum fp_err
+gateway_team(const struct cell *cell, const struct http_request *request,
+             char team[NAME_BYTES], char hash[72])
+{
+    char value[256];
+    const char *name;
+    enum fp_err err;
+
+    team[0] = '\0';
+    hash[0] = '\0';
+    if (!http_header(request, "authorization", value, sizeof(value))) {
+        return FP_ERR_NO_KEY;
+    }
+    if (value[0] == '\0') {
+        return FP_OK;
+    }
+    if (g_ascii_strncasecmp(value, "bearer ", 7) != 0) {
+        return FP_ERR_NO_KEY;
+    }
+    key_hash(value + 7, hash);
+    sodium_memzero(value, sizeof(value));
+    err = cell_key_team(cell, hash, &name);
+    if (err == FP_OK) {
+        g_strlcpy(team, name, NAME_BYTES);
+    }
+    return err;
+}
+
+/* Splits /call/QUEUE/PATH. */
+static bool
+take_path(struct exchange *exchange)
+{
+    const char *queue = http_path(exchange->request) + strlen("/call/");
+    const char *slash = strchrnul(queue, '/');
+    const char *query = http_query(exchange->request);
+    int length;
+
+    if (slash == queue ||
+        (size_t)(slash - queue) >= sizeof(exchange->msg.queue)) {
+        return false;
+    }
+    memcpy(exchange->msg.queue, queue, (size_t)(slash - queue));
+    length =
+        snprintf(exchange->msg.path, sizeof(exchange->msg.path), "%s%s%s",
+                 *slash == '\0' ? "/" : slash, query[0] ? "?" : "", query);
+    return length < (int)sizeof(exchange->msg.path);
+}
+
+static enum fp_err
+take_headers(struct exchange *exchange, const struct queue *queue,
+             char *detail, size_t detail_bytes)
+{
+    const struct http_request *request = exchange->request;
+    uint64_t most = queue->conf.request_max_ms ? queue->conf.request_max_ms
+                                               : DEFAULT_REQUEST_MAX_MS;
+    uint64_t budget_ms = most;
+    char value[64];
+    const char *method = http_method(request);
+
+    if (!http_header(request, "content-type", exchange->msg.content_type,
+                     sizeof(exchange->msg.content_type)) ||
+        !http_header(request, "idempotency-key", exchange->msg.idempotency_key,
+                     sizeof(exchange->msg.idempotency_key))) {
+        snprintf(detail, detail_bytes,
+                 "Content-Type and Idempotency-Key: at most 127 bytes");
+        return FP_ERR_BAD_REQUEST;
+    }
+    if (!http_header(request, "x-deadline-ms", value, sizeof(value)) ||
+        (value[0] != '\0' &&
+         !g_ascii_string_to_unsigned(value, 10, 1, most, &budget_ms, NULL))) {
+        snprintf(detail, detail_bytes,
+                 "X-Deadline-Ms: '%.30s' is not from 1 to %llu", value,
+                 (unsigned long long)most);
+        return FP_ERR_BAD_REQUEST;
+    }
+    if (!http_header(request, "x-repeatable", value, sizeof(value)) ||
+        (value[0] != '\0' && strcmp(value, "yes") != 0 &&
+         strcmp(value, "no") != 0)) {
+        snprintf(detail, detail_bytes,
+                 "X-Repeatable: '%.30s' is not yes or no", value);
+        return FP_ERR_BAD_REQUEST;
+    }
+    exchange->deadline_ms = clock_mono_ms() + budget_ms;
+    exchange->msg.repeatable = strcmp(value, "yes") == 0;
+    if (value[0] == '\0') {
+        exchange->msg.repeatable =
+            strcmp(method, "GET") == 0 || strcmp(method, "HEAD") == 0;
+    }
+    if (exchange->msg.idempotency_key[0] != '\0') {
+        exchange->msg.repeatable = false;
+    }
+    return FP_OK;
+}
+
+static enum fp_err
+admit(struct exchange *exchange, char *detail, size_t detail_bytes)
+{
+    struct gateway *gateway = exchange->gateway;
+    const struct cell *cell = replica_cell(gateway->replica);
+    struct msg_call *msg = &exchange->msg;
+    const struct queue *queue;
+    char hash[72];
+    const char *team;
+    enum fp_err err;
+    size_t body_bytes;
+    const char *body = http_body(exchange->request, &body_bytes);
+
+    if (!replica_fresh(gateway->replica)) {
+        return FP_ERR_NOT_FRESH;
+    }
+    err = gateway_team(cell, exchange->request, msg->team, hash);
+    if (err != FP_OK) {
+        return err;
+    }
+    if (!take_path(exchange)) {
+        snprintf(detail, detail_bytes,
+                 "the path is /call/QUEUE/PATH, the "
+                 "path at most 1000 bytes");
+        return FP_ERR_BAD_REQUEST;
+    }
+    queue = cell_queue(cell, msg->queue);
+    if (queue == NULL || queue->conf.service[0] == '\0') {
+        snprintf(detail, detail_bytes, "no queue '%s' with a service",
+                 msg->queue);
+        return FP_ERR_NOT_FOUND;
+    }
+    team = msg->team[0] == '\0' ? NULL : msg->team;
+    err = cell_may_use(queue, team);
+    if (err != FP_OK) {
+        return err;
+    }
+    if (team == NULL) {
+        g_strlcpy(msg->team,
+                  queue->conf.team[0] ? queue->conf.team : CELL_OPEN_TEAM,
+                  sizeof(msg->team));
+    }
+    else {
+        g_strlcpy(msg->key_hash, hash, sizeof(msg->key_hash));
+    }
+    g_strlcpy(exchange->service, queue->conf.service,
+              sizeof(exchange->service));
+    if (strlen(http_method(exchange->request)) >= sizeof(msg->method)) {
+        snprintf(detail, detail_bytes, "the method is unknown");
+        return FP_ERR_BAD_REQUEST;
+    }
+    g_strlcpy(msg->method, http_method(exchange->request),
+              sizeof(msg->method));
+    msg->body = fp_blob_copy(body, (uint32_t)body_bytes);
+    return take_headers(exchange, queue, detail, detail_bytes);
+}
+
+void
+gateway_call(struct gateway *gateway, struct http_request *request)
+{
+    struct exchange *exchange = g_new0(struct exchange, 1);
+    char detail[160] = "";
+    enum fp_err err;
+
+    gateway->requests++;
+    gateway->budget = MIN(gateway->budget + BUDGET_PART, BUDGET_MAX);
+    exchange->gateway = gateway;
+    exchange->request = request;
+    g_hash_table_add(gateway->exchanges, exchange);
+    err = admit(exchange, detail, sizeof(detail));
+    if (err != FP_OK) {
+        fail(exchange, err, detail);
+        return;
+    }
+    if (exchange->msg.idempotency_key[0] != '\0') {
+        propose_intent(exchange);
+    }
+    else {
+        try_owner(exchange);
+    }
+}
+
+/* How long a message was on its way, beyond the fastest seen from its host.
+ */
+static uint64_t
+message_age_ms(struct gateway *gateway, const char *host, uint64_t sent_ms,
+               uint64_t now_ms)
+{
+    struct offset *offset = g_hash_table_lookup(gateway->offsets, host);
+    int64_t difference = (int64_t)now_ms - (int64_t)sent_ms;
+
+    if (offset == NULL || now_ms > offset->since_ms + AGE_WINDOW_MS) {
+        offset = g_new0(struct offset, 1);
+        offset->least_ms = difference;
+        offset->since_ms = now_ms;
+        g_hash_table_replace(gateway->offsets, g_strdup(host), offset);
+    }
+    offset->least_ms = MIN(offset->least_ms, difference);
+    return (uint64_t)(difference - offset->least_ms);
+}
+
+static void
+send_reply(struct gateway *gateway, const struct foreign *foreign,
+           const struct owner_result *result)
+{
+    struct msg_call_reply reply = {
+        .request_id = foreign->request_id,
+        .err = result->err,
+        .status = result->status,
+        .retry_after_ms = result->retry_after_ms,
+    };
+
+    g_strlcpy(reply.content_type, result->content_type,
+              sizeof(reply.content_type));
+    g_strlcpy(reply.target, result->target, sizeof(reply.target));
+    reply.body.data = (uint8_t *)result->body;
+    reply.body.size_bytes = (uint32_t)result->body_bytes;
+    replica_send(gateway->replica, foreign->host, &MSG_CALL_REPLY_SCHEMA,
+                 &reply);
+}
+
+static void
+on_foreign_result(void *ctx, const struct owner_result *result)
+{
+    struct foreign *foreign = ctx;
+
+    foreign->gateway->foreign_in_flight--;
+    send_reply(foreign->gateway, foreign, result);
+    g_free(foreign);
+}
+
+/* A request that lay in some queue past its deadline is not begun. */
+static void
+on_foreign_call(struct gateway *gateway, const char *from,
+                const struct msg_call *msg)
+{
+    struct foreign *foreign = g_new0(struct foreign, 1);
+    struct msg_call copy = *msg;
+    uint64_t age_ms =
+        message_age_ms(gateway, from, msg->sent_ms, clock_mono_ms());
+
+    gateway->foreign++;
+    gateway->foreign_in_flight++;
+    foreign->gateway = gateway;
+    foreign->request_id = msg->request_id;
+    g_strlcpy(foreign->host, from, sizeof(foreign->host));
+    if (age_ms >= msg->budget_ms) {
+        struct owner_result late = {
+            .err = FP_ERR_DEADLINE, .content_type = "", .target = ""};
+
+        gateway->expired++;
+        on_foreign_result(foreign, &late);
+        return;
+    }
+    copy.budget_ms -= (uint32_t)age_ms;
+    owner_run(gateway->owner, &copy, on_foreign_result, foreign);
+}
+
+static void
+on_call_reply(struct gateway *gateway, const char *from,
+              const struct msg_call_reply *msg)
+{
+    struct exchange *exchange =
+        g_hash_table_lookup(gateway->waiting, &msg->request_id);
+
+    /* An answer that comes late, or from another than was asked last. */
+    if (exchange == NULL ||
+        strcmp(exchange->tried[exchange->tries - 1], from) != 0) {
+        return;
+    }
+    g_hash_table_remove(gateway->waiting, &msg->request_id);
+    pick_returned(gateway->pick, from, exchange->service);
+    take_result(exchange, msg->err, msg->status, msg->content_type,
+                msg->body.data, msg->body.size_bytes, msg->retry_after_ms);
+}
+
+void
+gateway_message(struct gateway *gateway, const char *from, uint32_t type,
+                const void *msg)
+{
+    if (type == MSG_CALL) {
+        on_foreign_call(gateway, from, msg);
+    }
+    else if (type == MSG_CALL_REPLY) {
+        on_call_reply(gateway, from, msg);
+    }
+}
+
+void
+gateway_hint(struct gateway *gateway, const struct msg_hint *hint)
+{
+    const struct settings_host *host =
+        settings_find(gateway->settings, hint->host);
+    uint64_t now_ms = clock_mono_ms();
+
+    if (host == NULL) {
+        return;
+    }
+    if (strcmp(hint->host, gateway->settings->host) != 0) {
+        message_age_ms(gateway, hint->host, hint->sent_ms, now_ms);
+    }
+    if (hint->leaving) {
+        pick_forget(gateway->pick, hint->host);
+        return;
+    }
+    pick_hint(gateway->pick, hint, host->data_centre, now_ms);
+}
+
+static void
+advance(struct exchange *exchange, uint64_t now_ms)
+{
+    switch (exchange->step) {
+    case STEP_OWNER:
+        if (now_ms >= exchange->deadline_ms + GRACE_MS &&
+            g_hash_table_remove(exchange->gateway->waiting,
+                                &exchange->msg.request_id)) {
+            pick_returned(exchange->gateway->pick,
+                          exchange->tried[exchange->tries - 1],
+                          exchange->service);
+            exchange->err = FP_ERR_MAY_HAVE_RUN;
+            conclude(exchange);
+        }
+        break;
+    case STEP_BACKOFF:
+        if (now_ms >= exchange->next_ms) {
+            try_owner(exchange);
+        }
+        break;
+    case STEP_WAIT:
+        if (now_ms >= exchange->next_ms) {
+            look_again(exchange);
+        }
+        break;
+    case STEP_INTENT:
+        if (now_ms >= exchange->deadline_ms) {
+            exchange->err = FP_ERR_DEADLINE;
+            answer_caller(exchange, "");
+        }
+        break;
+    case STEP_OUTCOME:
+        if (now_ms >= exchange->deadline_ms + GRACE_MS) {
+            answer_caller(exchange, "");
+        }
+        break;
+    }
+}
+
+void
+gateway_tick(struct gateway *gateway, uint64_t now_ms)
+{
+    GList *all = g_hash_table_get_keys(gateway->exchanges);
+
+    for (GList *at = all; at != NULL; at = at->next) {
+        if (g_hash_table_contains(gateway->exchanges, at->data)) {
+            advance(at->data, now_ms);
+        }
+    }
+    g_list_free(all);
+}
+
+struct gateway *
+gateway_new(struct replica *replica, const struct settings *settings,
+            struct owner *owner)
+{
+    struct gateway *gateway = g_new0(struct gateway, 1);
+    const struct settings_host *own = settings_find(settings, settings->host);
+
+    gateway->replica = replica;
+    gateway->settings = settings;
+    gateway->owner = owner;
+    gateway->pick = pick_new(settings->host, own->data_centre);
+    gateway->exchanges = g_hash_table_new(g_direct_hash, g_direct_equal);
+    gateway->waiting = g_hash_table_new(g_int64_hash, g_int64_equal);
+    gateway->offsets =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    gateway->next_id = replica_run_id(replica) & 0xffffffffffff;
+    gateway->budget = BUDGET_MAX / 2;
+    return gateway;
+}
+
+void
+gateway_free(struct gateway *gateway)
+{
+    if (gateway == NULL) {
+        return;
+    }
+    pick_free(gateway->pick);
+    g_hash_table_destroy(gateway->exchanges);
+    g_hash_table_destroy(gateway->waiting);
+    g_hash_table_destroy(gateway->offsets);
+    g_free(gateway);
+}
+
+uint32_t
+gateway_in_flight(const struct gateway *gateway)
+{
+    return g_hash_table_size(gateway->exchanges) +
+           (uint32_t)gateway->foreign_in_flight;
+}
+
+json_t *
+gateway_dump(const struct gateway *gateway)
+{
+    json_t *answers = json_object();
+
+    for (int i = 0; i < FP_ERR_COUNT; i++) {
+        if (gateway->answers[i] > 0) {
+            json_object_set_new(answers, fp_err_row((enum fp_err)i)->name,
+                                json_integer((json_int_t)gateway->answers[i]));
+        }
+    }
+    return json_pack("{s:I,s:I,s:I,s:I,s:I,s:f,s:o}", "requests",
+                     (json_int_t)gateway->requests, "retries",
+                     (json_int_t)gateway->retries, "from_other_hosts",
+                     (json_int_t)gateway->foreign, "came_too_late",
+                     (json_int_t)gateway->expired, "in_flight",
+                     (json_int_t)gateway_in_flight(gateway), "retry_budget",
+                     gateway->budget, "answers", answers);
+}
--- /dev/null
+++ b/node/httpd.c
@@ -0,0 +1,394 @@
+/* httpd.c -- the HTTP server: h2o on libuv behind a small request interface
+ */
+#define H2O_USE_LIBUV 1
+#include <h2o.h>
+
+#include "node/httpd.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <openssl/ssl.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/log.h"
+
+struct handler {
+    h2o_handler_t super;
+    struct httpd *httpd;
+};
+
+struct httpd {
+    uv_loop_t *loop;
+    uv_tcp_t listener;
+    bool listening;
+    h2o_globalconf_t config;
+    h2o_context_t context;
+    h2o_accept_ctx_t accept;
+    SSL_CTX *ssl;
+    http_handler handler;
+    void *ctx;
+    uint32_t in_flight;
+};
+
+/* Lives in h2o's pool; tells the request when h2o drops its side. */
+struct link {
+    struct http_request *request;
+};
+
+struct http_request {
+    struct httpd *httpd;
+    h2o_req_t *h2o;    /* NULL once the caller has gone */
+    struct link *link; /* in h2o's pool, valid while h2o is */
+    char *method;
+    char *path;
+    char *query;
+    char *body;
+    size_t body_bytes;
+    char **headers; /* name, value, name, value, ..., NULL */
+};
+
+static void
+on_dispose(void *item)
+{
+    struct link *link = item;
+
+    if (link->request != NULL) {
+        link->request->h2o = NULL;
+    }
+}
+
+static char **
+copy_headers(const h2o_req_t *req)
+{
+    char **headers = g_new0(char *, req->headers.size * 2 + 1);
+
+    for (size_t i = 0; i < req->headers.size; i++) {
+        const h2o_header_t *header = &req->headers.entries[i];
+
+        headers[2 * i] = g_strndup(header->name->base, header->name->len);
+        headers[2 * i + 1] = g_strndup(header->value.base, header->value.len);
+    }
+    return headers;
+}
+
+static int
+on_request(h2o_handler_t *self, h2o_req_t *req)
+{
+    struct httpd *httpd = ((struct handler *)self)->httpd;
+    struct http_request *request = g_new0(struct http_request, 1);
+    struct link *link =
+        h2o_mem_alloc_shared(&req->pool, sizeof(*link), on_dispose);
+    size_t path_bytes =
+        req->query_at == SIZE_MAX ? req->path.len : req->query_at;
+
+    link->request = request;
+    request->link = link;
+    request->httpd = httpd;
+    request->h2o = req;
+    request->method = g_strndup(req->method.base, req->method.len);
+    request->path = g_strndup(req->path.base, path_bytes);
+    request->query = path_bytes < req->path.len
+                         ? g_strndup(req->path.base + path_bytes + 1,
+                                     req->path.len - path_bytes - 1)
+                         : g_strdup("");
+    request->body_bytes = req->entity.base == NULL ? 0 : req->entity.len;
+    request->body = g_malloc(request->body_bytes + 1);
+    if (request->body_bytes > 0) {
+        memcpy(request->body, req->entity.base, request->body_bytes);
+    }
+    request->body[request->body_bytes] = '\0';
+    request->headers = copy_headers(req);
+    httpd->in_flight++;
+    httpd->handler(httpd->ctx, request);
+    return 0;
+}
+
+static void
+free_socket(uv_handle_t *handle)
+{
+    g_free(handle);
+}
+
+static void
+on_connection(uv_stream_t *listener, int status)
+{
+    struct httpd *httpd = listener->data;
+    uv_tcp_t *tcp;
+
+    if (status != 0) {
+        return;
+    }
+    tcp = g_new0(uv_tcp_t, 1);
+    uv_tcp_init(httpd->loop, tcp);
+    if (uv_accept(listener, (uv_stream_t *)tcp) != 0) {
+        uv_close((uv_handle_t *)tcp, free_socket);
+        return;
+    }
+    uv_tcp_nodelay(tcp, 1);
+    h2o_accept(&httpd->accept,
+               h2o_uv_socket_create((uv_stream_t *)tcp, free_socket));
+}
+
+static enum fp_err
+load_tls(struct httpd *httpd, const struct settings_tls *tls, char *why,
+         size_t why_bytes)
+{
+    if (tls == NULL) {
+        return FP_OK;
+    }
+    httpd->ssl = SSL_CTX_new(TLS_server_method());
+    SSL_CTX_set_min_proto_version(httpd->ssl, TLS1_2_VERSION);
+    if (SSL_CTX_use_certificate_chain_file(httpd->ssl, tls->certificate) !=
+        1) {
+        snprintf(why, why_bytes, "tls.certificate: %s cannot be used",
+                 tls->certificate);
+        return FP_ERR_BAD_REQUEST;
+    }
+    if (SSL_CTX_use_PrivateKey_file(httpd->ssl, tls->private_key,
+                                    SSL_FILETYPE_PEM) != 1) {
+        snprintf(why, why_bytes, "tls.private_key: %s cannot be used",
+                 tls->private_key);
+        return FP_ERR_BAD_REQUEST;
+    }
+    return FP_OK;
+}
+
+static enum fp_err
+listen_on(struct httpd *httpd, const char *address, char *why,
+          size_t why_bytes)
+{
+    char ip[64];
+    uint16_t port;
+    struct sockaddr_in addr;
+    int rc;
+
+    if (!settings_address(address, ip, sizeof(ip), &port)) {
+        snprintf(why, why_bytes, "http: '%s' is not IP:port", address);
+        return FP_ERR_BAD_REQUEST;
+    }
+    uv_ip4_addr(ip, port, &addr);
+    uv_tcp_init(httpd->loop, &httpd->listener);
+    httpd->listener.data = httpd;
+    httpd->listening = true;
+    rc = uv_tcp_bind(&httpd->listener, (struct sockaddr *)&addr, 0);
+    if (rc == 0) {
+        rc = uv_listen((uv_stream_t *)&httpd->listener, 1024, on_connection);
+    }
+    if (rc != 0) {
+        snprintf(why, why_bytes, "http %s: %s", address, uv_strerror(rc));
+        return FP_ERR_NETWORK;
+    }
+    return FP_OK;
+}
+
+enum fp_err
+httpd_new(uv_loop_t *loop, const char *address, const struct settings_tls *tls,
+          http_handler handler, void *ctx, struct httpd **out, char *why,
+          size_t why_bytes)
+{
+    struct httpd *httpd = g_new0(struct httpd, 1);
+    h2o_hostconf_t *host;
+    struct handler *root;
+    enum fp_err err;
+
+    *out = httpd;
+    httpd->loop = loop;
+    httpd->handler = handler;
+    httpd->ctx = ctx;
+    h2o_config_init(&httpd->config);
+    httpd->config.max_request_entity_size = HTTPD_BODY_MAX_BYTES;
+    httpd->config.http1.req_timeout = HTTPD_REQUEST_TIMEOUT_MS;
+    httpd->config.server_name = h2o_iovec_init(H2O_STRLIT("filbertpath"));
+    host = h2o_config_register_host(
+        &httpd->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
+    root = (struct handler *)h2o_create_handler(
+        h2o_config_register_path(host, "/", 0), sizeof(*root));
+    root->super.on_req = on_request;
+    root->httpd = httpd;
+    h2o_context_init(&httpd->context, loop, &httpd->config);
+    httpd->accept.ctx = &httpd->context;
+    httpd->accept.hosts = httpd->config.hosts;
+    err = load_tls(httpd, tls, why, why_bytes);
+    httpd->accept.ssl_ctx = httpd->ssl;
+    if (err == FP_OK) {
+        err = listen_on(httpd, address, why, why_bytes);
+    }
+    return err;
+}
+
+void
+httpd_drain(struct httpd *httpd)
+{
+    h2o_context_request_shutdown(&httpd->context);
+}
+
+void
+httpd_stop_listening(struct httpd *httpd)
+{
+    if (httpd->listening) {
+        httpd->listening = false;
+        uv_close((uv_handle_t *)&httpd->listener, NULL);
+    }
+}
+
+uint32_t
+httpd_in_flight(const struct httpd *httpd)
+{
+    return httpd->in_flight;
+}
+
+bool
+httpd_has_connections(const struct httpd *httpd)
+{
+    return !h2o_linklist_is_empty(
+        (h2o_linklist_t *)&httpd->context.http1._conns);
+}
+
+/* h2o's context and configuration stay until the process ends: h2o 2.2 frees
+ * its connections only from their own events.
+ */
+void
+httpd_free(struct httpd *httpd)
+{
+    if (httpd == NULL) {
+        return;
+    }
+    httpd_stop_listening(httpd);
+    SSL_CTX_free(httpd->ssl);
+}
+
+const char *
+http_method(const struct http_request *request)
+{
+    return request->method;
+}
+
+const char *
+http_path(const struct http_request *request)
+{
+    return request->path;
+}
+
+const char *
+http_query(const struct http_request *request)
+{
+    return request->query;
+}
+
+const char *
+http_body(const struct http_request *request, size_t *size_bytes)
+{
+    *size_bytes = request->body_bytes;
+    return request->body;
+}
+
+bool
+http_header(const struct http_request *request, const char *name, char *value,
+            size_t value_bytes)
+{
+    value[0] = '\0';
+    for (char **at = request->headers; *at != NULL; at += 2) {
+        if (g_ascii_strcasecmp(at[0], name) == 0) {
+            return g_strlcpy(value, at[1], value_bytes) < value_bytes;
+        }
+    }
+    return true;
+}
+
+bool
+http_query_value(const struct http_request *request, const char *name,
+                 char *value, size_t value_bytes)
+{
+    char **parts = g_strsplit(request->query, "&", 64);
+    size_t name_bytes = strlen(name);
+    bool found = false;
+
+    for (char **part = parts; *part != NULL && !found; part++) {
+        if (strncmp(*part, name, name_bytes) == 0 &&
+            (*part)[name_bytes] == '=') {
+            char *text = g_uri_unescape_string(*part + name_bytes + 1, NULL);
+
+            found = text != NULL &&
+                    g_strlcpy(value, text, value_bytes) < value_bytes;
+            g_free(text);
+        }
+    }
+    g_strfreev(parts);
+    return found;
+}
+
+static void
+send_reply(struct http_request *request, int status, const char *content_type,
+           const void *body, size_t size_bytes, uint32_t retry_after_ms)
+{
+    h2o_req_t *req = request->h2o;
+    char seconds[16];
+
+    req->res.status = status;
+    req->res.reason = "";
+    if (content_type[0] != '\0') {
+        h2o_iovec_t copy =
+            h2o_strdup(&req->pool, content_type, strlen(content_type));
+
+        h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE,
+                       NULL, copy.base, copy.len);
+    }
+    if (retry_after_ms > 0) {
+        h2o_iovec_t copy;
+
+        snprintf(seconds, sizeof(seconds), "%u",
+                 (retry_after_ms + 999) / 1000);
+        copy = h2o_strdup(&req->pool, seconds, strlen(seconds));
+        h2o_add_header_by_str(&req->pool, &req->res.headers,
+                              H2O_STRLIT("retry-after"), 0, NULL, copy.base,
+                              copy.len);
+    }
+    req->res.content_length = size_bytes;
+    h2o_send_inline(req, body, size_bytes);
+}
+
+static void
+free_request(struct http_request *request)
+{
+    request->httpd->in_flight--;
+    g_free(request->method);
+    g_free(request->path);
+    g_free(request->query);
+    g_free(request->body);
+    g_strfreev(request->headers);
+    g_free(request);
+}
+
+void
+http_reply(struct http_request *request, int status, const char *content_type,
+           const void *body, size_t size_bytes, uint32_t retry_after_ms)
+{
+    if (request->h2o != NULL) {
+        request->link->request = NULL;
+        send_reply(request, status, content_type, body, size_bytes,
+                   retry_after_ms);
+    }
+    free_request(request);
+}
+
+void
+http_reply_error(struct http_request *request, enum fp_err err,
+                 const char *detail)
+{
+    const struct fp_err_row *row = fp_err_row(err);
+    json_t *object = json_pack(
+        "{s:s,s:s,s:s,s:b}", "error", row->name, "work", fp_ran_name(row->ran),
+        "detail", detail[0] ? detail : row->text, "retry", row->retry);
+    char *text;
+
+    if (row->retry) {
+        json_object_set_new(object, "retry_after_ms",
+                            json_integer(row->retry_after_ms));
+    }
+    text = json_dumps(object, JSON_COMPACT);
+    http_reply(request, row->http_status, "application/json", text,
+               strlen(text), row->retry_after_ms);
+    free(text);
+    json_decref(object);
+}
--- /dev/null
+++ b/node/keys.c
@@ -0,0 +1,45 @@
+/* keys.c -- secrets and their hashes */
+#include "node/keys.h"
+
+#include <sodium.h>
+#include <string.h>
+
+#define HASH_BINARY_BYTES 32u
+
+void
+key_draw(char secret[KEY_SECRET_BYTES])
+{
+    unsigned char bytes[HASH_BINARY_BYTES];
+
+    randombytes_buf(bytes, sizeof(bytes));
+    sodium_bin2hex(secret, KEY_SECRET_BYTES, bytes, sizeof(bytes));
+    sodium_memzero(bytes, sizeof(bytes));
+}
+
+void
+key_hash(const char *secret, char hash[KEY_HASH_BYTES])
+{
+    unsigned char bytes[HASH_BINARY_BYTES];
+
+    crypto_generichash(bytes, sizeof(bytes), (const unsigned char *)secret,
+                       strlen(secret), NULL, 0);
+    sodium_bin2hex(hash, KEY_HASH_BYTES, bytes, sizeof(bytes));
+}
+
+void
+key_digest(const char *const *texts, unsigned count, const void *body,
+           unsigned long body_bytes, char hash[KEY_HASH_BYTES])
+{
+    crypto_generichash_state state;
+    unsigned char bytes[HASH_BINARY_BYTES];
+
+    crypto_generichash_init(&state, NULL, 0, sizeof(bytes));
+    for (unsigned i = 0; i < count; i++) {
+        /* With its NUL, so that texts cannot run into each other. */
+        crypto_generichash_update(&state, (const unsigned char *)texts[i],
+                                  strlen(texts[i]) + 1);
+    }
+    crypto_generichash_update(&state, body, body_bytes);
+    crypto_generichash_final(&state, bytes, sizeof(bytes));
+    sodium_bin2hex(hash, KEY_HASH_BYTES, bytes, sizeof(bytes));
+}
