--- /dev/null
+++ b/node/replica.c
@@ -0,0 +1,1057 @@
+/* replica.c -- the cell task: replication, the cell's state, messages */
+#include "node/replica.h"
+
+#include <glib.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "node/disk.h"
+
+#define TICK_MS 10u
+#define HELLO_EVERY_MS 300u
+#define RETRY_EVERY_MS 50u
+#define HELD_MAX 65536u /* messages that wait for a sync */
+
+/* A message that may leave once a write is on disk. */
+struct held {
+    uint64_t after_write;
+    uint64_t to_id;
+    const struct fp_schema *schema;
+    void *msg;
+};
+
+/* A proposal on its way, as its maker sees it. */
+struct proposal {
+    uint64_t request_id;
+    struct fp_blob change;
+    bool repeatable; /* it has a change ID */
+    bool sent;       /* it may be in a leader's log */
+    bool waiting;    /* for the next attempt */
+    uint64_t end_ms;
+    uint64_t next_ms;
+    /* Its answer, while the change is not applied here yet. */
+    uint64_t index;
+    struct change_answer answer;
+    propose_done done;
+    void *ctx;
+};
+
+/* A change in this leader's log whose proposer waits for the answer. */
+struct claim {
+    char host[MSG_HOST_BYTES]; /* this host's own name for own proposals */
+    uint64_t request_id;
+};
+
+struct question {
+    uint64_t request_id;
+    uint64_t end_ms;
+    ask_done done;
+    void *ctx;
+};
+
+/* A question of some host that this leader has to answer. */
+struct asked {
+    char host[MSG_HOST_BYTES];
+    uint64_t request_id;
+};
+
+struct replica {
+    const struct settings *settings;
+    struct replica_ops ops;
+    struct raft *raft;
+    struct cell *cell;
+    struct disk *disk; /* NULL without a data folder */
+    struct bus *bus;
+    uv_prepare_t flush;
+    uint64_t run_id;
+    uint64_t voted_for;
+    uint64_t disk_synced;
+    GQueue held;           /* struct held */
+    GHashTable *hosts;     /* identity to host name */
+    GHashTable *proposals; /* request ID to struct proposal */
+    GHashTable *claims;    /* log index to struct claim */
+    GHashTable *questions; /* request ID to struct question */
+    GHashTable *asked;     /* ask ID to struct asked */
+    uint64_t next_request;
+    uint64_t next_ask;
+    uint64_t hello_ms;
+    bool leading;
+    uint64_t snapshots; /* taken since the start */
+};
+
+static void
+free_held(struct held *held)
+{
+    fp_record_free(held->schema, held->msg);
+    g_free(held->msg);
+    g_free(held);
+}
+
+static void
+free_proposal(void *item)
+{
+    struct proposal *proposal = item;
+
+    fp_blob_free(&proposal->change);
+    fp_record_free(&CHANGE_ANSWER_SCHEMA, &proposal->answer);
+    g_free(proposal);
+}
+
+static const char *
+host_of(const struct replica *replica, uint64_t id)
+{
+    const struct fp_list *list = &raft_members(replica->raft)->list;
+    const struct raft_member *member = list->items;
+    const char *host = g_hash_table_lookup(replica->hosts, &id);
+
+    for (uint32_t i = 0; host == NULL && i < list->count; i++) {
+        if (member[i].id == id) {
+            host = member[i].host;
+        }
+    }
+    return host;
+}
+
+static void
+learn_host(struct replica *replica, uint64_t id, const char *host)
+{
+    const char *known = g_hash_table_lookup(replica->hosts, &id);
+
+    if (id != 0 && (known == NULL || strcmp(known, host) != 0)) {
+        g_hash_table_insert(replica->hosts, g_memdup2(&id, sizeof(id)),
+                            g_strdup(host));
+    }
+}
+
+static void
+on_raft_send(void *ctx, uint64_t to_id, const struct fp_schema *schema,
+             const void *msg, uint64_t after_write)
+{
+    struct replica *replica = ctx;
+    const char *host = host_of(replica, to_id);
+    struct held *held;
+
+    if (host == NULL) {
+        return;
+    }
+    if (after_write <= replica->disk_synced) {
+        bus_send(replica->bus, host, schema, msg);
+        return;
+    }
+    if (g_queue_get_length(&replica->held) >= HELD_MAX) {
+        return; /* as good as lost on the way; raft sends it again */
+    }
+    held = g_new0(struct held, 1);
+    held->after_write = after_write;
+    held->to_id = to_id;
+    held->schema = schema;
+    held->msg = g_malloc0(schema->size_bytes);
+    fp_record_copy(schema, held->msg, msg);
+    g_queue_push_tail(&replica->held, held);
+}
+
+static void
+release_held(struct replica *replica)
+{
+    struct held *held = g_queue_peek_head(&replica->held);
+
+    while (held != NULL && held->after_write <= replica->disk_synced) {
+        const char *host = host_of(replica, held->to_id);
+
+        if (host != NULL) {
+            bus_send(replica->bus, host, held->schema, held->msg);
+        }
+        free_held(g_queue_pop_head(&replica->held));
+        held = g_queue_peek_head(&replica->held);
+    }
+}
+
+static uint64_t
+on_write_vote(void *ctx, uint64_t term, uint64_t voted_for)
+{
+    struct replica *replica = ctx;
+
+    replica->voted_for = voted_for;
+    return replica->disk == NULL
+               ? 0
+               : disk_write_vote(replica->disk, term, voted_for);
+}
+
+static uint64_t
+on_write_entries(void *ctx, const struct raft_entry *entries, uint32_t count)
+{
+    struct replica *replica = ctx;
+
+    return replica->disk == NULL
+               ? 0
+               : disk_write_entries(replica->disk, entries, count);
+}
+
+static uint64_t
+on_write_snapshot(void *ctx, const struct raft_snapshot *snap,
+                  const struct raft_entry *entries, uint32_t count)
+{
+    struct replica *replica = ctx;
+
+    if (replica->disk == NULL) {
+        return 0;
+    }
+    return disk_write_snapshot(replica->disk, snap, raft_term(replica->raft),
+                               replica->voted_for, entries, count);
+}
+
+static void
+on_disk_synced(void *ctx, uint64_t write)
+{
+    struct replica *replica = ctx;
+
+    replica->disk_synced = write;
+    raft_synced(replica->raft, write, clock_mono_ms());
+    release_held(replica);
+}
+
+static void
+on_disk_failed(void *ctx)
+{
+    struct replica *replica = ctx;
+
+    log_warn(LOG_DISK, "A write failed; this replica steps out.");
+    raft_disk_failed(replica->raft, clock_mono_ms());
+}
+
+static void
+finish_proposal(struct replica *replica, struct proposal *proposal,
+                enum fp_err err)
+{
+    g_hash_table_steal(replica->proposals, &proposal->request_id);
+    proposal->done(proposal->ctx, err, &proposal->answer);
+    free_proposal(proposal);
+}
+
+/* The answer is here; it is given once the change is applied here as well, so
+ * that its maker reads what it wrote.
+ */
+static void
+answer_proposal(struct replica *replica, uint64_t request_id, enum fp_err err,
+                uint64_t index, const struct change_answer *answer)
+{
+    struct proposal *proposal =
+        g_hash_table_lookup(replica->proposals, &request_id);
+
+    if (proposal == NULL || proposal->index != 0) {
+        return;
+    }
+    if (err == FP_ERR_NO_LEADER) {
+        proposal->sent = false;
+        proposal->waiting = true;
+        proposal->next_ms = clock_mono_ms() + RETRY_EVERY_MS;
+        return;
+    }
+    if (answer != NULL) {
+        fp_record_copy(&CHANGE_ANSWER_SCHEMA, &proposal->answer, answer);
+    }
+    if (err != FP_OK || index <= raft_applied_index(replica->raft)) {
+        finish_proposal(replica, proposal, err);
+        return;
+    }
+    proposal->index = index;
+}
+
+static void
+send_proposal_reply(struct replica *replica, const char *host,
+                    uint64_t request_id, enum fp_err err, uint64_t index,
+                    const struct change_answer *answer)
+{
+    struct msg_propose_reply reply = {
+        .request_id = request_id, .err = err, .index = index};
+
+    if (answer != NULL) {
+        fp_encode(&CHANGE_ANSWER_SCHEMA, answer, &reply.answer);
+    }
+    bus_send(replica->bus, host, &MSG_PROPOSE_REPLY_SCHEMA, &reply);
+    fp_blob_free(&reply.answer);
+}
+
+static void
+give_answer(struct replica *replica, const struct claim *claim,
+            enum fp_err err, uint64_t index,
+            const struct change_answer *answer)
+{
+    if (strcmp(claim->host, replica->settings->host) == 0) {
+        answer_proposal(replica, claim->request_id, err, index, answer);
+    }
+    else {
+        send_proposal_reply(replica, claim->host, claim->request_id, err,
+                            index, answer);
+    }
+}
+
+static void
+on_apply(void *ctx, const struct raft_entry *entry)
+{
+    struct replica *replica = ctx;
+    struct change_answer answer;
+    struct claim *claim;
+
+    cell_apply(replica->cell, entry->index, entry->data.data,
+               entry->data.size_bytes, &answer);
+    claim = g_hash_table_lookup(replica->claims, &entry->index);
+    if (claim != NULL) {
+        give_answer(replica, claim, FP_OK, entry->index, &answer);
+        g_hash_table_remove(replica->claims, &entry->index);
+    }
+    fp_record_free(&CHANGE_ANSWER_SCHEMA, &answer);
+}
+
+static bool
+on_restore(void *ctx, const struct raft_snapshot *snap)
+{
+    struct replica *replica = ctx;
+
+    if (cell_load(replica->cell, &snap->data) != FP_OK) {
+        log_warn(LOG_CELL, "A snapshot at index %llu is malformed.",
+                 (unsigned long long)snap->last_index);
+        return false;
+    }
+    replica->ops.replaced(replica->ops.ctx);
+    return true;
+}
+
+/* The proposers of what was in the log learn that its fate is open. */
+static void
+drop_claims(struct replica *replica)
+{
+    GHashTable *claims = replica->claims;
+    GHashTableIter iter;
+    struct claim *claim;
+
+    replica->claims =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    g_hash_table_iter_init(&iter, claims);
+    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&claim)) {
+        give_answer(replica, claim, FP_ERR_UNKNOWN_OUTCOME, 0, NULL);
+    }
+    g_hash_table_destroy(claims);
+    g_hash_table_remove_all(replica->asked);
+}
+
+static void
+on_changed(void *ctx)
+{
+    static const char *const names[] = {"follower", "pre-candidate",
+                                        "candidate", "leader"};
+    struct replica *replica = ctx;
+    bool leading;
+
+    if (replica->raft == NULL) {
+        return;
+    }
+    leading = raft_state(replica->raft) == RAFT_LEADER;
+    log_info(LOG_RAFT, "%s in term %llu; leader '%s'.",
+             names[raft_state(replica->raft)],
+             (unsigned long long)raft_term(replica->raft),
+             raft_leader_host(replica->raft));
+    if (replica->leading && !leading) {
+        replica->leading = false;
+        drop_claims(replica);
+        replica->ops.leading(replica->ops.ctx, false);
+    }
+}
+
+static uint32_t
+on_random(void *ctx, uint32_t bound)
+{
+    (void)ctx;
+    return bound == 0 ? 0 : randombytes_uniform(bound);
+}
+
+/* Puts a change into this leader's log. */
+static enum fp_err
+append_change(struct replica *replica, const struct fp_blob *change,
+              const char *host, uint64_t request_id)
+{
+    struct claim *claim;
+    uint64_t index;
+    enum fp_err err;
+
+    if (!raft_leads(replica->raft, clock_mono_ms())) {
+        return FP_ERR_NO_LEADER;
+    }
+    err =
+        raft_propose(replica->raft, change->data, change->size_bytes, &index);
+    if (err != FP_OK) {
+        return err;
+    }
+    claim = g_new0(struct claim, 1);
+    g_strlcpy(claim->host, host, sizeof(claim->host));
+    claim->request_id = request_id;
+    g_hash_table_insert(replica->claims, g_memdup2(&index, sizeof(index)),
+                        claim);
+    return FP_OK;
+}
+
+static void
+try_proposal(struct replica *replica, struct proposal *proposal)
+{
+    const char *leader = raft_leader_host(replica->raft);
+    struct msg_propose msg = {.request_id = proposal->request_id,
+                              .change = proposal->change};
+    enum fp_err err = FP_ERR_NO_LEADER;
+
+    proposal->waiting = false;
+    if (raft_state(replica->raft) == RAFT_LEADER) {
+        err = append_change(replica, &proposal->change,
+                            replica->settings->host, proposal->request_id);
+        if (err != FP_OK && err != FP_ERR_NO_LEADER) {
+            finish_proposal(replica, proposal, err);
+            return;
+        }
+    }
+    else if (leader[0] != '\0') {
+        err = bus_send(replica->bus, leader, &MSG_PROPOSE_SCHEMA, &msg);
+    }
+    if (err == FP_OK) {
+        proposal->sent = true;
+        proposal->next_ms = clock_mono_ms() + PROPOSE_TIMEOUT_MS / 3;
+        return;
+    }
+    proposal->waiting = true;
+    proposal->next_ms = clock_mono_ms() + RETRY_EVERY_MS;
+}
+
+static void
+advance_proposal(struct replica *replica, struct proposal *proposal,
+                 uint64_t now_ms)
+{
+    if (proposal->index != 0) {
+        if (proposal->index <= raft_applied_index(replica->raft) ||
+            now_ms >= proposal->end_ms) {
+            finish_proposal(replica, proposal, FP_OK);
+        }
+        return;
+    }
+    if (now_ms >= proposal->end_ms) {
+        finish_proposal(replica, proposal,
+                        proposal->sent ? FP_ERR_UNKNOWN_OUTCOME
+                                       : FP_ERR_NO_LEADER);
+        return;
+    }
+    if (now_ms >= proposal->next_ms &&
+        (proposal->waiting || proposal->repeatable)) {
+        try_proposal(replica, proposal);
+    }
+}
+
+static void
+advance_proposals(struct replica *replica, uint64_t now_ms)
+{
+    GList *all = g_hash_table_get_values(replica->proposals);
+
+    for (GList *at = all; at != NULL; at = at->next) {
+        advance_proposal(replica, at->data, now_ms);
+    }
+    g_list_free(all);
+}
+
+static void
+expire_questions(struct replica *replica, uint64_t now_ms)
+{
+    GList *all = g_hash_table_get_values(replica->questions);
+
+    for (GList *at = all; at != NULL; at = at->next) {
+        struct question *question = at->data;
+
+        if (now_ms >= question->end_ms) {
+            g_hash_table_steal(replica->questions, &question->request_id);
+            question->done(question->ctx, FP_ERR_NO_LEADER, NULL);
+            g_free(question);
+        }
+    }
+    g_list_free(all);
+}
+
+static void
+say_hello(struct replica *replica, uint64_t now_ms)
+{
+    struct msg_hello msg = {.from_id = raft_id(replica->raft),
+                            .has_disk = replica->disk != NULL};
+
+    if (now_ms < replica->hello_ms + HELLO_EVERY_MS || replica->leading) {
+        return;
+    }
+    replica->hello_ms = now_ms;
+    g_strlcpy(msg.host, replica->settings->host, sizeof(msg.host));
+    replica_broadcast(replica, &MSG_HELLO_SCHEMA, &msg);
+}
+
+static void
+maybe_compact(struct replica *replica)
+{
+    uint64_t index = raft_applied_index(replica->raft);
+    struct fp_blob state = {NULL, 0};
+
+    if (raft_log_length(replica->raft) < replica->settings->snapshot_entries) {
+        return;
+    }
+    if (replica->disk != NULL) {
+        cell_save(replica->cell, &state);
+    }
+    raft_compact(replica->raft, &state);
+    fp_blob_free(&state);
+    replica->snapshots++;
+    log_info(LOG_CELL, "Took a snapshot at index %llu.",
+             (unsigned long long)index);
+}
+
+static void
+on_tick(void *ctx, uint64_t now_ms)
+{
+    struct replica *replica = ctx;
+
+    raft_tick(replica->raft, now_ms);
+    if (!replica->leading && raft_leads(replica->raft, now_ms)) {
+        replica->leading = true;
+        replica->ops.leading(replica->ops.ctx, true);
+    }
+    advance_proposals(replica, now_ms);
+    expire_questions(replica, now_ms);
+    if (!raft_fresh(replica->raft, now_ms) ||
+        raft_leader_host(replica->raft)[0] == '\0') {
+        say_hello(replica, now_ms);
+    }
+    maybe_compact(replica);
+}
+
+static void
+on_flush(uv_prepare_t *prepare)
+{
+    struct replica *replica = prepare->data;
+
+    raft_flush(replica->raft, clock_mono_ms());
+}
+
+static void
+on_propose(struct replica *replica, const char *from,
+           const struct msg_propose *msg)
+{
+    enum fp_err err =
+        append_change(replica, &msg->change, from, msg->request_id);
+
+    if (err != FP_OK) {
+        send_proposal_reply(replica, from, msg->request_id, err, 0, NULL);
+    }
+}
+
+static void
+on_propose_reply(struct replica *replica, const struct msg_propose_reply *msg)
+{
+    struct change_answer answer;
+
+    if (msg->answer.size_bytes == 0) {
+        answer_proposal(replica, msg->request_id, msg->err, msg->index, NULL);
+        return;
+    }
+    if (fp_decode(&CHANGE_ANSWER_SCHEMA, msg->answer.data,
+                  msg->answer.size_bytes, &answer) == FP_OK) {
+        answer_proposal(replica, msg->request_id, msg->err, msg->index,
+                        &answer);
+        fp_record_free(&CHANGE_ANSWER_SCHEMA, &answer);
+    }
+}
+
+static void
+take_question(struct replica *replica, const char *host, uint64_t request_id,
+              const char *route, const json_t *body)
+{
+    struct asked *asked = g_new0(struct asked, 1);
+    uint64_t ask = ++replica->next_ask;
+
+    g_strlcpy(asked->host, host, sizeof(asked->host));
+    asked->request_id = request_id;
+    g_hash_table_insert(replica->asked, g_memdup2(&ask, sizeof(ask)), asked);
+    if (!replica->leading) {
+        replica_answer(replica, ask, FP_ERR_NO_LEADER, NULL);
+        return;
+    }
+    replica->ops.asked(replica->ops.ctx, ask, route, body);
+}
+
+static void
+on_ask(struct replica *replica, const char *from, const struct msg_ask *msg)
+{
+    json_t *body = json_loadb((const char *)msg->body.data,
+                              msg->body.size_bytes, 0, NULL);
+
+    take_question(replica, from, msg->request_id, msg->route, body);
+    json_decref(body);
+}
+
+static void
+answer_question(struct replica *replica, uint64_t request_id, enum fp_err err,
+                const json_t *body)
+{
+    struct question *question =
+        g_hash_table_lookup(replica->questions, &request_id);
+
+    if (question != NULL) {
+        g_hash_table_steal(replica->questions, &request_id);
+        question->done(question->ctx, err, body);
+        g_free(question);
+    }
+}
+
+static void
+on_ask_reply(struct replica *replica, const struct msg_ask_reply *msg)
+{
+    json_t *body = json_loadb((const char *)msg->body.data,
+                              msg->body.size_bytes, JSON_DECODE_ANY, NULL);
+
+    answer_question(replica, msg->request_id, msg->err, body);
+    json_decref(body);
+}
+
+/* Raft's messages begin with from_id and, but for the hello, to_id; what was
+ * meant for another identity of this host is dropped.
+ */
+static void
+on_raft_message(struct replica *replica, const char *from, uint32_t type,
+                const void *msg)
+{
+    const uint64_t *ids = msg;
+
+    learn_host(replica, ids[0], from);
+    if (type != MSG_HELLO && ids[1] != raft_id(replica->raft)) {
+        return;
+    }
+    raft_receive(replica->raft, type, msg, clock_mono_ms());
+}
+
+static void
+on_message(void *ctx, const char *from, uint32_t type, const void *msg)
+{
+    struct replica *replica = ctx;
+
+    switch (type) {
+    case MSG_PROPOSE:
+        on_propose(replica, from, msg);
+        break;
+    case MSG_PROPOSE_REPLY:
+        on_propose_reply(replica, msg);
+        break;
+    case MSG_ASK:
+        on_ask(replica, from, msg);
+        break;
+    case MSG_ASK_REPLY:
+        on_ask_reply(replica, msg);
+        break;
+    case MSG_CALL:
+    case MSG_CALL_REPLY:
+    case MSG_HINT:
+        replica->ops.message(replica->ops.ctx, from, type, msg);
+        break;
+    default:
+        on_raft_message(replica, from, type, msg);
+    }
+}
+
+static void
+make_tables(struct replica *replica)
+{
+    g_queue_init(&replica->held);
+    replica->hosts =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    replica->proposals = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+                                               NULL, free_proposal);
+    replica->claims =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    replica->questions =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    replica->asked =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+}
+
+static uint64_t
+draw_id(void)
+{
+    uint64_t id;
+
+    randombytes_buf(&id, sizeof(id));
+    return (id >> 1) | 1;
+}
+
+static enum fp_err
+open_disk(struct replica *replica, uv_loop_t *loop, struct raft_init *init,
+          char *why, unsigned why_bytes)
+{
+    const struct disk_ops ops = {on_disk_synced, on_disk_failed, replica};
+    struct store *store;
+    enum fp_err err;
+
+    if (replica->settings->data_folder == NULL) {
+        init->id = replica->run_id;
+        return FP_OK;
+    }
+    err = store_open(replica->settings->data_folder, &STORE_IO, &store, init,
+                     why, why_bytes);
+    if (err != FP_OK) {
+        return err;
+    }
+    init->has_disk = true;
+    replica->voted_for = init->voted_for;
+    replica->disk = disk_new(loop, store, &ops);
+    return FP_OK;
+}
+
+static void
+start_raft(struct replica *replica, struct raft_init *init)
+{
+    const struct raft_ops ops = {
+        .send = on_raft_send,
+        .write_vote = on_write_vote,
+        .write_entries = on_write_entries,
+        .write_snapshot = on_write_snapshot,
+        .apply = on_apply,
+        .restore = on_restore,
+        .changed = on_changed,
+        .random = on_random,
+        .ctx = replica,
+    };
+    const struct settings_times *from = &replica->settings->times;
+    struct raft_times times;
+
+    raft_default_times(&times);
+    times.heartbeat_ms = from->heartbeat_ms;
+    times.election_min_ms = from->election_min_ms;
+    times.election_max_ms = from->election_max_ms;
+    times.fresh_ms = from->fresh_ms;
+    replica->raft = raft_new(init, &times, &ops, clock_mono_ms());
+}
+
+enum fp_err
+replica_new(uv_loop_t *loop, struct timers *timers,
+            const struct settings *settings, const struct replica_ops *ops,
+            struct replica **out, char *why, unsigned why_bytes)
+{
+    struct replica *replica = g_new0(struct replica, 1);
+    const struct bus_ops bus_ops = {on_message, replica};
+    struct raft_init init = {.host = settings->host};
+    enum fp_err err;
+
+    *out = replica;
+    replica->settings = settings;
+    replica->ops = *ops;
+    replica->run_id = draw_id();
+    replica->next_request = draw_id();
+    make_tables(replica);
+    replica->cell = cell_new(&ops->cell);
+    err = open_disk(replica, loop, &init, why, why_bytes);
+    if (err != FP_OK) {
+        return err;
+    }
+    if (init.snapshot.last_index != 0) {
+        err = cell_load(replica->cell, &init.snapshot.data);
+        if (err != FP_OK) {
+            snprintf(why, why_bytes, "the snapshot's state is malformed");
+            return err;
+        }
+    }
+    start_raft(replica, &init);
+    /* Prepare handles run in reverse order of their start: flush comes after
+     * the bus has handed over what it received. */
+    uv_prepare_init(loop, &replica->flush);
+    replica->flush.data = replica;
+    uv_prepare_start(&replica->flush, on_flush);
+    err = bus_new(loop, settings, &bus_ops, &replica->bus, why, why_bytes);
+    if (err != FP_OK) {
+        return err;
+    }
+    timers_subscribe(timers, TICK_MS, on_tick, replica);
+    return FP_OK;
+}
+
+static void
+free_replica(uv_handle_t *handle)
+{
+    g_free(handle->data);
+}
+
+void
+replica_free(struct replica *replica)
+{
+    if (replica == NULL) {
+        return;
+    }
+    bus_free(replica->bus);
+    disk_free(replica->disk);
+    raft_free(replica->raft);
+    cell_free(replica->cell);
+    while (!g_queue_is_empty(&replica->held)) {
+        free_held(g_queue_pop_head(&replica->held));
+    }
+    g_hash_table_destroy(replica->hosts);
+    g_hash_table_destroy(replica->proposals);
+    g_hash_table_destroy(replica->claims);
+    g_hash_table_destroy(replica->questions);
+    g_hash_table_destroy(replica->asked);
+    if (replica->flush.data != NULL) {
+        uv_prepare_stop(&replica->flush);
+        uv_close((uv_handle_t *)&replica->flush, free_replica);
+    }
+    else {
+        g_free(replica);
+    }
+}
+
+void
+replica_propose(struct replica *replica, const struct fp_schema *schema,
+                void *change, propose_done done, void *ctx)
+{
+    struct proposal *proposal = g_new0(struct proposal, 1);
+    struct change_head *head = change;
+
+    head->at_ms = clock_wall_ms();
+    fp_encode(schema, change, &proposal->change);
+    proposal->request_id = ++replica->next_request;
+    proposal->repeatable = head->change_id[0] != '\0';
+    proposal->end_ms = clock_mono_ms() + PROPOSE_TIMEOUT_MS;
+    proposal->done = done;
+    proposal->ctx = ctx;
+    g_hash_table_insert(replica->proposals, &proposal->request_id, proposal);
+    try_proposal(replica, proposal);
+}
+
+void
+replica_ask(struct replica *replica, const char *route, const json_t *body,
+            ask_done done, void *ctx)
+{
+    struct question *question = g_new0(struct question, 1);
+    const char *leader = raft_leader_host(replica->raft);
+    struct msg_ask msg = {.request_id = ++replica->next_request};
+    char *text;
+    enum fp_err err;
+
+    question->request_id = msg.request_id;
+    question->end_ms = clock_mono_ms() + ASK_TIMEOUT_MS;
+    question->done = done;
+    question->ctx = ctx;
+    g_hash_table_insert(replica->questions, &question->request_id, question);
+    if (raft_state(replica->raft) == RAFT_LEADER) {
+        take_question(replica, replica->settings->host, msg.request_id, route,
+                      body);
+        return;
+    }
+    g_strlcpy(msg.route, route, sizeof(msg.route));
+    text = json_dumps(body, JSON_COMPACT);
+    msg.body.data = (uint8_t *)text;
+    msg.body.size_bytes = (uint32_t)strlen(text);
+    err = leader[0] == '\0'
+              ? FP_ERR_NO_LEADER
+              : bus_send(replica->bus, leader, &MSG_ASK_SCHEMA, &msg);
+    free(text);
+    if (err != FP_OK) {
+        answer_question(replica, msg.request_id, FP_ERR_NO_LEADER, NULL);
+    }
+}
+
+void
+replica_answer(struct replica *replica, uint64_t ask, enum fp_err err,
+               json_t *body)
+{
+    struct asked *asked = g_hash_table_lookup(replica->asked, &ask);
+    struct msg_ask_reply reply = {.err = err};
+    char *text;
+
+    if (asked == NULL) {
+        json_decref(body);
+        return;
+    }
+    if (strcmp(asked->host, replica->settings->host) == 0) {
+        uint64_t request_id = asked->request_id;
+
+        g_hash_table_remove(replica->asked, &ask);
+        answer_question(replica, request_id, err, body);
+        json_decref(body);
+        return;
+    }
+    reply.request_id = asked->request_id;
+    text = body == NULL ? NULL : json_dumps(body, JSON_COMPACT);
+    if (text != NULL) {
+        reply.body.data = (uint8_t *)text;
+        reply.body.size_bytes = (uint32_t)strlen(text);
+    }
+    bus_send(replica->bus, asked->host, &MSG_ASK_REPLY_SCHEMA, &reply);
+    free(text);
+    json_decref(body);
+    g_hash_table_remove(replica->asked, &ask);
+}
+
+enum fp_err
+replica_send(struct replica *replica, const char *host,
+             const struct fp_schema *schema, const void *msg)
+{
+    return bus_send(replica->bus, host, schema, msg);
+}
+
+void
+replica_broadcast(struct replica *replica, const struct fp_schema *schema,
+                  const void *msg)
+{
+    const struct settings *settings = replica->settings;
+
+    for (unsigned i = 0; i < settings->hosts_count; i++) {
+        if (strcmp(settings->hosts[i].name, settings->host) != 0) {
+            bus_send(replica->bus, settings->hosts[i].name, schema, msg);
+        }
+    }
+}
+
+enum fp_err
+replica_bootstrap(struct replica *replica)
+{
+    return raft_bootstrap(replica->raft, clock_mono_ms());
+}
+
+/* What the leader knows of a host: the newest identity it follows with. */
+struct search {
+    const char *host;
+    uint64_t id;
+    uint64_t heard_ms;
+};
+
+static void
+search_follower(void *ctx, uint64_t id, const char *host, uint64_t match,
+                uint64_t applied, uint64_t heard_ms)
+{
+    struct search *search = ctx;
+
+    (void)match;
+    (void)applied;
+    if (strcmp(host, search->host) == 0 && heard_ms >= search->heard_ms) {
+        search->id = id;
+        search->heard_ms = heard_ms;
+    }
+}
+
+enum fp_err
+replica_member_add(struct replica *replica, const char *host, char *why,
+                   unsigned why_bytes)
+{
+    struct search search = {host, 0, 0};
+    enum fp_err err;
+
+    raft_each_follower(replica->raft, search_follower, &search);
+    if (search.id == 0) {
+        snprintf(why, why_bytes, "host '%s' is not heard of", host);
+        return FP_ERR_NOT_FOUND;
+    }
+    err = raft_member_add(replica->raft, search.id, host);
+    if (err == FP_ERR_BUSY) {
+        snprintf(why, why_bytes, "another change of members is under way");
+    }
+    return err;
+}
+
+enum fp_err
+replica_member_remove(struct replica *replica, const char *host)
+{
+    const struct fp_list *list = &raft_members(replica->raft)->list;
+    const struct raft_member *member = list->items;
+
+    for (uint32_t i = 0; i < list->count; i++) {
+        if (strcmp(member[i].host, host) == 0) {
+            return raft_member_remove(replica->raft, member[i].id);
+        }
+    }
+    return FP_ERR_NOT_FOUND;
+}
+
+void
+replica_step_down(struct replica *replica)
+{
+    raft_transfer(replica->raft, clock_mono_ms());
+}
+
+struct cell *
+replica_cell(const struct replica *replica)
+{
+    return replica->cell;
+}
+
+const struct raft *
+replica_raft(const struct replica *replica)
+{
+    return replica->raft;
+}
+
+struct bus *
+replica_bus(const struct replica *replica)
+{
+    return replica->bus;
+}
+
+uint64_t
+replica_run_id(const struct replica *replica)
+{
+    return replica->run_id;
+}
+
+bool
+replica_fresh(const struct replica *replica)
+{
+    return raft_fresh(replica->raft, clock_mono_ms());
+}
+
+bool
+replica_leads(const struct replica *replica)
+{
+    return replica->leading && raft_leads(replica->raft, clock_mono_ms());
+}
+
+static void
+dump_follower(void *ctx, uint64_t id, const char *host, uint64_t match,
+              uint64_t applied, uint64_t heard_ms)
+{
+    uint64_t now_ms = clock_mono_ms();
+
+    json_array_append_new(ctx, json_pack("{s:s,s:I,s:I,s:I,s:I}", "host", host,
+                                         "id", (json_int_t)id, "match_index",
+                                         (json_int_t)match, "applied_index",
+                                         (json_int_t)applied, "silent_ms",
+                                         (json_int_t)(now_ms - heard_ms)));
+}
+
+json_t *
+replica_dump(const struct replica *replica)
+{
+    static const char *const states[] = {"follower", "pre-candidate",
+                                         "candidate", "leader"};
+    const struct raft *raft = replica->raft;
+    const struct bus_counters *bus = bus_counters(replica->bus);
+    json_t *followers = json_array();
+    json_t *members = fp_to_json(&RAFT_MEMBERS_SCHEMA, raft_members(raft));
+    json_t *list;
+
+    raft_each_follower(raft, dump_follower, followers);
+    list = json_incref(json_object_get(members, "list"));
+    json_decref(members);
+    return json_pack(
+        "{s:s,s:I,s:s,s:I,s:I,s:I,s:I,s:I,s:b,s:b,s:I,s:o,s:o,s:{s:I,s:I,s:I,"
+        "s:I,s:I,s:I,s:I},s:I,s:I}",
+        "state", states[raft_state(raft)], "term", (json_int_t)raft_term(raft),
+        "leader", raft_leader_host(raft), "id", (json_int_t)raft_id(raft),
+        "last_index", (json_int_t)raft_last_index(raft), "commit_index",
+        (json_int_t)raft_commit_index(raft), "applied_index",
+        (json_int_t)raft_applied_index(raft), "log_entries",
+        (json_int_t)raft_log_length(raft), "fresh", replica_fresh(replica),
+        "has_disk", replica->disk != NULL, "snapshots",
+        (json_int_t)replica->snapshots, "members", list, "followers",
+        followers, "bus", "sent", (json_int_t)bus->sent, "sent_bytes",
+        (json_int_t)bus->sent_bytes, "received", (json_int_t)bus->received,
+        "received_bytes", (json_int_t)bus->received_bytes, "refused",
+        (json_int_t)bus->refused, "malformed", (json_int_t)bus->malformed,
+        "cut", (json_int_t)bus->cut, "proposals",
+        (json_int_t)g_hash_table_size(replica->proposals), "claims",
+        (json_int_t)g_hash_table_size(replica->claims));
+}
--- /dev/null
+++ b/node/settings.c
@@ -0,0 +1,365 @@
+/* settings.c -- a host's settings, from one YAML file */
+#include "node/settings.h"
+
+#include <arpa/inet.h>
+#include <cyaml/cyaml.h>
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#define HOSTS_MAX 64u
+#define TEXT_MAX 1024u
+
+static const cyaml_schema_field_t HOST_FIELDS[] = {
+    CYAML_FIELD_STRING_PTR("name", CYAML_FLAG_POINTER, struct settings_host,
+                           name, 1, 31),
+    CYAML_FIELD_STRING_PTR("data_centre", CYAML_FLAG_POINTER,
+                           struct settings_host, data_centre, 1, 63),
+    CYAML_FIELD_STRING_PTR("bus", CYAML_FLAG_POINTER, struct settings_host,
+                           bus, 9, 63),
+    CYAML_FIELD_STRING_PTR("http", CYAML_FLAG_POINTER, struct settings_host,
+                           http, 9, 63),
+    CYAML_FIELD_STRING_PTR("public_key",
+                           CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
+                           struct settings_host, public_key, 40, 40),
+    CYAML_FIELD_END};
+
+static const cyaml_schema_value_t HOST_VALUE = {CYAML_VALUE_MAPPING(
+    CYAML_FLAG_DEFAULT, struct settings_host, HOST_FIELDS)};
+
+static const cyaml_schema_field_t CURVE_FIELDS[] = {
+    CYAML_FIELD_STRING_PTR("public_key", CYAML_FLAG_POINTER,
+                           struct settings_curve, public_key, 40, 40),
+    CYAML_FIELD_STRING_PTR("secret_key", CYAML_FLAG_POINTER,
+                           struct settings_curve, secret_key, 40, 40),
+    CYAML_FIELD_END};
+
+static const cyaml_schema_field_t TLS_FIELDS[] = {
+    CYAML_FIELD_STRING_PTR("certificate", CYAML_FLAG_POINTER,
+                           struct settings_tls, certificate, 1, TEXT_MAX),
+    CYAML_FIELD_STRING_PTR("private_key", CYAML_FLAG_POINTER,
+                           struct settings_tls, private_key, 1, TEXT_MAX),
+    CYAML_FIELD_END};
+
+#define TIME_FIELD(name)                                                      \
+    CYAML_FIELD_UINT(#name, CYAML_FLAG_OPTIONAL, struct settings_times, name)
+
+static const cyaml_schema_field_t TIMES_FIELDS[] = {
+    TIME_FIELD(heartbeat_ms),    TIME_FIELD(election_min_ms),
+    TIME_FIELD(election_max_ms), TIME_FIELD(fresh_ms),
+    TIME_FIELD(task_lease_ms),   TIME_FIELD(drain_ms),
+    TIME_FIELD(drain_max_ms),    CYAML_FIELD_END};
+
+static const cyaml_schema_field_t LOG_FIELDS[] = {
+    CYAML_FIELD_STRING_PTR("format", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
+                           struct settings_log, format, 1, 16),
+    CYAML_FIELD_STRING_PTR("level", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
+                           struct settings_log, level, 1, 16),
+    CYAML_FIELD_END};
+
+static const cyaml_schema_field_t FIELDS[] = {
+    CYAML_FIELD_STRING_PTR("host", CYAML_FLAG_POINTER, struct settings, host,
+                           1, 31),
+    CYAML_FIELD_STRING_PTR("data_folder",
+                           CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
+                           struct settings, data_folder, 1, TEXT_MAX),
+    CYAML_FIELD_STRING_PTR("operator_key_hash", CYAML_FLAG_POINTER,
+                           struct settings, operator_key_hash, 64, 64),
+    CYAML_FIELD_STRING_PTR("target_key_hash", CYAML_FLAG_POINTER,
+                           struct settings, target_key_hash, 64, 64),
+    CYAML_FIELD_BOOL("faults_allowed", CYAML_FLAG_OPTIONAL, struct settings,
+                     faults_allowed),
+    CYAML_FIELD_UINT("snapshot_entries", CYAML_FLAG_OPTIONAL, struct settings,
+                     snapshot_entries),
+    CYAML_FIELD_MAPPING("log", CYAML_FLAG_OPTIONAL, struct settings, log,
+                        LOG_FIELDS),
+    CYAML_FIELD_MAPPING("times", CYAML_FLAG_OPTIONAL, struct settings, times,
+                        TIMES_FIELDS),
+    CYAML_FIELD_MAPPING_PTR("curve", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
+                            struct settings, curve, CURVE_FIELDS),
+    CYAML_FIELD_MAPPING_PTR("tls", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
+                            struct settings, tls, TLS_FIELDS),
+    CYAML_FIELD_SEQUENCE("hosts", CYAML_FLAG_POINTER, struct settings, hosts,
+                         &HOST_VALUE, 1, HOSTS_MAX),
+    CYAML_FIELD_END};
+
+static const cyaml_schema_value_t ROOT = {
+    CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, struct settings, FIELDS)};
+
+/* Where cyaml's messages go: the first error and the line after it. */
+struct reader {
+    char text[512];
+    unsigned lines;
+};
+
+static void
+take_message(cyaml_log_t level, void *ctx, const char *format, va_list args)
+{
+    struct reader *reader = ctx;
+    size_t used = strlen(reader->text);
+
+    if (level < CYAML_LOG_ERROR || reader->lines >= 5) {
+        return;
+    }
+    reader->lines++;
+    vsnprintf(reader->text + used, sizeof(reader->text) - used, format, args);
+    for (char *at = reader->text + used; *at != '\0'; at++) {
+        if (*at == '\n') {
+            *at = ' ';
+        }
+    }
+}
+
+static const cyaml_config_t *
+make_config(cyaml_config_t *config, struct reader *reader)
+{
+    memset(config, 0, sizeof(*config));
+    config->log_fn = take_message;
+    config->log_ctx = reader;
+    config->log_level = CYAML_LOG_ERROR;
+    config->mem_fn = cyaml_mem;
+    return config;
+}
+
+struct range {
+    const char *name;
+    size_t offset;
+    uint64_t least;
+    uint64_t most;
+    uint64_t otherwise; /* when absent */
+};
+
+static const struct range RANGES[] = {
+    {"heartbeat_ms", offsetof(struct settings_times, heartbeat_ms), 10, 1000,
+     100},
+    {"election_min_ms", offsetof(struct settings_times, election_min_ms), 100,
+     10000, 600},
+    {"election_max_ms", offsetof(struct settings_times, election_max_ms), 200,
+     20000, 1200},
+    {"fresh_ms", offsetof(struct settings_times, fresh_ms), 500, 2500, 2000},
+    {"task_lease_ms", offsetof(struct settings_times, task_lease_ms), 2000,
+     120000, 10000},
+    {"drain_ms", offsetof(struct settings_times, drain_ms), 0, 60000, 1000},
+    {"drain_max_ms", offsetof(struct settings_times, drain_max_ms), 1000,
+     600000, 30000},
+};
+
+static bool
+check_ranges(struct settings_times *times, char *why, unsigned why_bytes)
+{
+    for (size_t i = 0; i < sizeof(RANGES) / sizeof(RANGES[0]); i++) {
+        const struct range *range = &RANGES[i];
+        uint64_t *value = (uint64_t *)((char *)times + range->offset);
+
+        if (*value == 0) {
+            *value = range->otherwise;
+        }
+        if (*value < range->least || *value > range->most) {
+            snprintf(why, why_bytes,
+                     "times.%s: %llu is outside %llu to %llu ms", range->name,
+                     (unsigned long long)*value,
+                     (unsigned long long)range->least,
+                     (unsigned long long)range->most);
+            return false;
+        }
+    }
+    if (times->election_max_ms <= times->election_min_ms) {
+        snprintf(why, why_bytes,
+                 "times.election_max_ms: must be above election_min_ms");
+        return false;
+    }
+    if (times->heartbeat_ms * 3 > times->election_min_ms) {
+        snprintf(
+            why, why_bytes,
+            "times.election_min_ms: must be 3 times heartbeat_ms or more");
+        return false;
+    }
+    return true;
+}
+
+static bool
+is_hash(const char *text)
+{
+    return strlen(text) == 64 && strspn(text, "0123456789abcdef") == 64;
+}
+
+bool
+settings_address(const char *text, char *ip, unsigned ip_bytes, uint16_t *port)
+{
+    const char *colon = strrchr(text, ':');
+    uint64_t number;
+    struct in_addr parsed;
+
+    if (colon == NULL || (unsigned)(colon - text) >= ip_bytes) {
+        return false;
+    }
+    memcpy(ip, text, (size_t)(colon - text));
+    ip[colon - text] = '\0';
+    if (inet_pton(AF_INET, ip, &parsed) != 1 ||
+        !g_ascii_string_to_unsigned(colon + 1, 10, 1, 65535, &number, NULL)) {
+        return false;
+    }
+    *port = (uint16_t)number;
+    return true;
+}
+
+static bool
+check_hosts(const struct settings *settings, char *why, unsigned why_bytes)
+{
+    char ip[64];
+    uint16_t port;
+
+    for (unsigned i = 0; i < settings->hosts_count; i++) {
+        const struct settings_host *host = &settings->hosts[i];
+
+        if (settings_find(settings, host->name) != host) {
+            snprintf(why, why_bytes, "hosts: two are named '%s'", host->name);
+            return false;
+        }
+        if (!settings_address(host->bus, ip, sizeof(ip), &port)) {
+            snprintf(why, why_bytes, "hosts.%s.bus: '%s' is not IP:port",
+                     host->name, host->bus);
+            return false;
+        }
+        if (!settings_address(host->http, ip, sizeof(ip), &port)) {
+            snprintf(why, why_bytes, "hosts.%s.http: '%s' is not IP:port",
+                     host->name, host->http);
+            return false;
+        }
+        if (settings->curve != NULL && host->public_key == NULL) {
+            snprintf(why, why_bytes,
+                     "hosts.%s.public_key: is missing while curve is set",
+                     host->name);
+            return false;
+        }
+    }
+    if (settings_find(settings, settings->host) == NULL) {
+        snprintf(why, why_bytes, "host: '%s' is not one of hosts",
+                 settings->host);
+        return false;
+    }
+    return true;
+}
+
+/* Plain ZeroMQ would let any process of the network join. */
+static bool
+check_bus_secrecy(const struct settings *settings, char *why,
+                  unsigned why_bytes)
+{
+    const struct settings_host *own = settings_find(settings, settings->host);
+
+    if (settings->curve == NULL && strncmp(own->bus, "127.", 4) != 0) {
+        snprintf(why, why_bytes,
+                 "curve: is missing; only loopback may go without it");
+        return false;
+    }
+    return true;
+}
+
+static bool
+one_of(const char *value, const char *const *names)
+{
+    for (; *names != NULL; names++) {
+        if (strcmp(*names, value) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+check_log(struct settings_log *log, char *why, unsigned why_bytes)
+{
+    static const char *const formats[] = {"text", "json", NULL};
+    static const char *const levels[] = {"debug", "info", "notice", "warning",
+                                         NULL};
+
+    if (log->format != NULL && !one_of(log->format, formats)) {
+        snprintf(why, why_bytes, "log.format: '%s' is not text or json",
+                 log->format);
+        return false;
+    }
+    if (log->level != NULL && !one_of(log->level, levels)) {
+        snprintf(why, why_bytes,
+                 "log.level: '%s' is not debug, info, notice or warning",
+                 log->level);
+        return false;
+    }
+    return true;
+}
+
+static bool
+check(struct settings *settings, char *why, unsigned why_bytes)
+{
+    if (settings->snapshot_entries == 0) {
+        settings->snapshot_entries = 10000;
+    }
+    if (settings->snapshot_entries < 100 ||
+        settings->snapshot_entries > 1000000) {
+        snprintf(why, why_bytes,
+                 "snapshot_entries: %u is outside 100 to 1000000",
+                 settings->snapshot_entries);
+        return false;
+    }
+    if (!is_hash(settings->operator_key_hash)) {
+        snprintf(why, why_bytes,
+                 "operator_key_hash: needs 64 hexadecimal digits");
+        return false;
+    }
+    if (!is_hash(settings->target_key_hash)) {
+        snprintf(why, why_bytes,
+                 "target_key_hash: needs 64 hexadecimal digits");
+        return false;
+    }
+    return check_log(&settings->log, why, why_bytes) &&
+           check_ranges(&settings->times, why, why_bytes) &&
+           check_hosts(settings, why, why_bytes) &&
+           check_bus_secrecy(settings, why, why_bytes);
+}
+
+enum fp_err
+settings_load(const char *path, struct settings **out, char *why,
+              unsigned why_bytes)
+{
+    struct reader reader = {{0}, 0};
+    cyaml_config_t config;
+    struct settings *settings = NULL;
+    cyaml_err_t result =
+        cyaml_load_file(path, make_config(&config, &reader), &ROOT,
+                        (cyaml_data_t **)&settings, NULL);
+
+    *out = NULL;
+    if (result != CYAML_OK) {
+        snprintf(why, why_bytes, "%s: %s. %s", path, cyaml_strerror(result),
+                 reader.text);
+        return FP_ERR_BAD_REQUEST;
+    }
+    if (!check(settings, why, why_bytes)) {
+        settings_free(settings);
+        return FP_ERR_BAD_REQUEST;
+    }
+    *out = settings;
+    return FP_OK;
+}
+
+void
+settings_free(struct settings *settings)
+{
+    struct reader reader = {{0}, 0};
+    cyaml_config_t config;
+
+    if (settings != NULL) {
+        cyaml_free(make_config(&config, &reader), &ROOT, settings, 0);
+    }
+}
+
+const struct settings_host *
+settings_find(const struct settings *settings, const char *name)
+{
+    for (unsigned i = 0; i < settings->hosts_count; i++) {
+        if (strcmp(settings->hosts[i].name, name) == 0) {
+            return &settings->hosts[i];
+        }
+    }
+    return NULL;
+}
--- /dev/null
+++ b/node/store.c
@@ -0,0 +1,731 @@
+/* store.c -- the files under the data folder: identity, log, snapshots */
+#include "node/store.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+#define FRAME_HEADER_BYTES 24u
+#define SNAPSHOT_HEADER_BYTES 20u
+#define FRAME_MAX_BYTES (256u * 1024 * 1024)
+#define SNAPSHOT_MAX_BYTES (512u * 1024 * 1024)
+
+static const char FRAME_MAGIC[4] = {'F', 'P', 'L', '1'};
+static const char SNAPSHOT_MAGIC[4] = {'F', 'P', 'S', '1'};
+
+struct store_vote {
+    uint64_t term;
+    uint64_t voted_for;
+};
+
+static const struct fp_field VOTE_FIELDS[] = {
+    {"term", FP_U64, offsetof(struct store_vote, term), 0, NULL, NULL, NULL},
+    {"voted_for", FP_U64, offsetof(struct store_vote, voted_for), 0, NULL,
+     NULL, NULL},
+};
+static const struct fp_schema VOTE_SCHEMA = {
+    "vote", 50, sizeof(struct store_vote), VOTE_FIELDS,
+    FP_FIELD_COUNT(VOTE_FIELDS)};
+
+static const struct fp_field SNAPSHOT_FIELDS[] = {
+    {"last_index", FP_U64, offsetof(struct raft_snapshot, last_index), 0, NULL,
+     NULL, NULL},
+    {"last_term", FP_U64, offsetof(struct raft_snapshot, last_term), 0, NULL,
+     NULL, NULL},
+    {"members", FP_LIST, offsetof(struct raft_snapshot, members.list),
+     MSG_MAX_MEMBERS, &RAFT_MEMBER_SCHEMA, NULL, NULL},
+    {"data", FP_BLOB, offsetof(struct raft_snapshot, data), SNAPSHOT_MAX_BYTES,
+     NULL, NULL, NULL},
+};
+static const struct fp_schema SNAPSHOT_SCHEMA = {
+    "snapshot", 51, sizeof(struct raft_snapshot), SNAPSHOT_FIELDS,
+    FP_FIELD_COUNT(SNAPSHOT_FIELDS)};
+
+struct store {
+    char *folder;
+    struct store_io io;
+    int folder_fd;
+    int log_fd;
+    char *log_name;
+    uint64_t number; /* of the next frame */
+    uint64_t log_bytes;
+    bool broken; /* a write failed; nothing more may be written */
+};
+
+static ssize_t
+plain_write(void *ctx, int fd, const void *data, size_t size_bytes)
+{
+    (void)ctx;
+    return write(fd, data, size_bytes);
+}
+
+static int
+plain_sync(void *ctx, int fd)
+{
+    (void)ctx;
+    return fsync(fd);
+}
+
+const struct store_io STORE_IO = {plain_write, plain_sync, NULL};
+
+static enum fp_err
+write_all(const struct store *store, int fd, const void *data, size_t size)
+{
+    const char *at = data;
+
+    while (size > 0) {
+        ssize_t wrote = store->io.write(store->io.ctx, fd, at, size);
+
+        if (wrote < 0 && errno == EINTR) {
+            continue;
+        }
+        if (wrote <= 0) {
+            return FP_ERR_DISK;
+        }
+        at += wrote;
+        size -= (size_t)wrote;
+    }
+    return FP_OK;
+}
+
+static enum fp_err
+sync_fd(const struct store *store, int fd)
+{
+    return store->io.sync(store->io.ctx, fd) == 0 ? FP_OK : FP_ERR_DISK;
+}
+
+static void
+put_u32(uint8_t *at, uint32_t value)
+{
+    value = GUINT32_TO_LE(value);
+    memcpy(at, &value, sizeof(value));
+}
+
+static void
+put_u64(uint8_t *at, uint64_t value)
+{
+    value = GUINT64_TO_LE(value);
+    memcpy(at, &value, sizeof(value));
+}
+
+static uint32_t
+get_u32(const uint8_t *at)
+{
+    uint32_t value;
+
+    memcpy(&value, at, sizeof(value));
+    return GUINT32_FROM_LE(value);
+}
+
+static uint64_t
+get_u64(const uint8_t *at)
+{
+    uint64_t value;
+
+    memcpy(&value, at, sizeof(value));
+    return GUINT64_FROM_LE(value);
+}
+
+/* The checksum covers the number and the size along with the records. */
+static uint64_t
+frame_checksum(uint64_t number, const void *bytes, uint32_t size_bytes)
+{
+    return XXH64(bytes, size_bytes, number ^ ((uint64_t)size_bytes << 32));
+}
+
+static void
+fill_header(uint8_t *header, uint64_t number, const void *bytes,
+            uint32_t size_bytes)
+{
+    memcpy(header, FRAME_MAGIC, sizeof(FRAME_MAGIC));
+    put_u32(header + 4, size_bytes);
+    put_u64(header + 8, number);
+    put_u64(header + 16, frame_checksum(number, bytes, size_bytes));
+}
+
+/* Reports whether a whole frame starts at offset. */
+static bool
+frame_at(const uint8_t *data, size_t size, size_t offset, uint32_t *length,
+         uint64_t *number)
+{
+    const uint8_t *at = data + offset;
+
+    if (size - offset < FRAME_HEADER_BYTES ||
+        memcmp(at, FRAME_MAGIC, sizeof(FRAME_MAGIC)) != 0) {
+        return false;
+    }
+    *length = get_u32(at + 4);
+    *number = get_u64(at + 8);
+    if (*length > FRAME_MAX_BYTES ||
+        *length > size - offset - FRAME_HEADER_BYTES) {
+        return false;
+    }
+    return get_u64(at + 16) ==
+           frame_checksum(*number, at + FRAME_HEADER_BYTES, *length);
+}
+
+/* A later whole frame proves that the damaged one had been synced. Costs one
+ * comparison a byte of the damaged tail, and only when a file is damaged.
+ */
+static bool
+any_frame_after(const uint8_t *data, size_t size, size_t offset)
+{
+    uint32_t length;
+    uint64_t number;
+
+    for (size_t at = offset + 1; at + FRAME_HEADER_BYTES <= size; at++) {
+        if (frame_at(data, size, at, &length, &number)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+pack_record(struct fp_list *bytes, const struct fp_schema *schema,
+            const void *record)
+{
+    struct fp_blob blob;
+    uint8_t size[4];
+    char *at;
+
+    fp_encode(schema, record, &blob);
+    put_u32(size, blob.size_bytes);
+    bytes->items =
+        g_realloc(bytes->items, bytes->count + sizeof(size) + blob.size_bytes);
+    at = (char *)bytes->items + bytes->count;
+    memcpy(at, size, sizeof(size));
+    memcpy(at + sizeof(size), blob.data, blob.size_bytes);
+    bytes->count += (uint32_t)sizeof(size) + blob.size_bytes;
+    fp_blob_free(&blob);
+}
+
+void
+store_pack_vote(struct fp_list *bytes, uint64_t term, uint64_t voted_for)
+{
+    struct store_vote vote = {term, voted_for};
+
+    pack_record(bytes, &VOTE_SCHEMA, &vote);
+}
+
+void
+store_pack_entry(struct fp_list *bytes, const struct raft_entry *entry)
+{
+    pack_record(bytes, &RAFT_ENTRY_SCHEMA, entry);
+}
+
+/* What reading the log files has come to so far. */
+struct loading {
+    struct raft_init *init;
+    GArray *entries; /* struct raft_entry */
+};
+
+static void
+cut_entries(GArray *entries, uint64_t index)
+{
+    while (entries->len > 0) {
+        struct raft_entry *last =
+            &g_array_index(entries, struct raft_entry, entries->len - 1);
+
+        if (last->index < index) {
+            return;
+        }
+        fp_blob_free(&last->data);
+        g_array_set_size(entries, entries->len - 1);
+    }
+}
+
+static bool
+take_entry(struct loading *loading, struct raft_entry *entry)
+{
+    const struct raft_entry *last;
+
+    cut_entries(loading->entries, entry->index);
+    if (loading->entries->len > 0) {
+        last = &g_array_index(loading->entries, struct raft_entry,
+                              loading->entries->len - 1);
+        if (last->index + 1 != entry->index) {
+            return false;
+        }
+    }
+    g_array_append_val(loading->entries, *entry);
+    return true;
+}
+
+static bool
+take_record(struct loading *loading, const uint8_t *data, uint32_t size)
+{
+    struct raft_entry entry;
+    struct store_vote vote;
+
+    if (fp_decode(&RAFT_ENTRY_SCHEMA, data, size, &entry) == FP_OK) {
+        if (take_entry(loading, &entry)) {
+            return true;
+        }
+        fp_record_free(&RAFT_ENTRY_SCHEMA, &entry);
+        return false;
+    }
+    if (fp_decode(&VOTE_SCHEMA, data, size, &vote) != FP_OK) {
+        return false;
+    }
+    loading->init->term = vote.term;
+    loading->init->voted_for = vote.voted_for;
+    return true;
+}
+
+static bool
+take_frame(struct loading *loading, const uint8_t *data, uint32_t size)
+{
+    uint32_t at = 0;
+
+    while (at + 4 <= size) {
+        uint32_t length = get_u32(data + at);
+
+        at += 4;
+        if (length > size - at || !take_record(loading, data + at, length)) {
+            return false;
+        }
+        at += length;
+    }
+    return at == size;
+}
+
+/* Reads one log file; cuts a torn end off the newest one. */
+static enum fp_err
+read_log(struct store *store, struct loading *loading, const char *path,
+         bool newest, char *why, size_t why_bytes)
+{
+    enum fp_err err = FP_ERR_CORRUPT;
+    char *data = NULL;
+    gsize size = 0;
+    size_t at = 0;
+
+    if (!g_file_get_contents(path, &data, &size, NULL)) {
+        snprintf(why, why_bytes, "%s: cannot be read", path);
+        return FP_ERR_DISK;
+    }
+    while (at < size) {
+        const uint8_t *bytes = (const uint8_t *)data;
+        uint32_t length;
+        uint64_t number;
+
+        if (!frame_at(bytes, size, at, &length, &number)) {
+            if (!newest || any_frame_after(bytes, size, at)) {
+                snprintf(why, why_bytes,
+                         "%s: synced data is damaged at offset %zu", path, at);
+                goto done;
+            }
+            if (truncate(path, (off_t)at) != 0) {
+                err = FP_ERR_DISK;
+                goto done;
+            }
+            break;
+        }
+        if (!take_frame(loading, bytes + at + FRAME_HEADER_BYTES, length)) {
+            snprintf(why, why_bytes, "%s: a record is malformed in frame %zu",
+                     path, at);
+            goto done;
+        }
+        store->number = MAX(store->number, number + 1);
+        at += FRAME_HEADER_BYTES + length;
+    }
+    store->log_bytes = at;
+    err = FP_OK;
+
+done:
+    g_free(data);
+    return err;
+}
+
+static enum fp_err
+read_snapshot(const char *path, struct raft_snapshot *snap)
+{
+    enum fp_err err = FP_ERR_CORRUPT;
+    char *data = NULL;
+    gsize size = 0;
+    const uint8_t *bytes;
+    uint64_t length;
+
+    if (!g_file_get_contents(path, &data, &size, NULL)) {
+        return FP_ERR_DISK;
+    }
+    bytes = (const uint8_t *)data;
+    if (size < SNAPSHOT_HEADER_BYTES ||
+        memcmp(bytes, SNAPSHOT_MAGIC, sizeof(SNAPSHOT_MAGIC)) != 0) {
+        goto done;
+    }
+    length = get_u64(bytes + 4);
+    if (length != size - SNAPSHOT_HEADER_BYTES ||
+        get_u64(bytes + 12) !=
+            XXH64(bytes + SNAPSHOT_HEADER_BYTES, length, 0)) {
+        goto done;
+    }
+    err = fp_decode(&SNAPSHOT_SCHEMA, bytes + SNAPSHOT_HEADER_BYTES, length,
+                    snap);
+
+done:
+    g_free(data);
+    return err;
+}
+
+static gint
+compare_paths(gconstpointer a, gconstpointer b)
+{
+    return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+/* Names hold fixed-width numbers, so that they sort by number. */
+static GPtrArray *
+list_files(const char *folder, const char *prefix)
+{
+    GPtrArray *paths = g_ptr_array_new_with_free_func(g_free);
+    GDir *dir = g_dir_open(folder, 0, NULL);
+    const char *name;
+
+    while (dir != NULL && (name = g_dir_read_name(dir)) != NULL) {
+        if (g_str_has_prefix(name, prefix) &&
+            !g_str_has_suffix(name, ".tmp")) {
+            g_ptr_array_add(paths, g_build_filename(folder, name, NULL));
+        }
+    }
+    if (dir != NULL) {
+        g_dir_close(dir);
+    }
+    g_ptr_array_sort(paths, compare_paths);
+    return paths;
+}
+
+/* Makes a whole file under its final name, or nothing. */
+static enum fp_err
+write_file(struct store *store, const char *name, const void *head,
+           size_t head_bytes, const void *body, size_t body_bytes)
+{
+    enum fp_err err = FP_ERR_DISK;
+    char *temporary = g_strdup_printf("%s/%s.tmp", store->folder, name);
+    char *path = g_strdup_printf("%s/%s", store->folder, name);
+    int fd = open(temporary, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+
+    if (fd < 0) {
+        goto done;
+    }
+    err = write_all(store, fd, head, head_bytes);
+    if (err == FP_OK) {
+        err = write_all(store, fd, body, body_bytes);
+    }
+    if (err == FP_OK) {
+        err = sync_fd(store, fd);
+    }
+    if (close(fd) != 0) {
+        err = FP_ERR_DISK;
+    }
+    if (err == FP_OK && rename(temporary, path) != 0) {
+        err = FP_ERR_DISK;
+    }
+    if (err == FP_OK) {
+        err = sync_fd(store, store->folder_fd);
+    }
+
+done:
+    g_free(temporary);
+    g_free(path);
+    return err;
+}
+
+static enum fp_err
+read_identity(struct store *store, uint64_t *id, char *why, size_t why_bytes)
+{
+    char *path = g_build_filename(store->folder, "identity", NULL);
+    char *text = NULL;
+    enum fp_err err = FP_OK;
+    char fresh[32];
+
+    *id = 0;
+    if (g_file_get_contents(path, &text, NULL, NULL)) {
+        *id = g_ascii_strtoull(text, NULL, 16);
+        if (*id == 0) {
+            snprintf(why, why_bytes, "%s: holds no identity", path);
+            err = FP_ERR_CORRUPT;
+        }
+    }
+    else {
+        randombytes_buf(id, sizeof(*id));
+        *id = (*id >> 1) | 1;
+        snprintf(fresh, sizeof(fresh), "%016llx\n", (unsigned long long)*id);
+        err = write_file(store, "identity", fresh, strlen(fresh), "", 0);
+        if (err != FP_OK) {
+            snprintf(why, why_bytes, "%s: cannot be written", path);
+        }
+    }
+    g_free(text);
+    g_free(path);
+    return err;
+}
+
+static enum fp_err
+read_snapshots(struct store *store, struct raft_init *init, char *why,
+               size_t why_bytes)
+{
+    GPtrArray *paths = list_files(store->folder, "snap-");
+    enum fp_err err = FP_OK;
+
+    if (paths->len > 0) {
+        const char *newest = paths->pdata[paths->len - 1];
+
+        err = read_snapshot(newest, &init->snapshot);
+        if (err != FP_OK) {
+            snprintf(why, why_bytes, "%s: the snapshot is damaged", newest);
+        }
+    }
+    g_ptr_array_free(paths, TRUE);
+    return err;
+}
+
+/* Entries that the snapshot covers go; so does a tail that does not continue
+ * it (the crash came between a received snapshot and its fresh log).
+ */
+static void
+join_snapshot(struct loading *loading)
+{
+    const struct raft_snapshot *snap = &loading->init->snapshot;
+    GArray *entries = loading->entries;
+    bool continues = false;
+    guint covered = 0;
+
+    for (guint i = 0; i < entries->len; i++) {
+        struct raft_entry *entry =
+            &g_array_index(entries, struct raft_entry, i);
+
+        if (entry->index > snap->last_index) {
+            break;
+        }
+        continues =
+            entry->index == snap->last_index && entry->term == snap->last_term;
+        covered = i + 1;
+    }
+    if (entries->len > 0 && covered == 0) {
+        continues = g_array_index(entries, struct raft_entry, 0).index ==
+                    snap->last_index + 1;
+    }
+    for (guint i = 0; i < covered; i++) {
+        fp_blob_free(&g_array_index(entries, struct raft_entry, i).data);
+    }
+    g_array_remove_range(entries, 0, covered);
+    if (!continues) {
+        cut_entries(entries, 0);
+    }
+}
+
+static enum fp_err
+read_logs(struct store *store, struct raft_init *init, char *why,
+          size_t why_bytes)
+{
+    GPtrArray *paths = list_files(store->folder, "log-");
+    struct loading loading = {init, NULL};
+    enum fp_err err = FP_OK;
+
+    loading.entries = g_array_new(FALSE, FALSE, sizeof(struct raft_entry));
+    for (guint i = 0; i < paths->len && err == FP_OK; i++) {
+        err = read_log(store, &loading, paths->pdata[i], i + 1 == paths->len,
+                       why, why_bytes);
+    }
+    if (err == FP_OK) {
+        join_snapshot(&loading);
+        if (paths->len > 0) {
+            store->log_name =
+                g_path_get_basename(paths->pdata[paths->len - 1]);
+        }
+        init->entries.count = loading.entries->len;
+        init->entries.items = g_array_free(loading.entries, FALSE);
+    }
+    else {
+        cut_entries(loading.entries, 0);
+        g_array_free(loading.entries, TRUE);
+    }
+    g_ptr_array_free(paths, TRUE);
+    return err;
+}
+
+static enum fp_err
+open_log(struct store *store)
+{
+    char *path = g_build_filename(store->folder, store->log_name, NULL);
+
+    if (store->log_fd >= 0) {
+        close(store->log_fd);
+    }
+    store->log_fd = open(path, O_WRONLY | O_APPEND | O_CLOEXEC);
+    g_free(path);
+    return store->log_fd < 0 ? FP_ERR_DISK : FP_OK;
+}
+
+static enum fp_err
+fresh_log(struct store *store, const void *bytes, uint32_t size_bytes)
+{
+    uint8_t header[FRAME_HEADER_BYTES];
+    char *name =
+        g_strdup_printf("log-%020llu", (unsigned long long)store->number);
+    enum fp_err err;
+
+    fill_header(header, store->number, bytes, size_bytes);
+    err = write_file(store, name, header, size_bytes > 0 ? sizeof(header) : 0,
+                     bytes, size_bytes);
+    if (err != FP_OK) {
+        g_free(name);
+        return err;
+    }
+    store->number++;
+    store->log_bytes = size_bytes > 0 ? sizeof(header) + size_bytes : 0;
+    g_free(store->log_name);
+    store->log_name = name;
+    return open_log(store);
+}
+
+static void
+remove_older(struct store *store, const char *prefix, const char *keep)
+{
+    GPtrArray *paths = list_files(store->folder, prefix);
+
+    for (guint i = 0; i < paths->len; i++) {
+        if (!g_str_has_suffix(paths->pdata[i], keep)) {
+            unlink(paths->pdata[i]);
+        }
+    }
+    g_ptr_array_free(paths, TRUE);
+}
+
+enum fp_err
+store_open(const char *folder, const struct store_io *io, struct store **out,
+           struct raft_init *init, char *why, size_t why_bytes)
+{
+    struct store *store = g_new0(struct store, 1);
+    enum fp_err err = FP_ERR_DISK;
+
+    *out = NULL;
+    store->folder = g_strdup(folder);
+    store->io = *io;
+    store->log_fd = -1;
+    store->number = 1;
+    store->folder_fd = -1;
+    if (g_mkdir_with_parents(folder, 0700) == 0) {
+        store->folder_fd = open(folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    }
+    if (store->folder_fd < 0) {
+        snprintf(why, why_bytes, "%s: cannot be opened", folder);
+        goto done;
+    }
+    if (flock(store->folder_fd, LOCK_EX | LOCK_NB) != 0) {
+        snprintf(why, why_bytes, "%s: another process uses it", folder);
+        goto done;
+    }
+    err = read_identity(store, &init->id, why, why_bytes);
+    if (err == FP_OK) {
+        err = read_snapshots(store, init, why, why_bytes);
+    }
+    if (err == FP_OK) {
+        err = read_logs(store, init, why, why_bytes);
+    }
+    if (err == FP_OK) {
+        err = store->log_name == NULL ? fresh_log(store, "", 0)
+                                      : open_log(store);
+    }
+
+done:
+    if (err != FP_OK) {
+        store_close(store);
+        return err;
+    }
+    *out = store;
+    return FP_OK;
+}
+
+void
+store_close(struct store *store)
+{
+    if (store == NULL) {
+        return;
+    }
+    if (store->log_fd >= 0) {
+        close(store->log_fd);
+    }
+    if (store->folder_fd >= 0) {
+        close(store->folder_fd);
+    }
+    g_free(store->folder);
+    g_free(store->log_name);
+    g_free(store);
+}
+
+enum fp_err
+store_append(struct store *store, const void *bytes, uint32_t size_bytes)
+{
+    uint8_t header[FRAME_HEADER_BYTES];
+    enum fp_err err;
+
+    if (store->broken) {
+        return FP_ERR_DISK;
+    }
+    fill_header(header, store->number, bytes, size_bytes);
+    err = write_all(store, store->log_fd, header, sizeof(header));
+    if (err == FP_OK) {
+        err = write_all(store, store->log_fd, bytes, size_bytes);
+    }
+    if (err == FP_OK) {
+        err = sync_fd(store, store->log_fd);
+    }
+    if (err != FP_OK) {
+        store->broken = true;
+        return err;
+    }
+    store->number++;
+    store->log_bytes += sizeof(header) + size_bytes;
+    return FP_OK;
+}
+
+enum fp_err
+store_snapshot(struct store *store, const struct raft_snapshot *snap,
+               const void *bytes, uint32_t size_bytes)
+{
+    uint8_t header[SNAPSHOT_HEADER_BYTES];
+    struct fp_blob blob = {NULL, 0};
+    char *name = NULL;
+    enum fp_err err = FP_ERR_DISK;
+
+    if (store->broken) {
+        return err;
+    }
+    fp_encode(&SNAPSHOT_SCHEMA, snap, &blob);
+    memcpy(header, SNAPSHOT_MAGIC, sizeof(SNAPSHOT_MAGIC));
+    put_u64(header + 4, blob.size_bytes);
+    put_u64(header + 12, XXH64(blob.data, blob.size_bytes, 0));
+    name =
+        g_strdup_printf("snap-%020llu", (unsigned long long)snap->last_index);
+    err = write_file(store, name, header, sizeof(header), blob.data,
+                     blob.size_bytes);
+    if (err == FP_OK) {
+        err = fresh_log(store, bytes, size_bytes);
+    }
+    if (err != FP_OK) {
+        store->broken = true;
+        goto done;
+    }
+    remove_older(store, "snap-", name);
+    remove_older(store, "log-", store->log_name);
+
+done:
+    g_free(name);
+    fp_blob_free(&blob);
+    return err;
+}
+
+uint64_t
+store_log_bytes(const struct store *store)
+{
+    return store->log_bytes;
+}
--- /dev/null
+++ b/tests/lib.sh
@@ -0,0 +1,156 @@
+# lib.sh -- what the demonstration and the golden sessions share: a cell of
+# hosts on loopback, each from its own settings file, and stand-in targets.
+# A step waits for a state with a bound, never for a time.
+
+set -u
+FP=${FP:-build/filbertpath}
+BASE_PORT=${BASE_PORT:-17100}
+WORK=$(mktemp -d "${TMPDIR:-/tmp}/filbertpath.XXXXXX")
+OPERATOR_KEY=demo-operator-secret
+TARGET_KEY=demo-target-secret
+declare -A PIDS
+declare -A OLD_PIDS
+
+hash_of() { # BLAKE2b-256 of the secret, as in the settings
+    printf '%s' "$1" | b2sum -l 256 | cut -d' ' -f1
+}
+
+http_of() { echo "127.0.0.1:$((BASE_PORT + $1))"; }
+bus_of() { echo "127.0.0.1:$((BASE_PORT + 50 + $1))"; }
+
+# write_settings COUNT DISKS [EXTRA]: hosts h1.. over three data centres, the
+# first DISKS of them with a data folder; EXTRA lines go into every file.
+write_settings() {
+    local count=$1 disks=$2 extra=${3:-} i j
+    HOSTS=
+    for ((i = 1; i <= count; i++)); do
+        HOSTS=$HOSTS${HOSTS:+,}$(http_of "$i")
+        {
+            echo "host: h$i"
+            [ "$i" -le "$disks" ] && echo "data_folder: $WORK/h$i"
+            echo "operator_key_hash: $(hash_of $OPERATOR_KEY)"
+            echo "target_key_hash: $(hash_of $TARGET_KEY)"
+            [ -n "$extra" ] && printf '%b\n' "$extra"
+            echo "hosts:"
+            for ((j = 1; j <= count; j++)); do
+                echo "  - name: h$j"
+                echo "    data_centre: dc$(((j - 1) % 3 + 1))"
+                echo "    bus: $(bus_of "$j")"
+                echo "    http: $(http_of "$j")"
+            done
+        } >"$WORK/h$i.yaml"
+    done
+    export FILBERTPATH_HOSTS=$HOSTS FILBERTPATH_KEY=$OPERATOR_KEY
+}
+
+start_host() {
+    "$FP" serve "$WORK/h$1.yaml" >>"$WORK/h$1.log" 2>&1 &
+    PIDS[h$1]=$!
+}
+
+# start_target NAME PORT_OFFSET DATA_CENTRE [OPTION...]; offset 0: no requests.
+start_target() {
+    local name=$1 offset=$2 dc=$3 address=()
+    shift 3
+    [ "$offset" != 0 ] && address=(--address "$(http_of "$offset")")
+    FILBERTPATH_KEY=$TARGET_KEY "$FP" standin "$name" "${address[@]}" \
+        --data-centre "$dc" --journal "$WORK/journal" "$@" \
+        >>"$WORK/$name.log" 2>&1 &
+    PIDS[$name]=$!
+}
+
+kill_it() { # NAME [SIGNAL]
+    local pid=${PIDS[$1]}
+    kill "-${2:-KILL}" "$pid"
+    if [ "${2:-KILL}" = KILL ]; then
+        wait "$pid" 2>/dev/null
+        unset "PIDS[$1]"
+    fi
+}
+
+# ends_with NAME: waits for the process and prints its exit code.
+ends_with() {
+    wait "${PIDS[$1]}"
+    echo $?
+    unset "PIDS[$1]"
+}
+
+# until_true SECONDS COMMAND...: the state must come within the bound.
+until_true() {
+    local tries=$(($1 * 20))
+    shift
+    while ! "$@" >/dev/null 2>&1; do
+        tries=$((tries - 1))
+        if [ "$tries" -le 0 ]; then
+            echo "state not reached: $*" >&2
+            return 1
+        fi
+        sleep 0.05
+    done
+}
+
+# field HOSTS PATH_EXPRESSION COMMAND...: one field of a command's JSON.
+on() { # on HOST_NUMBER COMMAND...: runs a subcommand against one host
+    local host=$1
+    shift
+    FILBERTPATH_HOSTS=$(http_of "$host") "$FP" "$@"
+}
+value() { # value NAME <JSON: the first value of that name
+    grep -o "\"$1\": *[^,}]*" | head -n 1 | sed 's/^[^:]*: *//; s/"//g'
+}
+
+leader() { # number of the host that leads
+    "$FP" status --json --timeout-ms 500 2>/dev/null |
+        awk -F'"' '/"host":/ {h = $4} /"is_leader": true/ {print substr(h, 2)}' |
+        head -n 1
+}
+has_leader() { [ -n "$(leader)" ]; }
+voters() { # voters HOST: how many voters the host knows
+    on "$1" dump --json | grep -c '"role": "voter"'
+}
+voters_are() { [ "$(voters "$1" 2>/dev/null)" = "$2" ]; }
+is_fresh() { on "$1" status --json | grep -q '"fresh": true'; }
+
+# begin_cell COUNT DISKS [EXTRA]: starts all hosts and makes the replicas vote.
+begin_cell() {
+    local i
+    write_settings "$@"
+    for ((i = 1; i <= $1; i++)); do start_host "$i"; done
+    for ((i = 1; i <= $1; i++)); do
+        until_true 10 curl -sf "$(http_of "$i")/healthz" || return 1
+    done
+    on 1 init >/dev/null || return 1
+    until_true 10 has_leader || return 1
+    for ((i = 2; i <= $2; i++)); do
+        until_true 10 "$FP" members add "h$i" || return 1
+        until_true 10 voters_are 1 "$i" || return 1
+    done
+    for ((i = 1; i <= $1; i++)); do until_true 10 is_fresh "$i" || return 1; done
+}
+
+end_all() {
+    local name
+    for name in "${!PIDS[@]}"; do
+        kill -CONT "${PIDS[$name]}" 2>/dev/null
+        kill -KILL "${PIDS[$name]}" 2>/dev/null
+    done
+    wait 2>/dev/null
+    [ -n "${KEEP_WORK:-}" ] || rm -rf "$WORK"
+}
+trap end_all EXIT
+
+call() { # call HOST KEY METHOD QUEUE/PATH [CURL OPTION...]
+    local host=$1 key=$2 method=$3 path=$4
+    shift 4
+    curl -s -X "$method" ${key:+-H "Authorization: Bearer $key"} "$@" \
+        "$(http_of "$host")/call/$path"
+}
+
+job_state_is() { # job_state_is JOB STATE COUNT
+    [ "$("$FP" show "$1" --json | value "$2")" = "$3" ]
+}
+target_up() { "$FP" list targets | grep " name=$1 " | grep -q "state=up"; }
+# can_call QUEUE KEY: a request to the queue is answered on every host.
+served_on() {
+    [ "$(call "$1" "$2" POST "$3/echo" -d x -o /dev/null -w '%{http_code}')" = 200 ]
+}
