--- a/base/schema.c
+++ b/base/schema.c
@@ -86,6 +86,18 @@
                           const msgpack_object *values, uint32_t count,
                           void *record);
 
+/* Lists have room for the next power of two; fp_list_add() relies on it. */
+static size_t
+list_room(uint32_t count)
+{
+    size_t room = 1;
+
+    while (room < count) {
+        room *= 2;
+    }
+    return room;
+}
+
 static bool
 unpack_list(const struct fp_field *field, const msgpack_object *value,
             struct fp_list *list)
@@ -97,7 +109,8 @@
     if (value->via.array.size == 0) {
         return true;
     }
-    list->items = g_malloc0_n(value->via.array.size, field->sub->size_bytes);
+    list->items = g_malloc0_n(list_room(value->via.array.size),
+                              field->sub->size_bytes);
     list->count = value->via.array.size;
     for (uint32_t i = 0; i < list->count; i++) {
         const msgpack_object *item = &value->via.array.ptr[i];
--- a/cli/process.c
+++ b/cli/process.c
@@ -51,7 +51,7 @@
         load(cli, "Runs one host until SIGTERM.", argc, argv, &settings);
     enum fp_err err;
 
-    if (code != 0) {
+    if (settings == NULL) {
         return code;
     }
     log_open(settings->log.format != NULL &&
@@ -72,7 +72,7 @@
     int code = load(cli, "Checks a settings file without starting anything.",
                     argc, argv, &settings);
 
-    if (code == 0) {
+    if (settings != NULL) {
         printf("%s: host %s, %u hosts, %s\n", "good", settings->host,
                settings->hosts_count,
                settings->data_folder ? settings->data_folder : "no disk");
