--- a/core/cellwork.c
+++ b/core/cellwork.c
@@ -71,16 +71,39 @@
     subtract_use(&task->job->team->use, &task->job->rec);
 }
 
+/* Ended jobs stand in order of their end, then of their ID: an order that a
+ * snapshot brings back exactly, since hosts that forgot different jobs would
+ * no longer hold the same state. Costs one step for each job of the same
+ * millisecond.
+ */
 static void
-task_ended(struct cell *cell, struct task *task)
+enter_ended(struct cell *cell, struct job *job)
+{
+    GList *after = cell->ended.tail;
+
+    while (after != NULL) {
+        const struct job *other = after->data;
+
+        if (other->ended_ms < job->ended_ms ||
+            (other->ended_ms == job->ended_ms &&
+             other->rec.id < job->rec.id)) {
+            break;
+        }
+        after = after->prev;
+    }
+    g_queue_insert_after(&cell->ended, after, job);
+}
+
+static void
+task_ended(struct cell *cell, struct task *task, uint64_t ended_ms)
 {
     struct job *job = task->job;
 
-    task->ended_ms = cell->now_ms;
+    task->ended_ms = ended_ms;
+    job->ended_ms = MAX(job->ended_ms, ended_ms);
     job->open--;
     if (job->open == 0) {
-        job->ended_ms = cell->now_ms;
-        g_queue_push_tail(&cell->ended, job);
+        enter_ended(cell, job);
     }
 }
 
@@ -279,8 +302,7 @@
         put_on_target(task, target);
     }
     if (task->state != TASK_WAITING && task->state != TASK_RUNNING) {
-        task_ended(cell, task);
-        task->ended_ms = record->ended_ms;
+        task_ended(cell, task, record->ended_ms);
     }
 }
 
@@ -490,7 +512,7 @@
     state = state_after(task, outcome);
     set_state(cell, task, state);
     if (state != TASK_WAITING) {
-        task_ended(cell, task);
+        task_ended(cell, task, cell->now_ms);
     }
     if (cell->ops.attempt_ended != NULL) {
         cell->ops.attempt_ended(cell->ops.ctx, task, target);
@@ -524,7 +546,7 @@
 {
     if (task->state == TASK_WAITING) {
         set_state(cell, task, TASK_CANCELLED);
-        task_ended(cell, task);
+        task_ended(cell, task, cell->now_ms);
         cell_notify_task(cell, task, TASK_WAITING);
         return 1;
     }
