--- a/node/leader.c
+++ b/node/leader.c
@@ -537,11 +537,12 @@
         return NULL;
     }
     sched_why(leader->sched, task, &reason);
-    return json_pack("{s:I,s:s,s:s,s:i,s:I,s:s}", "id", (json_int_t)id,
-                     "state", TASK_STATE_NAMES[task->state], "reason",
-                     sched_block_name(reason.block), "place", reason.place,
-                     "estimate_ms", (json_int_t)reason.estimate_ms, "text",
-                     reason.text);
+    return json_pack(
+        "{s:I,s:s,s:s,s:i,s:I,s:s}", "id", (json_int_t)id, "state",
+        TASK_STATE_NAMES[task->state], "reason",
+        task->state == TASK_WAITING ? sched_block_name(reason.block) : "",
+        "place", reason.place, "estimate_ms", (json_int_t)reason.estimate_ms,
+        "text", reason.text);
 }
 
 static void
--- a/tests/demo.sh
+++ b/tests/demo.sh
@@ -2,6 +2,7 @@
 # demo.sh -- the whole path on real input: three hosts, two targets, a team, a
 # key, orders of bundles as requests, and a rolling batch as a task.
 cd "$(dirname "$0")/.." || exit 1
+RAW=1
 . tests/lib.sh
 
 say() { printf '\n== %s\n' "$*"; }
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -128,16 +128,38 @@
     for ((i = 1; i <= $1; i++)); do until_true 10 is_fresh "$i" || return 1; done
 }
 
+# Replaces what differs from run to run: addresses, times, identifiers.
+normalise() {
+    sed -E \
+        -e "s#127\.0\.0\.1:$((BASE_PORT / 100))([0-9]{2})#ADDRESS-\1#g" \
+        -e "s#$WORK#WORK#g" \
+        -e 's/\b1[0-9]{12}\b/TIME/g' \
+        -e 's/\b[0-9a-f]{64}\b/SECRET/g' \
+        -e 's/("?(run_id|owner_run|secret)"?[:=] ?)"?[0-9a-f]+"?/\1ID/g' \
+        -e 's/("?version"?[:=] ?)[1-9][0-9]*/\1VERSION/g' \
+        -e 's/(version is |version: |which is )[1-9][0-9]*/\1VERSION/g' \
+        -e 's/("?id"?[:=] ?)[1-9][0-9]*/\1ID/g'
+}
+
 end_all() {
     local name
+    exec 2>/dev/null # the shell would tell of each process that it ended
     for name in "${!PIDS[@]}"; do
         kill -CONT "${PIDS[$name]}" 2>/dev/null
         kill -KILL "${PIDS[$name]}" 2>/dev/null
     done
-    wait 2>/dev/null
     [ -n "${KEEP_WORK:-}" ] || rm -rf "$WORK"
+    if [ -n "${NORMALISE:-}" ]; then
+        exec >&-
+        wait "$NORMALISE"
+    fi
 }
 trap end_all EXIT
+if [ -z "${RAW:-}" ]; then
+    # The transcript goes through the filter; the filter ends before we do.
+    exec 3>&1 > >(normalise >&3)
+    NORMALISE=$!
+fi
 
 call() { # call HOST KEY METHOD QUEUE/PATH [CURL OPTION...]
     local host=$1 key=$2 method=$3 path=$4
@@ -154,3 +176,41 @@
 served_on() {
     [ "$(call "$1" "$2" POST "$3/echo" -d x -o /dev/null -w '%{http_code}')" = 200 ]
 }
+
+# ---- transcripts -----------------------------------------------------------
+
+# show COMMAND...: the command, its whole output and its exit code.
+show() {
+    local code
+    printf '$ %s\n' "${*/#$FP/filbertpath}"
+    "$@" 2>&1
+    code=$?
+    [ "$code" = 0 ] || printf '(exit code %s)\n' "$code"
+}
+say() { printf '\n# %s\n' "$*"; }
+
+# must_reach WHAT SECONDS COMMAND...: notes in the transcript that a state came.
+must_reach() {
+    local what=$1
+    shift
+    if until_true "$@"; then echo "reached: $what"; else echo "NOT REACHED: $what"; fi
+}
+
+# Starts of one task in two places at once, or of one attempt twice, from the
+# journal of all targets: "TIME EVENT TASK ATTEMPT TARGET".
+doubled_tasks() {
+    sort -n -s -k1,1 "$WORK/journal" | awk '
+        $2 == "start" { if (open[$3]++) bad++; if (seen[$3 " " $4]++) bad++ }
+        $2 != "start" { if (open[$3] > 0) open[$3]-- }
+        END { print bad + 0 }'
+}
+ended_tasks() { awk '$2 == "done" {n[$3]++} END {print length(n)}' "$WORK/journal"; }
+
+new_key() { "$FP" key add "$1" --team "$2" --json | value secret; }
+submit_job() { # submit_job KEY QUEUE COUNT PAYLOAD [OPTION...]: prints the ID
+    local key=$1 queue=$2 count=$3 payload=$4
+    shift 4
+    FILBERTPATH_KEY=$key "$FP" submit "$queue" "$payload" --count "$count" \
+        --cpu-milli 1000 --memory-mb 64 --json "$@" | value id
+}
+answer_code() { call "$@" -o /dev/null -w '%{http_code}'; }
