--- a/Makefile
+++ b/Makefile
@@ -24,13 +24,16 @@
 LIBRARY_OBJECTS = $(filter-out $(BUILD)/cli/main.o,$(OBJECTS))
 TEST_SOURCES = $(wildcard tests/*.cc)
 TEST_OBJECTS = $(TEST_SOURCES:%.cc=$(BUILD)/%.o)
-FORMATTED = $(wildcard base/*.[ch] core/*.[ch] node/*.[ch] bench/*.[ch] cli/*.[ch] filbertpath.h)
+FORMATTED = $(wildcard base/*.[ch] core/*.[ch] node/*.[ch] bench/*.[ch] cli/*.[ch] tests/*.c filbertpath.h)
 
-all: $(BUILD)/filbertpath
+all: $(BUILD)/filbertpath $(BUILD)/badtarget
 
 $(BUILD)/filbertpath: $(OBJECTS)
 	@echo "  LINK $@"; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
+$(BUILD)/badtarget: $(BUILD)/tests/badtarget.o
+	@echo "  LINK $@"; $(CC) $(LDFLAGS) -o $@ $^ -luv
+
 $(BUILD)/unit: $(TEST_OBJECTS) $(LIBRARY_OBJECTS)
 	@echo "  LINK $@"; $(CXX) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lgtest -lgtest_main
 
--- a/node/bus.c
+++ b/node/bus.c
@@ -208,6 +208,9 @@
         count++;
         zmq_getsockopt(bus->zap, ZMQ_RCVMORE, &more, &more_size);
     }
+    if (count < 2) {
+        return false; /* not a question of the protocol */
+    }
     allowed = count == 7 && sizes[5] == 5 &&
               memcmp(frames[5], "CURVE", 5) == 0 && sizes[6] == 32 &&
               known_key(bus->settings, frames[6]);
