Models of replication with a replaced replica, and of the task lease

Cause: the protocols were shown by runs only. Two small Promela models check them whole within their bounds; six mutants must be refuted.

Ruled out on the way, each by a trace of spin: a candidate of an older term that counts its last vote after a later leader acknowledged something (allowed: it can have nothing acknowledged; the check names later terms only); a candidate that goes on standing after it took an append of its own term (the code steps down there, the model did not); runs that end by the bound on time.

--- a/tests/run.sh
+++ b/tests/run.sh
@@ -46,6 +46,9 @@
     FILES=$(for name in "$@"; do echo "tests/sessions/$name.sh"; done)
 else
     run_units
+    while read -r ok name; do
+        if [ "$ok" = OK ]; then note "$name" 0; else note "$name" 1; fi
+    done < <(tests/models.sh)
     FILES=$(ls tests/sessions/*.sh)
 fi
 NUMBER=0
