Scheduler: accelerators kept usable, gangs with bounded idle, room held by size

With that mended, 470 processors lay idle: room made for one task held its whole host for 10 s, and a gang's reservation held whole hosts for up to 600 s.

Ruled out: the fair order (the same idle processors with fair off), and the time of a decision.

Change: work without accelerators leaves beside each free accelerator what its work takes along, while free ones are scarce; earmarks and reservations hold room for their tasks only; a reservation takes the rest of its room after 10 s from batch work of teams with no smaller share, and rests after 60 s.

--- a/bench/decide.c
+++ b/bench/decide.c
@@ -61,39 +61,39 @@
 
 /* The two sites of today, and the fleet of two years on. */
 static const struct site SITES[] = {
-    {"kapnos",
-     {{35, 32000, 64000, 0, 5}, {13, 128000, 512000, 8, 3}},
-     6,
-     2,
-     28,
-     40000,
-     1,
-     120,
-     12,
-     24,
-     500},
-    {"vigilancia",
-     {{35, 32000, 128000, 0, 5}, {13, 64000, 128000, 8, 3}},
-     6,
-     2,
-     20,
-     40000,
-     1,
-     120,
-     10,
-     16,
-     500},
-    {"fleet",
-     {{1600, 32000, 64000, 0, 20}, {400, 128000, 512000, 8, 8}},
-     60,
-     8,
-     470,
-     22000,
-     4,
-     2600,
-     4,
-     64,
-     5000},
+    {.name = "kapnos",
+     .hosts = {{35, 32000, 64000, 0, 5}, {13, 128000, 512000, 8, 3}},
+     .teams = 6,
+     .large_teams = 2,
+     .starts_a_second = 45,
+     .batch_ms = 40000,
+     .scale = 1,
+     .services = 120,
+     .accel_part = 20,
+     .gang_most = 24,
+     .wave = 500},
+    {.name = "vigilancia",
+     .hosts = {{35, 32000, 128000, 0, 5}, {13, 64000, 128000, 8, 3}},
+     .teams = 6,
+     .large_teams = 2,
+     .starts_a_second = 32,
+     .batch_ms = 40000,
+     .scale = 1,
+     .services = 120,
+     .accel_part = 14,
+     .gang_most = 16,
+     .wave = 500},
+    {.name = "fleet",
+     .hosts = {{1600, 32000, 64000, 0, 20}, {400, 128000, 512000, 8, 8}},
+     .teams = 60,
+     .large_teams = 8,
+     .starts_a_second = 294, /* 470 at the peak */
+     .batch_ms = 22000,
+     .scale = 6,
+     .services = 2600,
+     .accel_part = 4,
+     .gang_most = 64,
+     .wave = 5000},
 };
 
 /* Samples of one figure. */
@@ -109,7 +109,7 @@
     GRand *arrivals; /* what comes, alike for every policy */
     GSequence *events;
     GHashTable *left_ms; /* task ID to run time left, after checkpoints */
-    GHashTable *first;   /* task ID: its wait is counted */
+    GHashTable *need_ms; /* task ID to its whole run time */
     uint64_t next_event;
     uint64_t now_ms;
     uint64_t end_ms;
@@ -397,6 +397,9 @@
         g_hash_table_insert(driver->left_ms,
                             g_memdup2(&task_id, sizeof(task_id)),
                             g_memdup2(&left, sizeof(left)));
+        g_hash_table_insert(driver->need_ms,
+                            g_memdup2(&task_id, sizeof(task_id)),
+                            g_memdup2(&left, sizeof(left)));
     }
 }
 
@@ -445,17 +448,18 @@
     }
 }
 
+/* All the time between submission and end in which it did not do work that
+ * counted: in line, stopped, or in an attempt that failed.
+ */
 static void
-count_start(struct driver *driver, const struct task *task)
+count_end(struct driver *driver, const struct task *task)
 {
     const struct change_submit *rec = &task->job->rec;
+    const uint64_t *need = g_hash_table_lookup(driver->need_ms, &task->id);
+    uint64_t spent = wall_ms(driver) - rec->submitted_ms;
 
-    driver->started++;
-    if (g_hash_table_add(driver->first,
-                         g_memdup2(&task->id, sizeof(task->id)))) {
-        add_value(&driver->wait[rec->kind],
-                  (double)(wall_ms(driver) - rec->submitted_ms));
-    }
+    add_value(&driver->wait[rec->kind],
+              spent > *need ? (double)(spent - *need) : 0.0);
 }
 
 /* The first host of the second kind fails whatever it starts. */
@@ -481,7 +485,7 @@
             const uint64_t *left =
                 g_hash_table_lookup(driver->left_ms, &items[i].task_id);
 
-            count_start(driver, task);
+            driver->started++;
             if (fails_here(task)) {
                 end_later(driver, task, 50, END_FAILED);
             }
@@ -519,7 +523,10 @@
         item->retry_at_ms =
             sched_retry_at(driver->sched, task, wall_ms(driver));
     }
-    driver->ended += event->outcome == END_DONE;
+    if (event->outcome == END_DONE) {
+        driver->ended++;
+        count_end(driver, task);
+    }
     apply(driver, &CHANGE_END_SCHEMA, &end, NULL);
     fp_record_free(&CHANGE_END_SCHEMA, &end);
 }
@@ -810,7 +817,7 @@
 }
 
 static void
-count_unstarted(struct driver *driver)
+count_open(struct driver *driver)
 {
     GHashTableIter iter;
     struct job *job;
@@ -820,11 +827,15 @@
         for (uint32_t i = 0; i < job->rec.count; i++) {
             const struct task *task = &job->tasks[i];
 
-            if (task->state == TASK_WAITING &&
-                !g_hash_table_contains(driver->first, &task->id)) {
+            /* A task that failed was not served either. */
+            if (task->state == TASK_WAITING || task->state == TASK_FAILED) {
                 add_value(&driver->wait[job->rec.kind],
                           (double)(wall_ms(driver) - job->rec.submitted_ms));
             }
+            else if (task->state == TASK_RUNNING) {
+                add_value(&driver->wait[job->rec.kind],
+                          (double)(task->started_ms - job->rec.submitted_ms));
+            }
         }
     }
 }
@@ -856,7 +867,7 @@
     }
     return json_pack(
         "{s:s,s:s,s:I,s:I,s:o,s:{s:f,s:f,s:f,s:f},s:{s:f,s:f},s:I,s:I,"
-        "s:{s:I,s:f,s:f,s:f,s:f,s:f},s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I}",
+        "s:{s:I,s:f,s:f,s:f,s:f,s:f},s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I}",
         "site", driver->site->name, "policy", driver->policy->name, "seed",
         (json_int_t)seed, "virtual_s", (json_int_t)(driver->now_ms / 1000),
         "wait", waits, "packing", "cpu", mean(&driver->used[0]), "memory",
@@ -868,7 +879,8 @@
         "p99_us", quantile(&driver->decision_us, 0.99), "max_us",
         quantile(&driver->decision_us, 1.0), "mean_us",
         (double)driver->sched_us / (double)MAX(decisions, 1), "per_second",
-        (double)decisions * 1e6 / (double)MAX(driver->sched_us, 1), "started",
+        (double)decisions * 1e6 / (double)MAX(driver->sched_us, 1), "failed",
+        (json_int_t)driver->cell->state_counts[TASK_FAILED], "started",
         (json_int_t)driver->started, "ended", (json_int_t)driver->ended,
         "cancelled", (json_int_t)driver->cancelled, "preempted",
         (json_int_t)counters->preempted, "reclaimed",
@@ -927,8 +939,8 @@
     driver->events = g_sequence_new(NULL);
     driver->left_ms =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
-    driver->first =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    driver->need_ms =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     driver->share_error = g_array_new(FALSE, TRUE, sizeof(double));
     for (uint32_t i = 0; i < site->teams; i++) {
         g_array_append_val(driver->share_error, zero);
@@ -941,7 +953,7 @@
     add_event(driver, EVENT_ARRIVAL, 1);
     add_event(driver, EVENT_WAVE, driver->end_ms / 2)->team = 0;
     run_until(driver, driver->end_ms);
-    count_unstarted(driver);
+    count_open(driver);
     result = report(driver, seed);
     sched_free(driver->sched);
     cell_free(driver->cell);
@@ -949,7 +961,7 @@
     g_sequence_foreach(driver->events, free_event, NULL);
     g_sequence_free(driver->events);
     g_hash_table_destroy(driver->left_ms);
-    g_hash_table_destroy(driver->first);
+    g_hash_table_destroy(driver->need_ms);
     free_series(driver);
     g_free(driver);
     return result;
@@ -974,16 +986,18 @@
     size_t index;
     json_t *result;
 
-    printf("%-10s %-15s %9s %9s %9s %9s %9s %9s %6s %6s %6s %7s %8s %8s %4s "
+    printf("%-10s %-15s %9s %9s %9s %9s %9s %9s %6s %6s %6s %7s %8s %8s %7s "
+           "%6s %4s "
            "%4s %8s %8s %9s\n",
            "site", "policy", "batch50", "batch99", "gang50", "gang99",
            "urgent99", "service99", "cpu", "memory", "accel", "gangfit",
-           "sharemean", "worst", "over", "brch", "dec_p99us", "dec_maxus",
-           "dec/s");
+           "sharemean", "worst", "ended", "failed", "over", "brch",
+           "dec_p99us", "dec_maxus", "dec/s");
     json_array_foreach(results, index, result)
     {
         printf("%-10s %-15s %9.0f %9.0f %9.0f %9.0f %9.0f %9.0f %6.3f %6.3f "
-               "%6.3f %7.1f %8.4f %8.4f %4lld %4lld %8.0f %8.0f %9.0f\n",
+               "%6.3f %7.1f %8.4f %8.4f %7lld %6lld %4lld %4lld %8.0f %8.0f "
+               "%9.0f\n",
                json_string_value(json_object_get(result, "site")),
                json_string_value(json_object_get(result, "policy")),
                wait_of(result, "batch", "p50_ms"),
@@ -998,6 +1012,8 @@
                number(result, "packing", "gang_fit"),
                number(result, "share_error", "mean"),
                number(result, "share_error", "worst"),
+               json_integer_value(json_object_get(result, "ended")),
+               json_integer_value(json_object_get(result, "failed")),
                json_integer_value(json_object_get(result, "overcommits")),
                json_integer_value(json_object_get(result, "limit_breaches")),
                number(result, "decision", "p99_us"),
--- a/core/sched.c
+++ b/core/sched.c
@@ -200,6 +200,9 @@
     wait->task = task;
     wait->cls = class_of(sched, task->job);
     wait->cls->users++;
+    if (wait->cls->size.accel > 0) {
+        sched_note_accel_work(sched, &wait->cls->size);
+    }
     if (task->retry_at_ms > sched->wall_ms) {
         wait->delayed =
             g_sequence_insert_sorted(sched->delayed, wait, by_retry, NULL);
@@ -1021,9 +1024,11 @@
         sched_check_running(sched);
     }
     release_delayed(sched);
+    sched_count_accel(sched);
     if (sched->reserved_for != NULL &&
         now_ms > sched->reserved_at_ms + SCHED_RESERVE_MAX_MS) {
         sched_release_reservation(sched);
+        sched->reserve_rest_ms = now_ms + SCHED_RESERVE_MAX_MS;
     }
     refresh_shares(sched);
     taken = run_lines(sched, true, max_decisions);
--- a/core/schedhost.c
+++ b/core/schedhost.c
@@ -163,6 +163,19 @@
            !exceeds(rec->accel, use->accel, pending->accel, size->accel);
 }
 
+/* Room for one more beside what is held for others. */
+static bool
+room_beside(const struct sched_host *host, const struct change_submit *size,
+            const struct change_submit *held, uint32_t count)
+{
+    struct sched_host after = *host;
+
+    after.pending.cpu_milli += (uint64_t)held->cpu_milli * count;
+    after.pending.memory_mb += (uint64_t)held->memory_mb * count;
+    after.pending.accel += (uint64_t)held->accel * count;
+    return sched_room(&after, size);
+}
+
 static bool
 probation_allows(const struct sched *sched, const struct sched_host *host,
                  const struct work_class *cls)
@@ -183,17 +196,117 @@
         return false;
     }
     if (host->earmark != NULL && host->earmark != cls &&
-        sched->now_ms < host->earmark_until_ms) {
+        sched->now_ms < host->earmark_until_ms &&
+        !room_beside(host, &cls->size, &host->earmark->size,
+                     host->earmark_count)) {
         return false;
     }
     if (host->reserved && job != sched->reserved_for &&
-        cls->size.kind != WORK_URGENT) {
+        cls->size.kind != WORK_URGENT &&
+        !room_beside(host, &cls->size, &host->reserved_size,
+                     host->reserved_tasks)) {
         return sched->now_ms + sched_expected_run_ms(sched, job) <=
                host->start_ms;
     }
     return true;
 }
 
+void
+sched_note_accel_work(struct sched *sched, const struct change_submit *size)
+{
+    double cpu = (double)size->cpu_milli / size->accel;
+    double memory = (double)size->memory_mb / size->accel;
+
+    if (!sched->accel_seen) {
+        sched->accel_cpu_milli = cpu;
+        sched->accel_memory_mb = memory;
+    }
+    sched->accel_cpu_milli += 0.05 * (cpu - sched->accel_cpu_milli);
+    sched->accel_memory_mb += 0.05 * (memory - sched->accel_memory_mb);
+    sched->accel_seen = true;
+}
+
+static uint64_t
+accel_waiting(const struct sched *sched)
+{
+    uint64_t count = 0;
+
+    for (guint i = 0; i < sched->team_list->len; i++) {
+        const struct sched_team *entry = sched->team_list->pdata[i];
+
+        for (guint j = 0; j < entry->classes->len; j++) {
+            const struct work_class *cls = entry->classes->pdata[j];
+
+            if (cls->block != SCHED_BLOCK_LIMIT) {
+                count += (uint64_t)cls->size.accel * cls->count;
+            }
+        }
+    }
+    return count;
+}
+
+/* Free accelerators that still have beside them what their work takes along.
+ */
+static uint64_t
+accel_usable(const struct sched *sched)
+{
+    double count = 0;
+
+    for (guint i = 0; i < sched->hosts->len; i++) {
+        const struct sched_host *host = sched->hosts->pdata[i];
+        const struct change_target *rec = &host->target->rec;
+        const struct use *use = &host->target->use;
+        double cpu = (double)(rec->cpu_milli - use->cpu_milli);
+        double memory = (double)(rec->memory_mb - use->memory_mb);
+
+        if (rec->state == TARGET_UP && rec->accel > use->accel) {
+            count += MIN((double)(rec->accel - use->accel),
+                         MIN(cpu / MAX(sched->accel_cpu_milli, 1),
+                             memory / MAX(sched->accel_memory_mb, 1)));
+        }
+    }
+    return (uint64_t)count;
+}
+
+void
+sched_count_accel(struct sched *sched)
+{
+    if (!sched->accel_seen || sched->now_ms < sched->accel_look_ms) {
+        return;
+    }
+    sched->accel_look_ms = sched->now_ms + SCHED_ACCEL_LOOK_MS;
+    sched->accel_scarce =
+        accel_usable(sched) <=
+        accel_waiting(sched) + sched->total.accel / SCHED_ACCEL_SPARE;
+}
+
+/* Work without accelerators leaves beside each free accelerator the
+ * processors and the memory that its work takes along, while free ones are
+ * scarce: an accelerator without them is of no use to anyone.
+ */
+static bool
+leaves_accel_usable(const struct sched *sched, const struct sched_host *host,
+                    const struct change_submit *size)
+{
+    const struct change_target *rec = &host->target->rec;
+    const struct use *use = &host->target->use;
+    const struct use *pending = &host->pending;
+    double free_accel;
+    double cpu;
+    double memory;
+
+    if (size->accel > 0 || rec->accel == 0 || !sched->accel_scarce) {
+        return true;
+    }
+    free_accel = (double)(rec->accel - use->accel - pending->accel);
+    cpu = (double)(rec->cpu_milli - use->cpu_milli - pending->cpu_milli -
+                   size->cpu_milli);
+    memory = (double)(rec->memory_mb - use->memory_mb - pending->memory_mb -
+                      size->memory_mb);
+    return cpu >= free_accel * sched->accel_cpu_milli &&
+           memory >= free_accel * sched->accel_memory_mb;
+}
+
 static double
 left_over(uint64_t size, uint64_t used, uint64_t pending, uint64_t more)
 {
@@ -302,6 +415,11 @@
         !sched_host_open(sched, host, cls, job)) {
         return;
     }
+    if (sched->policy.choice == SCHED_BY_KIND &&
+        cls->size.kind != WORK_URGENT &&
+        !leaves_accel_usable(sched, host, &cls->size)) {
+        return;
+    }
     score = score_of(sched, host, cls, job);
     if (host->earmark == cls) {
         score -= 1e6;
--- a/core/schedpriv.h
+++ b/core/schedpriv.h
@@ -8,14 +8,16 @@
 #define SCHED_FREED_RING 1024u       /* freed hosts that are remembered */
 #define SCHED_LEARN_RUNS 32u         /* run times kept for each kind of work */
 #define SCHED_RESERVE_AFTER_MS 2000u /* a blocked gang reserves after this */
-#define SCHED_RESERVE_MAX_MS 600000u /* and holds hosts this long at most */
+#define SCHED_RESERVE_MAX_MS 60000u  /* and holds hosts this long at most */
+#define SCHED_GANG_PATIENCE_MS                                                \
+    10000u /* a reservation waits, then takes room */
 #define SCHED_RECLAIM_AFTER_MS 30000u /* lent share comes back after this */
 #define SCHED_RECLAIM_EVERY_MS 1000u
 #define SCHED_RECLAIM_TASKS 16u   /* room is made for so many at a time */
 #define SCHED_RETRY_SCAN_MS 1000u /* blocked work looks at all hosts anew */
 #define SCHED_FREED_SCAN_MAX 128u /* more freed hosts than this: all anew */
-#define SCHED_PREEMPT_AHEAD                                                   \
-    32u /* urgent tasks in line that room is made for */
+/* Urgent tasks in line that room is made for at a time. */
+#define SCHED_PREEMPT_AHEAD 32u
 #define SCHED_PRUNE_EVERY_MS 60000u
 #define SCHED_EARMARK_MS 10000u     /* room made for a task is kept for it */
 #define SCHED_PROBATION_FAILURES 3u /* in a row, from 2 jobs or more */
@@ -23,6 +25,10 @@
 #define SCHED_PROBATION_MAX_MS 600000u
 #define SCHED_RETRY_MS 1000u /* doubles with each failure */
 #define SCHED_RETRY_MAX_MS 300000u
+/* How often free accelerators are counted; one in so many is kept for work
+ * that may come. */
+#define SCHED_ACCEL_LOOK_MS 100u
+#define SCHED_ACCEL_SPARE 20u
 #define SCHED_DEFAULT_RUN_MS 600000u /* of work that nothing is known of */
 
 /* A target as the scheduler sees it. */
@@ -33,6 +39,8 @@
     /* Reservation for a gang: other work must end before start_ms. */
     bool reserved;
     uint64_t start_ms;
+    struct change_submit reserved_size; /* of one task of the gang */
+    uint32_t reserved_tasks;            /* that are to start here */
     /* Room made by preemption, for the next tasks of one class. */
     struct work_class *earmark; /* NULL: none */
     uint32_t earmark_count;     /* tasks of that class */
@@ -137,13 +145,20 @@
     struct job *reserved_for; /* the gang that holds a reservation */
     uint64_t reserved_at_ms;
     uint64_t reserve_check_ms;
+    uint64_t reserve_rest_ms; /* no gang reserves before this */
     uint64_t reclaim_at_ms;
     uint64_t hours_minute; /* wall minute of the last look at the hours */
     uint64_t hours_state;  /* which rules held then, as a hash */
     uint64_t runs;         /* calls of sched_run() */
     uint64_t prune_at_ms;
-    bool check_running;  /* labels, selectors or limits changed */
-    double failure_rate; /* of the whole fleet, smoothed */
+    bool check_running; /* labels, selectors or limits changed */
+    /* What work with accelerators takes along with each of them, smoothed. */
+    double accel_cpu_milli;
+    double accel_memory_mb;
+    bool accel_seen;        /* such work has come */
+    bool accel_scarce;      /* free ones are no more than are due */
+    uint64_t accel_look_ms; /* when that was last counted */
+    double failure_rate;    /* of the whole fleet, smoothed */
 };
 
 /* sched.c */
@@ -167,6 +182,9 @@
                        const struct job *job, GPtrArray *out);
 bool sched_host_open(const struct sched *sched, const struct sched_host *host,
                      const struct work_class *cls, const struct job *job);
+void sched_count_accel(struct sched *sched);
+void sched_note_accel_work(struct sched *sched,
+                           const struct change_submit *size);
 bool sched_room(const struct sched_host *host,
                 const struct change_submit *size);
 void sched_take(struct use *use, const struct change_submit *size);
--- a/core/schedyield.c
+++ b/core/schedyield.c
@@ -66,6 +66,19 @@
            (double)giver->share > SHARE_SLACK * (double)taker->share;
 }
 
+/* Batch work of teams that have no less than the gang's own. */
+static bool
+stop_for_gang(const struct sched *sched, const struct task *task,
+              const struct work_class *cls)
+{
+    const struct sched_team *giver = task->job->team->sched;
+    const struct sched_team *taker = cls->team->sched;
+
+    (void)sched;
+    return task->job->rec.kind == WORK_BATCH && giver != NULL &&
+           giver->share >= taker->share;
+}
+
 /* Collects the tasks that may yield, those that lose least first. */
 static uint32_t
 collect_victims(const struct sched *sched, const struct sched_host *host,
@@ -359,16 +372,89 @@
 
         if (host->reserved) {
             host->reserved = false;
+            host->reserved_tasks = 0;
             sched_note_freed(sched, host);
         }
     }
     sched->reserved_for = NULL;
 }
 
+/* How many tasks of the class the host could hold without what may stop. */
+static uint32_t
+room_without(const struct sched *sched, struct sched_host *host,
+             const struct work_class *cls)
+{
+    struct sched_host after = *host;
+    struct task *victims[VICTIMS_MAX];
+    uint32_t count = collect_victims(sched, host, cls, stop_for_gang, victims);
+    uint32_t fit = 0;
+
+    add_leaving(sched, host, &after);
+    for (uint32_t i = 0; i < count; i++) {
+        sched_return(&after.pending, &victims[i]->job->rec);
+    }
+    while (sched_room(&after, &cls->size)) {
+        sched_take(&after.pending, &cls->size);
+        fit++;
+    }
+    return fit;
+}
+
+/* Makes room for the rest of a gang, if there is enough that may stop: else
+ * nothing is stopped in vain.
+ */
+static void
+take_room_for_gang(struct sched *sched, struct work_class *cls, uint32_t need)
+{
+    uint32_t have = earmarked_for(sched, cls);
+    uint32_t could = have;
+    struct plan plan;
+
+    for (guint i = 0; i < cls->domain->hosts->len && could < need; i++) {
+        could += room_without(sched, cls->domain->hosts->pdata[i], cls);
+    }
+    if (could < need) {
+        return;
+    }
+    while (have < need && best_plan(sched, cls, stop_for_gang, &plan)) {
+        sched->counters.preempted += plan.count;
+        carry_out(sched, cls, &plan);
+        have++;
+    }
+}
+
+static void
+reserve_hosts(struct sched *sched, struct job *job, GArray *openings,
+              guint used)
+{
+    uint64_t start_ms =
+        g_array_index(openings, struct opening, used - 1).at_ms;
+
+    if (sched->reserved_for == NULL) {
+        sched->reserved_at_ms = sched->now_ms;
+        sched->counters.reservations++;
+    }
+    sched_release_reservation(sched);
+    sched->reserved_for = job;
+    for (guint i = 0; i < used; i++) {
+        const struct opening *opening =
+            &g_array_index(openings, struct opening, i);
+        struct sched_host *host = opening->host;
+
+        host->reserved = true;
+        host->start_ms = start_ms;
+        host->reserved_size = job->rec;
+        host->reserved_tasks += opening->tasks;
+    }
+}
+
 /* One gang at a time holds a reservation, so two gangs never wait for each
  * other. It takes the hosts that come free first; other work may fill in
- * there if it is expected to end before the gang can start. Looked at again
- * each second, as expectations change.
+ * there if it is expected to end before the gang can start. What is held idle
+ * is bounded in time: after SCHED_GANG_PATIENCE_MS the rest of the room is
+ * taken from batch work of teams with no smaller share, and after
+ * SCHED_RESERVE_MAX_MS the hosts are let go for as long. Looked at again each
+ * second, as expectations change.
  */
 void
 sched_reserve(struct sched *sched, struct work_class *cls)
@@ -376,13 +462,13 @@
     struct job *job = cls->first->task->job;
     uint32_t need = ((const struct gang *)job->sched)->waiting;
     GArray *openings;
-    uint64_t start_ms = 0;
     uint32_t have = 0;
     guint used = 0;
 
     if (sched->now_ms < cls->blocked_since_ms + SCHED_RESERVE_AFTER_MS ||
         (sched->reserved_for != NULL && sched->reserved_for != job) ||
-        sched->now_ms < sched->reserve_check_ms) {
+        sched->now_ms < sched->reserve_check_ms ||
+        sched->now_ms < sched->reserve_rest_ms) {
         return;
     }
     sched->reserve_check_ms = sched->now_ms + 1000;
@@ -393,22 +479,12 @@
     g_array_sort(openings, by_end);
     while (used < openings->len && have < need) {
         have += g_array_index(openings, struct opening, used).tasks;
-        start_ms = g_array_index(openings, struct opening, used).at_ms;
         used++;
     }
     if (have >= need) {
-        if (sched->reserved_for == NULL) {
-            sched->reserved_at_ms = sched->now_ms;
-            sched->counters.reservations++;
-        }
-        sched_release_reservation(sched);
-        sched->reserved_for = job;
-        for (guint i = 0; i < used; i++) {
-            struct sched_host *host =
-                g_array_index(openings, struct opening, i).host;
-
-            host->reserved = true;
-            host->start_ms = start_ms;
+        reserve_hosts(sched, job, openings, used);
+        if (sched->now_ms >= sched->reserved_at_ms + SCHED_GANG_PATIENCE_MS) {
+            take_room_for_gang(sched, cls, need);
         }
     }
     g_array_free(openings, TRUE);
