Files, settings and bad input under test; an empty settings file is refused

Cause: store_test.cc's first run crashed: cyaml loads an empty file as nothing, and the check read through it.

--- a/base/schema.c
+++ b/base/schema.c
@@ -520,7 +520,8 @@
         *(bool *)at = json_is_true(value);
         return FP_OK;
     }
-    if (json_is_integer(value)) {
+    if (json_is_integer(value) && field->kind != FP_STR &&
+        field->kind != FP_BLOB) {
         snprintf(number, sizeof(number), "%lld",
                  (long long)json_integer_value(value));
         return fp_set_field(field, record, number, why, why_bytes);
--- a/bench/decide.c
+++ b/bench/decide.c
@@ -126,8 +126,8 @@
     uint64_t started;
     uint64_t ended;
     uint64_t cancelled;
-    uint64_t lost_ms; /* run time thrown away by stops without checkpoint */
     uint64_t sched_us;
+    bool failing_host; /* one host fails all it starts */
 };
 
 static void
@@ -464,9 +464,10 @@
 
 /* The first host of the second kind fails whatever it starts. */
 static bool
-fails_here(const struct task *task)
+fails_here(const struct driver *driver, const struct task *task)
 {
-    return strcmp(task->target->rec.name, "host00001") == 0 &&
+    return driver->failing_host &&
+           strcmp(task->target->rec.name, "host00001") == 0 &&
            task->job->rec.kind != WORK_SERVICE;
 }
 
@@ -486,7 +487,7 @@
                 g_hash_table_lookup(driver->left_ms, &items[i].task_id);
 
             driver->started++;
-            if (fails_here(task)) {
+            if (fails_here(driver, task)) {
                 end_later(driver, task, 50, END_FAILED);
             }
             else if (task->job->rec.kind != WORK_SERVICE) {
@@ -609,7 +610,8 @@
         struct demand *demand;
         double each;
 
-        if (job->open == 0) {
+        /* A team at its upper limit can use no more. */
+        if (job->open == 0 || !cell_within_limit(job->team, &job->rec, 1)) {
             continue;
         }
         each = MAX((double)job->rec.cpu_milli / (double)total->cpu_milli,
@@ -922,7 +924,7 @@
 
 static json_t *
 run_one(const struct site *site, const struct sched_policy *policy,
-        uint32_t seed, uint32_t seconds)
+        uint32_t seed, uint32_t seconds, bool failing_host)
 {
     struct driver *driver = g_new0(struct driver, 1);
     const struct cell_ops cell_ops = {on_task_changed,   on_attempt_ended,
@@ -934,6 +936,7 @@
 
     driver->site = site;
     driver->policy = policy;
+    driver->failing_host = failing_host;
     driver->end_ms = (uint64_t)seconds * 1000;
     driver->arrivals = g_rand_new_with_seed(seed);
     driver->events = g_sequence_new(NULL);
@@ -1027,9 +1030,10 @@
     uint32_t seconds;
     char site[32];
     char policy[32];
+    bool no_faults;
 };
 
-enum { KEY_SEED = 1024, KEY_SECONDS, KEY_SITE, KEY_POLICY };
+enum { KEY_SEED = 1024, KEY_SECONDS, KEY_SITE, KEY_POLICY, KEY_NO_FAULTS };
 
 static const struct argp_option MORE[] = {
     {"seed", KEY_SEED, "N", 0, "seed of the work (1)", 2},
@@ -1037,6 +1041,8 @@
     {"site", KEY_SITE, "NAME", 0, "kapnos, vigilancia or fleet (all)", 2},
     {"policy", KEY_POLICY, "NAME", 0,
      "filbertpath, fifo-first-fit or fifo-best-fit (all)", 2},
+    {"no-faults", KEY_NO_FAULTS, NULL, 0,
+     "leave out the host that fails all it starts", 2},
     {NULL, 0, NULL, 0, NULL, 0}};
 
 static bool
@@ -1049,6 +1055,10 @@
         g_strlcpy(options->site, arg, sizeof(options->site));
         return true;
     }
+    if (key == KEY_NO_FAULTS) {
+        options->no_faults = true;
+        return true;
+    }
     if (key == KEY_POLICY) {
         g_strlcpy(options->policy, arg, sizeof(options->policy));
         return true;
@@ -1093,9 +1103,9 @@
         for (size_t j = 0; j < sizeof(policies) / sizeof(policies[0]); j++) {
             if (is_chosen(options.site, SITES[i].name) &&
                 is_chosen(options.policy, policies[j]->name)) {
-                json_array_append_new(results,
-                                      run_one(&SITES[i], policies[j],
-                                              options.seed, options.seconds));
+                json_array_append_new(
+                    results, run_one(&SITES[i], policies[j], options.seed,
+                                     options.seconds, !options.no_faults));
             }
         }
     }
--- a/node/settings.c
+++ b/node/settings.c
@@ -334,6 +334,10 @@
                  reader.text);
         return FP_ERR_BAD_REQUEST;
     }
+    if (settings == NULL) {
+        snprintf(why, why_bytes, "%s: is empty", path);
+        return FP_ERR_BAD_REQUEST;
+    }
     if (!check(settings, why, why_bytes)) {
         settings_free(settings);
         return FP_ERR_BAD_REQUEST;
--- /dev/null
+++ b/tests/mutants.sh
@@ -0,0 +1,62 @@
+#!/usr/bin/env bash
+# mutants.sh -- each mutation takes one safeguard out of a copy of the sources;
+# the named test must then fail. Shows that the proofs can fail. Not part of
+# "make test": it rebuilds the unit tests once for each mutation.
+# A line, by tabs: file, text to find, what replaces it, test that must fail.
+cd "$(dirname "$0")/.." || exit 1
+COPY=$(mktemp -d "${TMPDIR:-/tmp}/filbertpath-mutants.XXXXXX")
+trap 'rm -rf "$COPY"' EXIT
+mkdir -p "$COPY/pristine"
+cp -r Makefile base core node bench cli tests examples "$COPY/pristine/"
+(cd "$COPY/pristine" && make -s -j8 build/unit) >/dev/null || exit 1
+CAUGHT=0
+MISSED=0
+while IFS= read -r line; do
+    file=$(cut -f1 <<<"$line") find=$(cut -f2 <<<"$line") replace=$(cut -f3 <<<"$line") name=$(cut -f4 <<<"$line")
+    [ -z "$file" ] && continue
+    rm -rf "$COPY/work"
+    cp -a "$COPY/pristine" "$COPY/work"
+    FIND=$find REPLACE=$replace perl -0pi -e \
+        'BEGIN { ($f, $r) = ($ENV{FIND}, $ENV{REPLACE}); s/\\n/\n/g for $f, $r; $f = quotemeta $f; } s/$f/$r/' "$COPY/work/$file"
+    if cmp -s "$COPY/work/$file" "$file"; then
+        echo "NOT APPLIED: $file: $find"
+        MISSED=$((MISSED + 1))
+        continue
+    fi
+    if (cd "$COPY/work" && make -s -j8 build/unit WARN= >/dev/null 2>"$COPY/errors"); then
+        if (cd "$COPY/work" && timeout 120 build/unit --gtest_filter="$name" >/dev/null 2>&1); then
+            echo "MISSED: $file: '$find' -> '$replace' by $name"
+            MISSED=$((MISSED + 1))
+        else
+            echo "caught: $file: '$find' -> '$replace' by $name"
+            CAUGHT=$((CAUGHT + 1))
+        fi
+    else
+        echo "DOES NOT BUILD: $file: $find"
+        MISSED=$((MISSED + 1))
+    fi
+done <<'LIST'core/raft.c	if (!msg->transfer && leader_is_recent(raft, now_ms)) {	if (false) {	Raft.Holds*
+core/raft.c	(raft->voted_for == 0 || raft->voted_for == msg->from_id)	true	Raft.Holds*
+core/raft.c	msg->term == raft->term && log_is_current(raft, msg) &&	msg->term == raft->term &&	Raft.Holds*
+core/raft.c	raft->contact_ms = now_ms;\n    reset_election(raft, now_ms);\n    memset	reset_election(raft, now_ms);\n    memset	Raft.Holds*
+core/raft.c	raft->synced = MIN(raft->synced, index - 1);		Raft.Holds*
+core/raftlead.c	raftlog_term(&raft->log, index) == raft->term) {	true) {	Raft.Holds*
+core/raftlead.c	if (raft_leads(raft, now_ms)) {	if (true) {	Raft.Holds*
+core/raftlead.c	uint64_t index = quorum_value(raft, raft->synced, true);	uint64_t index = quorum_value(raft, raftlog_last_index(&raft->log), true);	Raft.*
+core/cellwork.c	else if (!cell_fits(target, &task->job->rec)) {	else if (false) {	Cell.*
+core/cellwork.c	else if (!cell_within_limit(task->job->team, &task->job->rec, 1)) {	else if (false) {	Cell.*
+core/cellwork.c	item->attempt != task->attempt + 1) {	false) {	Cell.*
+core/cellroute.c	if (cell_granted(team, set->run_id) != set->was) {	if (false) {	Cell.*
+core/cellroute.c	if (strcmp(item->digest, intent->digest) != 0) {	if (false) {	Cell.*
+core/cell.c	if (!check || given == current) {	if (true) {	Cell.*
+core/cell.c	if (answer_from_seen(cell, head->change_id, answer)) {	if (false) {	Cell.*
+core/route.c	instance->in_flight < instance->slots &&	true &&	Route.*
+core/route.c	return !team->limited || team->in_flight < team->units;	return true;	Route.*
+core/sched.c	yield_gang(sched, task->job);		Sched.*
+core/schedhost.c	if (host->probation_ms == 0) {	if (true) {	Sched.*
+core/schedyield.c	return task->job->rec.kind == WORK_BATCH ||	return true ||	Sched.*
+node/store.c	if (!newest || any_frame_after(bytes, size, at)) {	if (!newest) {	Store.*
+node/store.c	if (store->broken) {\n        return FP_ERR_DISK;	if (false) {\n        return FP_ERR_DISK;	Store.*
+LIST
+echo "$CAUGHT passed, $MISSED failed"
+[ "$MISSED" = 0 ]
--- /dev/null
+++ b/tests/store_test.cc
@@ -0,0 +1,359 @@
+// The files of a replica under failure: torn and damaged logs, full disks,
+// failed syncs, crashes between the steps of a snapshot; and the settings.
+
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <gtest/gtest.h>
+
+#include <cerrno>
+#include <cstring>
+#include <fstream>
+#include <random>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "node/settings.h"
+#include "node/store.h"
+#include <unistd.h>
+}
+
+namespace {
+
+struct Folder {
+    std::string path;
+    Folder()
+    {
+        char name[] = "/tmp/filbertpath-store-XXXXXX";
+        path = g_mkdtemp(name);
+    }
+    ~Folder()
+    {
+        for (const auto &f : files("")) {
+            g_unlink((path + "/" + f).c_str());
+        }
+        g_rmdir(path.c_str());
+    }
+    std::vector<std::string> files(const std::string &prefix) const
+    {
+        std::vector<std::string> out;
+        GDir *dir = g_dir_open(path.c_str(), 0, nullptr);
+        while (const char *name = dir ? g_dir_read_name(dir) : nullptr) {
+            if (std::string(name).rfind(prefix, 0) == 0) {
+                out.push_back(name);
+            }
+        }
+        if (dir) {
+            g_dir_close(dir);
+        }
+        return out;
+    }
+    std::string log() const { return path + "/" + files("log-").at(0); }
+};
+
+std::string read_file(const std::string &path)
+{
+    std::ifstream in(path, std::ios::binary);
+    return {std::istreambuf_iterator<char>(in), {}};
+}
+
+void write_file(const std::string &path, const std::string &data)
+{
+    std::ofstream(path, std::ios::binary) << data;
+}
+
+struct Opened {
+    store *s = nullptr;
+    raft_init init;
+    char why[300] = "";
+    enum fp_err err;
+
+    explicit Opened(const Folder &f, const store_io *io = &STORE_IO)
+    {
+        memset(&init, 0, sizeof(init));
+        err = store_open(f.path.c_str(), io, &s, &init, why, sizeof(why));
+    }
+    ~Opened()
+    {
+        auto *e = (raft_entry *)init.entries.items;
+        for (uint32_t i = 0; i < init.entries.count; i++) {
+            fp_blob_free(&e[i].data);
+        }
+        g_free(init.entries.items);
+        fp_blob_free(&init.snapshot.data);
+        fp_record_free(&RAFT_MEMBERS_SCHEMA, &init.snapshot.members);
+        store_close(s);
+    }
+    enum fp_err append(uint64_t index, uint64_t term, const char *text)
+    {
+        fp_list bytes = {nullptr, 0};
+        raft_entry e = {index, term, RAFT_CHANGE,
+                        {(uint8_t *)text, (uint32_t)strlen(text)}};
+        store_pack_entry(&bytes, &e);
+        auto result = store_append(s, bytes.items, bytes.count);
+        g_free(bytes.items);
+        return result;
+    }
+    std::string text(uint32_t i) const
+    {
+        auto *e = (raft_entry *)init.entries.items;
+        return {(char *)e[i].data.data, e[i].data.size_bytes};
+    }
+};
+
+void fill(const Folder &f, int count)
+{
+    Opened o(f);
+    ASSERT_EQ(o.err, FP_OK) << o.why;
+    for (int i = 1; i <= count; i++) {
+        ASSERT_EQ(o.append((uint64_t)i, 1, ("v" + std::to_string(i)).c_str()),
+                  FP_OK);
+    }
+}
+
+TEST(Store, KeepsEntriesVoteAndIdentity)
+{
+    Folder f;
+    uint64_t id;
+    {
+        Opened o(f);
+        id = o.init.id;
+        fp_list bytes = {nullptr, 0};
+        store_pack_vote(&bytes, 7, 42);
+        store_append(o.s, bytes.items, bytes.count);
+        g_free(bytes.items);
+        o.append(1, 1, "a");
+        o.append(2, 1, "b");
+        o.append(3, 1, "c");
+        o.append(2, 2, "B"); // replaces 2 and what follows
+    }
+    Opened o(f);
+    EXPECT_EQ(o.init.id, id);
+    EXPECT_EQ(o.init.term, 7u);
+    EXPECT_EQ(o.init.voted_for, 42u);
+    ASSERT_EQ(o.init.entries.count, 2u);
+    EXPECT_EQ(o.text(1), "B");
+    Opened second(f);
+    EXPECT_EQ(second.err, FP_ERR_DISK); // one process a folder
+}
+
+// Whatever prefix of the last batch reached the disk, all before it is there.
+TEST(Store, TornTailIsCutOff)
+{
+    Folder f;
+    fill(f, 5);
+    std::string whole = read_file(f.log());
+    Folder g;
+    fill(g, 4);
+    size_t four = read_file(g.log()).size();
+    for (size_t cut = four; cut < whole.size(); cut++) {
+        write_file(f.log(), whole.substr(0, cut));
+        Opened o(f);
+        ASSERT_EQ(o.err, FP_OK) << "cut at " << cut << ": " << o.why;
+        ASSERT_EQ(o.init.entries.count, 4u);
+        ASSERT_EQ(o.append(5, 2, "again"), FP_OK);
+    }
+    Opened o(f);
+    ASSERT_EQ(o.init.entries.count, 5u);
+    EXPECT_EQ(o.text(4), "again");
+}
+
+// A damaged byte before the last batch is refused, never silently lost.
+TEST(Store, DamageInTheMiddleIsRefused)
+{
+    Folder f;
+    fill(f, 5);
+    std::string whole = read_file(f.log());
+    Folder g;
+    fill(g, 4);
+    size_t four = read_file(g.log()).size();
+    for (size_t at = 0; at < four; at++) {
+        std::string bad = whole;
+        bad[at] = (char)(bad[at] ^ 0x5a);
+        write_file(f.log(), bad);
+        Opened o(f);
+        ASSERT_EQ(o.err, FP_ERR_CORRUPT) << "byte " << at;
+        ASSERT_NE(strstr(o.why, "damaged at offset"), nullptr) << o.why;
+    }
+}
+
+struct Faulty {
+    int writes_left = 1000000;
+    int syncs_left = 1000000;
+    bool short_writes = false;
+};
+
+ssize_t faulty_write(void *ctx, int fd, const void *data, size_t size)
+{
+    auto *f = (Faulty *)ctx;
+    if (f->writes_left-- <= 0) {
+        errno = ENOSPC;
+        return -1;
+    }
+    return write(fd, data, f->short_writes && size > 3 ? size / 2 : size);
+}
+
+int faulty_sync(void *ctx, int fd)
+{
+    if (((Faulty *)ctx)->syncs_left-- <= 0) {
+        errno = EIO;
+        return -1;
+    }
+    return fsync(fd);
+}
+
+TEST(Store, FullDiskAndFailedSyncEndWriting)
+{
+    for (int kind = 0; kind < 2; kind++) {
+        Folder f;
+        fill(f, 3);
+        Faulty faulty;
+        store_io io = {faulty_write, faulty_sync, &faulty};
+        {
+            Opened o(f, &io);
+            ASSERT_EQ(o.err, FP_OK);
+            faulty.short_writes = true;
+            ASSERT_EQ(o.append(4, 1, "four"), FP_OK);
+            (kind == 0 ? faulty.writes_left : faulty.syncs_left) = 0;
+            EXPECT_EQ(o.append(5, 1, "five"), FP_ERR_DISK);
+            // What reached the disk is not known: nothing more is written,
+            // though the disk would take it again.
+            faulty.writes_left = faulty.syncs_left = 1000;
+            EXPECT_EQ(o.append(5, 1, "five"), FP_ERR_DISK);
+        }
+        Opened o(f);
+        ASSERT_EQ(o.err, FP_OK) << o.why;
+        EXPECT_GE(o.init.entries.count, 4u);
+        EXPECT_EQ(o.text(3), "four");
+    }
+}
+
+// A crash at any write or sync of a snapshot leaves either the old files or
+// the new ones, and never fewer entries.
+TEST(Store, CrashAtAnyStepOfASnapshot)
+{
+    for (int kind = 0; kind < 2; kind++) {
+        for (int step = 0; step < 9; step++) {
+            Folder f;
+            fill(f, 6);
+            Faulty faulty;
+            store_io io = {faulty_write, faulty_sync, &faulty};
+            {
+                Opened o(f, &io);
+                ASSERT_EQ(o.err, FP_OK);
+                (kind == 0 ? faulty.writes_left : faulty.syncs_left) = step;
+                raft_snapshot snap = {};
+                snap.last_index = 4;
+                snap.last_term = 1;
+                snap.data = {(uint8_t *)"state", 5};
+                fp_list bytes = {nullptr, 0};
+                store_pack_vote(&bytes, 3, 1);
+                for (uint64_t i = 5; i <= 6; i++) {
+                    std::string v = "v" + std::to_string(i);
+                    raft_entry e = {i, 1, RAFT_CHANGE,
+                                    {(uint8_t *)v.data(), 2}};
+                    store_pack_entry(&bytes, &e);
+                }
+                store_snapshot(o.s, &snap, bytes.items, bytes.count);
+                g_free(bytes.items);
+            }
+            Opened o(f);
+            ASSERT_EQ(o.err, FP_OK) << o.why;
+            uint64_t first =
+                ((raft_entry *)o.init.entries.items)[0].index;
+            uint64_t last = first + o.init.entries.count - 1;
+            EXPECT_EQ(last, 6u) << "kind " << kind << ", step " << step;
+            EXPECT_EQ(first, o.init.snapshot.last_index + 1);
+            EXPECT_EQ(o.text(o.init.entries.count - 1), "v6");
+        }
+    }
+}
+
+TEST(Store, TakesAnyBytes)
+{
+    std::mt19937_64 rng(3);
+    Folder f;
+    fill(f, 8);
+    std::string whole = read_file(f.log());
+    for (int round = 0; round < 400; round++) {
+        std::string bad = whole;
+        for (uint64_t n = 1 + rng() % 8; n > 0; n--) {
+            bad[rng() % bad.size()] = (char)rng();
+        }
+        bad.resize(rng() % (bad.size() + 1));
+        write_file(f.log(), bad);
+        Opened o(f);
+        if (o.err == FP_OK) {
+            for (uint32_t i = 0; i < o.init.entries.count; i++) {
+                ASSERT_EQ(o.text(i), "v" + std::to_string(i + 1));
+            }
+        }
+    }
+}
+
+// ---- settings --------------------------------------------------------------
+
+std::string load_error(const std::string &text)
+{
+    Folder f;
+    std::string path = f.path + "/s.yaml";
+    char why[700] = "";
+    settings *s;
+    write_file(path, text);
+    if (settings_load(path.c_str(), &s, why, sizeof(why)) == FP_OK) {
+        settings_free(s);
+        return "";
+    }
+    return why;
+}
+
+const std::string HASH(64, 'a');
+const std::string GOOD = "host: h1\noperator_key_hash: " + HASH +
+                         "\ntarget_key_hash: " + HASH +
+                         "\nhosts:\n  - name: h1\n    data_centre: d\n"
+                         "    bus: 127.0.0.1:1\n    http: 127.0.0.1:2\n";
+
+TEST(Settings, ErrorsNameFieldAndPlace)
+{
+    EXPECT_EQ(load_error(GOOD), "");
+    const struct {
+        std::string text;
+        const char *expected;
+    } cases[] = {
+        {GOOD + "colour: blue\n", "colour"},
+        {GOOD + "times:\n  fresh_ms: 9000\n",
+         "times.fresh_ms: 9000 is outside 500 to 2500 ms"},
+        {GOOD + "times:\n  fresh_ms: soon\n", "fresh_ms"},
+        {GOOD + "times:\n  heartbeat_ms: 400\n", "times.election_min_ms"},
+        {GOOD + "log:\n  level: loud\n", "log.level: 'loud'"},
+        {GOOD + "snapshot_entries: 5\n", "snapshot_entries: 5 is outside"},
+        {GOOD + "  - name: h1\n    data_centre: d\n    bus: 127.0.0.1:3\n"
+                "    http: 127.0.0.1:4\n",
+         "two are named 'h1'"},
+        {"host: h2" + GOOD.substr(8), "host: 'h2' is not one of hosts"},
+        {"hosts: 3\n", "hosts"},
+        {"", "s.yaml"},
+    };
+    for (const auto &one : cases) {
+        std::string why = load_error(one.text);
+        EXPECT_NE(why.find(one.expected), std::string::npos)
+            << "got: " << why << "\nfor: " << one.text;
+    }
+    std::string open = GOOD;
+    open.replace(open.find("127.0.0.1:1"), 11, "10.0.0.1:1");
+    EXPECT_NE(load_error(open).find("curve: is missing"), std::string::npos);
+}
+
+TEST(Settings, ExamplesOfBothSitesAreGood)
+{
+    for (const char *path : {"examples/kapnos.yaml",
+                             "examples/vigilancia.yaml"}) {
+        settings *s;
+        char why[700] = "";
+        ASSERT_EQ(settings_load(path, &s, why, sizeof(why)), FP_OK) << why;
+        EXPECT_EQ(s->hosts_count, 6u);
+        settings_free(s);
+    }
+}
+
+} // namespace
