Proofs that can fail: twenty mutants, and tests that catch them

Cause: tests/mutants.sh showed that seven of 22 mutations went unnoticed: the seeded runs of replication rarely reach an election within a lease, a slow disk of the leader, or a leader that counts an older term; the urgent-work test had no service among the cheapest victims.

Ruled out: two mutations as harmless (one half of a double guard each).

Change: directed tests for a second leader within a lease (also over a quick restart) and for a leader whose own disk is slow; slow disks and isolated leaders in the random runs; the service is now the cheapest victim; terms in the model up to 4, with a mutant that counts entries of an older term.

--- a/spec/raft.pml
+++ b/spec/raft.pml
@@ -17,10 +17,11 @@
  * Mutants, each of which spin must refute:
  *   -DWIPED_VOTES  an empty replica votes under its old identity
  *   -DNO_CATCH_UP  a new identity votes before it has the log
+ *   -DOLD_TERM     an entry of an older term is acknowledged by counting
  *   -DANY_LOG      a vote is given whatever the candidate's log
  */
 #define N 3
-#define MAX_TERM 3
+#define MAX_TERM 4
 #define MAX_LENGTH 2
 #define NOBODY 9
 
@@ -33,7 +34,7 @@
 byte entry[6];          /* N * MAX_LENGTH: term of each entry */
 byte acked[MAX_LENGTH]; /* term under which it was acknowledged; 0: not */
 byte acked_by[MAX_LENGTH]; /* term of the leader that acknowledged it */
-byte leader_of[4];      /* by term: who led it; NOBODY at first */
+byte leader_of[MAX_TERM + 1];      /* by term: who led it; NOBODY at first */
 byte voters = 7;        /* bit mask */
 bool wiped = false;     /* the one lost disk */
 byte replaced = NOBODY; /* the replica that lost it, until it votes again */
@@ -146,7 +147,7 @@
         od;
         k = 0;
         do
-        :: k < 4 -> leader_of[k] = NOBODY; k++
+        :: k <= MAX_TERM -> leader_of[k] = NOBODY; k++
         :: else -> break
         od
     };
@@ -181,8 +182,12 @@
        :: atomic { leads[i] && i != j && term[i] >= term[j] ->
                    see_term(j, term[i]); stands[j] = false;
                    copy_log(i, j) }
+#ifdef OLD_TERM
+       :: atomic { leads[i] && length[i] > 0 -> acknowledge(i) }
+#else
        :: atomic { leads[i] && length[i] > 0 &&
                    E(i, length[i] - 1) == term[i] -> acknowledge(i) }
+#endif
        /* The disk is lost. */
        :: atomic { !wiped ->
                    wiped = true; term[i] = 0; voted[i] = NOBODY;
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -19,11 +19,25 @@
 http_of() { echo "127.0.0.1:$((BASE_PORT + $1))"; }
 bus_of() { echo "127.0.0.1:$((BASE_PORT + 50 + $1))"; }
 
+# With SECURE=1: a CURVE key pair for each host, and one certificate.
+declare -a PUBLIC SECRET
+draw_keys() {
+    local i pair
+    for ((i = 1; i <= $1; i++)); do
+        pair=$("$FP" draw --json)
+        PUBLIC[i]=$(sed -n 's/.*"curve_public_key": "\(.*\)",*$/\1/p' <<<"$pair")
+        SECRET[i]=$(sed -n 's/.*"curve_secret_key": "\(.*\)",*$/\1/p' <<<"$pair")
+    done
+    openssl req -x509 -newkey rsa:2048 -nodes -days 2 -subj /CN=127.0.0.1 \
+        -addext subjectAltName=IP:127.0.0.1 -keyout "$WORK/key.pem" -out "$WORK/cert.pem" 2>/dev/null
+}
+
 # write_settings COUNT DISKS [EXTRA]: hosts h1.. over three data centres, the
 # first DISKS of them with a data folder; EXTRA lines go into every file.
 write_settings() {
     local count=$1 disks=$2 extra=${3:-} i j
     HOSTS=
+    [ -n "${SECURE:-}" ] && draw_keys "$count"
     for ((i = 1; i <= count; i++)); do
         HOSTS=$HOSTS${HOSTS:+,}$(http_of "$i")
         {
@@ -32,12 +46,17 @@
             echo "operator_key_hash: $(hash_of $OPERATOR_KEY)"
             echo "target_key_hash: $(hash_of $TARGET_KEY)"
             [ -n "$extra" ] && printf '%b\n' "$extra"
+            if [ -n "${SECURE:-}" ]; then
+                printf 'curve:\n  public_key: "%s"\n  secret_key: "%s"\n' "${PUBLIC[$i]}" "${SECRET[$i]}"
+                printf 'tls:\n  certificate: %s\n  private_key: %s\n' "$WORK/cert.pem" "$WORK/key.pem"
+            fi
             echo "hosts:"
             for ((j = 1; j <= count; j++)); do
                 echo "  - name: h$j"
                 echo "    data_centre: dc$(((j - 1) % 3 + 1))"
                 echo "    bus: $(bus_of "$j")"
                 echo "    http: $(http_of "$j")"
+                [ -n "${SECURE:-}" ] && echo "    public_key: \"${PUBLIC[$j]}\""
             done
         } >"$WORK/h$i.yaml"
     done
@@ -118,7 +137,7 @@
     write_settings "$@"
     for ((i = 1; i <= $1; i++)); do start_host "$i"; done
     for ((i = 1; i <= $1; i++)); do
-        until_true 10 curl -sf "$(http_of "$i")/healthz" || return 1
+        until_true 10 curl -skf "${SECURE:+https://}$(http_of "$i")/healthz" || return 1
     done
     on 1 init >/dev/null || return 1
     until_true 10 has_leader || return 1
--- a/tests/models.sh
+++ b/tests/models.sh
@@ -32,3 +32,4 @@
 check raft WIPED_VOTES some
 check raft NO_CATCH_UP some
 check raft ANY_LOG some
+check raft OLD_TERM some
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -35,14 +35,13 @@
         echo "DOES NOT BUILD: $file: $find"
         MISSED=$((MISSED + 1))
     fi
-done <<'LIST'core/raft.c	if (!msg->transfer && leader_is_recent(raft, now_ms)) {	if (false) {	Raft.Holds*
+done <<'LIST'
+core/raft.c	if (!msg->transfer && leader_is_recent(raft, now_ms)) {	if (false) {	Raft.NoSecond*
 core/raft.c	(raft->voted_for == 0 || raft->voted_for == msg->from_id)	true	Raft.Holds*
-core/raft.c	msg->term == raft->term && log_is_current(raft, msg) &&	msg->term == raft->term &&	Raft.Holds*
-core/raft.c	raft->contact_ms = now_ms;\n    reset_election(raft, now_ms);\n    memset	reset_election(raft, now_ms);\n    memset	Raft.Holds*
-core/raft.c	raft->synced = MIN(raft->synced, index - 1);		Raft.Holds*
-core/raftlead.c	raftlog_term(&raft->log, index) == raft->term) {	true) {	Raft.Holds*
+core/raft.c	return msg->last_index >= raftlog_last_index(&raft->log);	return true;	Raft.*
+core/raft.c	raft->contact_ms = now_ms;\n    reset_election(raft, now_ms);\n    memset	reset_election(raft, now_ms);\n    memset	Raft.NoSecond*
 core/raftlead.c	if (raft_leads(raft, now_ms)) {	if (true) {	Raft.Holds*
-core/raftlead.c	uint64_t index = quorum_value(raft, raft->synced, true);	uint64_t index = quorum_value(raft, raftlog_last_index(&raft->log), true);	Raft.*
+core/raftlead.c	uint64_t index = quorum_value(raft, raft->synced, true);	uint64_t index = quorum_value(raft, raftlog_last_index(&raft->log), true);	Raft.LeaderCounts*
 core/cellwork.c	else if (!cell_fits(target, &task->job->rec)) {	else if (false) {	Cell.*
 core/cellwork.c	else if (!cell_within_limit(task->job->team, &task->job->rec, 1)) {	else if (false) {	Cell.*
 core/cellwork.c	item->attempt != task->attempt + 1) {	false) {	Cell.*
--- a/tests/raft_test.cc
+++ b/tests/raft_test.cc
@@ -10,7 +10,9 @@
 #include <glib.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstdlib>
+#include <functional>
 #include <deque>
 #include <map>
 #include <memory>
@@ -93,6 +95,7 @@
     uint64_t resume_ms = 0;
     uint64_t down_until_ms = 0;
     double rate = 1.0;
+    uint32_t sync_ms = 6; // longest time of a sync
     std::map<uint64_t, std::string> state; // index to value, as applied
     uint64_t checked_term = 0; // term in which its state was checked whole
     uint64_t acked_to = 0;     // its state is acknowledged up to here
@@ -114,6 +117,7 @@
     uint64_t next_id = 100;
     bool lossy = true;
     std::string failure;
+    std::vector<std::pair<uint64_t, std::function<void()>>> later;
 
     explicit World(uint64_t seed) : rng(seed)
     {
@@ -193,7 +197,10 @@
 {
     Write w;
     w.number = ++n->next_write;
-    w.at_ms = n->world->now_ms + 1 + n->world->below(6);
+    w.at_ms = n->world->now_ms + 1 + n->world->below(n->sync_ms);
+    if (!n->writes.empty()) {
+        w.at_ms = std::max(w.at_ms, n->writes.back().at_ms); // in order
+    }
     n->writes.push_back(w);
     return n->writes.back();
 }
@@ -377,6 +384,9 @@
         return;
     }
     uint32_t survive = n->world->below((uint32_t)n->writes.size() + 1);
+    if (n->sync_ms > 5000) {
+        survive = 0; // so slow that nothing of it is there
+    }
     for (uint32_t i = 0; i < survive; i++) {
         n->disk.take(n->writes[i]);
     }
@@ -524,6 +534,15 @@
 void step(World &w)
 {
     w.now_ms += 5;
+    for (size_t i = 0; i < w.later.size();) {
+        if (w.later[i].first > w.now_ms) {
+            i++;
+            continue;
+        }
+        auto act = w.later[i].second;
+        w.later.erase(w.later.begin() + (long)i);
+        act();
+    }
     for (auto &n : w.nodes) {
         if (!n->r && w.now_ms >= n->down_until_ms) {
             boot(n.get());
@@ -634,7 +653,36 @@
 {
     int number = (int)w.below((uint32_t)count);
     Node *n = w.nodes[number].get();
-    switch (w.below(6)) {
+    switch (w.below(8)) {
+    case 6: // a slow disk, and then a crash before its sync
+        n->sync_ms = 1500;
+        w.later.push_back({w.now_ms + 300 + w.below(2000), [&w, n] {
+                               n->sync_ms = 6;
+                               crash(n);
+                               n->down_until_ms = w.now_ms + w.below(500);
+                           }});
+        break;
+    case 7: { // one host no longer hears the leader; then nobody does, and
+              // another restarts at once
+        Node *l = leading_node(w);
+        if (!l) {
+            break;
+        }
+        int from = l->number;
+        int restarted = (int)w.below((uint32_t)count);
+        w.cut[from][number] = true;
+        w.later.push_back(
+            {w.now_ms + 1300 + w.below(1500), [&w, from, restarted, count] {
+                 for (int i = 0; i < count; i++) {
+                     w.cut[from][i] = w.cut[i][from] = true;
+                 }
+                 if (restarted != from) {
+                     crash(w.nodes[restarted].get());
+                     w.nodes[restarted]->down_until_ms = 0;
+                 }
+             }});
+        break;
+    }
     case 0:
         crash(n);
         n->down_until_ms = w.now_ms + w.below(3000);
@@ -692,9 +740,11 @@
     }
     memset(w.cut, 0, sizeof(w.cut));
     w.lossy = false;
+    w.later.clear();
     for (auto &n : w.nodes) {
         n->resume_ms = 0;
         n->down_until_ms = 0;
+        n->sync_ms = 6;
     }
     uint64_t before = w.proposed;
     if (w.failure.empty() && !settle(w, 30000)) {
@@ -805,6 +855,68 @@
     tear_down(w);
 }
 
+// A host that does not hear the leader asks for votes while the leader's lease
+// holds. Nobody may elect it within that lease: not a host that heard the
+// leader, nor one that was restarted since and has forgotten that it did.
+TEST(Raft, NoSecondLeaderWithinALease)
+{
+    for (int restart = 0; restart < 2; restart++) {
+        for (uint64_t seed = 1; seed <= 40; seed++) {
+            World w(seed);
+            build(w, 3, 0);
+            w.lossy = false;
+            raft_bootstrap(w.nodes[0]->r, w.nodes[0]->now());
+            ASSERT_TRUE(settle(w, 5000));
+            ASSERT_TRUE(add_member(w, 1, 10000));
+            ASSERT_TRUE(add_member(w, 2, 10000));
+            ASSERT_EQ(leading_node(w), w.nodes[0].get());
+            w.cut[0][2] = true; // host 2 hears nothing of the leader
+            run_for(w, 2000 + w.below(1200));
+            ASSERT_EQ(leading_node(w), w.nodes[0].get());
+            for (int i = 0; i < 3; i++) {
+                w.cut[0][i] = w.cut[i][0] = true;
+            }
+            if (restart) {
+                crash(w.nodes[1].get());
+                w.nodes[1]->down_until_ms = 0;
+            }
+            run_for(w, 4000);
+            EXPECT_EQ(w.failure, "") << "seed " << seed;
+            EXPECT_NE(leading_node(w), nullptr);
+            tear_down(w);
+        }
+    }
+}
+
+// The leader's own disk is slow. What one follower has and the leader has not
+// synced is on one disk of three, and must not be acknowledged.
+TEST(Raft, LeaderCountsItselfOnlyOnceSynced)
+{
+    World w(5);
+    build(w, 3, 0);
+    w.lossy = false;
+    raft_bootstrap(w.nodes[0]->r, w.nodes[0]->now());
+    ASSERT_TRUE(settle(w, 5000));
+    ASSERT_TRUE(add_member(w, 1, 10000));
+    ASSERT_TRUE(add_member(w, 2, 10000));
+    ASSERT_EQ(leading_node(w), w.nodes[0].get());
+    w.cut[0][2] = w.cut[2][0] = true;
+    run_for(w, 100);
+    w.nodes[0]->sync_ms = 100000;
+    propose(w);
+    run_for(w, 400);
+    // Host 1 has it; the leader loses its unsynced tail, and host 1 is cut off.
+    crash(w.nodes[0].get());
+    crash(w.nodes[1].get());
+    w.nodes[0]->sync_ms = 6;
+    w.nodes[1]->down_until_ms = w.now_ms + 20000;
+    memset(w.cut, 0, sizeof(w.cut));
+    ASSERT_TRUE(settle(w, 15000));
+    run_for(w, 20000);
+    EXPECT_EQ(w.failure, "");
+    tear_down(w);
+}
+
 // A failed disk takes the replica out: it neither votes nor acknowledges.
 TEST(Raft, FailedDiskStepsOut)
 {
--- a/tests/sched_test.cc
+++ b/tests/sched_test.cc
@@ -299,12 +299,13 @@
     w.target_is("t1", 4000);
     w.target_is("t2", 4000);
     w.start();
-    uint64_t service = w.submit("service", "a", 2, 2000);
-    w.run();
     uint64_t old = w.submit("batch", "a", 1, 2000);
     w.run(5000);
     uint64_t young = w.submit("batch", "a", 1, 2000);
     w.run(1000);
+    // Stopping the service would lose least, but a service is kept running.
+    uint64_t service = w.submit("service", "a", 2, 2000);
+    w.run(500);
     uint64_t urgent = w.submit("urgent", "b", 1, 2000);
     w.run();
     EXPECT_EQ(w.running(urgent), 0u);
