Leader: heartbeats bounded, only leases with news are looked at

Cause: tests/bench-targets.sh at 2,000 idle targets: the leader spent 17.9% of a core on 2,000 heartbeats a second, and walked through all 2,000 leases in each turn of the loop and again every 10 ms.

Ruled out: the scheduler's pass (no decisions were due) and replication (the followers' 7% fell with the heartbeats, which they forward).

Change: an answer is held 1 s to a quarter of the lease, longer the more targets there are; leases with news stand in a list; time-bound ones are looked at every 50 ms. Orders still go out at once.

--- a/bench/route.c
+++ b/bench/route.c
@@ -288,6 +288,21 @@
     route_offer(choosing->route, &one->call, choosing->now_ms);
 }
 
+/* Seven tenths of what twelve good instances could do in a millisecond. */
+static uint32_t
+offer_due(struct choosing *choosing)
+{
+    double due = 0.7 * INSTANCES * DEFAULT_SLOTS / MEAN_MS;
+    uint32_t whole = (uint32_t)due;
+    uint32_t count =
+        whole + (g_rand_double(choosing->work) < due - whole ? 1 : 0);
+
+    for (uint32_t i = 0; i < count; i++) {
+        offer_one(choosing);
+    }
+    return count;
+}
+
 static json_t *
 run_choice(enum route_choice choice, const char *name)
 {
@@ -313,13 +328,7 @@
         end_due(choosing);
         route_tick(choosing->route, choosing->now_ms);
         /* Seven tenths of what twelve good instances could do. */
-        for (double due = 0.7 * INSTANCES * DEFAULT_SLOTS / MEAN_MS; due > 0;
-             due -= 1) {
-            if (due >= 1 || g_rand_double(choosing->work) < due) {
-                offer_one(choosing);
-                offered++;
-            }
-        }
+        offered += offer_due(choosing);
     }
     count = choosing->latencies->len;
     g_array_sort(choosing->latencies, compare_u64);
--- a/bench/standin.c
+++ b/bench/standin.c
@@ -16,6 +16,8 @@
 #include "node/httpd.h"
 
 #define TICK_MS 2u
+#define COPIES_TICK_MS 50u /* many in one process */
+#define COPIES_MAX 5000u
 #define PAUSE_MS 100u     /* after a host could not be reached */
 #define PATIENCE_MS 4000u /* for the answer to a heartbeat */
 #define DEFAULT_RUN_MS 100u
@@ -531,7 +533,9 @@
     standin->delayed = g_array_new(FALSE, TRUE, sizeof(struct delayed));
     standin->timers = timers_new(loop);
     standin->fetcher = fetcher_new(loop);
-    timers_subscribe(standin->timers, TICK_MS, on_tick, standin);
+    timers_subscribe(standin->timers,
+                     options->tick_ms ? options->tick_ms : TICK_MS, on_tick,
+                     standin);
     if (options->target.address[0] == '\0') {
         return FP_OK;
     }
@@ -563,7 +567,13 @@
     "owner_clean", "was_owned", "given_labels", "labels_version",
     "version",     NULL};
 
-enum { KEY_JOURNAL = 1024, KEY_FAIL_ALL, KEY_STOP_MS, KEY_ANSWER_MS };
+enum {
+    KEY_JOURNAL = 1024,
+    KEY_FAIL_ALL,
+    KEY_STOP_MS,
+    KEY_ANSWER_MS,
+    KEY_COPIES
+};
 
 static const struct argp_option MORE[] = {
     {"journal", KEY_JOURNAL, "FILE", 0,
@@ -571,12 +581,21 @@
     {"fail-all", KEY_FAIL_ALL, NULL, 0, "fail every task at once", 2},
     {"stop-ms", KEY_STOP_MS, "N", 0, "time that a checkpoint takes", 2},
     {"answer-ms", KEY_ANSWER_MS, "N", 0, "time that a request takes", 2},
+    {"copies", KEY_COPIES, "N", 0,
+     "so many targets NAME-N that serve no requests, in one process", 2},
     {NULL, 0, NULL, 0, NULL, 0}};
 
+/* What the subcommand takes besides the record of the target. */
+struct standin_arguments {
+    struct standin_options options;
+    uint32_t copies;
+};
+
 static bool
 take_more(void *ctx, int key, const char *arg)
 {
-    struct standin_options *options = ctx;
+    struct standin_arguments *arguments = ctx;
+    struct standin_options *options = &arguments->options;
     uint64_t number = 0;
 
     switch (key) {
@@ -594,6 +613,9 @@
     if (key == KEY_STOP_MS) {
         options->stop_ms = (uint32_t)number;
     }
+    else if (key == KEY_COPIES) {
+        arguments->copies = (uint32_t)MIN(number, COPIES_MAX);
+    }
     else {
         options->answer_ms = (uint32_t)number;
     }
@@ -626,15 +648,39 @@
     }
 }
 
+/* Starts all copies, or one target under its plain name. */
+static enum fp_err
+start_all(struct cli *cli, struct standin_arguments *arguments,
+          const char *name, struct standin **all, char *why, size_t why_bytes)
+{
+    struct change_target *target = &arguments->options.target;
+    uint32_t count = MAX(arguments->copies, 1);
+    enum fp_err err = FP_OK;
+
+    for (uint32_t i = 0; i < count && err == FP_OK; i++) {
+        if (arguments->copies == 0) {
+            g_strlcpy(target->name, name, sizeof(target->name));
+        }
+        else {
+            snprintf(target->name, sizeof(target->name), "%.40s-%05u", name,
+                     i);
+            arguments->options.tick_ms = COPIES_TICK_MS;
+        }
+        err = standin_new(uv_default_loop(), cli, &arguments->options, &all[i],
+                          why, why_bytes);
+    }
+    return err;
+}
+
 int
 standin_main(struct cli *cli, int argc, char **argv)
 {
-    struct standin_options options = {.stop_ms = 0};
+    struct standin_arguments arguments = {.copies = 0};
     const char *words[1] = {NULL};
     struct cli_parse parse = {
         .cli = cli,
         .schema = &CHANGE_TARGET_SCHEMA,
-        .record = &options.target,
+        .record = &arguments.options.target,
         .skip = SKIPPED,
         .usage = "NAME",
         .doc = "Runs a stand-in target: it announces itself, runs tasks for "
@@ -645,8 +691,8 @@
         .max_words = 1,
         .more = MORE,
         .take_more = take_more,
-        .ctx = &options};
-    struct standin *standin;
+        .ctx = &arguments};
+    struct standin **all;
     uv_signal_t signals;
     char why[200];
     enum fp_err err;
@@ -657,17 +703,20 @@
     }
     log_open(false, G_LOG_LEVEL_MESSAGE);
     signal(SIGPIPE, SIG_IGN);
-    g_strlcpy(options.target.name, words[0], sizeof(options.target.name));
-    err = standin_new(uv_default_loop(), cli, &options, &standin, why,
-                      sizeof(why));
+    all = g_new0(struct standin *, MAX(arguments.copies, 1));
+    err = start_all(cli, &arguments, words[0], all, why, sizeof(why));
     if (err != FP_OK) {
+        g_free(all);
         return cli_error(err, "%s", why);
     }
-    timers_subscribe(standin->timers, PAUSE_MS, on_leave_tick, standin);
+    timers_subscribe(all[0]->timers, PAUSE_MS, on_leave_tick, all[0]);
     uv_signal_init(uv_default_loop(), &signals);
-    signals.data = standin;
+    signals.data = all[0];
     uv_signal_start(&signals, on_signal, SIGTERM);
     uv_run(uv_default_loop(), UV_RUN_DEFAULT);
-    standin_free(standin);
+    for (uint32_t i = 0; i < MAX(arguments.copies, 1); i++) {
+        standin_free(all[i]);
+    }
+    g_free(all);
     return 0;
 }
--- a/bench/standin.h
+++ b/bench/standin.h
@@ -19,6 +19,7 @@
     bool fail_all;       /* every task fails at once */
     uint32_t stop_ms;    /* time that a checkpoint takes */
     uint32_t answer_ms;  /* time that every request takes */
+    uint32_t tick_ms;    /* how often it looks what is due; 0: 2 */
 };
 
 struct standin;
--- a/node/leader.c
+++ b/node/leader.c
@@ -8,6 +8,7 @@
 #include "node/heartbeat.h"
 
 #define DECISIONS_A_ROUND 1000u
+#define LOOK_EVERY_MS 50u /* at leases, holds and waits that end by time */
 
 /* One target's lease and its held heartbeat. */
 struct lease {
@@ -44,6 +45,8 @@
     struct sched *sched;
     GHashTable *leases; /* target name to struct lease */
     GHashTable *ending; /* task ID to attempt: an end is proposed */
+    GPtrArray *woken;   /* struct lease that there is news for */
+    uint64_t look_ms;   /* when to look at all of them next */
     bool dirty;         /* the scheduler has something to look at */
     uint64_t since_ms;
     uint64_t sched_us;     /* spent in the scheduler */
@@ -126,14 +129,21 @@
                     on_placed, placing);
 }
 
+static void
+wake_lease(struct leader *leader, struct lease *lease)
+{
+    if (!lease->woken) {
+        lease->woken = true;
+        g_ptr_array_add(leader->woken, lease);
+    }
+}
+
 static void
 on_wake(void *ctx, struct target *target)
 {
     struct leader *leader = ctx;
 
-    if (leader->leases != NULL) {
-        lease_of(leader, target->rec.name)->woken = true;
-    }
+    wake_lease(leader, lease_of(leader, target->rec.name));
 }
 
 /* An end that is proposed, so that later heartbeats do not propose it again.
@@ -439,6 +449,16 @@
     }
 }
 
+static uint64_t
+hold_ms(const struct leader *leader)
+{
+    uint64_t targets =
+        g_hash_table_size(replica_cell(leader->replica)->targets);
+    uint64_t most = leader->settings->times.task_lease_ms / LEADER_HOLD_PART;
+
+    return MIN(MAX(targets * 1000 / LEADER_HEARTBEATS, LEADER_HOLD_MS), most);
+}
+
 static void
 hold_heartbeat(struct leader *leader, struct lease *lease, uint64_t ask,
                struct heartbeat *heartbeat)
@@ -452,10 +472,10 @@
     lease->heartbeat = *heartbeat;
     lease->ask = ask;
     lease->came_ms = now_ms;
-    lease->hold_until_ms = now_ms + LEADER_HOLD_MS;
+    lease->hold_until_ms = now_ms + hold_ms(leader);
     lease->cpu_used_milli = heartbeat->cpu_used_milli;
     lease->memory_used_mb = heartbeat->memory_used_mb;
-    lease->woken = true;
+    wake_lease(leader, lease);
 }
 
 static void
@@ -569,6 +589,7 @@
     leader->since_ms = clock_mono_ms();
     leader->leases =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_lease);
+    leader->woken = g_ptr_array_new();
     leader->ending =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     leader->sched = sched_new(replica_cell(replica), &SCHED_POLICY, &ops,
@@ -586,6 +607,7 @@
     leader->box->leader = NULL;
     box_give_back(leader->box);
     sched_free(leader->sched);
+    g_ptr_array_free(leader->woken, TRUE);
     g_hash_table_destroy(leader->leases);
     g_hash_table_destroy(leader->ending);
     g_free(leader);
@@ -655,22 +677,39 @@
     leader->sched_max_us = MAX(leader->sched_max_us, took_us);
 }
 
+/* Only leases with news are looked at; answering may wake further ones. */
+static void
+consider_woken(struct leader *leader, uint64_t now_ms)
+{
+    while (leader->woken->len > 0) {
+        struct lease *lease = leader->woken->pdata[leader->woken->len - 1];
+
+        g_ptr_array_set_size(leader->woken, (gint)leader->woken->len - 1);
+        lease->woken = false;
+        consider_held(leader, lease, now_ms);
+    }
+}
+
 void
 leader_flush(struct leader *leader, uint64_t now_ms)
 {
-    GHashTableIter iter;
-    struct lease *lease;
-
     if (leader->dirty && replica_leads(leader->replica)) {
         leader->dirty = false;
         run_decisions(leader, now_ms);
     }
+    consider_woken(leader, now_ms);
+}
+
+static void
+wake_held_too_long(struct leader *leader, uint64_t now_ms)
+{
+    GHashTableIter iter;
+    struct lease *lease;
+
     g_hash_table_iter_init(&iter, leader->leases);
     while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&lease)) {
-        if (lease->woken ||
-            (lease->ask != 0 && now_ms >= lease->hold_until_ms)) {
-            lease->woken = false;
-            consider_held(leader, lease, now_ms);
+        if (lease->ask != 0 && now_ms >= lease->hold_until_ms) {
+            wake_lease(leader, lease);
         }
     }
 }
@@ -678,7 +717,12 @@
 void
 leader_tick(struct leader *leader, uint64_t now_ms)
 {
+    if (now_ms < leader->look_ms) {
+        return;
+    }
+    leader->look_ms = now_ms + LOOK_EVERY_MS;
     leader->dirty = true;
+    wake_held_too_long(leader, now_ms);
     expire_leases(leader, now_ms);
 }
 
--- a/node/leader.h
+++ b/node/leader.h
@@ -1,7 +1,7 @@
 /* leader.h -- what only the leader does: leases of targets and placement
  *
  * Exists while this host leads. Targets call in with heartbeats; an answer is
- * held back up to LEADER_HOLD_MS until there is something to tell, so that an
+ * held back for a second or more until there is something to tell, so that an
  * order reaches its target at once without a connection towards it.
  *
  * A target's lease runs from the moment at which it sent the heartbeat that
@@ -16,7 +16,13 @@
 #include "core/sched.h"
 #include "node/replica.h"
 
+/* An answer is held this long at least; longer, up to a quarter of the lease,
+ * the more targets there are, so that heartbeats come at LEADER_HEARTBEATS a
+ * second at most as long as the lease allows it. Orders go out at once anyhow.
+ */
 #define LEADER_HOLD_MS 1000u
+#define LEADER_HEARTBEATS 400u
+#define LEADER_HOLD_PART 4u
 #define LEADER_DRIFT_PERMILLE 10u
 #define LEADER_MARGIN_MS 200u
 
