--- a/core/sched.c
+++ b/core/sched.c
@@ -1,4 +1,4 @@
-/* sched.c -- events, waiting lines and the order of decisions */
+/* sched.c -- events and the order of decisions */
 #include "core/sched.h"
 
 #include <stdio.h>
@@ -90,311 +90,6 @@
     return entry;
 }
 
-static char *
-class_key(const struct job *job, const struct domain *domain)
-{
-    const struct change_submit *rec = &job->rec;
-
-    return g_strdup_printf("%s\n%u\n%u\n%u\n%u\n%s", rec->team, rec->kind,
-                           rec->cpu_milli, rec->memory_mb, rec->accel,
-                           domain->key);
-}
-
-static struct work_class *
-class_of(struct sched *sched, struct job *job)
-{
-    struct domain *domain = sched_domain(sched, job);
-    char *key = class_key(job, domain);
-    struct work_class *cls = g_hash_table_lookup(sched->classes, key);
-
-    if (cls != NULL) {
-        g_free(key);
-        return cls;
-    }
-    cls = g_new0(struct work_class, 1);
-    cls->key = key;
-    cls->team = job->team;
-    cls->domain = domain;
-    cls->size = job->rec;
-    cls->size.payload.data = NULL;
-    cls->size.payload.size_bytes = 0;
-    domain->users++;
-    g_hash_table_insert(sched->classes, cls->key, cls);
-    return cls;
-}
-
-/* Puts a wait in line: at the end, or at its front when it was there before.
- */
-static void
-link_wait(struct sched *sched, struct wait *wait, bool front)
-{
-    struct work_class *cls = wait->cls;
-
-    if (cls->count == 0) {
-        g_ptr_array_add(sched_team_of(sched, cls->team)->classes, cls);
-        cls->blocked_since_ms = 0;
-    }
-    if (front) {
-        wait->next = cls->first;
-        wait->prev = NULL;
-    }
-    else {
-        wait->prev = cls->last;
-        wait->next = NULL;
-    }
-    if (wait->prev != NULL) {
-        wait->prev->next = wait;
-    }
-    else {
-        cls->first = wait;
-    }
-    if (wait->next != NULL) {
-        wait->next->prev = wait;
-    }
-    else {
-        cls->last = wait;
-    }
-    cls->count++;
-    cls->block = SCHED_BLOCK_NONE;
-    cls->seen_freed = 0;
-}
-
-static void
-unlink_wait(struct sched *sched, struct wait *wait)
-{
-    struct work_class *cls = wait->cls;
-
-    if (wait->prev != NULL) {
-        wait->prev->next = wait->next;
-    }
-    else {
-        cls->first = wait->next;
-    }
-    if (wait->next != NULL) {
-        wait->next->prev = wait->prev;
-    }
-    else {
-        cls->last = wait->prev;
-    }
-    cls->count--;
-    if (cls->count == 0) {
-        g_ptr_array_remove_fast(sched_team_of(sched, cls->team)->classes, cls);
-    }
-}
-
-static gint
-by_retry(gconstpointer a, gconstpointer b, gpointer ctx)
-{
-    uint64_t x = ((const struct wait *)a)->task->retry_at_ms;
-    uint64_t y = ((const struct wait *)b)->task->retry_at_ms;
-
-    (void)ctx;
-    return x < y ? -1 : x > y;
-}
-
-static struct wait *
-enter_wait(struct sched *sched, struct task *task)
-{
-    struct wait *wait = g_new0(struct wait, 1);
-
-    wait->task = task;
-    wait->cls = class_of(sched, task->job);
-    wait->cls->users++;
-    if (wait->cls->size.accel > 0) {
-        sched_note_accel_work(sched, &wait->cls->size);
-    }
-    if (task->retry_at_ms > sched->wall_ms) {
-        wait->delayed =
-            g_sequence_insert_sorted(sched->delayed, wait, by_retry, NULL);
-    }
-    else {
-        link_wait(sched, wait, task->attempt > 0);
-    }
-    return wait;
-}
-
-static void
-leave_wait(struct sched *sched, struct wait *wait)
-{
-    if (wait->delayed != NULL) {
-        g_sequence_remove(wait->delayed);
-    }
-    else if (!wait->proposed) {
-        unlink_wait(sched, wait);
-    }
-    wait->cls->users--;
-    g_free(wait);
-}
-
-static void
-release_delayed(struct sched *sched)
-{
-    GSequenceIter *iter = g_sequence_get_begin_iter(sched->delayed);
-
-    while (!g_sequence_iter_is_end(iter)) {
-        struct wait *wait = g_sequence_get(iter);
-
-        if (wait->task->retry_at_ms > sched->wall_ms) {
-            return;
-        }
-        g_sequence_remove(iter);
-        wait->delayed = NULL;
-        link_wait(sched, wait, true);
-        iter = g_sequence_get_begin_iter(sched->delayed);
-    }
-}
-
-static struct gang *
-gang_of(struct job *job)
-{
-    if (job->sched == NULL) {
-        job->sched = g_new0(struct gang, 1);
-    }
-    return job->sched;
-}
-
-/* The first task that has not ended stands for its gang in line. */
-static struct task *
-first_open(struct job *job)
-{
-    for (uint32_t i = 0; i < job->rec.count; i++) {
-        if (job->tasks[i].state == TASK_WAITING) {
-            return &job->tasks[i];
-        }
-    }
-    return NULL;
-}
-
-static void
-update_gang_line(struct sched *sched, struct job *job)
-{
-    struct gang *gang = gang_of(job);
-    bool ready = gang->waiting > 0 && gang->running == 0;
-
-    if (ready && gang->wait == NULL) {
-        gang->wait = enter_wait(sched, first_open(job));
-    }
-    else if (!ready && gang->wait != NULL && !gang->wait->proposed) {
-        leave_wait(sched, gang->wait);
-        gang->wait = NULL;
-    }
-}
-
-/* One task of a gang ended badly: the others yield, and all start again. */
-static void
-yield_gang(struct sched *sched, struct job *job)
-{
-    for (uint32_t i = 0; i < job->rec.count; i++) {
-        if (job->tasks[i].state == TASK_RUNNING) {
-            sched_yield_task(sched, &job->tasks[i], SCHED_CHECKPOINT);
-        }
-    }
-}
-
-static void
-gang_changed(struct sched *sched, struct task *task, enum task_state was,
-             bool entered)
-{
-    struct gang *gang = gang_of(task->job);
-
-    if (!entered && was == TASK_WAITING && gang->waiting > 0) {
-        gang->waiting--;
-    }
-    if (!entered && was == TASK_RUNNING && gang->running > 0) {
-        gang->running--;
-    }
-    if (task->state == TASK_WAITING) {
-        gang->waiting++;
-    }
-    if (task->state == TASK_RUNNING) {
-        gang->running++;
-    }
-    if (gang->wait != NULL && (gang->wait->proposed || gang->running > 0 ||
-                               gang->wait->task->state != TASK_WAITING)) {
-        leave_wait(sched, gang->wait);
-        gang->wait = NULL;
-    }
-    if (was == TASK_RUNNING && task->state == TASK_WAITING) {
-        yield_gang(sched, task->job);
-    }
-    update_gang_line(sched, task->job);
-    if (sched->reserved_for == task->job && gang->running > 0) {
-        sched_release_reservation(sched);
-    }
-}
-
-static void
-single_changed(struct sched *sched, struct task *task)
-{
-    struct wait *wait = task->sched;
-
-    if (wait != NULL && (task->state != TASK_WAITING || wait->proposed)) {
-        leave_wait(sched, wait);
-        task->sched = NULL;
-        wait = NULL;
-    }
-    if (task->state == TASK_WAITING && wait == NULL) {
-        task->sched = enter_wait(sched, task);
-    }
-}
-
-static struct learned *
-learned_of(const struct sched *sched, const struct job *job, bool make)
-{
-    char *key = g_strdup_printf("%s\n%s\n%s", job->rec.team, job->rec.queue,
-                                job->rec.labels);
-    struct learned *learned = g_hash_table_lookup(sched->learned, key);
-
-    if (learned != NULL || !make) {
-        g_free(key);
-        return learned;
-    }
-    learned = g_new0(struct learned, 1);
-    learned->key = key;
-    g_hash_table_insert(sched->learned, learned->key, learned);
-    return learned;
-}
-
-static void
-learn(struct sched *sched, const struct task *task)
-{
-    struct learned *learned = learned_of(sched, task->job, true);
-    uint64_t took = task->ended_ms > task->started_ms
-                        ? task->ended_ms - task->started_ms
-                        : 1;
-
-    learned->run_ms[learned->count % SCHED_LEARN_RUNS] =
-        (uint32_t)MIN(took, UINT32_MAX);
-    learned->count++;
-}
-
-static int
-compare_u32(const void *a, const void *b)
-{
-    uint32_t x = *(const uint32_t *)a;
-    uint32_t y = *(const uint32_t *)b;
-
-    return x < y ? -1 : x > y;
-}
-
-/* An upper quantile of what was seen, since declared run times are far off.
- */
-uint64_t
-sched_expected_run_ms(const struct sched *sched, const struct job *job)
-{
-    const struct learned *learned = learned_of(sched, job, false);
-    uint32_t sorted[SCHED_LEARN_RUNS];
-    uint32_t count;
-
-    if (learned == NULL || learned->count < 3) {
-        return job->rec.run_ms ? job->rec.run_ms : SCHED_DEFAULT_RUN_MS;
-    }
-    count = MIN(learned->count, SCHED_LEARN_RUNS);
-    memcpy(sorted, learned->run_ms, count * sizeof(sorted[0]));
-    qsort(sorted, count, sizeof(sorted[0]), compare_u32);
-    return sorted[(count - 1) * 9 / 10];
-}
-
 void
 sched_yield_task(struct sched *sched, struct task *task,
                  enum sched_order order)
@@ -420,7 +115,7 @@
 
     g_hash_table_remove(sched->yielding, &task->id);
     if (task->last_outcome == END_DONE) {
-        learn(sched, task);
+        sched_learn(sched, task);
     }
     if (host != NULL) {
         sched_note_result(sched, host, task);
@@ -462,10 +157,10 @@
         return;
     }
     if (task->job->rec.kind == WORK_GANG) {
-        gang_changed(sched, task, was, entered);
+        sched_gang_changed(sched, task, was, entered);
     }
     else {
-        single_changed(sched, task);
+        sched_single_changed(sched, task);
     }
 }
 
@@ -533,7 +228,7 @@
 {
     struct work_class *cls = wait->cls;
 
-    unlink_wait(sched, wait);
+    sched_unlink_wait(sched, wait);
     wait->proposed = true;
     count_as_taken(sched, host, cls->team, &cls->size);
     if (host->probation_ms != 0) {
@@ -555,7 +250,7 @@
     struct place_item *items = g_new0(struct place_item, hosts->len);
     uint32_t count = 0;
 
-    unlink_wait(sched, wait);
+    sched_unlink_wait(sched, wait);
     wait->proposed = true;
     for (uint32_t i = 0; i < job->rec.count && count < hosts->len; i++) {
         if (job->tasks[i].state == TASK_WAITING) {
@@ -599,18 +294,18 @@
     struct wait *wait = task->sched;
 
     if (task->job->rec.kind == WORK_GANG) {
-        struct gang *gang = gang_of(task->job);
+        struct gang *gang = sched_gang_of(task->job);
 
         if (gang->wait != NULL && gang->wait->proposed) {
-            leave_wait(sched, gang->wait);
+            sched_leave_wait(sched, gang->wait);
             gang->wait = NULL;
         }
-        update_gang_line(sched, task->job);
+        sched_update_gang_line(sched, task->job);
         return;
     }
     if (wait != NULL && wait->proposed && task->state == TASK_WAITING) {
         wait->proposed = false;
-        link_wait(sched, wait, true);
+        sched_link_wait(sched, wait, true);
     }
 }
 
@@ -694,7 +389,7 @@
 try_gang(struct sched *sched, struct work_class *cls, struct wait *wait)
 {
     struct job *job = wait->task->job;
-    uint32_t need = gang_of(job)->waiting;
+    uint32_t need = sched_gang_of(job)->waiting;
     GPtrArray *hosts;
     bool ok = false;
 
@@ -918,10 +613,10 @@
 
             if (task->state == TASK_WAITING || task->state == TASK_RUNNING) {
                 if (job->rec.kind == WORK_GANG) {
-                    gang_changed(sched, task, TASK_WAITING, true);
+                    sched_gang_changed(sched, task, TASK_WAITING, true);
                 }
                 else {
-                    single_changed(sched, task);
+                    sched_single_changed(sched, task);
                 }
             }
             if (task->state == TASK_RUNNING && task->cancelling) {
@@ -950,14 +645,14 @@
 
             if (wait != NULL) {
                 job->tasks[i].sched = NULL;
-                leave_wait(sched, wait);
+                sched_leave_wait(sched, wait);
             }
         }
         if (job->sched != NULL) {
             struct gang *gang = job->sched;
 
             if (gang->wait != NULL) {
-                leave_wait(sched, gang->wait);
+                sched_leave_wait(sched, gang->wait);
             }
             g_free(gang);
             job->sched = NULL;
@@ -1023,7 +718,7 @@
     if (sched->check_running) {
         sched_check_running(sched);
     }
-    release_delayed(sched);
+    sched_release_delayed(sched);
     sched_count_accel(sched);
     if (sched->reserved_for != NULL &&
         now_ms > sched->reserved_at_ms + SCHED_RESERVE_MAX_MS) {
@@ -1045,155 +740,6 @@
     return taken;
 }
 
-/* Throttling is derived from the hours each time, never stored. */
-static bool
-is_throttled(const struct sched *sched, const struct task *task)
-{
-    GHashTableIter iter;
-    struct hours *hours;
-
-    g_hash_table_iter_init(&iter, sched->cell->hours);
-    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&hours)) {
-        if (hours->conf.action == HOURS_THROTTLE &&
-            selector_match(hours->work, task->job->rec.labels) &&
-            selector_match(hours->hosts, task->target->labels) &&
-            sched_hours_active(&hours->conf, sched->wall_ms)) {
-            return true;
-        }
-    }
-    return false;
-}
-
-enum sched_order
-sched_order(const struct sched *sched, const struct task *task)
-{
-    const struct yielding *yielding =
-        g_hash_table_lookup(sched->yielding, &task->id);
-
-    if (task->cancelling) {
-        return SCHED_STOP;
-    }
-    if (yielding != NULL && yielding->attempt == task->attempt) {
-        return yielding->order;
-    }
-    return is_throttled(sched, task) ? SCHED_THROTTLE : SCHED_RUN;
-}
-
-const char *
-sched_block_name(enum sched_block block)
-{
-    static const char *const names[SCHED_BLOCK_COUNT] = {
-        "next in line", "starting",         "backoff",
-        "team limit",   "quiet hours",      "no matching target",
-        "no room",      "rest of its gang", "smaller shares first"};
-
-    return names[block];
-}
-
-static uint32_t
-place_in_line(const struct wait *wait)
-{
-    uint32_t place = 1;
-
-    for (const struct wait *at = wait->prev; at != NULL; at = at->prev) {
-        place++;
-    }
-    return place;
-}
-
-/* Rough: the line ahead, one run time for each batch that the running tasks of
- * the same team make up. No estimate without learned run times.
- */
-static uint64_t
-estimate(const struct sched *sched, const struct wait *wait, uint32_t place)
-{
-    const struct job *job = wait->task->job;
-    uint64_t run_ms = sched_expected_run_ms(sched, job);
-    uint32_t running = job->team->use.running;
-
-    if (learned_of(sched, job, false) == NULL || running == 0) {
-        return 0;
-    }
-    return run_ms * place / running;
-}
-
-static void
-explain_line(const struct sched *sched, const struct wait *wait,
-             struct sched_reason *reason)
-{
-    const struct work_class *cls = wait->cls;
-    const struct change_submit *size = &cls->size;
-
-    reason->block = cls->block;
-    reason->place = place_in_line(wait);
-    reason->estimate_ms = estimate(sched, wait, reason->place);
-    switch (cls->block) {
-    case SCHED_BLOCK_LIMIT:
-        snprintf(reason->text, sizeof(reason->text),
-                 "team %s is at its upper limit: %u tasks running, %u units "
-                 "granted to requests",
-                 cls->team->conf.name, cls->team->use.running,
-                 cls->team->granted);
-        break;
-    case SCHED_BLOCK_ROOM:
-        snprintf(reason->text, sizeof(reason->text),
-                 "none of %u matching targets has %u cpu_milli, %u MB and %u "
-                 "accel free",
-                 cls->domain->hosts->len, size->cpu_milli, size->memory_mb,
-                 size->accel);
-        break;
-    case SCHED_BLOCK_HOURS:
-        snprintf(reason->text, sizeof(reason->text),
-                 "quiet hours hold on every matching target");
-        break;
-    case SCHED_BLOCK_NO_HOST:
-        snprintf(reason->text, sizeof(reason->text),
-                 "no target that is up matches the selectors");
-        break;
-    default:
-        snprintf(reason->text, sizeof(reason->text),
-                 "place %u in the line of team %s", reason->place,
-                 cls->team->conf.name);
-    }
-}
-
-void
-sched_why(struct sched *sched, const struct task *task,
-          struct sched_reason *reason)
-{
-    bool is_gang = task->job->rec.kind == WORK_GANG;
-    const struct gang *gang = is_gang ? gang_of(task->job) : NULL;
-    const struct wait *wait = is_gang ? gang->wait : task->sched;
-
-    memset(reason, 0, sizeof(*reason));
-    if (task->state != TASK_WAITING) {
-        snprintf(reason->text, sizeof(reason->text), "the task is %s",
-                 TASK_STATE_NAMES[task->state]);
-        return;
-    }
-    if (wait == NULL) {
-        reason->block = is_gang ? SCHED_BLOCK_GANG : SCHED_BLOCK_NONE;
-        snprintf(reason->text, sizeof(reason->text),
-                 "waits for the rest of its gang to stop");
-        return;
-    }
-    if (wait->proposed) {
-        reason->block = SCHED_BLOCK_STARTING;
-        snprintf(reason->text, sizeof(reason->text), "is being started");
-        return;
-    }
-    if (wait->delayed != NULL) {
-        reason->block = SCHED_BLOCK_RETRY;
-        reason->estimate_ms = wait->task->retry_at_ms > sched->wall_ms
-                                  ? wait->task->retry_at_ms - sched->wall_ms
-                                  : 0;
-        snprintf(reason->text, sizeof(reason->text),
-                 "waits out a backoff after %u failures", task->failures);
-        return;
-    }
-    explain_line(sched, wait, reason);
-}
-
 uint64_t
 sched_retry_at(const struct sched *sched, const struct task *task,
                uint64_t wall_ms)
--- a/core/schedpriv.h
+++ b/core/schedpriv.h
@@ -168,6 +168,21 @@
 uint64_t sched_expected_run_ms(const struct sched *sched,
                                const struct job *job);
 
+/* schedline.c */
+void sched_link_wait(struct sched *sched, struct wait *wait, bool front);
+void sched_unlink_wait(struct sched *sched, struct wait *wait);
+void sched_leave_wait(struct sched *sched, struct wait *wait);
+void sched_release_delayed(struct sched *sched);
+struct gang *sched_gang_of(struct job *job);
+void sched_update_gang_line(struct sched *sched, struct job *job);
+void sched_gang_changed(struct sched *sched, struct task *task,
+                        enum task_state was, bool entered);
+void sched_single_changed(struct sched *sched, struct task *task);
+
+/* schedlearn.c */
+void sched_learn(struct sched *sched, const struct task *task);
+bool sched_has_learned(const struct sched *sched, const struct job *job);
+
 /* schedhost.c */
 struct sched_host *sched_add_host(struct sched *sched, struct target *target);
 void sched_count_total(struct sched *sched);
