--- a/bench/log.c
+++ b/bench/log.c
@@ -201,7 +201,7 @@
     for (int i = 0; i < REPLICAS; i++) {
         struct node *node = &trio->nodes[i];
         char *path = g_strdup_printf("%s/r%d", folder, i);
-        char host[8];
+        char host[MSG_HOST_BYTES];
         struct raft_init init = {.host = host, .has_disk = true};
         const struct raft_ops ops = {on_send,     on_vote,   on_entries,
                                      on_snapshot, on_apply,  on_restore,
@@ -222,7 +222,7 @@
     tick(trio, 10);
     tick(trio, 10);
     for (int i = 1; i < REPLICAS; i++) {
-        char host[8];
+        char host[MSG_HOST_BYTES];
 
         snprintf(host, sizeof(host), "h%d", i);
         hello(trio, &trio->nodes[i], host);
