Decoder: a claimed count is checked before anything is allocated

Cause: the sanitizer run of Schema.DecodersTakeAnyBytes ended with an allocation of 137 GB: msgpack allocates an array by the count in its head, before the bytes are there. A host on the bus, or a damaged file, could have ended a process that way. The plain build had passed, since Linux gave out that much address space without using it.

Ruled out: the bounds of the tables; they apply after the library has unpacked.

Change: one pass over the heads before decoding; no head may claim more items than bytes are left, and types that are never packed are refused. One test read a larger record into a smaller one; mended.

Before: abort under ASan.

--- a/base/schema.c
+++ b/base/schema.c
@@ -303,6 +303,85 @@
     return FP_ERR_CORRUPT;
 }
 
+/* One item's head: how many bytes it takes, its body included, and how many
+ * items follow as its elements. False for types that are never packed here.
+ */
+static bool
+item_extent(const uint8_t *at, size_t left, size_t *bytes, uint64_t *items)
+{
+    static const struct {
+        uint8_t first;      /* first byte of the item */
+        uint8_t count_size; /* bytes of its count, big-endian */
+        uint8_t fixed;      /* bytes of a number's body */
+        bool is_array;
+    } kinds[] = {
+        {0xc2, 0, 0, false}, {0xc3, 0, 0, false}, {0xc4, 1, 0, false},
+        {0xc5, 2, 0, false}, {0xc6, 4, 0, false}, {0xcc, 0, 1, false},
+        {0xcd, 0, 2, false}, {0xce, 0, 4, false}, {0xcf, 0, 8, false},
+        {0xd9, 1, 0, false}, {0xda, 2, 0, false}, {0xdb, 4, 0, false},
+        {0xdc, 2, 0, true},  {0xdd, 4, 0, true},
+    };
+    uint64_t count = 0;
+
+    *bytes = 1;
+    *items = 0;
+    if (at[0] < 0x80) {
+        return true;
+    }
+    if ((at[0] & 0xf0) == 0x90) {
+        *items = at[0] & 0x0f;
+        return true;
+    }
+    if ((at[0] & 0xe0) == 0xa0) {
+        *bytes += at[0] & 0x1f;
+        return true;
+    }
+    for (size_t i = 0; i < sizeof(kinds) / sizeof(kinds[0]); i++) {
+        if (kinds[i].first != at[0]) {
+            continue;
+        }
+        if (left < 1u + kinds[i].count_size) {
+            return false;
+        }
+        for (uint8_t k = 0; k < kinds[i].count_size; k++) {
+            count = count << 8 | at[1 + k];
+        }
+        *bytes += kinds[i].count_size + kinds[i].fixed;
+        *bytes += kinds[i].is_array ? 0 : count;
+        *items = kinds[i].is_array ? count : 0;
+        return true;
+    }
+    return false;
+}
+
+/* The library allocates an array by the count that its head claims. So no
+ * head may claim more items than there are bytes left; memory is then bounded
+ * by the size of what came. Costs one step for each item.
+ */
+static bool
+counts_are_sound(const uint8_t *data, size_t size)
+{
+    uint64_t due = 1;
+    size_t at = 0;
+
+    while (due > 0 && at < size) {
+        size_t bytes;
+        uint64_t items;
+
+        if (!item_extent(data + at, size - at, &bytes, &items) ||
+            bytes > size - at) {
+            return false;
+        }
+        at += bytes;
+        due += items;
+        due--;
+        if (due > size - at) {
+            return false;
+        }
+    }
+    return due == 0 && at == size;
+}
+
 enum fp_err
 fp_decode(const struct fp_schema *schema, const uint8_t *data,
           size_t size_bytes, void *record)
@@ -313,6 +392,9 @@
     size_t offset = 0;
 
     memset(record, 0, schema->size_bytes);
+    if (!counts_are_sound(data, size_bytes)) {
+        return FP_ERR_CORRUPT;
+    }
     msgpack_unpacked_init(&unpacked);
     if (msgpack_unpack_next(&unpacked, (const char *)data, size_bytes,
                             &offset) != MSGPACK_UNPACK_SUCCESS ||
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -143,8 +143,10 @@
               FP_OK);
     EXPECT_EQ(memcmp(&t, &back, sizeof(t)), 0);
     // A record of another type, a cut one and one with a tail are refused.
-    EXPECT_EQ(fp_decode(&CHANGE_KEY_SCHEMA, blob.data, blob.size_bytes, &back),
-              FP_ERR_CORRUPT);
+    change_key other;
+    EXPECT_EQ(
+        fp_decode(&CHANGE_KEY_SCHEMA, blob.data, blob.size_bytes, &other),
+        FP_ERR_CORRUPT);
     EXPECT_EQ(fp_decode(&CHANGE_TEAM_SCHEMA, blob.data, blob.size_bytes - 1,
                         &back),
               FP_ERR_CORRUPT);
