--- a/node/replica.c
+++ b/node/replica.c
@@ -7,80 +7,12 @@
 #include <string.h>
 
 #include "base/log.h"
-#include "node/disk.h"
+#include "node/replicapriv.h"
 
 #define TICK_MS 10u
 #define HELLO_EVERY_MS 300u
-#define RETRY_EVERY_MS 50u
 #define HELD_MAX 65536u /* messages that wait for a sync */
 
-/* A message that may leave once a write is on disk. */
-struct held {
-    uint64_t after_write;
-    uint64_t to_id;
-    const struct fp_schema *schema;
-    void *msg;
-};
-
-/* A proposal on its way, as its maker sees it. */
-struct proposal {
-    uint64_t request_id;
-    struct fp_blob change;
-    bool repeatable; /* it has a change ID */
-    bool sent;       /* it may be in a leader's log */
-    bool waiting;    /* for the next attempt */
-    uint64_t end_ms;
-    uint64_t next_ms;
-    /* Its answer, while the change is not applied here yet. */
-    uint64_t index;
-    struct change_answer answer;
-    propose_done done;
-    void *ctx;
-};
-
-/* A change in this leader's log whose proposer waits for the answer. */
-struct claim {
-    char host[MSG_HOST_BYTES]; /* this host's own name for own proposals */
-    uint64_t request_id;
-};
-
-struct question {
-    uint64_t request_id;
-    uint64_t end_ms;
-    ask_done done;
-    void *ctx;
-};
-
-/* A question of some host that this leader has to answer. */
-struct asked {
-    char host[MSG_HOST_BYTES];
-    uint64_t request_id;
-};
-
-struct replica {
-    const struct settings *settings;
-    struct replica_ops ops;
-    struct raft *raft;
-    struct cell *cell;
-    struct disk *disk; /* NULL without a data folder */
-    struct bus *bus;
-    uv_prepare_t flush;
-    uint64_t run_id;
-    uint64_t voted_for;
-    uint64_t disk_synced;
-    GQueue held;           /* struct held */
-    GHashTable *hosts;     /* identity to host name */
-    GHashTable *proposals; /* request ID to struct proposal */
-    GHashTable *claims;    /* log index to struct claim */
-    GHashTable *questions; /* request ID to struct question */
-    GHashTable *asked;     /* ask ID to struct asked */
-    uint64_t next_request;
-    uint64_t next_ask;
-    uint64_t hello_ms;
-    bool leading;
-    uint64_t snapshots; /* taken since the start */
-};
-
 static void
 free_held(struct held *held)
 {
@@ -89,16 +21,6 @@
     g_free(held);
 }
 
-static void
-free_proposal(void *item)
-{
-    struct proposal *proposal = item;
-
-    fp_blob_free(&proposal->change);
-    fp_record_free(&CHANGE_ANSWER_SCHEMA, &proposal->answer);
-    g_free(proposal);
-}
-
 static const char *
 host_of(const struct replica *replica, uint64_t id)
 {
@@ -221,73 +143,6 @@
     raft_disk_failed(replica->raft, clock_mono_ms());
 }
 
-static void
-finish_proposal(struct replica *replica, struct proposal *proposal,
-                enum fp_err err)
-{
-    g_hash_table_steal(replica->proposals, &proposal->request_id);
-    proposal->done(proposal->ctx, err, &proposal->answer);
-    free_proposal(proposal);
-}
-
-/* The answer is here; it is given once the change is applied here as well, so
- * that its maker reads what it wrote.
- */
-static void
-answer_proposal(struct replica *replica, uint64_t request_id, enum fp_err err,
-                uint64_t index, const struct change_answer *answer)
-{
-    struct proposal *proposal =
-        g_hash_table_lookup(replica->proposals, &request_id);
-
-    if (proposal == NULL || proposal->index != 0) {
-        return;
-    }
-    if (err == FP_ERR_NO_LEADER) {
-        proposal->sent = false;
-        proposal->waiting = true;
-        proposal->next_ms = clock_mono_ms() + RETRY_EVERY_MS;
-        return;
-    }
-    if (answer != NULL) {
-        fp_record_copy(&CHANGE_ANSWER_SCHEMA, &proposal->answer, answer);
-    }
-    if (err != FP_OK || index <= raft_applied_index(replica->raft)) {
-        finish_proposal(replica, proposal, err);
-        return;
-    }
-    proposal->index = index;
-}
-
-static void
-send_proposal_reply(struct replica *replica, const char *host,
-                    uint64_t request_id, enum fp_err err, uint64_t index,
-                    const struct change_answer *answer)
-{
-    struct msg_propose_reply reply = {
-        .request_id = request_id, .err = err, .index = index};
-
-    if (answer != NULL) {
-        fp_encode(&CHANGE_ANSWER_SCHEMA, answer, &reply.answer);
-    }
-    bus_send(replica->bus, host, &MSG_PROPOSE_REPLY_SCHEMA, &reply);
-    fp_blob_free(&reply.answer);
-}
-
-static void
-give_answer(struct replica *replica, const struct claim *claim,
-            enum fp_err err, uint64_t index,
-            const struct change_answer *answer)
-{
-    if (strcmp(claim->host, replica->settings->host) == 0) {
-        answer_proposal(replica, claim->request_id, err, index, answer);
-    }
-    else {
-        send_proposal_reply(replica, claim->host, claim->request_id, err,
-                            index, answer);
-    }
-}
-
 static void
 on_apply(void *ctx, const struct raft_entry *entry)
 {
@@ -299,7 +154,7 @@
                entry->data.size_bytes, &answer);
     claim = g_hash_table_lookup(replica->claims, &entry->index);
     if (claim != NULL) {
-        give_answer(replica, claim, FP_OK, entry->index, &answer);
+        replica_give_answer(replica, claim, FP_OK, entry->index, &answer);
         g_hash_table_remove(replica->claims, &entry->index);
     }
     fp_record_free(&CHANGE_ANSWER_SCHEMA, &answer);
@@ -319,24 +174,6 @@
     return true;
 }
 
-/* The proposers of what was in the log learn that its fate is open. */
-static void
-drop_claims(struct replica *replica)
-{
-    GHashTable *claims = replica->claims;
-    GHashTableIter iter;
-    struct claim *claim;
-
-    replica->claims =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
-    g_hash_table_iter_init(&iter, claims);
-    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&claim)) {
-        give_answer(replica, claim, FP_ERR_UNKNOWN_OUTCOME, 0, NULL);
-    }
-    g_hash_table_destroy(claims);
-    g_hash_table_remove_all(replica->asked);
-}
-
 static void
 on_changed(void *ctx)
 {
@@ -355,7 +192,7 @@
              raft_leader_host(replica->raft));
     if (replica->leading && !leading) {
         replica->leading = false;
-        drop_claims(replica);
+        replica_drop_claims(replica);
         replica->ops.leading(replica->ops.ctx, false);
     }
 }
@@ -367,111 +204,6 @@
     return bound == 0 ? 0 : randombytes_uniform(bound);
 }
 
-/* Puts a change into this leader's log. */
-static enum fp_err
-append_change(struct replica *replica, const struct fp_blob *change,
-              const char *host, uint64_t request_id)
-{
-    struct claim *claim;
-    uint64_t index;
-    enum fp_err err;
-
-    if (!raft_leads(replica->raft, clock_mono_ms())) {
-        return FP_ERR_NO_LEADER;
-    }
-    err =
-        raft_propose(replica->raft, change->data, change->size_bytes, &index);
-    if (err != FP_OK) {
-        return err;
-    }
-    claim = g_new0(struct claim, 1);
-    g_strlcpy(claim->host, host, sizeof(claim->host));
-    claim->request_id = request_id;
-    g_hash_table_insert(replica->claims, g_memdup2(&index, sizeof(index)),
-                        claim);
-    return FP_OK;
-}
-
-static void
-try_proposal(struct replica *replica, struct proposal *proposal)
-{
-    const char *leader = raft_leader_host(replica->raft);
-    struct msg_propose msg = {.request_id = proposal->request_id,
-                              .change = proposal->change};
-    enum fp_err err = FP_ERR_NO_LEADER;
-
-    proposal->waiting = false;
-    if (raft_state(replica->raft) == RAFT_LEADER) {
-        err = append_change(replica, &proposal->change,
-                            replica->settings->host, proposal->request_id);
-        if (err != FP_OK && err != FP_ERR_NO_LEADER) {
-            finish_proposal(replica, proposal, err);
-            return;
-        }
-    }
-    else if (leader[0] != '\0') {
-        err = bus_send(replica->bus, leader, &MSG_PROPOSE_SCHEMA, &msg);
-    }
-    if (err == FP_OK) {
-        proposal->sent = true;
-        proposal->next_ms = clock_mono_ms() + PROPOSE_TIMEOUT_MS / 3;
-        return;
-    }
-    proposal->waiting = true;
-    proposal->next_ms = clock_mono_ms() + RETRY_EVERY_MS;
-}
-
-static void
-advance_proposal(struct replica *replica, struct proposal *proposal,
-                 uint64_t now_ms)
-{
-    if (proposal->index != 0) {
-        if (proposal->index <= raft_applied_index(replica->raft) ||
-            now_ms >= proposal->end_ms) {
-            finish_proposal(replica, proposal, FP_OK);
-        }
-        return;
-    }
-    if (now_ms >= proposal->end_ms) {
-        finish_proposal(replica, proposal,
-                        proposal->sent ? FP_ERR_UNKNOWN_OUTCOME
-                                       : FP_ERR_NO_LEADER);
-        return;
-    }
-    if (now_ms >= proposal->next_ms &&
-        (proposal->waiting || proposal->repeatable)) {
-        try_proposal(replica, proposal);
-    }
-}
-
-static void
-advance_proposals(struct replica *replica, uint64_t now_ms)
-{
-    GList *all = g_hash_table_get_values(replica->proposals);
-
-    for (GList *at = all; at != NULL; at = at->next) {
-        advance_proposal(replica, at->data, now_ms);
-    }
-    g_list_free(all);
-}
-
-static void
-expire_questions(struct replica *replica, uint64_t now_ms)
-{
-    GList *all = g_hash_table_get_values(replica->questions);
-
-    for (GList *at = all; at != NULL; at = at->next) {
-        struct question *question = at->data;
-
-        if (now_ms >= question->end_ms) {
-            g_hash_table_steal(replica->questions, &question->request_id);
-            question->done(question->ctx, FP_ERR_NO_LEADER, NULL);
-            g_free(question);
-        }
-    }
-    g_list_free(all);
-}
-
 static void
 say_hello(struct replica *replica, uint64_t now_ms)
 {
@@ -515,8 +247,8 @@
         replica->leading = true;
         replica->ops.leading(replica->ops.ctx, true);
     }
-    advance_proposals(replica, now_ms);
-    expire_questions(replica, now_ms);
+    replica_advance_proposals(replica, now_ms);
+    replica_expire_questions(replica, now_ms);
     if (!raft_fresh(replica->raft, now_ms) ||
         raft_leader_host(replica->raft)[0] == '\0') {
         say_hello(replica, now_ms);
@@ -532,86 +264,6 @@
     raft_flush(replica->raft, clock_mono_ms());
 }
 
-static void
-on_propose(struct replica *replica, const char *from,
-           const struct msg_propose *msg)
-{
-    enum fp_err err =
-        append_change(replica, &msg->change, from, msg->request_id);
-
-    if (err != FP_OK) {
-        send_proposal_reply(replica, from, msg->request_id, err, 0, NULL);
-    }
-}
-
-static void
-on_propose_reply(struct replica *replica, const struct msg_propose_reply *msg)
-{
-    struct change_answer answer;
-
-    if (msg->answer.size_bytes == 0) {
-        answer_proposal(replica, msg->request_id, msg->err, msg->index, NULL);
-        return;
-    }
-    if (fp_decode(&CHANGE_ANSWER_SCHEMA, msg->answer.data,
-                  msg->answer.size_bytes, &answer) == FP_OK) {
-        answer_proposal(replica, msg->request_id, msg->err, msg->index,
-                        &answer);
-        fp_record_free(&CHANGE_ANSWER_SCHEMA, &answer);
-    }
-}
-
-static void
-take_question(struct replica *replica, const char *host, uint64_t request_id,
-              const char *route, const json_t *body)
-{
-    struct asked *asked = g_new0(struct asked, 1);
-    uint64_t ask = ++replica->next_ask;
-
-    g_strlcpy(asked->host, host, sizeof(asked->host));
-    asked->request_id = request_id;
-    g_hash_table_insert(replica->asked, g_memdup2(&ask, sizeof(ask)), asked);
-    if (!replica->leading) {
-        replica_answer(replica, ask, FP_ERR_NO_LEADER, NULL);
-        return;
-    }
-    replica->ops.asked(replica->ops.ctx, ask, route, body);
-}
-
-static void
-on_ask(struct replica *replica, const char *from, const struct msg_ask *msg)
-{
-    json_t *body = json_loadb((const char *)msg->body.data,
-                              msg->body.size_bytes, 0, NULL);
-
-    take_question(replica, from, msg->request_id, msg->route, body);
-    json_decref(body);
-}
-
-static void
-answer_question(struct replica *replica, uint64_t request_id, enum fp_err err,
-                const json_t *body)
-{
-    struct question *question =
-        g_hash_table_lookup(replica->questions, &request_id);
-
-    if (question != NULL) {
-        g_hash_table_steal(replica->questions, &request_id);
-        question->done(question->ctx, err, body);
-        g_free(question);
-    }
-}
-
-static void
-on_ask_reply(struct replica *replica, const struct msg_ask_reply *msg)
-{
-    json_t *body = json_loadb((const char *)msg->body.data,
-                              msg->body.size_bytes, JSON_DECODE_ANY, NULL);
-
-    answer_question(replica, msg->request_id, msg->err, body);
-    json_decref(body);
-}
-
 /* Raft's messages begin with from_id and, but for the hello, to_id; what was
  * meant for another identity of this host is dropped.
  */
@@ -635,16 +287,16 @@
 
     switch (type) {
     case MSG_PROPOSE:
-        on_propose(replica, from, msg);
+        replica_on_propose(replica, from, msg);
         break;
     case MSG_PROPOSE_REPLY:
-        on_propose_reply(replica, msg);
+        replica_on_propose_reply(replica, msg);
         break;
     case MSG_ASK:
-        on_ask(replica, from, msg);
+        replica_on_ask(replica, from, msg);
         break;
     case MSG_ASK_REPLY:
-        on_ask_reply(replica, msg);
+        replica_on_ask_reply(replica, msg);
         break;
     case MSG_CALL:
     case MSG_CALL_REPLY:
@@ -663,7 +315,7 @@
     replica->hosts =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     replica->proposals = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-                                               NULL, free_proposal);
+                                               NULL, replica_free_proposal);
     replica->claims =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     replica->questions =
@@ -804,89 +456,6 @@
     }
 }
 
-void
-replica_propose(struct replica *replica, const struct fp_schema *schema,
-                void *change, propose_done done, void *ctx)
-{
-    struct proposal *proposal = g_new0(struct proposal, 1);
-    struct change_head *head = change;
-
-    head->at_ms = clock_wall_ms();
-    fp_encode(schema, change, &proposal->change);
-    proposal->request_id = ++replica->next_request;
-    proposal->repeatable = head->change_id[0] != '\0';
-    proposal->end_ms = clock_mono_ms() + PROPOSE_TIMEOUT_MS;
-    proposal->done = done;
-    proposal->ctx = ctx;
-    g_hash_table_insert(replica->proposals, &proposal->request_id, proposal);
-    try_proposal(replica, proposal);
-}
-
-void
-replica_ask(struct replica *replica, const char *route, const json_t *body,
-            ask_done done, void *ctx)
-{
-    struct question *question = g_new0(struct question, 1);
-    const char *leader = raft_leader_host(replica->raft);
-    struct msg_ask msg = {.request_id = ++replica->next_request};
-    char *text;
-    enum fp_err err;
-
-    question->request_id = msg.request_id;
-    question->end_ms = clock_mono_ms() + ASK_TIMEOUT_MS;
-    question->done = done;
-    question->ctx = ctx;
-    g_hash_table_insert(replica->questions, &question->request_id, question);
-    if (raft_state(replica->raft) == RAFT_LEADER) {
-        take_question(replica, replica->settings->host, msg.request_id, route,
-                      body);
-        return;
-    }
-    g_strlcpy(msg.route, route, sizeof(msg.route));
-    text = json_dumps(body, JSON_COMPACT);
-    msg.body.data = (uint8_t *)text;
-    msg.body.size_bytes = (uint32_t)strlen(text);
-    err = leader[0] == '\0'
-              ? FP_ERR_NO_LEADER
-              : bus_send(replica->bus, leader, &MSG_ASK_SCHEMA, &msg);
-    free(text);
-    if (err != FP_OK) {
-        answer_question(replica, msg.request_id, FP_ERR_NO_LEADER, NULL);
-    }
-}
-
-void
-replica_answer(struct replica *replica, uint64_t ask, enum fp_err err,
-               json_t *body)
-{
-    struct asked *asked = g_hash_table_lookup(replica->asked, &ask);
-    struct msg_ask_reply reply = {.err = err};
-    char *text;
-
-    if (asked == NULL) {
-        json_decref(body);
-        return;
-    }
-    if (strcmp(asked->host, replica->settings->host) == 0) {
-        uint64_t request_id = asked->request_id;
-
-        g_hash_table_remove(replica->asked, &ask);
-        answer_question(replica, request_id, err, body);
-        json_decref(body);
-        return;
-    }
-    reply.request_id = asked->request_id;
-    text = body == NULL ? NULL : json_dumps(body, JSON_COMPACT);
-    if (text != NULL) {
-        reply.body.data = (uint8_t *)text;
-        reply.body.size_bytes = (uint32_t)strlen(text);
-    }
-    bus_send(replica->bus, asked->host, &MSG_ASK_REPLY_SCHEMA, &reply);
-    free(text);
-    json_decref(body);
-    g_hash_table_remove(replica->asked, &ask);
-}
-
 enum fp_err
 replica_send(struct replica *replica, const char *host,
              const struct fp_schema *schema, const void *msg)
