--- a/bench/decide.c
+++ b/bench/decide.c
@@ -13,52 +13,9 @@
 #include <sys/resource.h>
 
 #include "bench/bench.h"
-#include "core/sched.h"
+#include "bench/decide.h"
 #include "node/clock.h"
 
-#define COMMIT_MS 3u    /* from a proposal to its application */
-#define TICK_MS 10u     /* decisions are looked for this often */
-#define STOP_MS 400u    /* a target's time for a checkpoint */
-#define SAMPLE_MS 1000u /* how often packing and shares are sampled */
-#define WALL_START 1800000000000ull
-#define KINDS 4
-
-enum event_type { EVENT_ARRIVAL, EVENT_PLACED, EVENT_END, EVENT_WAVE };
-
-struct event {
-    uint64_t at_ms;
-    uint64_t number; /* ties go in order of making */
-    enum event_type type;
-    uint64_t task_id;
-    uint32_t attempt;
-    enum end_outcome outcome;
-    struct change_place *placed;
-    uint32_t team;
-};
-
-/* One kind of host of a site. */
-struct host_kind {
-    uint32_t count;
-    uint32_t cpu_milli;
-    uint32_t memory_mb;
-    uint32_t accel;
-    uint32_t rack; /* hosts a rack */
-};
-
-struct site {
-    const char *name;
-    struct host_kind hosts[2];
-    uint32_t teams;
-    uint32_t large_teams;   /* they make most of the work */
-    double starts_a_second; /* of tasks, on average */
-    double batch_ms;        /* mean run time of a batch task */
-    uint32_t scale;         /* factor on the sizes of tasks */
-    uint32_t services;      /* long-lived tasks at the start */
-    uint32_t accel_part;    /* one task in this many needs an accelerator */
-    uint32_t gang_most;     /* largest gang */
-    uint32_t wave;          /* tasks that are cancelled at once */
-};
-
 /* The two sites of today, and the fleet of two years on. */
 static const struct site SITES[] = {
     {.name = "kapnos",
@@ -96,83 +53,6 @@
      .wave = 5000},
 };
 
-/* Samples of one figure. */
-struct series {
-    GArray *values; /* double */
-};
-
-struct driver {
-    const struct site *site;
-    const struct sched_policy *policy;
-    struct cell *cell;
-    struct sched *sched;
-    GRand *arrivals; /* what comes, alike for every policy */
-    GSequence *events;
-    GHashTable *left_ms; /* task ID to run time left, after checkpoints */
-    GHashTable *need_ms; /* task ID to its whole run time */
-    uint64_t next_event;
-    uint64_t now_ms;
-    uint64_t end_ms;
-    uint64_t index;
-    struct series wait[KINDS];
-    struct series decision_us;
-    struct series used[3];  /* cpu, memory, accel: part of all */
-    struct series gang_fit; /* largest gang of 4 cpu and 1 accel tasks */
-    GArray *share_error;    /* double, sum for each team */
-    uint32_t share_samples;
-    double worst_share;
-    uint64_t breaches;
-    uint64_t overcommits;
-    uint64_t started;
-    uint64_t ended;
-    uint64_t cancelled;
-    uint64_t sched_us;
-    bool failing_host; /* one host fails all it starts */
-};
-
-static void
-add_value(struct series *series, double value)
-{
-    if (series->values == NULL) {
-        series->values = g_array_new(FALSE, FALSE, sizeof(double));
-    }
-    g_array_append_val(series->values, value);
-}
-
-static int
-compare_doubles(gconstpointer a, gconstpointer b)
-{
-    double x = *(const double *)a;
-    double y = *(const double *)b;
-
-    return x < y ? -1 : x > y;
-}
-
-static double
-quantile(struct series *series, double part)
-{
-    if (series->values == NULL || series->values->len == 0) {
-        return 0;
-    }
-    g_array_sort(series->values, compare_doubles);
-    return g_array_index(series->values, double,
-                         (guint)((series->values->len - 1) * part));
-}
-
-static double
-mean(const struct series *series)
-{
-    double sum = 0;
-
-    if (series->values == NULL || series->values->len == 0) {
-        return 0;
-    }
-    for (guint i = 0; i < series->values->len; i++) {
-        sum += g_array_index(series->values, double, i);
-    }
-    return sum / series->values->len;
-}
-
 static gint
 compare_events(gconstpointer a, gconstpointer b, gpointer ctx)
 {
@@ -198,8 +78,8 @@
     return event;
 }
 
-static uint64_t
-wall_ms(const struct driver *driver)
+uint64_t
+decide_wall_ms(const struct driver *driver)
 {
     return WALL_START + driver->now_ms;
 }
@@ -213,7 +93,7 @@
     struct fp_blob blob;
     enum fp_err err;
 
-    head->at_ms = wall_ms(driver);
+    head->at_ms = decide_wall_ms(driver);
     fp_encode(schema, change, &blob);
     cell_apply(driver->cell, ++driver->index, blob.data, blob.size_bytes,
                &answer);
@@ -456,10 +336,10 @@
 {
     const struct change_submit *rec = &task->job->rec;
     const uint64_t *need = g_hash_table_lookup(driver->need_ms, &task->id);
-    uint64_t spent = wall_ms(driver) - rec->submitted_ms;
+    uint64_t spent = decide_wall_ms(driver) - rec->submitted_ms;
 
-    add_value(&driver->wait[rec->kind],
-              spent > *need ? (double)(spent - *need) : 0.0);
+    decide_add_value(&driver->wait[rec->kind],
+                     spent > *need ? (double)(spent - *need) : 0.0);
 }
 
 /* The first host of the second kind fails whatever it starts. */
@@ -512,7 +392,7 @@
         return;
     }
     if (event->outcome == END_STOPPED) {
-        uint64_t ran = wall_ms(driver) - task->started_ms;
+        uint64_t ran = decide_wall_ms(driver) - task->started_ms;
 
         *left = *left > ran ? *left - ran : 1; /* it was checkpointed */
     }
@@ -522,7 +402,7 @@
     item->outcome = event->outcome;
     if (event->outcome == END_FAILED) {
         item->retry_at_ms =
-            sched_retry_at(driver->sched, task, wall_ms(driver));
+            sched_retry_at(driver->sched, task, decide_wall_ms(driver));
     }
     if (event->outcome == END_DONE) {
         driver->ended++;
@@ -555,148 +435,6 @@
     g_list_free(jobs);
 }
 
-/* Samples. */
-
-static void
-sample_packing(struct driver *driver)
-{
-    GHashTableIter iter;
-    struct target *target;
-    double used[3] = {0, 0, 0};
-    double size[3] = {0, 0, 0};
-    double fit = 0;
-
-    g_hash_table_iter_init(&iter, driver->cell->targets);
-    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&target)) {
-        const struct change_target *rec = &target->rec;
-
-        used[0] += (double)target->use.cpu_milli;
-        used[1] += (double)target->use.memory_mb;
-        used[2] += (double)target->use.accel;
-        size[0] += rec->cpu_milli;
-        size[1] += rec->memory_mb;
-        size[2] += rec->accel;
-        fit += (double)MIN((rec->cpu_milli - target->use.cpu_milli) / 4000,
-                           rec->accel - target->use.accel);
-        if (target->use.cpu_milli > rec->cpu_milli ||
-            target->use.memory_mb > rec->memory_mb ||
-            target->use.accel > rec->accel) {
-            driver->overcommits++;
-        }
-    }
-    for (int i = 0; i < 3; i++) {
-        add_value(&driver->used[i], used[i] / size[i]);
-    }
-    add_value(&driver->gang_fit, fit);
-}
-
-/* A team's dominant share of the whole, now and with all that waits. */
-struct demand {
-    double has;
-    double wants;
-    double weight;
-    double fair;
-};
-
-static void
-add_waiting(const struct driver *driver, struct demand *demands,
-            const struct use *total)
-{
-    GHashTableIter iter;
-    struct job *job;
-
-    g_hash_table_iter_init(&iter, driver->cell->jobs);
-    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&job)) {
-        struct demand *demand;
-        double each;
-
-        /* A team at its upper limit can use no more. */
-        if (job->open == 0 || !cell_within_limit(job->team, &job->rec, 1)) {
-            continue;
-        }
-        each = MAX((double)job->rec.cpu_milli / (double)total->cpu_milli,
-                   MAX((double)job->rec.memory_mb / (double)total->memory_mb,
-                       (double)job->rec.accel / (double)total->accel));
-        demand = &demands[atoi(job->rec.team + 4)];
-        for (uint32_t i = 0; i < job->rec.count; i++) {
-            if (job->tasks[i].state == TASK_WAITING) {
-                demand->wants += each;
-            }
-        }
-    }
-}
-
-/* Fills each team up to its demand, in step with its weight, until what is
- * given out now is given out.
- */
-static void
-fill_fair(struct demand *demands, uint32_t count)
-{
-    double sum = 0;
-    double low = 0;
-    double high = 100;
-
-    for (uint32_t i = 0; i < count; i++) {
-        sum += demands[i].has;
-    }
-    for (int step = 0; step < 60; step++) {
-        double level = (low + high) / 2;
-        double given = 0;
-
-        for (uint32_t i = 0; i < count; i++) {
-            demands[i].fair = MIN(demands[i].wants, level * demands[i].weight);
-            given += demands[i].fair;
-        }
-        if (given < sum) {
-            low = level;
-        }
-        else {
-            high = level;
-        }
-    }
-}
-
-static void
-sample_shares(struct driver *driver)
-{
-    uint32_t count = driver->site->teams;
-    struct demand *demands = g_new0(struct demand, count);
-    struct use total = {0, 0, 0, 0};
-    GHashTableIter iter;
-    struct target *target;
-    struct team *team;
-
-    g_hash_table_iter_init(&iter, driver->cell->targets);
-    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&target)) {
-        total.cpu_milli += target->rec.cpu_milli;
-        total.memory_mb += target->rec.memory_mb;
-        total.accel += target->rec.accel;
-    }
-    g_hash_table_iter_init(&iter, driver->cell->teams);
-    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&team)) {
-        struct demand *demand = &demands[atoi(team->conf.name + 4)];
-
-        demand->has =
-            MAX((double)team->use.cpu_milli / (double)total.cpu_milli,
-                MAX((double)team->use.memory_mb / (double)total.memory_mb,
-                    (double)team->use.accel / (double)total.accel));
-        demand->wants = demand->has;
-        demand->weight = team->conf.weight;
-        if (team->conf.limit_running != 0 &&
-            team->use.running > team->conf.limit_running) {
-            driver->breaches++;
-        }
-    }
-    add_waiting(driver, demands, &total);
-    fill_fair(demands, count);
-    for (uint32_t i = 0; i < count; i++) {
-        g_array_index(driver->share_error, double, i) +=
-            fabs(demands[i].has - demands[i].fair);
-    }
-    driver->share_samples++;
-    g_free(demands);
-}
-
 /* Set-up and the loop. */
 
 static void
@@ -761,11 +499,12 @@
         uint64_t began_us = clock_mono_us();
         uint64_t took_us;
 
-        taken = sched_run(driver->sched, driver->now_ms, wall_ms(driver), 1);
+        taken = sched_run(driver->sched, driver->now_ms,
+                          decide_wall_ms(driver), 1);
         took_us = clock_mono_us() - began_us;
         driver->sched_us += took_us;
         if (taken > 0) {
-            add_value(&driver->decision_us, (double)took_us);
+            decide_add_value(&driver->decision_us, (double)took_us);
         }
     }
 }
@@ -812,87 +551,12 @@
         decide(driver);
         if (driver->now_ms >= sample_ms) {
             sample_ms += SAMPLE_MS;
-            sample_packing(driver);
-            sample_shares(driver);
-        }
-    }
-}
-
-static void
-count_open(struct driver *driver)
-{
-    GHashTableIter iter;
-    struct job *job;
-
-    g_hash_table_iter_init(&iter, driver->cell->jobs);
-    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&job)) {
-        for (uint32_t i = 0; i < job->rec.count; i++) {
-            const struct task *task = &job->tasks[i];
-
-            /* A task that failed was not served either. */
-            if (task->state == TASK_WAITING || task->state == TASK_FAILED) {
-                add_value(&driver->wait[job->rec.kind],
-                          (double)(wall_ms(driver) - job->rec.submitted_ms));
-            }
-            else if (task->state == TASK_RUNNING) {
-                add_value(&driver->wait[job->rec.kind],
-                          (double)(task->started_ms - job->rec.submitted_ms));
-            }
+            decide_sample_packing(driver);
+            decide_sample_shares(driver);
         }
     }
 }
 
-static json_t *
-report(struct driver *driver, uint32_t seed)
-{
-    const struct sched_counters *counters = sched_counters(driver->sched);
-    uint64_t decisions = counters->decisions;
-    double share_mean = 0;
-    double share_worst = 0;
-    json_t *waits = json_object();
-    struct rusage usage;
-
-    getrusage(RUSAGE_SELF, &usage);
-    for (uint32_t i = 0; i < driver->site->teams; i++) {
-        double error = g_array_index(driver->share_error, double, i) /
-                       MAX(driver->share_samples, 1);
-
-        share_mean += error / driver->site->teams;
-        share_worst = MAX(share_worst, error);
-    }
-    for (int kind = 0; kind < KINDS; kind++) {
-        json_object_set_new(waits, WORK_KIND_NAMES[kind],
-                            json_pack("{s:f,s:f}", "p50_ms",
-                                      quantile(&driver->wait[kind], 0.5),
-                                      "p99_ms",
-                                      quantile(&driver->wait[kind], 0.99)));
-    }
-    return json_pack(
-        "{s:s,s:s,s:I,s:I,s:o,s:{s:f,s:f,s:f,s:f},s:{s:f,s:f},s:I,s:I,"
-        "s:{s:I,s:f,s:f,s:f,s:f,s:f},s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I}",
-        "site", driver->site->name, "policy", driver->policy->name, "seed",
-        (json_int_t)seed, "virtual_s", (json_int_t)(driver->now_ms / 1000),
-        "wait", waits, "packing", "cpu", mean(&driver->used[0]), "memory",
-        mean(&driver->used[1]), "accel", mean(&driver->used[2]), "gang_fit",
-        mean(&driver->gang_fit), "share_error", "mean", share_mean, "worst",
-        share_worst, "limit_breaches", (json_int_t)driver->breaches,
-        "overcommits", (json_int_t)driver->overcommits, "decision", "count",
-        (json_int_t)decisions, "p50_us", quantile(&driver->decision_us, 0.5),
-        "p99_us", quantile(&driver->decision_us, 0.99), "max_us",
-        quantile(&driver->decision_us, 1.0), "mean_us",
-        (double)driver->sched_us / (double)MAX(decisions, 1), "per_second",
-        (double)decisions * 1e6 / (double)MAX(driver->sched_us, 1), "failed",
-        (json_int_t)driver->cell->state_counts[TASK_FAILED], "started",
-        (json_int_t)driver->started, "ended", (json_int_t)driver->ended,
-        "cancelled", (json_int_t)driver->cancelled, "preempted",
-        (json_int_t)counters->preempted, "reclaimed",
-        (json_int_t)counters->reclaimed, "reservations",
-        (json_int_t)counters->reservations, "probations",
-        (json_int_t)counters->probations, "refused",
-        (json_int_t)counters->refused, "peak_memory_kb",
-        (json_int_t)usage.ru_maxrss);
-}
-
 static void
 free_event(gpointer item, gpointer ctx)
 {
@@ -956,8 +620,8 @@
     add_event(driver, EVENT_ARRIVAL, 1);
     add_event(driver, EVENT_WAVE, driver->end_ms / 2)->team = 0;
     run_until(driver, driver->end_ms);
-    count_open(driver);
-    result = report(driver, seed);
+    decide_count_open(driver);
+    result = decide_report(driver, seed);
     sched_free(driver->sched);
     cell_free(driver->cell);
     g_rand_free(driver->arrivals);
@@ -970,61 +634,6 @@
     return result;
 }
 
-static double
-number(const json_t *object, const char *group, const char *name)
-{
-    return json_number_value(
-        json_object_get(json_object_get(object, group), name));
-}
-
-static double
-wait_of(const json_t *result, const char *kind, const char *name)
-{
-    return number(json_object_get(result, "wait"), kind, name);
-}
-
-static void
-print_table(const json_t *results)
-{
-    size_t index;
-    json_t *result;
-
-    printf("%-10s %-15s %9s %9s %9s %9s %9s %9s %6s %6s %6s %7s %8s %8s %7s "
-           "%6s %4s "
-           "%4s %8s %8s %9s\n",
-           "site", "policy", "batch50", "batch99", "gang50", "gang99",
-           "urgent99", "service99", "cpu", "memory", "accel", "gangfit",
-           "sharemean", "worst", "ended", "failed", "over", "brch",
-           "dec_p99us", "dec_maxus", "dec/s");
-    json_array_foreach(results, index, result)
-    {
-        printf("%-10s %-15s %9.0f %9.0f %9.0f %9.0f %9.0f %9.0f %6.3f %6.3f "
-               "%6.3f %7.1f %8.4f %8.4f %7lld %6lld %4lld %4lld %8.0f %8.0f "
-               "%9.0f\n",
-               json_string_value(json_object_get(result, "site")),
-               json_string_value(json_object_get(result, "policy")),
-               wait_of(result, "batch", "p50_ms"),
-               wait_of(result, "batch", "p99_ms"),
-               wait_of(result, "gang", "p50_ms"),
-               wait_of(result, "gang", "p99_ms"),
-               wait_of(result, "urgent", "p99_ms"),
-               wait_of(result, "service", "p99_ms"),
-               number(result, "packing", "cpu"),
-               number(result, "packing", "memory"),
-               number(result, "packing", "accel"),
-               number(result, "packing", "gang_fit"),
-               number(result, "share_error", "mean"),
-               number(result, "share_error", "worst"),
-               json_integer_value(json_object_get(result, "ended")),
-               json_integer_value(json_object_get(result, "failed")),
-               json_integer_value(json_object_get(result, "overcommits")),
-               json_integer_value(json_object_get(result, "limit_breaches")),
-               number(result, "decision", "p99_us"),
-               number(result, "decision", "max_us"),
-               number(result, "decision", "per_second"));
-    }
-}
-
 struct decide_options {
     uint32_t seed;
     uint32_t seconds;
@@ -1113,7 +722,7 @@
         cli_print(cli, results);
     }
     else {
-        print_table(results);
+        decide_print_table(results);
     }
     json_decref(results);
     return 0;
--- a/cli/cli.c
+++ b/cli/cli.c
@@ -174,6 +174,20 @@
     return rc == 0;
 }
 
+int
+cli_parse_words(struct cli *cli, const char *usage, const char *doc,
+                const char **words, int max_words, int argc, char **argv)
+{
+    struct cli_parse parse = {.cli = cli,
+                              .usage = usage,
+                              .doc = doc,
+                              .words = words,
+                              .max_words = max_words};
+
+    cli_parse(&parse, argc, argv);
+    return parse.word_count;
+}
+
 char **
 cli_hosts(const struct cli *cli)
 {
--- a/cli/cli.h
+++ b/cli/cli.h
@@ -56,6 +56,10 @@
 
 bool cli_parse(struct cli_parse *parse, int argc, char **argv);
 
+/* The same for a subcommand without fields; returns how many words came. */
+int cli_parse_words(struct cli *cli, const char *usage, const char *doc,
+                    const char **words, int max_words, int argc, char **argv);
+
 /* One answer of the system. */
 struct cli_answer {
     enum fp_err err; /* FP_OK, or the kind that the answer names */
--- a/cli/cmd.c
+++ b/cli/cmd.c
@@ -348,28 +348,13 @@
                        record_body(&CHANGE_CANCEL_SCHEMA, &change), false);
 }
 
-/* Only commands without arguments beyond words. */
-static bool
-parse_words(struct cli *cli, const char *usage, const char *doc,
-            const char **words, int count, int argc, char **argv)
-{
-    struct cli_parse parse = {.cli = cli,
-                              .usage = usage,
-                              .doc = doc,
-                              .words = words,
-                              .max_words = count};
-
-    cli_parse(&parse, argc, argv);
-    return parse.word_count == count;
-}
-
 static int
 run_init(struct cli *cli, int argc, char **argv)
 {
-    parse_words(cli, "",
-                "Begins a new cell with the first of --hosts as its only "
-                "replica. Once in the life of a cell.",
-                NULL, 0, argc, argv);
+    cli_parse_words(cli, "",
+                    "Begins a new cell with the first of --hosts as its only "
+                    "replica. Once in the life of a cell.",
+                    NULL, 0, argc, argv);
     return send_change(cli, "/v1/init", json_object(), false);
 }
 
@@ -379,11 +364,11 @@
 {
     const char *words[2] = {NULL, NULL};
 
-    if (!parse_words(cli, "add|remove HOST",
-                     "Adds a host with a data folder to the replicas, or "
-                     "removes it. An older identity of the same host goes "
-                     "first; the new one votes once it has caught up.",
-                     words, 2, argc, argv)) {
+    if (cli_parse_words(cli, "add|remove HOST",
+                        "Adds a host with a data folder to the replicas, or "
+                        "removes it. An older identity of the same host goes "
+                        "first; the new one votes once it has caught up.",
+                        words, 2, argc, argv) != 2) {
         return cli_error(FP_ERR_BAD_REQUEST, "needs: add|remove HOST");
     }
     return send_change(
@@ -397,10 +382,10 @@
     const char *words[2] = {NULL, NULL};
     bool cut;
 
-    if (!parse_words(cli, "cut|mend HOST",
-                     "For drills: the first of --hosts silently drops what "
-                     "goes to and comes from HOST. Needs faults_allowed.",
-                     words, 2, argc, argv) ||
+    if (cli_parse_words(cli, "cut|mend HOST",
+                        "For drills: the first of --hosts silently drops what "
+                        "goes to and comes from HOST. Needs faults_allowed.",
+                        words, 2, argc, argv) != 2 ||
         (strcmp(words[0], "cut") != 0 && strcmp(words[0], "mend") != 0)) {
         return cli_error(FP_ERR_BAD_REQUEST, "needs: cut|mend HOST");
     }
@@ -420,10 +405,10 @@
     char secret_key[41];
     json_t *body;
 
-    parse_words(cli, "",
-                "Draws a secret with its hash, for operator_key_hash and "
-                "target_key_hash, and a CURVE key pair for a host.",
-                NULL, 0, argc, argv);
+    cli_parse_words(cli, "",
+                    "Draws a secret with its hash, for operator_key_hash and "
+                    "target_key_hash, and a CURVE key pair for a host.",
+                    NULL, 0, argc, argv);
     key_draw(secret);
     key_hash(secret, hash);
     zmq_curve_keypair(public_key, secret_key);
--- a/cli/query.c
+++ b/cli/query.c
@@ -25,20 +25,6 @@
     return code;
 }
 
-static int
-parse_words(struct cli *cli, const char *usage, const char *doc,
-            const char **words, int count, int argc, char **argv)
-{
-    struct cli_parse parse = {.cli = cli,
-                              .usage = usage,
-                              .doc = doc,
-                              .words = words,
-                              .max_words = count};
-
-    cli_parse(&parse, argc, argv);
-    return parse.word_count;
-}
-
 /* Every host in turn: "which of them is up" is the question. */
 static int
 run_status(struct cli *cli, int argc, char **argv)
@@ -47,8 +33,8 @@
     int code = fp_err_row(FP_ERR_NETWORK)->exit_code;
     json_t *all = json_array();
 
-    parse_words(cli, "", "Shows the state of each of --hosts.", NULL, 0, argc,
-                argv);
+    cli_parse_words(cli, "", "Shows the state of each of --hosts.", NULL, 0,
+                    argc, argv);
     hosts = cli_hosts(cli);
     for (char **host = hosts; *host != NULL; host++) {
         struct cli_answer answer;
@@ -76,8 +62,8 @@
     const char *words[1] = {""};
     char path[96];
 
-    parse_words(cli, "team|key|queue|hours|targets|jobs",
-                "Lists the objects of one kind.", words, 1, argc, argv);
+    cli_parse_words(cli, "team|key|queue|hours|targets|jobs",
+                    "Lists the objects of one kind.", words, 1, argc, argv);
     if (strcmp(words[0], "targets") == 0 || strcmp(words[0], "jobs") == 0) {
         snprintf(path, sizeof(path), "/v1/%s", words[0]);
     }
@@ -94,7 +80,7 @@
     const char *words[1] = {NULL};
     char path[96];
 
-    if (parse_words(cli, "ID", doc, words, 1, argc, argv) != 1) {
+    if (cli_parse_words(cli, "ID", doc, words, 1, argc, argv) != 1) {
         return cli_error(FP_ERR_BAD_REQUEST, "needs: ID");
     }
     snprintf(path, sizeof(path), "/v1/%s/%.40s", route, words[0]);
@@ -119,16 +105,16 @@
 static int
 run_dump(struct cli *cli, int argc, char **argv)
 {
-    parse_words(cli, "", "Dumps the state of the first of --hosts.", NULL, 0,
-                argc, argv);
+    cli_parse_words(cli, "", "Dumps the state of the first of --hosts.", NULL,
+                    0, argc, argv);
     return get(cli, "/v1/dump");
 }
 
 static int
 run_metrics(struct cli *cli, int argc, char **argv)
 {
-    parse_words(cli, "", "Prints the counters of the first of --hosts.", NULL,
-                0, argc, argv);
+    cli_parse_words(cli, "", "Prints the counters of the first of --hosts.",
+                    NULL, 0, argc, argv);
     return get(cli, "/v1/metrics");
 }
 
--- a/node/gateway.c
+++ b/node/gateway.c
@@ -9,9 +9,9 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "node/gatewaypriv.h"
 #include "node/keys.h"
 
-#define TRIES_MAX 4u
 #define BACKOFF_MS 5u      /* doubles with each try, jittered */
 #define OWNER_WAIT_MS 600u /* for a hint while slots change hands */
 #define OWNER_LOOK_MS 20u
@@ -21,69 +21,6 @@
 #define IN_PROGRESS_LOOK_MS 25u /* a resend looks for the first outcome */
 #define AGE_WINDOW_MS 600000u   /* clocks of two hosts drift little in it */
 
-enum exchange_step {
-    STEP_INTENT,  /* the intent is being committed */
-    STEP_WAIT,    /* a resend waits for the first one's outcome */
-    STEP_BACKOFF, /* before the next try */
-    STEP_OWNER,   /* an owner has it */
-    STEP_OUTCOME  /* the outcome is being committed */
-};
-
-/* One caller's request from its arrival to its answer. */
-struct exchange {
-    struct gateway *gateway;
-    struct http_request *request;
-    struct msg_call msg; /* request_id differs for each try */
-    char service[NAME_BYTES];
-    enum exchange_step step;
-    uint64_t deadline_ms;
-    uint64_t came_ms;
-    uint64_t next_ms; /* STEP_BACKOFF, STEP_WAIT: when to go on */
-    char tried[TRIES_MAX][MSG_HOST_BYTES];
-    uint32_t tries;
-    bool recorded; /* an intent is in the log */
-    /* The result so far. */
-    enum fp_err err;
-    uint32_t retry_after_ms;
-    uint32_t status;
-    char content_type[128];
-    struct fp_blob body;
-    char target[NAME_BYTES];
-};
-
-/* A request that another gateway handed to this owner. */
-struct foreign {
-    struct gateway *gateway;
-    char host[MSG_HOST_BYTES];
-    uint64_t request_id;
-};
-
-/* The clock of another host against this one's: the least difference seen
- * stands for a message without delay.
- */
-struct offset {
-    int64_t least_ms;
-    uint64_t since_ms;
-};
-
-struct gateway {
-    struct replica *replica;
-    const struct settings *settings;
-    struct owner *owner;
-    struct pick *pick;
-    GHashTable *exchanges; /* the set of struct exchange */
-    GHashTable *waiting;   /* request ID to struct exchange, at an owner */
-    GHashTable *offsets;   /* host to struct offset */
-    uint64_t next_id;
-    double budget;
-    uint64_t requests;
-    uint64_t retries;
-    uint64_t foreign;
-    uint64_t expired; /* requests of others that came too late */
-    uint64_t answers[FP_ERR_COUNT];
-    uint64_t foreign_in_flight;
-};
-
 static const char *
 method_of(const struct exchange *exchange)
 {
@@ -486,157 +423,6 @@
                     on_intent, exchange);
 }
 
-enum fp_err
-gateway_team(const struct cell *cell, const struct http_request *request,
-             char team[NAME_BYTES], char hash[72])
-{
-    char value[256];
-    const char *name;
-    enum fp_err err;
-
-    team[0] = '\0';
-    hash[0] = '\0';
-    if (!http_header(request, "authorization", value, sizeof(value))) {
-        return FP_ERR_NO_KEY;
-    }
-    if (value[0] == '\0') {
-        return FP_OK;
-    }
-    if (g_ascii_strncasecmp(value, "bearer ", 7) != 0) {
-        return FP_ERR_NO_KEY;
-    }
-    key_hash(value + 7, hash);
-    sodium_memzero(value, sizeof(value));
-    err = cell_key_team(cell, hash, &name);
-    if (err == FP_OK) {
-        g_strlcpy(team, name, NAME_BYTES);
-    }
-    return err;
-}
-
-/* Splits /call/QUEUE/PATH. */
-static bool
-take_path(struct exchange *exchange)
-{
-    const char *queue = http_path(exchange->request) + strlen("/call/");
-    const char *slash = strchrnul(queue, '/');
-    const char *query = http_query(exchange->request);
-    int length;
-
-    if (slash == queue ||
-        (size_t)(slash - queue) >= sizeof(exchange->msg.queue)) {
-        return false;
-    }
-    memcpy(exchange->msg.queue, queue, (size_t)(slash - queue));
-    length =
-        snprintf(exchange->msg.path, sizeof(exchange->msg.path), "%s%s%s",
-                 *slash == '\0' ? "/" : slash, query[0] ? "?" : "", query);
-    return length < (int)sizeof(exchange->msg.path);
-}
-
-static enum fp_err
-take_headers(struct exchange *exchange, const struct queue *queue,
-             char *detail, size_t detail_bytes)
-{
-    const struct http_request *request = exchange->request;
-    uint64_t most = queue->conf.request_max_ms ? queue->conf.request_max_ms
-                                               : DEFAULT_REQUEST_MAX_MS;
-    uint64_t budget_ms = most;
-    char value[64];
-    const char *method = http_method(request);
-
-    if (!http_header(request, "content-type", exchange->msg.content_type,
-                     sizeof(exchange->msg.content_type)) ||
-        !http_header(request, "idempotency-key", exchange->msg.idempotency_key,
-                     sizeof(exchange->msg.idempotency_key))) {
-        snprintf(detail, detail_bytes,
-                 "Content-Type and Idempotency-Key: at most 127 bytes");
-        return FP_ERR_BAD_REQUEST;
-    }
-    if (!http_header(request, "x-deadline-ms", value, sizeof(value)) ||
-        (value[0] != '\0' &&
-         !g_ascii_string_to_unsigned(value, 10, 1, most, &budget_ms, NULL))) {
-        snprintf(detail, detail_bytes,
-                 "X-Deadline-Ms: '%.30s' is not from 1 to %llu", value,
-                 (unsigned long long)most);
-        return FP_ERR_BAD_REQUEST;
-    }
-    if (!http_header(request, "x-repeatable", value, sizeof(value)) ||
-        (value[0] != '\0' && strcmp(value, "yes") != 0 &&
-         strcmp(value, "no") != 0)) {
-        snprintf(detail, detail_bytes,
-                 "X-Repeatable: '%.30s' is not yes or no", value);
-        return FP_ERR_BAD_REQUEST;
-    }
-    exchange->deadline_ms = clock_mono_ms() + budget_ms;
-    exchange->msg.repeatable = strcmp(value, "yes") == 0;
-    if (value[0] == '\0') {
-        exchange->msg.repeatable =
-            strcmp(method, "GET") == 0 || strcmp(method, "HEAD") == 0;
-    }
-    if (exchange->msg.idempotency_key[0] != '\0') {
-        exchange->msg.repeatable = false;
-    }
-    return FP_OK;
-}
-
-static enum fp_err
-admit(struct exchange *exchange, char *detail, size_t detail_bytes)
-{
-    struct gateway *gateway = exchange->gateway;
-    const struct cell *cell = replica_cell(gateway->replica);
-    struct msg_call *msg = &exchange->msg;
-    const struct queue *queue;
-    char hash[72];
-    const char *team;
-    enum fp_err err;
-    size_t body_bytes;
-    const char *body = http_body(exchange->request, &body_bytes);
-
-    if (!replica_fresh(gateway->replica)) {
-        return FP_ERR_NOT_FRESH;
-    }
-    err = gateway_team(cell, exchange->request, msg->team, hash);
-    if (err != FP_OK) {
-        return err;
-    }
-    if (!take_path(exchange)) {
-        snprintf(detail, detail_bytes,
-                 "the path is /call/QUEUE/PATH, the "
-                 "path at most 1000 bytes");
-        return FP_ERR_BAD_REQUEST;
-    }
-    queue = cell_queue(cell, msg->queue);
-    if (queue == NULL || queue->conf.service[0] == '\0') {
-        snprintf(detail, detail_bytes, "no queue '%s' with a service",
-                 msg->queue);
-        return FP_ERR_NOT_FOUND;
-    }
-    team = msg->team[0] == '\0' ? NULL : msg->team;
-    err = cell_may_use(queue, team);
-    if (err != FP_OK) {
-        return err;
-    }
-    if (team == NULL) {
-        g_strlcpy(msg->team,
-                  queue->conf.team[0] ? queue->conf.team : CELL_OPEN_TEAM,
-                  sizeof(msg->team));
-    }
-    else {
-        g_strlcpy(msg->key_hash, hash, sizeof(msg->key_hash));
-    }
-    g_strlcpy(exchange->service, queue->conf.service,
-              sizeof(exchange->service));
-    if (strlen(http_method(exchange->request)) >= sizeof(msg->method)) {
-        snprintf(detail, detail_bytes, "the method is unknown");
-        return FP_ERR_BAD_REQUEST;
-    }
-    g_strlcpy(msg->method, http_method(exchange->request),
-              sizeof(msg->method));
-    msg->body = fp_blob_copy(body, (uint32_t)body_bytes);
-    return take_headers(exchange, queue, detail, detail_bytes);
-}
-
 void
 gateway_call(struct gateway *gateway, struct http_request *request)
 {
@@ -650,7 +436,7 @@
     exchange->request = request;
     exchange->came_ms = clock_mono_ms();
     g_hash_table_add(gateway->exchanges, exchange);
-    err = admit(exchange, detail, sizeof(detail));
+    err = gateway_admit(exchange, detail, sizeof(detail));
     if (err != FP_OK) {
         fail(exchange, err, detail);
         return;
--- a/tests/raft_test.cc
+++ b/tests/raft_test.cc
@@ -714,6 +714,16 @@
     }
 }
 
+// Three replicas that all vote, over a transport that loses nothing.
+bool form_three(World &w)
+{
+    build(w, 3, 0);
+    w.lossy = false;
+    raft_bootstrap(w.nodes[0]->r, w.nodes[0]->now());
+    return settle(w, 5000) && add_member(w, 1, 10000) &&
+           add_member(w, 2, 10000);
+}
+
 std::string random_run(uint64_t seed, int replicas, int observers)
 {
     World w(seed);
@@ -793,12 +803,7 @@
 {
     for (uint64_t seed = 1; seed <= 60; seed++) {
         World w(seed);
-        build(w, 3, 0);
-        w.lossy = false;
-        raft_bootstrap(w.nodes[0]->r, w.nodes[0]->now());
-        ASSERT_TRUE(settle(w, 5000));
-        ASSERT_TRUE(add_member(w, 1, 10000));
-        ASSERT_TRUE(add_member(w, 2, 10000));
+        ASSERT_TRUE(form_three(w));
         int last = -1;
         for (int round = 0; round < 6 && w.failure.empty(); round++) {
             for (int i = 0; i < 10; i++) {
@@ -824,12 +829,7 @@
 TEST(Raft, EmptyDiskDoesNotVoteAsItsOldIdentity)
 {
     World w(7);
-    build(w, 3, 0);
-    w.lossy = false;
-    raft_bootstrap(w.nodes[0]->r, w.nodes[0]->now());
-    ASSERT_TRUE(settle(w, 5000));
-    ASSERT_TRUE(add_member(w, 1, 10000));
-    ASSERT_TRUE(add_member(w, 2, 10000));
+    ASSERT_TRUE(form_three(w));
     // Host 2 is cut off and misses what hosts 0 and 1 acknowledge.
     for (int i = 0; i < 2; i++) {
         w.cut[2][i] = w.cut[i][2] = true;
@@ -863,12 +863,7 @@
     for (int restart = 0; restart < 2; restart++) {
         for (uint64_t seed = 1; seed <= 40; seed++) {
             World w(seed);
-            build(w, 3, 0);
-            w.lossy = false;
-            raft_bootstrap(w.nodes[0]->r, w.nodes[0]->now());
-            ASSERT_TRUE(settle(w, 5000));
-            ASSERT_TRUE(add_member(w, 1, 10000));
-            ASSERT_TRUE(add_member(w, 2, 10000));
+            ASSERT_TRUE(form_three(w));
             ASSERT_EQ(leading_node(w), w.nodes[0].get());
             w.cut[0][2] = true; // host 2 hears nothing of the leader
             run_for(w, 2000 + w.below(1200));
@@ -893,12 +888,7 @@
 TEST(Raft, LeaderCountsItselfOnlyOnceSynced)
 {
     World w(5);
-    build(w, 3, 0);
-    w.lossy = false;
-    raft_bootstrap(w.nodes[0]->r, w.nodes[0]->now());
-    ASSERT_TRUE(settle(w, 5000));
-    ASSERT_TRUE(add_member(w, 1, 10000));
-    ASSERT_TRUE(add_member(w, 2, 10000));
+    ASSERT_TRUE(form_three(w));
     ASSERT_EQ(leading_node(w), w.nodes[0].get());
     w.cut[0][2] = w.cut[2][0] = true;
     run_for(w, 100);
@@ -921,12 +911,7 @@
 TEST(Raft, FailedDiskStepsOut)
 {
     World w(3);
-    build(w, 3, 0);
-    w.lossy = false;
-    raft_bootstrap(w.nodes[0]->r, w.nodes[0]->now());
-    ASSERT_TRUE(settle(w, 5000));
-    ASSERT_TRUE(add_member(w, 1, 10000));
-    ASSERT_TRUE(add_member(w, 2, 10000));
+    ASSERT_TRUE(form_three(w));
     Node *leader = leading_node(w);
     ASSERT_NE(leader, nullptr);
     raft_disk_failed(leader->r, leader->now());
