--- a/tests/run.sh
+++ b/tests/run.sh
@@ -33,11 +33,14 @@
         if [ "$ok" = OK ]; then note "$name" 0; else note "$name" 1; fi
     done < <(sed -n -E 's/^\[ +(OK|FAILED) +\] ([A-Za-z]+\.[A-Za-z0-9_]+) \(.*/\1 \2/p' "$OUT/unit.log")
     grep -q '^\[==========\].* ran\.' "$OUT/unit.log" || note "unit-tests-ended" 1
-    grep -E -A 8 'Failure|ERROR:' "$OUT/unit.log" | head -60
+    grep -E -A 8 ': Failure$|ERROR: ' "$OUT/unit.log" | head -60
 }
 
+# Each run has 2,000 ports of its own, so that two runs do not meet; all are
+# below those that the kernel hands out.
+export FIRST_PORT=$((10000 + $$ % 10 * 2000))
 run_session() { # NUMBER FILE
-    BASE_PORT=$((17000 + $1 * 100)) timeout 400 bash "$2" \
+    BASE_PORT=$((FIRST_PORT + $1 * 100)) timeout 400 bash "$2" \
         >"$OUT/$(basename "$2" .sh).out" 2>&1
 }
 export -f run_session
