Command line: set changes only the fields that are named

Change: set reads the object, lays the given options over it, and asks for the version it read, so that a change of another operator in between is a conflict and not lost.

Before: weight 7 became 1.

--- a/cli/cmd.c
+++ b/cli/cmd.c
@@ -99,7 +99,72 @@
     return body;
 }
 
-/* "KIND set NAME --field VALUE ..." and "KIND remove NAME". */
+/* Fills the record with the object as it is now, so that "set" changes only
+ * the fields that are named; the change then holds only on top of that
+ * version. A new object starts from zeros. FP_OK also when there is none.
+ */
+static enum fp_err
+fill_current(const struct cli *cli, const struct fp_schema *schema,
+             const char *name, void *record, struct cli_answer *answer)
+{
+    char path[64];
+    char why[200];
+    size_t index;
+    json_t *object;
+
+    snprintf(path, sizeof(path), "/v1/config/%s", schema->name);
+    cli_request(cli, "GET", path, NULL, true, answer);
+    if (answer->err != FP_OK) {
+        return answer->err;
+    }
+    json_array_foreach(answer->body, index, object)
+    {
+        const char *own = json_string_value(json_object_get(object, "name"));
+
+        if (own != NULL && strcmp(own, name) == 0) {
+            json_object_set_new(object, "check_version", json_true());
+            return fp_from_json(schema, object, record, why, sizeof(why));
+        }
+    }
+    return FP_OK;
+}
+
+static enum fp_err
+set_name(const struct fp_schema *schema, void *record, const char *name)
+{
+    char why[200];
+
+    for (uint32_t i = 0; i < schema->field_count; i++) {
+        if (strcmp(schema->fields[i].name, "name") == 0) {
+            return fp_set_field(&schema->fields[i], record, name, why,
+                                sizeof(why));
+        }
+    }
+    return FP_ERR_INTERNAL;
+}
+
+static int
+send_config(const struct cli *cli, const struct fp_schema *schema,
+            void *record, const char *const *words, bool wait)
+{
+    json_t *body;
+    char path[64];
+
+    if (set_name(schema, record, words[1]) != FP_OK) {
+        return cli_error(FP_ERR_BAD_REQUEST, "'%s' is too long", words[1]);
+    }
+    cli_change_id(((struct change_head *)record)->change_id, NAME_BYTES);
+    body = record_body(schema, record);
+    if (strcmp(words[0], "remove") == 0) {
+        json_object_set_new(body, "remove", json_true());
+    }
+    snprintf(path, sizeof(path), "/v1/config/%s", schema->name);
+    return send_change(cli, path, body, wait);
+}
+
+/* "KIND set NAME --field VALUE ..." and "KIND remove NAME". The options are
+ * parsed twice: for the name, then onto the object of that name.
+ */
 static int
 run_config(struct cli *cli, const struct fp_schema *schema, const char *doc,
            int argc, char **argv)
@@ -107,8 +172,7 @@
     const char *words[2] = {NULL, NULL};
     bool wait = false;
     char *record = g_malloc0(schema->size_bytes);
-    char path[64];
-    char why[200];
+    struct cli_answer answer = {.err = FP_OK};
     struct cli_parse parse = {.cli = cli,
                               .schema = schema,
                               .record = record,
@@ -120,7 +184,6 @@
                               .more = WAIT_OPTION,
                               .take_more = take_wait,
                               .ctx = &wait};
-    json_t *body;
     int code;
 
     cli_parse(&parse, argc, argv);
@@ -129,22 +192,16 @@
         g_free(record);
         return cli_error(FP_ERR_BAD_REQUEST, "needs: set NAME or remove NAME");
     }
-    cli_change_id(((struct change_head *)record)->change_id, NAME_BYTES);
-    for (uint32_t i = 0; i < schema->field_count; i++) {
-        const struct fp_field *field = &schema->fields[i];
-
-        if (strcmp(field->name, "name") == 0 &&
-            fp_set_field(field, record, words[1], why, sizeof(why)) != FP_OK) {
-            g_free(record);
-            return cli_error(FP_ERR_BAD_REQUEST, "%s", why);
-        }
+    memset(record, 0, schema->size_bytes);
+    if (fill_current(cli, schema, words[1], record, &answer) != FP_OK) {
+        code = cli_fail(cli, &answer);
     }
-    body = record_body(schema, record);
-    if (strcmp(words[0], "remove") == 0) {
-        json_object_set_new(body, "remove", json_true());
+    else {
+        parse.word_count = 0;
+        cli_parse(&parse, argc, argv);
+        code = send_config(cli, schema, record, words, wait);
     }
-    snprintf(path, sizeof(path), "/v1/config/%s", schema->name);
-    code = send_change(cli, path, body, wait);
+    cli_answer_free(&answer);
     fp_record_free(schema, record);
     g_free(record);
     return code;
--- a/tests/sessions/orders.sh
+++ b/tests/sessions/orders.sh
@@ -7,6 +7,8 @@
 
 say "an operator sets up a team, a key and queues"
 show "$FP" team set kapnos --weight 2 --limit-running 40
+show "$FP" team set kapnos --max-waiting 5000
+"$FP" list team | sed -E 's/at_ms=[0-9]+ //'
 show "$FP" team set other
 show "$FP" queue set orders --kind service --service storefront
 show "$FP" queue set rolling --kind batch --team kapnos
