A leaving target goes on leaving when it announces itself again

Cause: an announcement of the same run set the target up, so a target that was told to leave could get new work again. Before: Cell.LeavingOutlivesASecondAnnouncement fails. After: passes.

--- a/core/cellwork.c
+++ b/core/cellwork.c
@@ -707,6 +707,11 @@
                         rec->name);
             return;
         }
+        if (target->rec.run_id == rec->run_id &&
+            target->rec.state == TARGET_LEAVING) {
+            rec->state = TARGET_LEAVING; /* a second announcement changes it
+                                          * as little as a heartbeat does */
+        }
         keep_decisions(rec, &target->rec);
     }
     if (rec->slots == 0) {
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -327,6 +327,24 @@
     cell_free(c);
 }
 
+// A target that leaves goes on leaving when it announces itself again; a new
+// run of it may come back.
+TEST(Cell, LeavingOutlivesASecondAnnouncement)
+{
+    cell *c = cell_new(nullptr);
+    uint64_t index = 0;
+    ASSERT_EQ(add_target(c, &index, "t1", 2000, 100, 0, 1), FP_OK);
+    auto s = make<change_target_state>();
+    g_strlcpy(s.name, "t1", sizeof(s.name));
+    s.state = TARGET_LEAVING;
+    ASSERT_EQ(apply(c, &CHANGE_TARGET_STATE_SCHEMA, &s, &index), FP_OK);
+    ASSERT_EQ(add_target(c, &index, "t1", 2000, 100, 0, 1), FP_OK);
+    EXPECT_EQ(cell_target(c, "t1")->rec.state, (uint32_t)TARGET_LEAVING);
+    ASSERT_EQ(add_target(c, &index, "t1", 2000, 100, 0, 2), FP_OK);
+    EXPECT_EQ(cell_target(c, "t1")->rec.state, (uint32_t)TARGET_UP);
+    cell_free(c);
+}
+
 TEST(Cell, SaysAtOnceWhatCanNeverRun)
 {
     cell *c = cell_new(nullptr);
