Freshness goes on over an election and over handing leadership on

A new leader was not fresh until its first entry was committed, and one that stepped down or handed leadership on lost its freshness at once, though its copy was as current as a follower's.

Ruled out: the restarted hosts (their refusals come before they are ready), and the drained owner.

Change: a freshness lease from before an election goes on; while the leader lease held the leader's state was whole, so its copy stays in force for fresh_ms after that.

Before: Raft.StaysFreshWhileLeadershipIsHandedOn fails at its first step.

--- a/core/raft.c
+++ b/core/raft.c
@@ -112,7 +112,7 @@
     bool was_leader = raft->state == RAFT_LEADER;
 
     if (was_leader) {
-        raft_stop_leading(raft);
+        raft_stop_leading(raft, now_ms);
     }
     raft->state = RAFT_FOLLOWER;
     if (term > raft->term) {
@@ -790,11 +790,11 @@
     return raftlog_at(&raft->log, index);
 }
 
+/* A lease from before an election goes on: it says how old the state may be,
+ * whoever leads now.
+ */
 bool
 raft_fresh(const struct raft *raft, uint64_t now_ms)
 {
-    if (raft->state == RAFT_LEADER) {
-        return raft_leads(raft, now_ms);
-    }
-    return now_ms < raft->fresh_until_ms;
+    return raft_leads(raft, now_ms) || now_ms < raft->fresh_until_ms;
 }
--- a/core/raftlead.c
+++ b/core/raftlead.c
@@ -377,11 +377,25 @@
     raft_flush(raft, now_ms);
 }
 
+/* While the leader lease held, the leader's state had all that was committed;
+ * so its copy stays in force for fresh_ms after that, as a follower's does.
+ */
+static void
+keep_freshness(struct raft *raft, uint64_t now_ms)
+{
+    uint64_t held_ms = MIN(now_ms, raft->lease_until_ms);
+
+    if (raft->lease_until_ms > 0 && raft->applied >= raft->noop_index) {
+        raft->fresh_until_ms =
+            MAX(raft->fresh_until_ms, held_ms + raft->times.fresh_ms);
+    }
+}
+
 void
-raft_stop_leading(struct raft *raft)
+raft_stop_leading(struct raft *raft, uint64_t now_ms)
 {
+    keep_freshness(raft, now_ms);
     raft->lease_until_ms = 0;
-    raft->fresh_until_ms = 0;
     raft->fresh_next_ms = 0;
     raft->transfer_to = 0;
     if (raft->unflushed != 0) {
@@ -622,6 +636,7 @@
     raft_flush(raft, now_ms);
     raft->transfer_to = best->id;
     raft->transfer_end_ms = now_ms + TRANSFER_MAX_MS;
+    keep_freshness(raft, now_ms);
     raft->lease_until_ms = 0;
     continue_transfer(raft, now_ms);
 }
--- a/core/raftpriv.h
+++ b/core/raftpriv.h
@@ -98,7 +98,7 @@
 
 /* raftlead.c */
 void raft_become_leader(struct raft *raft, uint64_t now_ms);
-void raft_stop_leading(struct raft *raft);
+void raft_stop_leading(struct raft *raft, uint64_t now_ms);
 void raft_lead_tick(struct raft *raft, uint64_t now_ms);
 void raft_lead_hello(struct raft *raft, const struct msg_hello *msg,
                      uint64_t now_ms);
--- a/tests/raft_test.cc
+++ b/tests/raft_test.cc
@@ -281,6 +281,32 @@
     tear_down(w);
 }
 
+// Handing leadership on leaves no gap: every host's copy stays in force, the
+// old leader's and the new one's too.
+TEST(Raft, StaysFreshWhileLeadershipIsHandedOn)
+{
+    for (uint64_t seed = 1; seed <= 20; seed++) {
+        World w(seed);
+        ASSERT_TRUE(form_three(w));
+        run_for(w, 500);
+        for (int round = 0; round < 5; round++) {
+            Node *leader = leading_node(w);
+            ASSERT_NE(leader, nullptr);
+            raft_transfer(leader->r, leader->now());
+            for (int i = 0; i < 100 && w.failure.empty(); i++) {
+                step(w);
+                for (auto &n : w.nodes) {
+                    ASSERT_TRUE(raft_fresh(n->r, n->now()))
+                        << n->host << ", seed " << seed;
+                }
+            }
+            EXPECT_NE(leading_node(w), leader);
+        }
+        EXPECT_EQ(w.failure, "");
+        tear_down(w);
+    }
+}
+
 // A failed disk takes the replica out: it neither votes nor acknowledges.
 TEST(Raft, FailedDiskStepsOut)
 {
