Gateway: an owner whose instance took no connection is asked again

Cause: when one owner holds all instances of a service, a refused connection to one of them ended the request, though another would have served it: the owner counted as tried. Ruled out: the choice among instances; it avoids the failing one after that. Change: after 'not-connected' the owner may be asked again, within the same bound of tries, deadline and budget.

--- a/node/gateway.c
+++ b/node/gateway.c
@@ -189,6 +189,11 @@
     uint32_t wait_ms =
         backoff_ms / 2 + randombytes_uniform(backoff_ms / 2 + 1);
 
+    if (exchange->err == FP_ERR_NOT_CONNECTED) {
+        /* One of the owner's instances took no connection; the owner avoids
+         * it now and may well have another. */
+        exchange->tried[exchange->tries - 1][0] = '\0';
+    }
     if (!may_retry(exchange) || now_ms + wait_ms >= exchange->deadline_ms ||
         !has_untried_owner(exchange, now_ms)) {
         conclude(exchange);
