--- a/core/cell.c
+++ b/core/cell.c
@@ -48,7 +48,7 @@
     cell->hours =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, cell_free_hours);
     cell->targets =
-        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, cell_free_target);
     cell->jobs = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
                                        cell_free_job);
     cell->seen =
--- a/core/cell.h
+++ b/core/cell.h
@@ -66,7 +66,7 @@
 
 struct target {
     struct change_target rec;
-    char labels[2 * LABELS_BYTES + 4 * NAME_BYTES]; /* all, built-in too */
+    char *labels;       /* all of them, built-in ones too */
     struct use use;     /* of the tasks that run here */
     struct task *first; /* tasks that run here */
     void *sched;        /* the scheduler's own record */
--- a/core/cellconf.c
+++ b/core/cellconf.c
@@ -340,16 +340,26 @@
     config_accepted(cell, index, answer);
 }
 
+void
+cell_free_target(void *item)
+{
+    struct target *target = item;
+
+    g_free(target->labels);
+    g_free(target);
+}
+
 /* All labels of a target in one text, with the built-in ones. */
 static void
 join_labels(struct target *target)
 {
     const struct change_target *rec = &target->rec;
 
-    snprintf(target->labels, sizeof(target->labels),
-             "target=%s,data-centre=%s,rack=%s%s%s%s%s", rec->name,
-             rec->data_centre, rec->rack, rec->given_labels[0] ? "," : "",
-             rec->given_labels, rec->labels[0] ? "," : "", rec->labels);
+    g_free(target->labels);
+    target->labels = g_strdup_printf(
+        "target=%s,data-centre=%s,rack=%s%s%s%s%s", rec->name,
+        rec->data_centre, rec->rack, rec->given_labels[0] ? "," : "",
+        rec->given_labels, rec->labels[0] ? "," : "", rec->labels);
 }
 
 struct target *
--- a/core/cellpriv.h
+++ b/core/cellpriv.h
@@ -50,6 +50,7 @@
 void cell_free_team(void *team);
 void cell_free_queue(void *queue);
 void cell_free_hours(void *hours);
+void cell_free_target(void *target);
 
 /* cellwork.c */
 void cell_apply_target(struct cell *, uint64_t, void *,
--- a/core/schedhost.c
+++ b/core/schedhost.c
@@ -166,13 +166,13 @@
 /* Room for one more beside what is held for others. */
 static bool
 room_beside(const struct sched_host *host, const struct change_submit *size,
-            const struct change_submit *held, uint32_t count)
+            const struct use *held, uint32_t count)
 {
     struct sched_host after = *host;
 
-    after.pending.cpu_milli += (uint64_t)held->cpu_milli * count;
-    after.pending.memory_mb += (uint64_t)held->memory_mb * count;
-    after.pending.accel += (uint64_t)held->accel * count;
+    after.pending.cpu_milli += held->cpu_milli * count;
+    after.pending.memory_mb += held->memory_mb * count;
+    after.pending.accel += held->accel * count;
     return sched_room(&after, size);
 }
 
@@ -191,14 +191,18 @@
 sched_host_open(const struct sched *sched, const struct sched_host *host,
                 const struct work_class *cls, const struct job *job)
 {
+    struct use earmarked = {0, 0, 0, 0};
+
     if (host->target->rec.state != TARGET_UP ||
         !probation_allows(sched, host, cls)) {
         return false;
     }
+    if (host->earmark != NULL) {
+        sched_take(&earmarked, &host->earmark->size);
+    }
     if (host->earmark != NULL && host->earmark != cls &&
         sched->now_ms < host->earmark_until_ms &&
-        !room_beside(host, &cls->size, &host->earmark->size,
-                     host->earmark_count)) {
+        !room_beside(host, &cls->size, &earmarked, host->earmark_count)) {
         return false;
     }
     if (host->reserved && job != sched->reserved_for &&
--- a/core/schedpriv.h
+++ b/core/schedpriv.h
@@ -39,8 +39,8 @@
     /* Reservation for a gang: other work must end before start_ms. */
     bool reserved;
     uint64_t start_ms;
-    struct change_submit reserved_size; /* of one task of the gang */
-    uint32_t reserved_tasks;            /* that are to start here */
+    struct use reserved_size; /* of one task of the gang */
+    uint32_t reserved_tasks;  /* that are to start here */
     /* Room made by preemption, for the next tasks of one class. */
     struct work_class *earmark; /* NULL: none */
     uint32_t earmark_count;     /* tasks of that class */
--- a/core/schedyield.c
+++ b/core/schedyield.c
@@ -443,7 +443,8 @@
 
         host->reserved = true;
         host->start_ms = start_ms;
-        host->reserved_size = job->rec;
+        memset(&host->reserved_size, 0, sizeof(host->reserved_size));
+        sched_take(&host->reserved_size, &job->rec);
         host->reserved_tasks += opening->tasks;
     }
 }
