--- a/bench/standin.c
+++ b/bench/standin.c
@@ -551,7 +551,7 @@
     }
     timers_free(standin->timers);
     fetcher_free(standin->fetcher);
-    httpd_free(standin->httpd);
+    httpd_close(standin->httpd);
     if (standin->journal >= 0) {
         close(standin->journal);
     }
--- a/node/httpd.c
+++ b/node/httpd.c
@@ -29,6 +29,7 @@
     http_handler handler;
     void *ctx;
     uint32_t in_flight;
+    bool disposed; /* nothing of h2o refers to this any more */
 };
 
 /* Lives in h2o's pool; tells the request when h2o drops its side. */
@@ -245,17 +246,32 @@
         (h2o_linklist_t *)&httpd->context.http1._conns);
 }
 
-/* h2o's context and configuration stay until the process ends: h2o 2.2 frees
- * its connections only from their own events.
+/* h2o 2.2 frees a connection only from that connection's own events, and its
+ * context only without connections: with idle kept ones at the end both stay
+ * until the process ends.
  */
 void
-httpd_free(struct httpd *httpd)
+httpd_close(struct httpd *httpd)
 {
     if (httpd == NULL) {
         return;
     }
     httpd_stop_listening(httpd);
     SSL_CTX_free(httpd->ssl);
+    httpd->ssl = NULL;
+    if (!httpd_has_connections(httpd)) {
+        h2o_context_dispose(&httpd->context);
+        h2o_config_dispose(&httpd->config);
+        httpd->disposed = true;
+    }
+}
+
+void
+httpd_free(struct httpd *httpd)
+{
+    if (httpd != NULL && httpd->disposed) {
+        g_free(httpd);
+    }
 }
 
 const char *
--- a/node/httpd.h
+++ b/node/httpd.h
@@ -44,7 +44,11 @@
 /* Reports whether a connection is open, be it idle. */
 bool httpd_has_connections(const struct httpd *httpd);
 
-/* Call once nothing is in flight, before the loop is closed. */
+/* Closes its handles; call once nothing is in flight, while the loop still
+ * runs. */
+void httpd_close(struct httpd *httpd);
+
+/* Frees the memory, after the loop has run its closing callbacks. */
 void httpd_free(struct httpd *httpd);
 
 /* Parts of a request. Texts are owned by the request. */
--- a/node/serve.c
+++ b/node/serve.c
@@ -406,19 +406,23 @@
 static void
 stop_parts(struct server *server)
 {
+    httpd_close(server->httpd); /* turns the loop: all parts still stand */
     leader_free(server->leader);
     assign_free(server->assign);
+    server->leader = NULL;
+    server->assign = NULL;
     api_free(server->api);
     gateway_free(server->gateway);
     fetcher_free(server->fetcher);
     owner_free(server->owner);
-    httpd_free(server->httpd);
     replica_free(server->replica);
     timers_free(server->timers);
     uv_walk(&server->loop, close_handle, NULL);
     for (int i = 0; i < 10; i++) {
         uv_run(&server->loop, UV_RUN_NOWAIT);
     }
+    uv_loop_close(&server->loop);
+    httpd_free(server->httpd);
 }
 
 enum fp_err
