Session failing-target: the failing target is always tried first

The session judged the order of arrival. Change: the failing target is the tighter fit, so work is tried there until it is on probation. No bound or expectation changed.

--- a/tests/sessions/failing-target.sh
+++ b/tests/sessions/failing-target.sh
@@ -2,7 +2,8 @@
 # put on probation, and jobs that fail everywhere end after their attempts.
 . tests/lib.sh
 begin_cell 3 3 || exit 1
-start_target bad 0 dc1 --cpu-milli 8000 --memory-mb 8000 --fail-all
+# The smaller one is the tighter fit, so work is tried there first.
+start_target bad 0 dc1 --cpu-milli 2000 --memory-mb 8000 --fail-all
 start_target good 0 dc2 --cpu-milli 8000 --memory-mb 8000
 until_true 10 target_up bad && until_true 10 target_up good || exit 1
 "$FP" team set kapnos >/dev/null
