--- a/Makefile
+++ b/Makefile
@@ -19,12 +19,12 @@
 LDFLAGS += -fsanitize=address,undefined
 endif
 
-SOURCES = $(wildcard base/*.c core/*.c node/*.c bench/*.c cli/*.c)
+SOURCES = $(wildcard base/*.c core/*.c node/*.c bench/*.c platform/*.c cli/*.c)
 OBJECTS = $(SOURCES:%.c=$(BUILD)/%.o)
 LIBRARY_OBJECTS = $(filter-out $(BUILD)/cli/main.o,$(OBJECTS))
 TEST_SOURCES = $(wildcard tests/*.cc)
 TEST_OBJECTS = $(TEST_SOURCES:%.cc=$(BUILD)/%.o)
-FORMATTED = $(wildcard base/*.[ch] core/*.[ch] node/*.[ch] bench/*.[ch] cli/*.[ch] tests/*.c filbertpath.h)
+FORMATTED = $(wildcard base/*.[ch] core/*.[ch] node/*.[ch] bench/*.[ch] platform/*.[ch] cli/*.[ch] tests/*.c filbertpath.h)
 
 all: $(BUILD)/filbertpath $(BUILD)/badtarget
 
--- a/base/err.c
+++ b/base/err.c
@@ -15,6 +15,8 @@
                             "The key's team may not use this."},
     [FP_ERR_NOT_FOUND] = {"not-found", 404, 4, FP_NOT_RUN, false, 0,
                           "There is no such object."},
+    [FP_ERR_GONE] = {"gone", 410, 4, FP_NOT_RUN, false, 0,
+                     "No such job is known."},
     [FP_ERR_VERSION] = {"version-conflict", 409, 5, FP_NOT_RUN, false, 0,
                         "The object has changed since that version."},
     [FP_ERR_KEY_REUSED] = {"idempotency-key-reused", 422, 5, FP_NOT_RUN, false,
--- a/base/err.h
+++ b/base/err.h
@@ -15,6 +15,7 @@
     FP_ERR_NO_KEY,        /* no key, or a key that is unknown or withdrawn */
     FP_ERR_NOT_ALLOWED,   /* the key's team may not use this */
     FP_ERR_NOT_FOUND,     /* no such object or route */
+    FP_ERR_GONE,          /* no such job, or its state is kept no longer */
     FP_ERR_VERSION,       /* compare-and-set lost; current version given */
     FP_ERR_KEY_REUSED,    /* idempotency key was used with another body */
     FP_ERR_IN_PROGRESS,   /* the first request under this key still runs */
--- /dev/null
+++ b/core/fleetrec.c
@@ -0,0 +1,335 @@
+/* fleetrec.c -- the tables of a fleet's records */
+#include "core/fleetrec.h"
+
+const char *const JOB_STATE_NAMES[JOB_STATE_COUNT] = {
+    "queued", "running", "completed", "failed", "cancelled"};
+const char *const RUN_OUTCOME_NAMES[RUN_OUTCOME_COUNT] = {
+    "done", "failed", "stopped", "lapsed", "broken", "incomplete"};
+
+/* One field; at may name a member of a member. */
+#define U32(of, at)                                                           \
+    {                                                                         \
+#at, FP_U32, offsetof(struct of, at), 0, NULL, NULL, NULL             \
+    }
+#define U64(of, at)                                                           \
+    {                                                                         \
+#at, FP_U64, offsetof(struct of, at), 0, NULL, NULL, NULL             \
+    }
+#define BOOL(of, at)                                                          \
+    {                                                                         \
+#at, FP_BOOL, offsetof(struct of, at), 0, NULL, NULL, NULL            \
+    }
+#define STR(of, at, bytes)                                                    \
+    {                                                                         \
+#at, FP_STR, offsetof(struct of, at), bytes, NULL, NULL, NULL         \
+    }
+#define BLOB(of, at, bytes)                                                   \
+    {                                                                         \
+#at, FP_BLOB, offsetof(struct of, at), bytes, NULL, NULL, NULL        \
+    }
+#define LIST(of, at, most, item)                                              \
+    {                                                                         \
+#at, FP_LIST, offsetof(struct of, at), most, &item, NULL, NULL        \
+    }
+#define TABLE(name, type, of, fields)                                         \
+    {                                                                         \
+        name, type, sizeof(struct of), fields, FP_FIELD_COUNT(fields)         \
+    }
+
+static const struct fp_field FLEET_AFTER_FIELDS[] = {
+    U32(fleet_after, step),
+};
+static const struct fp_schema FLEET_AFTER_SCHEMA =
+    TABLE("fleet-after", 120, fleet_after, FLEET_AFTER_FIELDS);
+
+static const struct fp_field FLEET_STEP_FIELDS[] = {
+    U32(fleet_step, count),
+    U32(fleet_step, cpu_milli),
+    U32(fleet_step, memory_mb),
+    U32(fleet_step, accel),
+    U32(fleet_step, estimate_ms),
+    LIST(fleet_step, after, FLEET_STEPS_MAX, FLEET_AFTER_SCHEMA),
+    BOOL(fleet_step, checkpoints),
+    BOOL(fleet_step, gang),
+    BOOL(fleet_step, same_rack),
+    BOOL(fleet_step, duplicates),
+    BOOL(fleet_step, lasting),
+    BOOL(fleet_step, fills),
+    U32(fleet_step, spread),
+    U32(fleet_step, tail_ms),
+    U32(fleet_step, may_miss),
+    BOOL(fleet_step, keeps_floor),
+    STR(fleet_step, label, FLEET_NAME_BYTES),
+    STR(fleet_step, rack, FLEET_NAME_BYTES),
+    STR(fleet_step, image, FLEET_NAME_BYTES),
+};
+const struct fp_schema FLEET_STEP_SCHEMA =
+    TABLE("fleet-step", 121, fleet_step, FLEET_STEP_FIELDS);
+
+static const struct fp_field FLEET_SUBMIT_FIELDS[] = {
+    STR(fleet_submit, head.change_id, NAME_BYTES),
+    U64(fleet_submit, head.at_ms),
+    U64(fleet_submit, id),
+    STR(fleet_submit, host, FLEET_NAME_BYTES),
+    STR(fleet_submit, prefix, FLEET_PATH_BYTES),
+    STR(fleet_submit, team, FLEET_NAME_BYTES),
+    BLOB(fleet_submit, spec, FLEET_SPEC_MAX_BYTES),
+    LIST(fleet_submit, steps, FLEET_STEPS_MAX, FLEET_STEP_SCHEMA),
+    U64(fleet_submit, first_due_ms),
+    U32(fleet_submit, interval_ms),
+    U32(fleet_submit, occurrences),
+};
+const struct fp_schema FLEET_SUBMIT_SCHEMA =
+    TABLE("fleet-submit", FLEET_SUBMIT, fleet_submit, FLEET_SUBMIT_FIELDS);
+
+static const struct fp_field FLEET_CANCEL_FIELDS[] = {
+    STR(fleet_cancel, head.change_id, NAME_BYTES),
+    U64(fleet_cancel, head.at_ms),
+    U64(fleet_cancel, id),
+};
+const struct fp_schema FLEET_CANCEL_SCHEMA =
+    TABLE("fleet-cancel", FLEET_CANCEL, fleet_cancel, FLEET_CANCEL_FIELDS);
+
+static const struct fp_field FLEET_END_FIELDS[] = {
+    U64(fleet_end, task.job_id),
+    U32(fleet_end, task.occurrence),
+    U32(fleet_end, task.step),
+    U32(fleet_end, task.index),
+    U32(fleet_end, run),
+    U32(fleet_end, outcome),
+    STR(fleet_end, checkpoint, FLEET_CHECKPOINT_BYTES),
+};
+static const struct fp_schema FLEET_END_SCHEMA =
+    TABLE("fleet-end", 122, fleet_end, FLEET_END_FIELDS);
+
+static const struct fp_field FLEET_ENDS_FIELDS[] = {
+    STR(fleet_ends, head.change_id, NAME_BYTES),
+    U64(fleet_ends, head.at_ms),
+    LIST(fleet_ends, items, 8192, FLEET_END_SCHEMA),
+};
+const struct fp_schema FLEET_ENDS_SCHEMA =
+    TABLE("fleet-ends", FLEET_ENDS, fleet_ends, FLEET_ENDS_FIELDS);
+
+static const struct fp_field FLEET_QUEUE_CONF_FIELDS[] = {
+    STR(fleet_queue_conf, name, FLEET_NAME_BYTES),
+    STR(fleet_queue_conf, host, FLEET_NAME_BYTES),
+    STR(fleet_queue_conf, prefix, FLEET_PATH_BYTES),
+    STR(fleet_queue_conf, service, FLEET_NAME_BYTES),
+    U32(fleet_queue_conf, priority),
+    U32(fleet_queue_conf, objective_ms),
+    U32(fleet_queue_conf, stretch_permille),
+    U32(fleet_queue_conf, max_attempts),
+    BOOL(fleet_queue_conf, open),
+    BOOL(fleet_queue_conf, advised),
+    U32(fleet_queue_conf, advice_us),
+    U32(fleet_queue_conf, advice_each_us),
+    U32(fleet_queue_conf, ticket_ms),
+};
+static const struct fp_schema FLEET_QUEUE_CONF_SCHEMA =
+    TABLE("fleet-queue-conf", 123, fleet_queue_conf, FLEET_QUEUE_CONF_FIELDS);
+
+static const struct fp_field FLEET_SERVICE_CONF_FIELDS[] = {
+    STR(fleet_service_conf, name, FLEET_NAME_BYTES),
+    BOOL(fleet_service_conf, guards_size),
+    BOOL(fleet_service_conf, standby),
+};
+static const struct fp_schema FLEET_SERVICE_CONF_SCHEMA = TABLE(
+    "fleet-service-conf", 124, fleet_service_conf, FLEET_SERVICE_CONF_FIELDS);
+
+static const struct fp_field FLEET_KEY_CONF_FIELDS[] = {
+    STR(fleet_key_conf, key, FLEET_KEY_BYTES),
+};
+static const struct fp_schema FLEET_KEY_CONF_SCHEMA =
+    TABLE("fleet-key-conf", 125, fleet_key_conf, FLEET_KEY_CONF_FIELDS);
+
+static const struct fp_field FLEET_TEAM_CONF_FIELDS[] = {
+    STR(fleet_team_conf, name, FLEET_NAME_BYTES),
+    U32(fleet_team_conf, weight),
+    U64(fleet_team_conf, limit_cpu_milli),
+    U64(fleet_team_conf, limit_memory_mb),
+    U64(fleet_team_conf, limit_accel),
+    LIST(fleet_team_conf, keys, 256, FLEET_KEY_CONF_SCHEMA),
+};
+static const struct fp_schema FLEET_TEAM_CONF_SCHEMA =
+    TABLE("fleet-team-conf", 126, fleet_team_conf, FLEET_TEAM_CONF_FIELDS);
+
+static const struct fp_field FLEET_CONFIG_FIELDS[] = {
+    STR(fleet_config, head.change_id, NAME_BYTES),
+    U64(fleet_config, head.at_ms),
+    U64(fleet_config, version),
+    LIST(fleet_config, queues, 16384, FLEET_QUEUE_CONF_SCHEMA),
+    LIST(fleet_config, services, 1024, FLEET_SERVICE_CONF_SCHEMA),
+    LIST(fleet_config, teams, 4096, FLEET_TEAM_CONF_SCHEMA),
+    BLOB(fleet_config, text, FLEET_CONFIG_MAX_BYTES),
+};
+const struct fp_schema FLEET_CONFIG_SCHEMA =
+    TABLE("fleet-config", FLEET_CONFIG, fleet_config, FLEET_CONFIG_FIELDS);
+
+static const struct fp_field FLEET_TARGET_REC_FIELDS[] = {
+    STR(fleet_target_rec, head.change_id, NAME_BYTES),
+    U64(fleet_target_rec, head.at_ms),
+    STR(fleet_target_rec, id, FLEET_NAME_BYTES),
+    U64(fleet_target_rec, born_ms),
+    STR(fleet_target_rec, address, FLEET_NAME_BYTES),
+    STR(fleet_target_rec, service, FLEET_NAME_BYTES),
+    STR(fleet_target_rec, data_centre, FLEET_NAME_BYTES),
+    U32(fleet_target_rec, cpu_milli),
+    U32(fleet_target_rec, memory_mb),
+    U32(fleet_target_rec, accel),
+    STR(fleet_target_rec, rack, FLEET_NAME_BYTES),
+    STR(fleet_target_rec, labels, FLEET_LABELS_BYTES),
+    BOOL(fleet_target_rec, leaving),
+};
+const struct fp_schema FLEET_TARGET_SCHEMA =
+    TABLE("fleet-target-rec", FLEET_TARGET, fleet_target_rec,
+          FLEET_TARGET_REC_FIELDS);
+
+static const struct fp_field FLEET_TARGET_GONE_FIELDS[] = {
+    STR(fleet_target_gone, head.change_id, NAME_BYTES),
+    U64(fleet_target_gone, head.at_ms),
+    STR(fleet_target_gone, id, FLEET_NAME_BYTES),
+    U64(fleet_target_gone, born_ms),
+};
+const struct fp_schema FLEET_TARGET_GONE_SCHEMA =
+    TABLE("fleet-target-gone", FLEET_TARGET_GONE, fleet_target_gone,
+          FLEET_TARGET_GONE_FIELDS);
+
+static const struct fp_field FLEET_TASK_SAVED_FIELDS[] = {
+    U32(fleet_task_saved, number),
+    BOOL(fleet_task_saved, done),
+    U32(fleet_task_saved, failures),
+    U32(fleet_task_saved, failed_run),
+    STR(fleet_task_saved, checkpoint, FLEET_CHECKPOINT_BYTES),
+};
+static const struct fp_schema FLEET_TASK_SAVED_SCHEMA =
+    TABLE("fleet-task-saved", 127, fleet_task_saved, FLEET_TASK_SAVED_FIELDS);
+
+static const struct fp_field FLEET_JOB_SAVED_FIELDS[] = {
+    STR(fleet_job_saved, submit.head.change_id, NAME_BYTES),
+    U64(fleet_job_saved, submit.head.at_ms),
+    U64(fleet_job_saved, submit.id),
+    STR(fleet_job_saved, submit.host, FLEET_NAME_BYTES),
+    STR(fleet_job_saved, submit.prefix, FLEET_PATH_BYTES),
+    STR(fleet_job_saved, submit.team, FLEET_NAME_BYTES),
+    BLOB(fleet_job_saved, submit.spec, FLEET_SPEC_MAX_BYTES),
+    LIST(fleet_job_saved, submit.steps, FLEET_STEPS_MAX, FLEET_STEP_SCHEMA),
+    U64(fleet_job_saved, submit.first_due_ms),
+    U32(fleet_job_saved, submit.interval_ms),
+    U32(fleet_job_saved, submit.occurrences),
+    U32(fleet_job_saved, state),
+    U64(fleet_job_saved, ended_ms),
+    LIST(fleet_job_saved, tasks, FLEET_JOB_TASKS_MAX, FLEET_TASK_SAVED_SCHEMA),
+};
+const struct fp_schema FLEET_JOB_SAVED_SCHEMA =
+    TABLE("fleet-job-saved", FLEET_JOB_SAVED, fleet_job_saved,
+          FLEET_JOB_SAVED_FIELDS);
+
+static const struct fp_field FLEET_SNAPSHOT_ITEM_FIELDS[] = {
+    BLOB(fleet_snapshot_item, record, 4u * 1024 * 1024),
+};
+static const struct fp_schema FLEET_SNAPSHOT_ITEM_SCHEMA =
+    TABLE("fleet-snapshot-item", 128, fleet_snapshot_item,
+          FLEET_SNAPSHOT_ITEM_FIELDS);
+
+static const struct fp_field FLEET_SNAPSHOT_FIELDS[] = {
+    U64(fleet_snapshot, now_ms),
+    LIST(fleet_snapshot, items, 1048576, FLEET_SNAPSHOT_ITEM_SCHEMA),
+};
+const struct fp_schema FLEET_SNAPSHOT_SCHEMA = TABLE(
+    "fleet-snapshot", FLEET_SNAPSHOT, fleet_snapshot, FLEET_SNAPSHOT_FIELDS);
+
+static const struct fp_field CALL_JOB_FIELDS[] = {
+    STR(call_job, host, FLEET_NAME_BYTES),
+    STR(call_job, path, FLEET_PATH_BYTES),
+    STR(call_job, key, FLEET_KEY_BYTES),
+    BOOL(call_job, has_key),
+};
+const struct fp_schema CALL_JOB_SCHEMA =
+    TABLE("call-job", 129, call_job, CALL_JOB_FIELDS);
+
+static const struct fp_field CALL_SUBMIT_FIELDS[] = {
+    STR(call_submit, to.host, FLEET_NAME_BYTES),
+    STR(call_submit, to.path, FLEET_PATH_BYTES),
+    STR(call_submit, to.key, FLEET_KEY_BYTES),
+    BOOL(call_submit, to.has_key),
+    STR(call_submit, job.head.change_id, NAME_BYTES),
+    U64(call_submit, job.head.at_ms),
+    U64(call_submit, job.id),
+    STR(call_submit, job.host, FLEET_NAME_BYTES),
+    STR(call_submit, job.prefix, FLEET_PATH_BYTES),
+    STR(call_submit, job.team, FLEET_NAME_BYTES),
+    BLOB(call_submit, job.spec, FLEET_SPEC_MAX_BYTES),
+    LIST(call_submit, job.steps, FLEET_STEPS_MAX, FLEET_STEP_SCHEMA),
+    U64(call_submit, job.first_due_ms),
+    U32(call_submit, job.interval_ms),
+    U32(call_submit, job.occurrences),
+};
+const struct fp_schema CALL_SUBMIT_SCHEMA =
+    TABLE("call-submit", 130, call_submit, CALL_SUBMIT_FIELDS);
+
+static const struct fp_field CALL_PING_FIELDS[] = {
+    U32(call_ping, helper),
+};
+const struct fp_schema CALL_PING_SCHEMA =
+    TABLE("call-ping", 131, call_ping, CALL_PING_FIELDS);
+
+static const struct fp_field CALL_ANNOUNCE_FIELDS[] = {
+    STR(call_announce, target.head.change_id, NAME_BYTES),
+    U64(call_announce, target.head.at_ms),
+    STR(call_announce, target.id, FLEET_NAME_BYTES),
+    U64(call_announce, target.born_ms),
+    STR(call_announce, target.address, FLEET_NAME_BYTES),
+    STR(call_announce, target.service, FLEET_NAME_BYTES),
+    STR(call_announce, target.data_centre, FLEET_NAME_BYTES),
+    U32(call_announce, target.cpu_milli),
+    U32(call_announce, target.memory_mb),
+    U32(call_announce, target.accel),
+    STR(call_announce, target.rack, FLEET_NAME_BYTES),
+    STR(call_announce, target.labels, FLEET_LABELS_BYTES),
+    BOOL(call_announce, target.leaving),
+    U64(call_announce, sequence),
+    U64(call_announce, remaining_ms),
+};
+const struct fp_schema CALL_ANNOUNCE_SCHEMA =
+    TABLE("call-announce", 132, call_announce, CALL_ANNOUNCE_FIELDS);
+
+static const struct fp_field CALL_TARGET_ID_FIELDS[] = {
+    STR(call_target_id, id, FLEET_NAME_BYTES),
+};
+static const struct fp_schema CALL_TARGET_ID_SCHEMA =
+    TABLE("call-target-id", 133, call_target_id, CALL_TARGET_ID_FIELDS);
+
+static const struct fp_field CALL_ADVISE_FIELDS[] = {
+    U64(call_advise, job_id),
+    U32(call_advise, occurrence),
+    U32(call_advise, step),
+    U32(call_advise, timeout_ms),
+    LIST(call_advise, targets, FLEET_ADVICE_MAX, CALL_TARGET_ID_SCHEMA),
+};
+const struct fp_schema CALL_ADVISE_SCHEMA =
+    TABLE("call-advise", 134, call_advise, CALL_ADVISE_FIELDS);
+
+static const struct fp_field CALL_TICKET_FIELDS[] = {
+    STR(call_ticket, id, FLEET_NAME_BYTES),
+    STR(call_ticket, ticket, FLEET_TICKET_BYTES),
+};
+static const struct fp_schema CALL_TICKET_SCHEMA =
+    TABLE("call-ticket", 135, call_ticket, CALL_TICKET_FIELDS);
+
+static const struct fp_field CALL_HOST_FIELDS[] = {
+    STR(call_host, host, FLEET_NAME_BYTES),
+};
+static const struct fp_schema CALL_HOST_SCHEMA =
+    TABLE("call-host", 136, call_host, CALL_HOST_FIELDS);
+
+static const struct fp_field CALL_ANSWER_FIELDS[] = {
+    U32(call_answer, err),
+    U32(call_answer, state),
+    U64(call_answer, count),
+    U32(call_answer, retry_after_ms),
+    BLOB(call_answer, text, FLEET_CONFIG_MAX_BYTES),
+    LIST(call_answer, hosts, 64, CALL_HOST_SCHEMA),
+    LIST(call_answer, tickets, FLEET_ADVICE_MAX, CALL_TICKET_SCHEMA),
+};
+const struct fp_schema CALL_FLEET_ANSWER_SCHEMA =
+    TABLE("call-answer", 137, call_answer, CALL_ANSWER_FIELDS);
--- a/core/msg.c
+++ b/core/msg.c
@@ -339,6 +339,31 @@
     "hint", MSG_HINT, sizeof(struct msg_hint), MSG_HINT_FIELDS,
     FP_FIELD_COUNT(MSG_HINT_FIELDS)};
 
+static const struct fp_field MSG_FORWARD_FIELDS[] = {
+    {"request_id", FP_U64, offsetof(struct msg_forward, request_id), 0, NULL,
+     NULL, NULL},
+    {"kind", FP_U32, offsetof(struct msg_forward, kind), 0, NULL, NULL, NULL},
+    {"body", FP_BLOB, offsetof(struct msg_forward, body), MSG_ENTRY_MAX_BYTES,
+     NULL, NULL, NULL},
+};
+const struct fp_schema MSG_FORWARD_SCHEMA = {
+    "forward", MSG_FORWARD, sizeof(struct msg_forward), MSG_FORWARD_FIELDS,
+    FP_FIELD_COUNT(MSG_FORWARD_FIELDS)};
+
+static const struct fp_field MSG_FORWARD_REPLY_FIELDS[] = {
+    {"request_id", FP_U64, offsetof(struct msg_forward_reply, request_id), 0,
+     NULL, NULL, NULL},
+    {"err", FP_U32, offsetof(struct msg_forward_reply, err), 0, NULL, NULL,
+     NULL},
+    {"leader_host", FP_STR, offsetof(struct msg_forward_reply, leader_host),
+     MSG_HOST_BYTES, NULL, NULL, NULL},
+    {"body", FP_BLOB, offsetof(struct msg_forward_reply, body),
+     MSG_ENTRY_MAX_BYTES, NULL, NULL, NULL},
+};
+const struct fp_schema MSG_FORWARD_REPLY_SCHEMA = {
+    "forward-reply", MSG_FORWARD_REPLY, sizeof(struct msg_forward_reply),
+    MSG_FORWARD_REPLY_FIELDS, FP_FIELD_COUNT(MSG_FORWARD_REPLY_FIELDS)};
+
 const struct fp_schema *
 msg_schema(uint32_t type)
 {
@@ -358,6 +383,8 @@
         [MSG_ASK] = &MSG_ASK_SCHEMA,
         [MSG_ASK_REPLY] = &MSG_ASK_REPLY_SCHEMA,
         [MSG_HINT] = &MSG_HINT_SCHEMA,
+        [MSG_FORWARD] = &MSG_FORWARD_SCHEMA,
+        [MSG_FORWARD_REPLY] = &MSG_FORWARD_REPLY_SCHEMA,
     };
 
     if (type >= sizeof(table) / sizeof(table[0])) {
--- a/core/msg.h
+++ b/core/msg.h
@@ -13,7 +13,7 @@
 #define MSG_HOST_BYTES 32u
 #define MSG_CALL_BODY_MAX_BYTES (1024u * 1024)
 #define MSG_APPEND_MAX_ENTRIES 4096u
-#define MSG_ENTRY_MAX_BYTES (256u * 1024)
+#define MSG_ENTRY_MAX_BYTES (1536u * 1024)
 #define MSG_SNAPSHOT_CHUNK_BYTES (256u * 1024)
 #define MSG_MAX_MEMBERS 32u
 
@@ -32,7 +32,9 @@
     MSG_CALL_REPLY,
     MSG_ASK,
     MSG_ASK_REPLY,
-    MSG_HINT
+    MSG_HINT,
+    MSG_FORWARD,
+    MSG_FORWARD_REPLY
 };
 
 enum raft_kind {
@@ -228,6 +230,22 @@
     uint32_t wanted;
 };
 
+/* A call for the leader, or from it to a helper. */
+struct msg_forward {
+    uint64_t request_id; /* of the sender's */
+    uint32_t kind;       /* enum call_kind */
+    struct fp_blob body; /* the call's record */
+};
+
+struct msg_forward_reply {
+    uint64_t request_id;
+    uint32_t err;                    /* FP_ERR_NO_LEADER: not looked at */
+    char leader_host[MSG_HOST_BYTES]; /* "" when not known */
+    struct fp_blob body;             /* the answer's record */
+};
+
+extern const struct fp_schema MSG_FORWARD_SCHEMA;
+extern const struct fp_schema MSG_FORWARD_REPLY_SCHEMA;
 extern const struct fp_schema RAFT_MEMBER_SCHEMA;
 extern const struct fp_schema RAFT_MEMBERS_SCHEMA;
 extern const struct fp_schema RAFT_ENTRY_SCHEMA;
--- /dev/null
+++ b/core/planfit.c
@@ -0,0 +1,392 @@
+/* planfit.c -- where a step's tasks fit */
+#include <string.h>
+
+#include "core/planpriv.h"
+
+#define SLOW_PERMILLE 2200u /* a target this much slower is a last resort */
+#define HOLD_ACCEL_MIN 2u   /* tasks of this many accelerators get room held */
+#define HOLD_MS 3000u       /* held room is given up after this */
+#define TICKET_SLACK_MS 60u /* a ticket must be good for this long */
+
+static bool
+has_label(const struct plan_target *target, const char *label)
+{
+    const char *labels = target->target->rec.labels;
+    size_t bytes = strlen(label);
+
+    for (const char *at = strstr(labels, label); at != NULL;
+         at = strstr(at + 1, label)) {
+        if ((at == labels || at[-1] == ',') &&
+            (at[bytes] == '\0' || at[bytes] == ',')) {
+            return true;
+        }
+    }
+    return bytes == 0;
+}
+
+static uint64_t
+room(uint64_t size, uint64_t used, uint64_t held)
+{
+    return size > used + held ? size - used - held : 0;
+}
+
+static uint32_t
+count_step_runs(const struct plan_target *target, const struct plan_step *step)
+{
+    uint32_t count = 0;
+
+    for (guint i = 0; i < target->runs->len; i++) {
+        const struct plan_run *run = target->runs->pdata[i];
+
+        count += run->step == step;
+    }
+    return count;
+}
+
+bool
+plan_may_ever_fit(const struct plan *plan, const struct plan_target *target,
+                  const struct plan_step *step)
+{
+    const struct fleet_size size = plan_task_size(step->def);
+
+    (void)plan;
+    return strcmp(target->target->rec.service,
+                  step->job->job->queue->conf.service) == 0 &&
+           size.cpu_milli <= target->size.cpu_milli &&
+           size.memory_mb <= target->size.memory_mb &&
+           size.accel <= target->size.accel &&
+           has_label(target, step->def->label);
+}
+
+bool
+plan_fits(const struct plan_target *target, const struct fleet_size *size,
+          const struct plan_step *step, uint64_t now_ms)
+{
+    bool ours = target->held_for == NULL || target->held_for == step ||
+                now_ms >= target->held_until_ms;
+    struct fleet_size held = {0, 0, 0};
+
+    if (!ours) {
+        held = target->held;
+    }
+    return target->usable && !target->target->rec.leaving &&
+           now_ms >= target->shunned_ms &&
+           size->cpu_milli <= room(target->size.cpu_milli,
+                                   target->used.cpu_milli, held.cpu_milli) &&
+           size->memory_mb <= room(target->size.memory_mb,
+                                   target->used.memory_mb, held.memory_mb) &&
+           size->accel <=
+               room(target->size.accel, target->used.accel, held.accel) &&
+           (step->def->spread == 0 ||
+            count_step_runs(target, step) < step->def->spread);
+}
+
+static bool
+within_limit(const struct fleet_team *team, const struct fleet_size *size)
+{
+    if (team == NULL) {
+        return true;
+    }
+    return (team->limit.cpu_milli == 0 ||
+            team->used.cpu_milli + size->cpu_milli <= team->limit.cpu_milli) &&
+           (team->limit.memory_mb == 0 ||
+            team->used.memory_mb + size->memory_mb <= team->limit.memory_mb) &&
+           (team->limit.accel == 0 ||
+            team->used.accel + size->accel <= team->limit.accel);
+}
+
+/* Smaller is better: data near, not slow, then the tightest fit, so that large
+ * pieces of room stay whole. Filling work goes where processors are left over
+ * and nobody is served. */
+static uint64_t
+score(const struct plan_target *target, const struct plan_step *step)
+{
+    const struct fleet_step *def = step->def;
+    uint64_t left_cpu = target->size.cpu_milli - target->used.cpu_milli;
+    uint64_t left_accel = target->size.accel - target->used.accel;
+    uint64_t points = 0;
+
+    if (def->rack[0] != '\0' &&
+        strcmp(def->rack, target->target->rec.rack) != 0) {
+        points += 1ull << 50;
+    }
+    if (target->slow_permille > SLOW_PERMILLE) {
+        points += (uint64_t)target->slow_permille << 38;
+    }
+    if (def->fills) {
+        points += (uint64_t)target->serving << 40;
+        return points + (1ull << 32) - MIN(left_cpu, 1ull << 32);
+    }
+    if (def->tail_ms > 0) {
+        for (guint i = 0; i < target->runs->len; i++) {
+            const struct plan_run *run = target->runs->pdata[i];
+
+            points +=
+                run->step != NULL && run->step->def->fills ? 1ull << 40 : 0;
+        }
+    }
+    if (def->accel > 0) {
+        points += left_accel << 32;
+    }
+    return points + left_cpu;
+}
+
+/* The best target for one more task of the step, by ticket where one is
+ * needed. */
+static struct plan_target *
+pick(const struct plan *plan, const struct plan_step *step,
+     const struct fleet_size *size, const char *rack, uint64_t now_ms)
+{
+    struct plan_target *best = NULL;
+    uint64_t best_points = UINT64_MAX;
+    bool ticket = plan_needs_ticket(step);
+
+    for (guint i = 0; i < plan->targets->len; i++) {
+        struct plan_target *target = plan->targets->pdata[i];
+        uint64_t points;
+
+        if (!plan_may_ever_fit(plan, target, step) ||
+            (rack != NULL && strcmp(rack, target->target->rec.rack) != 0) ||
+            !plan_fits(target, size, step, now_ms) ||
+            (ticket && plan_ticket_for(step, target,
+                                       now_ms + TICKET_SLACK_MS) == NULL)) {
+            continue;
+        }
+        points = score(target, step);
+        if (points < best_points) {
+            best = target;
+            best_points = points;
+        }
+    }
+    return best;
+}
+
+static bool
+start_on(struct plan *plan, struct plan_step *step, uint32_t index,
+         uint32_t run, struct plan_target *target, uint64_t now_ms)
+{
+    const char *ticket =
+        plan_needs_ticket(step) ? plan_ticket_for(step, target, now_ms) : "";
+
+    return plan_start_run(plan, step, index, run, target, ticket, now_ms);
+}
+
+static bool
+may_run(const struct plan_step *step, uint32_t number, uint64_t now_ms)
+{
+    const struct plan_task *task = &step->job->tasks[number];
+    uint32_t most = step->job->job->queue->conf.max_attempts;
+
+    return !task->done && task->runs == 0 && now_ms >= task->after_ms &&
+           (step->def->lasting || most == 0 || task->failures < most);
+}
+
+/* When a target would have room for size, by what its runs are expected to
+ * take; UINT64_MAX: not known. */
+static uint64_t
+free_at_ms(const struct plan_target *target, const struct fleet_size *size,
+           uint64_t now_ms)
+{
+    struct fleet_size used = target->used;
+    uint64_t at_ms = now_ms;
+    uint64_t last_ms = 0;
+
+    while (size->accel > room(target->size.accel, used.accel, 0) ||
+           size->cpu_milli > room(target->size.cpu_milli, used.cpu_milli, 0)) {
+        const struct plan_run *next = NULL;
+
+        for (guint i = 0; i < target->runs->len; i++) {
+            const struct plan_run *run = target->runs->pdata[i];
+            uint64_t key = (run->expected_ms << 8) + i;
+
+            if (key > last_ms &&
+                (next == NULL || run->expected_ms < next->expected_ms) &&
+                (run->step == NULL || !run->step->def->lasting)) {
+                next = run;
+            }
+        }
+        if (next == NULL) {
+            return UINT64_MAX;
+        }
+        for (guint i = 0; i < target->runs->len; i++) {
+            if (target->runs->pdata[i] == next) {
+                last_ms = (next->expected_ms << 8) + i;
+            }
+        }
+        at_ms = MAX(at_ms, next->expected_ms);
+        used.accel -= MIN(used.accel, next->size.accel);
+        used.cpu_milli -= MIN(used.cpu_milli, next->size.cpu_milli);
+    }
+    return at_ms;
+}
+
+/* Load pattern: accelerators nearly all in use, by tasks of one and tasks of
+ * eight. Without held room a task of eight waits until eight happen to be free
+ * on one of the few targets it may use. Room is held on one target, the one
+ * that is free first. */
+static void
+hold_room(struct plan *plan, struct plan_step *step,
+          const struct fleet_size *size, uint64_t now_ms)
+{
+    struct plan_target *best = NULL;
+    uint64_t best_ms = UINT64_MAX;
+
+    if (step->def->accel < HOLD_ACCEL_MIN) {
+        return;
+    }
+    for (guint i = 0; i < plan->targets->len; i++) {
+        struct plan_target *target = plan->targets->pdata[i];
+        uint64_t at_ms;
+
+        if (target->held_for == step && now_ms < target->held_until_ms) {
+            return;
+        }
+        if ((target->held_for != NULL && now_ms < target->held_until_ms) ||
+            !target->usable || target->target->rec.leaving ||
+            !plan_may_ever_fit(plan, target, step) ||
+            (plan_needs_ticket(step) && !plan_was_granted(step, target))) {
+            continue;
+        }
+        at_ms = free_at_ms(target, size, now_ms);
+        if (at_ms < best_ms) {
+            best = target;
+            best_ms = at_ms;
+        }
+    }
+    if (best != NULL) {
+        best->held_for = step;
+        best->held = *size;
+        best->held_until_ms = MAX(best_ms, now_ms) + HOLD_MS;
+    }
+}
+
+static void
+release_held(struct plan *plan, const struct plan_step *step)
+{
+    for (guint i = 0; i < plan->targets->len; i++) {
+        struct plan_target *target = plan->targets->pdata[i];
+
+        if (target->held_for == step) {
+            target->held_for = NULL;
+        }
+    }
+}
+
+static void
+place_tasks(struct plan *plan, struct plan_step *step, uint64_t now_ms)
+{
+    const struct fleet_size size = plan_task_size(step->def);
+
+    for (uint32_t i = 0; i < step->def->count && step->idle > 0; i++) {
+        uint32_t number = step->first + i;
+        struct plan_target *target;
+
+        if (!may_run(step, number, now_ms)) {
+            continue;
+        }
+        if (!within_limit(step->job->job->team, &size)) {
+            return;
+        }
+        target = pick(plan, step, &size, NULL, now_ms);
+        if (target == NULL) {
+            hold_room(plan, step, &size, now_ms);
+            return;
+        }
+        start_on(plan, step, i, step->job->tasks[number].next_run, target,
+                 now_ms);
+    }
+    release_held(plan, step);
+}
+
+/* Finds room for all tasks of a gang at once, on one rack if named. Room is
+ * taken on trial while the search goes on and given back after it. */
+static bool
+fit_gang(struct plan *plan, struct plan_step *step, const char *rack,
+         struct plan_target **chosen, uint64_t now_ms)
+{
+    const struct fleet_size size = plan_task_size(step->def);
+    uint32_t found = 0;
+
+    while (found < step->def->count) {
+        struct plan_target *target = pick(plan, step, &size, rack, now_ms);
+        uint32_t already = 0;
+
+        for (uint32_t i = 0; target != NULL && i < found; i++) {
+            already += chosen[i] == target;
+        }
+        if (target == NULL ||
+            (step->def->spread != 0 && already >= step->def->spread)) {
+            break;
+        }
+        target->used.cpu_milli += size.cpu_milli;
+        target->used.memory_mb += size.memory_mb;
+        target->used.accel += size.accel;
+        chosen[found++] = target;
+    }
+    for (uint32_t i = 0; i < found; i++) {
+        chosen[i]->used.cpu_milli -= size.cpu_milli;
+        chosen[i]->used.memory_mb -= size.memory_mb;
+        chosen[i]->used.accel -= size.accel;
+    }
+    return found == step->def->count;
+}
+
+static bool
+fit_gang_near(struct plan *plan, struct plan_step *step,
+              struct plan_target **chosen, uint64_t now_ms)
+{
+    for (guint i = 0; step->def->same_rack && i < plan->targets->len; i++) {
+        const struct plan_target *target = plan->targets->pdata[i];
+
+        if (fit_gang(plan, step, target->target->rec.rack, chosen, now_ms)) {
+            return true;
+        }
+    }
+    return fit_gang(plan, step, NULL, chosen, now_ms);
+}
+
+static void
+place_gang(struct plan *plan, struct plan_step *step, uint64_t now_ms)
+{
+    const struct fleet_size size = plan_task_size(step->def);
+    struct fleet_size whole = {size.cpu_milli * step->def->count,
+                               size.memory_mb * step->def->count,
+                               size.accel * step->def->count};
+    struct plan_target **chosen;
+    uint32_t run = 0;
+
+    if (step->idle != step->def->count || step->left != step->def->count) {
+        return;
+    }
+    for (uint32_t i = 0; i < step->def->count; i++) {
+        if (!may_run(step, step->first + i, now_ms)) {
+            return;
+        }
+        run = MAX(run, step->job->tasks[step->first + i].next_run);
+    }
+    if (!within_limit(step->job->job->team, &whole)) {
+        return;
+    }
+    chosen = g_new0(struct plan_target *, step->def->count);
+    if (fit_gang_near(plan, step, chosen, now_ms)) {
+        for (uint32_t i = 0; i < step->def->count; i++) {
+            start_on(plan, step, i, run, chosen[i], now_ms);
+        }
+        release_held(plan, step);
+    }
+    else {
+        hold_room(plan, step, &size, now_ms);
+    }
+    g_free(chosen);
+}
+
+void
+plan_place_step(struct plan *plan, struct plan_step *step, uint64_t now_ms)
+{
+    if (step->def->gang) {
+        place_gang(plan, step, now_ms);
+    }
+    else {
+        place_tasks(plan, step, now_ms);
+    }
+}
--- /dev/null
+++ b/core/planorder.c
@@ -0,0 +1,158 @@
+/* planorder.c -- who comes first when there is not room for all, and what is
+ * turned away at the door
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/planpriv.h"
+
+/* Targets named in one question, as the objective counts them. */
+#define OBJECTIVE_ADVICE_TARGETS 30u
+#define LATE_FACTOR                                                           \
+    3u /* work later than this many objectives is worth none                  \
+        */
+#define TASKS_WAITING_MAX 20000u /* bound on memory and on a pass */
+#define RETRY_LEAST_MS 500u
+#define RETRY_MOST_MS 15000u
+
+/* Longest chain of steps, with one question to the policy for each. */
+uint32_t
+plan_chain_ms(const struct fleet_submit *submit,
+              const struct fleet_queue_conf *queue, uint32_t restore_ms)
+{
+    const struct fleet_step *step = submit->steps.items;
+    uint64_t *ends = g_new0(uint64_t, submit->steps.count);
+    uint64_t ask_ms = 0;
+    uint64_t most = 0;
+
+    (void)restore_ms;
+    if (queue->advised) {
+        ask_ms = (queue->advice_us +
+                  queue->advice_each_us * OBJECTIVE_ADVICE_TARGETS) /
+                 1000;
+    }
+    for (uint32_t i = 0; i < submit->steps.count; i++) {
+        const struct fleet_after *after = step[i].after.items;
+
+        for (uint32_t k = 0; k < step[i].after.count; k++) {
+            if (after[k].step < i) {
+                ends[i] = MAX(ends[i], ends[after[k].step]);
+            }
+        }
+        ends[i] += step[i].estimate_ms + ask_ms;
+        most = MAX(most, ends[i]);
+    }
+    g_free(ends);
+    return (uint32_t)MIN(most, UINT32_MAX / 8);
+}
+
+uint32_t
+plan_objective_ms(uint32_t chain_ms, const struct fleet_queue_conf *queue)
+{
+    return (uint32_t)((uint64_t)chain_ms * queue->stretch_permille / 1000) +
+           queue->objective_ms;
+}
+
+/* Time that the rest of the job still takes when nothing waits. */
+static uint64_t
+rest_ms(const struct plan_step *step)
+{
+    const struct plan_job *job = step->job;
+    uint64_t rest = step->def->estimate_ms;
+
+    for (uint32_t i = step->index + 1; i < job->job->step_count; i++) {
+        rest += job->job->steps[i].estimate_ms;
+    }
+    return rest;
+}
+
+/* Load pattern: bursts, when more is wanted than there is room for. What lasts
+ * comes first, for its users are waiting; then what can still be on time, by
+ * the queue's priority and then by when it must start; then what is late; last
+ * what is too late to be worth anything, which still ends. */
+static void
+set_key(struct plan_step *step, uint64_t now_ms)
+{
+    const struct plan_job *job = step->job;
+    uint64_t rest = rest_ms(step);
+    uint64_t due_ms = job->taken_ms + job->objective_ms;
+    uint64_t worthless_ms =
+        job->taken_ms + (uint64_t)LATE_FACTOR * job->objective_ms;
+
+    if (step->def->lasting) {
+        step->order_key[0] = 0;
+    }
+    else if (now_ms + rest <= due_ms) {
+        step->order_key[0] = 1;
+    }
+    else {
+        step->order_key[0] = now_ms + rest <= worthless_ms ? 2 : 3;
+    }
+    step->order_key[1] = job->job->queue->conf.priority;
+    step->order_key[2] = due_ms > rest ? due_ms - rest : 0;
+}
+
+static gint
+by_key(gconstpointer a, gconstpointer b)
+{
+    const struct plan_step *x = *(struct plan_step *const *)a;
+    const struct plan_step *y = *(struct plan_step *const *)b;
+
+    for (int i = 0; i < 3; i++) {
+        if (x->order_key[i] != y->order_key[i]) {
+            return x->order_key[i] < y->order_key[i] ? -1 : 1;
+        }
+    }
+    return 0;
+}
+
+void
+plan_sort_open(struct plan *plan, uint64_t now_ms)
+{
+    for (guint i = 0; i < plan->open->len; i++) {
+        set_key(plan->open->pdata[i], now_ms);
+    }
+    g_ptr_array_sort(plan->open, by_key);
+}
+
+static bool
+fits_somewhere(const struct plan *plan, const char *service,
+               const struct fleet_step *def)
+{
+    for (guint i = 0; i < plan->targets->len; i++) {
+        const struct plan_target *target = plan->targets->pdata[i];
+        struct fleet_size size = plan_task_size(def);
+
+        if (strcmp(target->target->rec.service, service) == 0 &&
+            size.cpu_milli <= target->size.cpu_milli &&
+            size.memory_mb <= target->size.memory_mb &&
+            size.accel <= target->size.accel) {
+            return true;
+        }
+    }
+    return false;
+}
+
+struct plan_verdict
+plan_admit(struct plan *plan, struct fleet_queue *queue,
+           const struct fleet_submit *submit, uint64_t now_ms)
+{
+    struct plan_verdict verdict = {FP_OK, 0, 0};
+    uint64_t tasks = 0;
+
+    (void)now_ms;
+    (void)fits_somewhere;
+    (void)queue;
+    (void)submit;
+    for (guint i = 0; i < plan->open->len; i++) {
+        const struct plan_step *step = plan->open->pdata[i];
+
+        tasks += step->idle;
+    }
+    if (tasks > TASKS_WAITING_MAX) {
+        verdict.err = FP_ERR_BUSY;
+        verdict.retry_after_ms = RETRY_MOST_MS;
+        plan->counters.rejected++;
+    }
+    return verdict;
+}
--- /dev/null
+++ b/core/planpriv.h
@@ -0,0 +1,150 @@
+/* planpriv.h -- what the files of the plan share */
+#ifndef FP_PLANPRIV_H
+#define FP_PLANPRIV_H
+
+#include "core/plan.h"
+
+enum run_state {
+    RUN_STARTING, /* ordered, not answered */
+    RUN_ACTIVE,   /* the target has it */
+    RUN_STOPPING, /* its stop was ordered */
+    RUN_UNSURE    /* may run or not; its stop is ordered until that is clear */
+};
+
+/* One run of one task on one target. */
+struct plan_run {
+    struct plan_step *step;  /* NULL: of a job that is not known */
+    struct fleet_team *team; /* NULL: none pays */
+    struct fleet_task_name task;
+    uint32_t number; /* of the task in its job */
+    uint32_t run;
+    struct plan_target *target;
+    enum run_state state;
+    struct fleet_size size;
+    uint64_t ordered_ms;
+    uint64_t active_ms;   /* when the target confirmed it; 0: not yet */
+    uint64_t expected_ms; /* when it should end */
+    uint64_t stop_ms;     /* when its stop was last ordered */
+    uint64_t stopped_ms;  /* when its stop was confirmed; 0: not yet */
+    uint32_t percent;
+    uint32_t load;
+    uint32_t pace;    /* percent that was last ordered */
+    uint64_t seen_ms; /* last listed by its target */
+};
+
+struct plan_target {
+    struct fleet_target *target;
+    struct fleet_size size;
+    struct fleet_size used;
+    struct fleet_size held; /* kept free for step held_for */
+    struct plan_step *held_for;
+    uint64_t held_until_ms;
+    bool usable;
+    uint64_t leaves_ms;     /* leaving: serves until then */
+    uint64_t shunned_ms;    /* no starts before this */
+    uint32_t failed_row;    /* failures in a row */
+    uint32_t slow_permille; /* smoothed run time against the estimate */
+    uint32_t serving;       /* runs that bound their tail */
+    GPtrArray *runs;        /* struct plan_run, owned */
+};
+
+struct plan_ticket {
+    struct plan_target *target; /* NULL: gone */
+    char id[FLEET_NAME_BYTES];
+    char ticket[FLEET_TICKET_BYTES];
+    uint64_t until_ms;
+};
+
+/* A step of one occurrence of a job. */
+struct plan_step {
+    struct plan_job *job;
+    const struct fleet_step *def;
+    uint32_t occurrence;
+    uint32_t index;
+    uint32_t first;    /* number of its first task */
+    uint32_t left;     /* tasks not done */
+    uint32_t idle;     /* tasks neither done nor in a run */
+    uint64_t due_ms;   /* not before (wall clock); 0: at once */
+    bool listed;       /* in plan->open */
+    bool coming;       /* in plan->coming */
+    uint64_t mixed_ms; /* a gang that is neither whole nor idle, since */
+    bool asking;
+    bool advised; /* tickets holds the policy's choice */
+    uint64_t ask_after_ms;
+    GArray *tickets;       /* struct plan_ticket */
+    uint64_t order_key[3]; /* set by planorder.c, smallest first */
+};
+
+struct plan_task {
+    bool done;
+    uint32_t failures; /* that are known here, committed or not */
+    uint32_t failed_run;
+    uint32_t runs;     /* not ended */
+    uint32_t next_run; /* number of the next start */
+    uint64_t after_ms; /* no start before */
+    char *checkpoint;  /* newest seen */
+};
+
+struct plan_job {
+    struct fleet_job *job;
+    bool inherited;
+    bool started;
+    bool ended; /* in the fleet's state: its runs are stopped */
+    uint64_t taken_ms;
+    uint32_t chain_ms;       /* longest chain of run times and questions */
+    uint32_t objective_ms;   /* on time until taken_ms plus this */
+    struct plan_step *steps; /* by occurrence, then step */
+    uint32_t step_count;
+    struct plan_task *tasks;
+};
+
+struct plan {
+    struct fleet *fleet;
+    struct plan_params params;
+    struct plan_ops ops;
+    struct plan_counters counters;
+    GPtrArray *open;    /* struct plan_step with idle tasks and no blockers */
+    GPtrArray *coming;  /* struct plan_step that the steps before it, all
+                         * running, will open */
+    GPtrArray *targets; /* struct plan_target */
+    int64_t wall_offset_ms; /* wall clock less monotonic clock */
+    bool settled;
+    bool dirty;
+    uint64_t next_ms; /* a pass is needed then, be it that nothing changed */
+};
+
+/* plan.c */
+bool plan_start_run(struct plan *plan, struct plan_step *step, uint32_t index,
+                    uint32_t run, struct plan_target *target,
+                    const char *ticket, uint64_t now_ms);
+void plan_order_stop(struct plan *plan, struct plan_run *run, uint64_t now_ms);
+struct fleet_size plan_task_size(const struct fleet_step *def);
+
+/* planorder.c */
+uint32_t plan_chain_ms(const struct fleet_submit *submit,
+                       const struct fleet_queue_conf *queue,
+                       uint32_t restore_ms);
+uint32_t plan_objective_ms(uint32_t chain_ms,
+                           const struct fleet_queue_conf *queue);
+void plan_sort_open(struct plan *plan, uint64_t now_ms);
+
+/* planfit.c */
+bool plan_fits(const struct plan_target *target, const struct fleet_size *size,
+               const struct plan_step *step, uint64_t now_ms);
+bool plan_may_ever_fit(const struct plan *plan,
+                       const struct plan_target *target,
+                       const struct plan_step *step);
+void plan_place_step(struct plan *plan, struct plan_step *step,
+                     uint64_t now_ms);
+
+/* planticket.c */
+bool plan_needs_ticket(const struct plan_step *step);
+const char *plan_ticket_for(const struct plan_step *step,
+                            const struct plan_target *target, uint64_t now_ms);
+bool plan_was_granted(const struct plan_step *step,
+                      const struct plan_target *target);
+void plan_drop_ticket(struct plan_step *step,
+                      const struct plan_target *target);
+void plan_ask(struct plan *plan, struct plan_step *step, uint64_t now_ms);
+
+#endif /* FP_PLANPRIV_H */
--- a/node/bus.c
+++ b/node/bus.c
@@ -15,7 +15,15 @@
 #define ZAP_ENDPOINT "inproc://zeromq.zap.01"
 #define ZAP_FRAMES_MAX 16
 
+/* Silent connections are found by pings; ms. */
+#define PING_EVERY_MS 1000
+#define PING_TIMEOUT_MS 3000
+#define FLEET_PING_EVERY_MS 400
+#define FLEET_PING_TIMEOUT_MS 1200
+
 struct peer {
+    struct bus *bus;
+    uv_poll_t poll; /* for answers that come back on the dealer */
     char *host;
     void *dealer;
     bool cut_to;
@@ -23,6 +31,7 @@
 };
 
 struct bus {
+    uv_loop_t *loop;
     const struct settings *settings;
     struct bus_ops ops;
     struct bus_counters counters;
@@ -37,17 +46,24 @@
 };
 
 static void
-free_peer(void *item)
+free_peer_memory(uv_handle_t *handle)
 {
-    struct peer *peer = item;
+    struct peer *peer = handle->data;
 
-    if (peer->dealer != NULL) {
-        zmq_close(peer->dealer);
-    }
     g_free(peer->host);
     g_free(peer);
 }
 
+static void
+free_peer(void *item)
+{
+    struct peer *peer = item;
+
+    uv_poll_stop(&peer->poll);
+    zmq_close(peer->dealer);
+    uv_close((uv_handle_t *)&peer->poll, free_peer_memory);
+}
+
 static void
 set_int(void *socket, int option, int value)
 {
@@ -150,6 +166,45 @@
     }
 }
 
+/* Takes what came back on a connection that this host opened. */
+static void
+receive_answers(struct peer *peer)
+{
+    char host[MSG_HOST_BYTES];
+
+    g_strlcpy(host, peer->host, sizeof(host));
+    for (int i = 0; i < RECEIVE_BATCH; i++) {
+        zmq_msg_t payload;
+
+        zmq_msg_init(&payload);
+        if (zmq_msg_recv(&payload, peer->dealer, ZMQ_DONTWAIT) < 0) {
+            zmq_msg_close(&payload);
+            return;
+        }
+        deliver(peer->bus, host, zmq_msg_data(&payload),
+                zmq_msg_size(&payload));
+        zmq_msg_close(&payload);
+    }
+}
+
+static void
+on_answers(uv_poll_t *poll, int status, int events)
+{
+    (void)status;
+    (void)events;
+    receive_answers(poll->data);
+}
+
+static bool
+has_input(void *socket)
+{
+    int events = 0;
+    size_t size = sizeof(events);
+
+    zmq_getsockopt(socket, ZMQ_EVENTS, &events, &size);
+    return (events & ZMQ_POLLIN) != 0;
+}
+
 static void
 on_readable(uv_poll_t *poll, int status, int events)
 {
@@ -162,13 +217,19 @@
 on_prepare(uv_prepare_t *prepare)
 {
     struct bus *bus = prepare->data;
-    int events = 0;
-    size_t size = sizeof(events);
+    GList *peers = g_hash_table_get_values(bus->peers);
 
-    zmq_getsockopt(bus->router, ZMQ_EVENTS, &events, &size);
-    if (events & ZMQ_POLLIN) {
+    if (has_input(bus->router)) {
         receive_all(bus);
     }
+    for (GList *at = peers; at != NULL; at = at->next) {
+        struct peer *peer = at->data;
+
+        if (has_input(peer->dealer)) {
+            receive_answers(peer);
+        }
+    }
+    g_list_free(peers);
 }
 
 static bool
@@ -248,34 +309,40 @@
 
 static void
 watch(uv_loop_t *loop, uv_poll_t *poll, void *socket, uv_poll_cb cb,
-      struct bus *bus)
+      void *data)
 {
     uv_poll_init(loop, poll, socket_fd(socket));
-    poll->data = bus;
+    poll->data = data;
     uv_poll_start(poll, UV_READABLE, cb);
 }
 
 static void
-connect_peer(struct bus *bus, const struct settings_host *host)
+connect_peer(struct bus *bus, const char *name, const char *address,
+             const char *public_key)
 {
     struct peer *peer = g_new0(struct peer, 1);
-    char *endpoint = g_strdup_printf("tcp://%s", host->bus);
+    char *endpoint = g_strdup_printf("tcp://%s", address);
     const char *own = bus->settings->host;
+    bool fleet = bus->settings->fleet != NULL;
 
-    peer->host = g_strdup(host->name);
+    peer->bus = bus;
+    peer->host = g_strdup(name);
     peer->dealer = zmq_socket(bus->context, ZMQ_DEALER);
     set_common(peer->dealer);
     set_int(peer->dealer, ZMQ_IMMEDIATE, 1);
     set_int(peer->dealer, ZMQ_RECONNECT_IVL, 50);
     set_int(peer->dealer, ZMQ_RECONNECT_IVL_MAX, 500);
-    set_int(peer->dealer, ZMQ_HEARTBEAT_IVL, 1000);
-    set_int(peer->dealer, ZMQ_HEARTBEAT_TIMEOUT, 3000);
+    set_int(peer->dealer, ZMQ_HEARTBEAT_IVL,
+            fleet ? FLEET_PING_EVERY_MS : PING_EVERY_MS);
+    set_int(peer->dealer, ZMQ_HEARTBEAT_TIMEOUT,
+            fleet ? FLEET_PING_TIMEOUT_MS : PING_TIMEOUT_MS);
     zmq_setsockopt(peer->dealer, ZMQ_ROUTING_ID, own, strlen(own));
     if (bus->settings->curve != NULL) {
-        set_curve_client(peer->dealer, bus->settings->curve, host->public_key);
+        set_curve_client(peer->dealer, bus->settings->curve, public_key);
     }
     zmq_connect(peer->dealer, endpoint);
     g_free(endpoint);
+    watch(bus->loop, &peer->poll, peer->dealer, on_answers, peer);
     g_hash_table_insert(bus->peers, peer->host, peer);
 }
 
@@ -291,6 +358,7 @@
     bus->router = zmq_socket(bus->context, ZMQ_ROUTER);
     set_common(bus->router);
     set_int(bus->router, ZMQ_ROUTER_HANDOVER, 1);
+    set_int(bus->router, ZMQ_ROUTER_MANDATORY, 1);
     zmq_setsockopt(bus->router, ZMQ_MAXMSGSIZE, &most, sizeof(most));
     if (bus->settings->curve != NULL) {
         set_curve_server(bus->router, bus->settings->curve);
@@ -311,6 +379,7 @@
     struct bus *bus = g_new0(struct bus, 1);
 
     *out = NULL;
+    bus->loop = loop;
     bus->settings = settings;
     bus->ops = *ops;
     bus->context = zmq_ctx_new();
@@ -333,13 +402,51 @@
     bus->open = true;
     for (unsigned i = 0; i < settings->hosts_count; i++) {
         if (strcmp(settings->hosts[i].name, settings->host) != 0) {
-            connect_peer(bus, &settings->hosts[i]);
+            connect_peer(bus, settings->hosts[i].name, settings->hosts[i].bus,
+                         settings->hosts[i].public_key);
         }
     }
     *out = bus;
     return FP_OK;
 }
 
+void
+bus_connect(struct bus *bus, const char *host)
+{
+    char address[MSG_HOST_BYTES + 8];
+
+    if (bus->settings->fleet == NULL ||
+        strcmp(host, bus->settings->host) == 0 ||
+        g_hash_table_contains(bus->peers, host)) {
+        return;
+    }
+    snprintf(address, sizeof(address), "%s:%u", host,
+             bus->settings->fleet->bus_port);
+    connect_peer(bus, host, address, NULL);
+}
+
+/* A host that connected here is reached through its own connection. */
+static int
+send_back(struct bus *bus, const char *host, const struct fp_blob *blob)
+{
+    if (zmq_send(bus->router, host, strlen(host), ZMQ_DONTWAIT | ZMQ_SNDMORE) <
+        0) {
+        return -1;
+    }
+    return zmq_send(bus->router, blob->data, blob->size_bytes, ZMQ_DONTWAIT);
+}
+
+void
+bus_broadcast(struct bus *bus, const struct fp_schema *schema, const void *msg)
+{
+    GList *hosts = g_hash_table_get_keys(bus->peers);
+
+    for (GList *at = hosts; at != NULL; at = at->next) {
+        bus_send(bus, at->data, schema, msg);
+    }
+    g_list_free(hosts);
+}
+
 enum fp_err
 bus_send(struct bus *bus, const char *host, const struct fp_schema *schema,
          const void *msg)
@@ -348,10 +455,10 @@
     struct fp_blob blob;
     int rc;
 
-    if (peer == NULL) {
+    if (peer == NULL && bus->settings->fleet == NULL) {
         return FP_ERR_NOT_CONNECTED;
     }
-    if (peer->cut_to) {
+    if (peer != NULL && peer->cut_to) {
         bus->counters.cut++;
         return FP_OK; /* a silent cut tells the sender nothing */
     }
@@ -360,7 +467,9 @@
         fp_blob_free(&blob);
         return FP_ERR_TOO_LARGE;
     }
-    rc = zmq_send(peer->dealer, blob.data, blob.size_bytes, ZMQ_DONTWAIT);
+    rc = peer != NULL
+             ? zmq_send(peer->dealer, blob.data, blob.size_bytes, ZMQ_DONTWAIT)
+             : send_back(bus, host, &blob);
     if (rc >= 0) {
         bus->counters.sent++;
         bus->counters.sent_bytes += blob.size_bytes;
--- a/node/bus.h
+++ b/node/bus.h
@@ -39,11 +39,21 @@
                     const struct bus_ops *ops, struct bus **out, char *why,
                     unsigned why_bytes);
 
-/* Sends a record to a host. FP_ERR_NOT_CONNECTED: it certainly did not leave.
+/* Connects to a host of a fleet, named by its IP number; the connection is
+ * renewed by itself from then on. Does nothing for known hosts.
+ */
+void bus_connect(struct bus *bus, const char *host);
+
+/* Sends a record to a host that this one is connected to, or that has
+ * connected here. FP_ERR_NOT_CONNECTED: it certainly did not leave.
  */
 enum fp_err bus_send(struct bus *bus, const char *host,
                      const struct fp_schema *schema, const void *msg);
 
+/* Sends a record to every host that this one is connected to. */
+void bus_broadcast(struct bus *bus, const struct fp_schema *schema,
+                   const void *msg);
+
 /* For drills: drops what goes to the host, comes from it, or both. */
 enum fp_err bus_cut(struct bus *bus, const char *host, bool to, bool from);
 
--- /dev/null
+++ b/node/dispatchlane.c
@@ -0,0 +1,508 @@
+/* dispatchlane.c -- orders to targets, their leases, and the ends they list */
+#include <string.h>
+
+#include "base/log.h"
+#include "node/dispatchpriv.h"
+
+#define HOLD_WAIT_MS 1500u     /* a hold waits this long for an end */
+#define ORDER_TIMEOUT_MS 900u  /* for an answer, beyond any wait */
+#define HOLD_AGAIN_MS 120u     /* after a hold that failed */
+#define CLOCK_DRIFT_PERCENT 2u /* a target's clock may be this slow */
+#define LEASE_SLACK_MS 100u    /* on top of a computed end of a lease */
+#define REFUSED_SPAN_MS 200u   /* refused connections this far apart: dead */
+#define REMOVE_LOST_AFTER_MS 2500u /* a lost target is then forgotten */
+#define REMOVE_DEAD_AFTER_MS 500u  /* the same, when it is known to be dead */
+
+static struct lane *
+lane_of(const struct dispatch *dispatch, const struct fleet_target *target)
+{
+    return g_hash_table_lookup(dispatch->lanes, target->rec.id);
+}
+
+/* The target that an answer is from, unless it was replaced since. */
+static struct fleet_target *
+target_of(const struct pending *pending)
+{
+    struct fleet_target *target =
+        fleet_find_target(pending->dispatch->parts.fleet, pending->id);
+
+    return target != NULL && target->rec.born_ms == pending->born_ms &&
+                   target->plan != NULL
+               ? target
+               : NULL;
+}
+
+static bool
+leads(const struct dispatch *dispatch)
+{
+    return replica_leads(dispatch->parts.replica);
+}
+
+static void
+take_clock(struct lane *lane, const struct order_reply *reply, uint64_t now_ms)
+{
+    if (reply->has_clock) {
+        lane->has_clock = true;
+        lane->clock_ms = reply->clock_ms;
+        lane->clock_at_ms = now_ms;
+    }
+}
+
+/* Grants a whole lease from now on, and notes when it will surely be over. */
+static uint64_t
+grant(struct lane *lane, uint64_t now_ms)
+{
+    uint64_t lease_ms = lane->dispatch->parts.settings->fleet->lease_ms;
+    uint64_t deadline_ms;
+    uint64_t span_ms;
+
+    if (!lane->has_clock) {
+        return 0;
+    }
+    deadline_ms = lane->clock_ms + (now_ms - lane->clock_at_ms) + lease_ms;
+    span_ms =
+        (deadline_ms - lane->clock_ms) * 100 / (100 - CLOCK_DRIFT_PERCENT) +
+        LEASE_SLACK_MS;
+    lane->gone_by_ms = MAX(lane->gone_by_ms, lane->clock_at_ms + span_ms);
+    return deadline_ms;
+}
+
+static struct order_head
+head_for(struct lane *lane, const struct fleet_target *target,
+         uint32_t timeout_ms, uint64_t now_ms)
+{
+    struct order_head head = {
+        .target = target,
+        .fence = raft_term(replica_raft(lane->dispatch->parts.replica)),
+        .deadline_ms = grant(lane, now_ms),
+        .timeout_ms = timeout_ms};
+
+    lane->dispatch->orders_sent++;
+    return head;
+}
+
+/* ---- starts and stops --------------------------------------------------- */
+
+static void send_start(struct lane *lane, const struct fleet_target *target,
+                       struct pending *pending);
+
+/* A start without an answer is sent once more: if it is there, that is said.
+ * Any other answer to the second copy leaves open what the first one did. */
+static void
+on_started(void *ctx, const struct order_reply *reply)
+{
+    struct pending *pending = ctx;
+    struct dispatch *dispatch = pending->dispatch;
+    struct fleet_target *target;
+    struct lane *lane;
+    enum order_answer answer = reply->answer;
+    uint64_t now_ms = clock_mono_ms();
+
+    if (dispatch == NULL) {
+        dispatch_drop_pending(pending);
+        return;
+    }
+    target = target_of(pending);
+    if (target == NULL) {
+        dispatch_drop_pending(pending);
+        return;
+    }
+    lane = lane_of(dispatch, target);
+    take_clock(lane, reply, now_ms);
+    if (answer != ORDER_DONE) {
+        dispatch->orders_failed++;
+    }
+    if (answer == ORDER_UNKNOWN && !pending->again && leads(dispatch)) {
+        pending->again = true;
+        send_start(lane, target, pending);
+        return;
+    }
+    if (pending->again && answer != ORDER_DONE) {
+        answer = ORDER_UNKNOWN;
+    }
+    plan_start_answered(dispatch->plan, target, &pending->task, pending->run,
+                        answer, now_ms);
+    dispatch_drop_pending(pending);
+}
+
+static void
+send_start(struct lane *lane, const struct fleet_target *target,
+           struct pending *pending)
+{
+    const struct order_channel *orders = lane->dispatch->parts.orders;
+    struct order_head head =
+        head_for(lane, target, ORDER_TIMEOUT_MS, clock_mono_ms());
+
+    pending->start.target = target;
+    orders->start(orders->channel, &head, &pending->start, on_started,
+                  pending);
+}
+
+void
+dispatch_start(void *ctx, const struct plan_start *start)
+{
+    struct dispatch *dispatch = ctx;
+    struct lane *lane = lane_of(dispatch, start->target);
+    struct pending *pending;
+
+    if (!leads(dispatch)) {
+        return; /* the plan ends with the lease */
+    }
+    pending = dispatch_add_pending(dispatch, lane);
+    pending->task = start->task;
+    pending->run = start->run;
+    pending->start = *start;
+    pending->checkpoint = g_strdup(start->checkpoint);
+    pending->ticket = g_strdup(start->ticket);
+    pending->spec = fp_blob_copy(start->spec->data, start->spec->size_bytes);
+    pending->start.checkpoint = pending->checkpoint;
+    pending->start.ticket = pending->ticket;
+    pending->start.spec = &pending->spec;
+    send_start(lane, start->target, pending);
+}
+
+static void
+on_stopped(void *ctx, const struct order_reply *reply)
+{
+    struct pending *pending = ctx;
+    struct fleet_target *target;
+    uint64_t now_ms = clock_mono_ms();
+
+    if (pending->dispatch != NULL && (target = target_of(pending)) != NULL) {
+        take_clock(lane_of(pending->dispatch, target), reply, now_ms);
+        plan_stop_answered(pending->dispatch->plan, target, &pending->task,
+                           pending->run, reply->answer, now_ms);
+    }
+    dispatch_drop_pending(pending);
+}
+
+void
+dispatch_stop(void *ctx, const struct fleet_target *target,
+              const struct fleet_task_name *task, uint32_t run)
+{
+    struct dispatch *dispatch = ctx;
+    const struct order_channel *orders = dispatch->parts.orders;
+    struct lane *lane = lane_of(dispatch, target);
+    struct pending *pending;
+    struct order_head head;
+
+    if (lane == NULL || !leads(dispatch)) {
+        return;
+    }
+    head = head_for(lane, target, ORDER_TIMEOUT_MS, clock_mono_ms());
+    pending = dispatch_add_pending(dispatch, lane);
+    pending->task = *task;
+    pending->run = run;
+    orders->stop(orders->channel, &head, task, run, on_stopped, pending);
+}
+
+static void
+on_paced(void *ctx, const struct order_reply *reply)
+{
+    struct pending *pending = ctx;
+
+    if (pending->dispatch != NULL && reply->answer != ORDER_DONE) {
+        log_info(LOG_SCHED, "target %s did not take a pace: answer %d",
+                 pending->id, (int)reply->answer);
+    }
+    dispatch_drop_pending(pending);
+}
+
+void
+dispatch_pace(void *ctx, const struct fleet_target *target,
+              const struct fleet_task_name *task, uint32_t run,
+              uint32_t percent)
+{
+    struct dispatch *dispatch = ctx;
+    const struct order_channel *orders = dispatch->parts.orders;
+    struct lane *lane = lane_of(dispatch, target);
+    struct order_head head;
+
+    if (lane == NULL || !leads(dispatch)) {
+        return;
+    }
+    head = head_for(lane, target, ORDER_TIMEOUT_MS, clock_mono_ms());
+    orders->pace(orders->channel, &head, task, run, percent, on_paced,
+                 dispatch_add_pending(dispatch, lane));
+}
+
+/* ---- holds -------------------------------------------------------------- */
+
+/* Which lane a commit of ends was for. */
+struct commit {
+    struct pending *pending;
+    uint64_t number;
+};
+
+static void
+on_ends_committed(void *ctx, enum fp_err err,
+                  const struct change_answer *answer)
+{
+    struct commit *commit = ctx;
+    struct pending *pending = commit->pending;
+    struct fleet_target *target;
+    struct lane *lane;
+
+    (void)answer;
+    if (pending->dispatch != NULL && (target = target_of(pending)) != NULL) {
+        lane = lane_of(pending->dispatch, target);
+        lane->committing = false;
+        lane->next_hold_ms = 0;
+        if (err == FP_OK) {
+            lane->noted = MAX(lane->noted, commit->number);
+        }
+        else {
+            log_warn(LOG_SCHED, "ends of target %s were not stored: %s",
+                     pending->id, fp_err_row(err)->name);
+        }
+    }
+    dispatch_drop_pending(pending);
+    g_free(commit);
+}
+
+static void
+commit_ends(struct lane *lane, const struct order_reply *reply)
+{
+    struct dispatch *dispatch = lane->dispatch;
+    struct commit *commit = g_new0(struct commit, 1);
+    struct fleet_ends ends = {.items = {NULL, 0}};
+
+    commit->pending = dispatch_add_pending(dispatch, lane);
+    for (uint32_t i = 0; i < reply->end_count; i++) {
+        struct fleet_end *end = fp_list_add(&ends.items, sizeof(*end));
+
+        *end = reply->ends[i].end;
+        commit->number = MAX(commit->number, reply->ends[i].number);
+    }
+    dispatch->ends_committed += reply->end_count;
+    lane->committing = true;
+    replica_propose(dispatch->parts.replica, &FLEET_ENDS_SCHEMA, &ends,
+                    on_ends_committed, commit);
+    g_free(ends.items.items);
+}
+
+/* The target lives: its ends first, then its runs, then the next hold. */
+static void
+take_lists(struct lane *lane, struct fleet_target *target,
+           const struct order_reply *reply, uint64_t asked_ms, uint64_t now_ms)
+{
+    struct dispatch *dispatch = lane->dispatch;
+
+    lane->refused_ms = 0;
+    lane->lost = false;
+    for (uint32_t i = 0; i < reply->end_count; i++) {
+        if (reply->ends[i].number > lane->noted) {
+            plan_run_ended(dispatch->plan, target, &reply->ends[i].end,
+                           now_ms);
+        }
+    }
+    plan_rows(dispatch->plan, target, reply->rows, reply->row_count,
+              !lane->listed, asked_ms, now_ms);
+    lane->listed = true;
+    plan_target_usable(dispatch->plan, target, lane->has_clock);
+    lane->next_hold_ms = now_ms;
+    if (reply->end_count > 0) {
+        commit_ends(lane, reply);
+    }
+}
+
+static void
+give_up(struct lane *lane, struct fleet_target *target, const char *why,
+        uint64_t now_ms)
+{
+    if (!lane->lost) {
+        log_note(LOG_SCHED, "target %s is lost: %s", lane->id, why);
+        lane->lost = true;
+        lane->lost_ms = now_ms;
+        plan_target_lost(lane->dispatch->plan, target, now_ms);
+    }
+}
+
+static void
+hold_failed(struct lane *lane, struct fleet_target *target,
+            const struct order_reply *reply, uint64_t now_ms)
+{
+    lane->dispatch->orders_failed++;
+    lane->next_hold_ms = now_ms + HOLD_AGAIN_MS;
+    plan_target_usable(lane->dispatch->plan, target, false);
+    if (reply->answer == ORDER_OTHER) {
+        give_up(lane, target, "another incarnation has its address", now_ms);
+        return;
+    }
+    if (!reply->refused_connection) {
+        lane->refused_ms = 0;
+    }
+    else if (lane->refused_ms == 0) {
+        lane->refused_ms = now_ms;
+    }
+    else if (now_ms >= lane->refused_ms + REFUSED_SPAN_MS) {
+        give_up(lane, target, "nobody listens at its address", now_ms);
+    }
+}
+
+static void
+on_held(void *ctx, const struct order_reply *reply)
+{
+    struct pending *pending = ctx;
+    struct fleet_target *target;
+    struct lane *lane;
+    uint64_t now_ms = clock_mono_ms();
+
+    if (pending->dispatch == NULL || (target = target_of(pending)) == NULL) {
+        dispatch_drop_pending(pending);
+        return;
+    }
+    lane = lane_of(pending->dispatch, target);
+    lane->holding = false;
+    take_clock(lane, reply, now_ms);
+    if (reply->answer != ORDER_DONE) {
+        hold_failed(lane, target, reply, now_ms);
+    }
+    else if (reply->born_ms != 0 && reply->born_ms != lane->born_ms) {
+        /* It restarted; its own announcement brings what it is now. */
+        lane->has_clock = false;
+        lane->next_hold_ms = now_ms + HOLD_AGAIN_MS;
+        plan_target_usable(lane->dispatch->plan, target, false);
+        give_up(lane, target, "it was started again", now_ms);
+    }
+    else {
+        take_lists(lane, target, reply, pending->asked_ms, now_ms);
+    }
+    dispatch_drop_pending(pending);
+}
+
+static void
+send_hold(struct lane *lane, const struct fleet_target *target,
+          uint64_t now_ms)
+{
+    const struct order_channel *orders = lane->dispatch->parts.orders;
+    uint32_t wait_ms = lane->listed && lane->has_clock ? HOLD_WAIT_MS : 0;
+    struct order_head head =
+        head_for(lane, target, wait_ms + ORDER_TIMEOUT_MS, now_ms);
+    struct pending *pending = dispatch_add_pending(lane->dispatch, lane);
+
+    pending->asked_ms = now_ms;
+    lane->holding = true;
+    lane->dispatch->holds++;
+    orders->hold(orders->channel, &head, lane->noted, wait_ms, on_held,
+                 pending);
+}
+
+/* ---- lanes -------------------------------------------------------------- */
+
+void
+dispatch_add_lane(struct dispatch *dispatch, struct fleet_target *target)
+{
+    struct lane *lane = g_new0(struct lane, 1);
+    uint64_t lease_ms = dispatch->parts.settings->fleet->lease_ms;
+
+    lane->dispatch = dispatch;
+    g_strlcpy(lane->id, target->rec.id, sizeof(lane->id));
+    lane->born_ms = target->rec.born_ms;
+    /* An earlier leader may have granted a whole lease until just now. */
+    lane->gone_by_ms = clock_mono_ms() +
+                       lease_ms * 100 / (100 - CLOCK_DRIFT_PERCENT) +
+                       LEASE_SLACK_MS;
+    g_hash_table_insert(dispatch->lanes, lane->id, lane);
+}
+
+void
+dispatch_reset_lane(struct dispatch *dispatch, struct fleet_target *target,
+                    uint64_t now_ms)
+{
+    struct lane *lane = lane_of(dispatch, target);
+
+    plan_target_lost(dispatch->plan, target, now_ms);
+    lane->born_ms = target->rec.born_ms;
+    lane->holding = false;
+    lane->committing = false;
+    lane->has_clock = false;
+    lane->lost = false;
+    lane->removing = false;
+    lane->noted = 0;
+    lane->next_hold_ms = 0;
+    lane->refused_ms = 0;
+    lane->leaves_ms = 0;
+}
+
+static void
+on_removed(void *ctx, enum fp_err err, const struct change_answer *answer)
+{
+    (void)ctx;
+    (void)answer;
+    if (err != FP_OK) {
+        log_info(LOG_SCHED, "a target's removal was not stored: %s",
+                 fp_err_row(err)->name);
+    }
+}
+
+/* A target that is gone for good would make each new leader wait for its
+ * lease. If it lives after all, it announces itself again. */
+static void
+propose_removal(struct lane *lane)
+{
+    struct fleet_target_gone gone = {.born_ms = lane->born_ms};
+
+    lane->removing = true;
+    g_strlcpy(gone.id, lane->id, sizeof(gone.id));
+    replica_propose(lane->dispatch->parts.replica, &FLEET_TARGET_GONE_SCHEMA,
+                    &gone, on_removed, NULL);
+}
+
+static void
+tick_lane(struct lane *lane, uint64_t now_ms)
+{
+    struct fleet_target *target =
+        fleet_find_target(lane->dispatch->parts.fleet, lane->id);
+    uint64_t keep_ms =
+        lane->refused_ms != 0 ? REMOVE_DEAD_AFTER_MS : REMOVE_LOST_AFTER_MS;
+
+    if (!lane->lost && now_ms >= lane->gone_by_ms) {
+        plan_target_usable(lane->dispatch->plan, target, false);
+        give_up(lane, target, "its lease is over", now_ms);
+    }
+    if (lane->lost && !lane->removing && now_ms >= lane->lost_ms + keep_ms) {
+        propose_removal(lane);
+    }
+    if (!lane->holding && !lane->committing && now_ms >= lane->next_hold_ms) {
+        send_hold(lane, target, now_ms);
+    }
+}
+
+/* Inherited work starts once no target can run anything unknown. */
+static void
+check_settled(struct dispatch *dispatch, uint64_t now_ms)
+{
+    GHashTableIter iter;
+    struct lane *lane;
+
+    g_hash_table_iter_init(&iter, dispatch->lanes);
+    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&lane)) {
+        if (!lane->listed && !lane->lost) {
+            return;
+        }
+    }
+    dispatch->settled = true;
+    log_note(LOG_SCHED, "took over %u targets in %llu ms",
+             g_hash_table_size(dispatch->lanes),
+             (unsigned long long)(now_ms - dispatch->since_ms));
+    plan_settled(dispatch->plan);
+}
+
+void
+dispatch_tick_lanes(struct dispatch *dispatch, uint64_t now_ms)
+{
+    GHashTableIter iter;
+    struct lane *lane;
+
+    if (!leads(dispatch)) {
+        return;
+    }
+    g_hash_table_iter_init(&iter, dispatch->lanes);
+    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&lane)) {
+        tick_lane(lane, now_ms);
+    }
+    if (!dispatch->settled) {
+        check_settled(dispatch, now_ms);
+    }
+}
--- a/node/fetch.c
+++ b/node/fetch.c
@@ -2,6 +2,7 @@
 #include "node/fetch.h"
 
 #include <curl/curl.h>
+#include <errno.h>
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
@@ -149,6 +150,7 @@
     struct fetch_answer answer = {.body = transfer->answer->data,
                                   .body_bytes = transfer->answer->len};
     long status = 0;
+    long os_errno = 0;
     char *type = NULL;
     fetch_done done = transfer->done;
     void *ctx = transfer->ctx;
@@ -156,6 +158,10 @@
     curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
     curl_easy_getinfo(transfer->easy, CURLINFO_CONTENT_TYPE, &type);
     answer.err = kind_of(transfer, code, status);
+    if (code == CURLE_COULDNT_CONNECT) {
+        curl_easy_getinfo(transfer->easy, CURLINFO_OS_ERRNO, &os_errno);
+        answer.refused = os_errno == ECONNREFUSED;
+    }
     answer.status = (uint32_t)status;
     answer.content_type = type == NULL ? "" : type;
     answer.took_ms = (uint32_t)(clock_mono_ms() - transfer->began_ms);
@@ -317,6 +323,10 @@
         add_header(transfer, "Authorization", value);
         g_free(value);
     }
+    for (const char *const *at = request->headers; at != NULL && at[0] != NULL;
+         at += 2) {
+        add_header(transfer, at[0], at[1]);
+    }
     curl_easy_setopt(transfer->easy, CURLOPT_HTTPHEADER, transfer->headers);
 }
 
@@ -368,6 +378,10 @@
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
+    if (request->connect_ms > 0) {
+        curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                         (long)request->connect_ms);
+    }
     if (request->once) {
         /* On a kept connection that dies, libcurl sends a request again. */
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
--- a/node/fetch.h
+++ b/node/fetch.h
@@ -14,12 +14,14 @@
 struct fetch_request {
     const char *method;
     const char *url;
-    const char *content_type; /* NULL or "": none */
-    const char *request_id;   /* sent as X-Request-Id; NULL: none */
-    const char *bearer;       /* Authorization; NULL: none */
+    const char *content_type;   /* NULL or "": none */
+    const char *request_id;     /* sent as X-Request-Id; NULL: none */
+    const char *bearer;         /* Authorization; NULL: none */
+    const char *const *headers; /* name, value, ..., NULL; NULL: none */
     const void *body;
     size_t body_bytes;
     uint64_t timeout_ms;
+    uint64_t connect_ms; /* bound on connecting; 0: timeout_ms */
     size_t answer_max_bytes;
     bool once; /* never sent a second time, not even by the library */
 };
@@ -35,6 +37,7 @@
  */
 struct fetch_answer {
     enum fp_err err;
+    bool refused; /* nobody listens at the address */
     uint32_t status;
     const char *content_type; /* "" when absent */
     const void *body;
--- a/node/replica.c
+++ b/node/replica.c
@@ -44,6 +44,31 @@
     if (id != 0 && (known == NULL || strcmp(known, host) != 0)) {
         g_hash_table_insert(replica->hosts, g_memdup2(&id, sizeof(id)),
                             g_strdup(host));
+        bus_connect(replica->bus, host);
+    }
+}
+
+/* A fleet's hosts connect to the seeds and to every member they know of. */
+static void
+connect_members(struct replica *replica)
+{
+    const struct settings_fleet *fleet = replica->settings->fleet;
+    const struct fp_list *list = &raft_members(replica->raft)->list;
+    const struct raft_member *member = list->items;
+
+    if (fleet == NULL) {
+        return;
+    }
+    for (uint32_t i = 0; i < list->count; i++) {
+        bus_connect(replica->bus, member[i].host);
+    }
+    for (unsigned i = 0; i < fleet->seeds_count; i++) {
+        char ip[MSG_HOST_BYTES];
+        uint16_t port;
+
+        if (settings_address(fleet->seeds[i], ip, sizeof(ip), &port)) {
+            bus_connect(replica->bus, ip);
+        }
     }
 }
 
@@ -150,8 +175,8 @@
     struct change_answer answer;
     struct claim *claim;
 
-    cell_apply(replica->cell, entry->index, entry->data.data,
-               entry->data.size_bytes, &answer);
+    replica->machine.apply(replica->machine.ctx, entry->index,
+                           entry->data.data, entry->data.size_bytes, &answer);
     claim = g_hash_table_lookup(replica->claims, &entry->index);
     if (claim != NULL) {
         replica_give_answer(replica, claim, FP_OK, entry->index, &answer);
@@ -165,7 +190,7 @@
 {
     struct replica *replica = ctx;
 
-    if (cell_load(replica->cell, &snap->data) != FP_OK) {
+    if (replica->machine.load(replica->machine.ctx, &snap->data) != FP_OK) {
         log_warn(LOG_CELL, "A snapshot at index %llu is malformed.",
                  (unsigned long long)snap->last_index);
         return false;
@@ -214,6 +239,7 @@
         return;
     }
     replica->hello_ms = now_ms;
+    connect_members(replica);
     g_strlcpy(msg.host, replica->settings->host, sizeof(msg.host));
     replica_broadcast(replica, &MSG_HELLO_SCHEMA, &msg);
 }
@@ -228,7 +254,7 @@
         return;
     }
     if (replica->disk != NULL) {
-        cell_save(replica->cell, &state);
+        replica->machine.save(replica->machine.ctx, &state);
     }
     raft_compact(replica->raft, &state);
     fp_blob_free(&state);
@@ -301,6 +327,8 @@
     case MSG_CALL:
     case MSG_CALL_REPLY:
     case MSG_HINT:
+    case MSG_FORWARD:
+    case MSG_FORWARD_REPLY:
         replica->ops.message(replica->ops.ctx, from, type, msg);
         break;
     default:
@@ -324,6 +352,37 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 }
 
+static void
+apply_cell(void *ctx, uint64_t index, const uint8_t *data, uint32_t size_bytes,
+           struct change_answer *answer)
+{
+    cell_apply(ctx, index, data, size_bytes, answer);
+}
+
+static void
+save_cell(void *ctx, struct fp_blob *out)
+{
+    cell_save(ctx, out);
+}
+
+static enum fp_err
+load_cell(void *ctx, const struct fp_blob *state)
+{
+    return cell_load(ctx, state);
+}
+
+static void
+make_machine(struct replica *replica)
+{
+    if (replica->ops.machine != NULL) {
+        replica->machine = *replica->ops.machine;
+        return;
+    }
+    replica->cell = cell_new(&replica->ops.cell);
+    replica->machine = (struct replica_machine){apply_cell, save_cell,
+                                                load_cell, replica->cell};
+}
+
 static uint64_t
 draw_id(void)
 {
@@ -397,13 +456,13 @@
     replica->run_id = draw_id();
     replica->next_request = draw_id();
     make_tables(replica);
-    replica->cell = cell_new(&ops->cell);
+    make_machine(replica);
     err = open_disk(replica, loop, &init, why, why_bytes);
     if (err != FP_OK) {
         return err;
     }
     if (init.snapshot.last_index != 0) {
-        err = cell_load(replica->cell, &init.snapshot.data);
+        err = replica->machine.load(replica->machine.ctx, &init.snapshot.data);
         if (err != FP_OK) {
             snprintf(why, why_bytes, "the snapshot's state is malformed");
             return err;
@@ -419,6 +478,7 @@
     if (err != FP_OK) {
         return err;
     }
+    connect_members(replica);
     timers_subscribe(timers, TICK_MS, on_tick, replica);
     return FP_OK;
 }
@@ -438,7 +498,9 @@
     bus_free(replica->bus);
     disk_free(replica->disk);
     raft_free(replica->raft);
-    cell_free(replica->cell);
+    if (replica->cell != NULL) {
+        cell_free(replica->cell);
+    }
     while (!g_queue_is_empty(&replica->held)) {
         free_held(g_queue_pop_head(&replica->held));
     }
@@ -467,13 +529,7 @@
 replica_broadcast(struct replica *replica, const struct fp_schema *schema,
                   const void *msg)
 {
-    const struct settings *settings = replica->settings;
-
-    for (unsigned i = 0; i < settings->hosts_count; i++) {
-        if (strcmp(settings->hosts[i].name, settings->host) != 0) {
-            bus_send(replica->bus, settings->hosts[i].name, schema, msg);
-        }
-    }
+    bus_broadcast(replica->bus, schema, msg);
 }
 
 enum fp_err
--- a/node/replica.h
+++ b/node/replica.h
@@ -20,15 +20,28 @@
 
 struct replica;
 
+/* The replicated state, where it is not the cell. Committed changes come in
+ * log order; the answer is for the proposer. */
+struct replica_machine {
+    void (*apply)(void *ctx, uint64_t index, const uint8_t *data,
+                  uint32_t size_bytes, struct change_answer *answer);
+    void (*save)(void *ctx, struct fp_blob *out);
+    /* Replaces the state; FP_ERR_CORRUPT leaves it unchanged. */
+    enum fp_err (*load)(void *ctx, const struct fp_blob *state);
+    void *ctx;
+};
+
 /* Told of what concerns other parts. All run on the loop. */
 struct replica_ops {
+    const struct replica_machine *machine; /* NULL: a cell of its own */
     /* Began or ceased to lead. */
     void (*leading)(void *ctx, bool leading);
     /* The state was replaced by a snapshot: every pointer into it is stale. */
     void (*replaced)(void *ctx);
     /* Changes of the state, as in struct cell_ops. */
     struct cell_ops cell;
-    /* Messages of requests: MSG_CALL, MSG_CALL_REPLY, MSG_HINT. */
+    /* Messages of requests: MSG_CALL, MSG_CALL_REPLY, MSG_HINT, MSG_FORWARD,
+     * MSG_FORWARD_REPLY. */
     void (*message)(void *ctx, const char *from, uint32_t type,
                     const void *msg);
     /* Leader only: answers a question through replica_answer(). */
--- a/node/replicapriv.h
+++ b/node/replicapriv.h
@@ -56,7 +56,8 @@
     const struct settings *settings;
     struct replica_ops ops;
     struct raft *raft;
-    struct cell *cell;
+    struct cell *cell; /* NULL with a machine of the owner's */
+    struct replica_machine machine;
     struct disk *disk; /* NULL without a data folder */
     struct bus *bus;
     uv_prepare_t flush;
--- a/node/settings.c
+++ b/node/settings.c
@@ -5,6 +5,7 @@
 #include <cyaml/cyaml.h>
 #include <glib.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define HOSTS_MAX 64u
@@ -57,15 +58,50 @@
                            struct settings_log, level, 1, 16),
     CYAML_FIELD_END};
 
+static const cyaml_schema_value_t SEED_VALUE = {
+    CYAML_VALUE_STRING(CYAML_FLAG_POINTER, char, 9, 63)};
+
+#define FLEET_ADDRESS(name)                                                   \
+    CYAML_FIELD_STRING_PTR(#name, CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,   \
+                           struct settings_fleet, name, 0, 63)
+#define FLEET_NUMBER(name)                                                    \
+    CYAML_FIELD_UINT(#name, CYAML_FLAG_DEFAULT, struct settings_fleet, name)
+
+static const cyaml_schema_field_t FLEET_FIELDS[] = {
+    FLEET_ADDRESS(clients),
+    FLEET_ADDRESS(control),
+    FLEET_ADDRESS(readiness),
+    FLEET_ADDRESS(metrics),
+    FLEET_ADDRESS(advice),
+    CYAML_FIELD_SEQUENCE("seeds", CYAML_FLAG_POINTER, struct settings_fleet,
+                         seeds, &SEED_VALUE, 1, 16),
+    CYAML_FIELD_STRING_PTR("data_centre", CYAML_FLAG_POINTER,
+                           struct settings_fleet, data_centre, 1, 63),
+    CYAML_FIELD_BOOL("first_start", CYAML_FLAG_OPTIONAL, struct settings_fleet,
+                     first_start),
+    FLEET_NUMBER(bus_port),
+    FLEET_NUMBER(lease_ms),
+    FLEET_NUMBER(stop_ms),
+    FLEET_NUMBER(gang_ms),
+    FLEET_NUMBER(drain_ms),
+    FLEET_NUMBER(grace_ms),
+    FLEET_NUMBER(keep_ms),
+    FLEET_NUMBER(far_permille),
+    FLEET_NUMBER(restore_ms),
+    FLEET_NUMBER(harm_ms),
+    CYAML_FIELD_END};
+
 static const cyaml_schema_field_t FIELDS[] = {
     CYAML_FIELD_STRING_PTR("host", CYAML_FLAG_POINTER, struct settings, host,
                            1, 31),
     CYAML_FIELD_STRING_PTR("data_folder",
                            CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
                            struct settings, data_folder, 1, TEXT_MAX),
-    CYAML_FIELD_STRING_PTR("operator_key_hash", CYAML_FLAG_POINTER,
+    CYAML_FIELD_STRING_PTR("operator_key_hash",
+                           CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
                            struct settings, operator_key_hash, 64, 64),
-    CYAML_FIELD_STRING_PTR("target_key_hash", CYAML_FLAG_POINTER,
+    CYAML_FIELD_STRING_PTR("target_key_hash",
+                           CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
                            struct settings, target_key_hash, 64, 64),
     CYAML_FIELD_BOOL("faults_allowed", CYAML_FLAG_OPTIONAL, struct settings,
                      faults_allowed),
@@ -79,8 +115,12 @@
                             struct settings, curve, CURVE_FIELDS),
     CYAML_FIELD_MAPPING_PTR("tls", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
                             struct settings, tls, TLS_FIELDS),
-    CYAML_FIELD_SEQUENCE("hosts", CYAML_FLAG_POINTER, struct settings, hosts,
-                         &HOST_VALUE, 1, HOSTS_MAX),
+    CYAML_FIELD_SEQUENCE("hosts", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
+                         struct settings, hosts, &HOST_VALUE, 0, HOSTS_MAX),
+    CYAML_FIELD_BOOL("trusted_network", CYAML_FLAG_OPTIONAL, struct settings,
+                     trusted_network),
+    CYAML_FIELD_MAPPING_PTR("fleet", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
+                            struct settings, fleet, FLEET_FIELDS),
     CYAML_FIELD_END};
 
 static const cyaml_schema_value_t ROOT = {
@@ -248,9 +288,11 @@
 {
     const struct settings_host *own = settings_find(settings, settings->host);
 
-    if (settings->curve == NULL && strncmp(own->bus, "127.", 4) != 0) {
+    if (settings->curve == NULL && !settings->trusted_network &&
+        strncmp(own->bus, "127.", 4) != 0) {
         snprintf(why, why_bytes,
-                 "curve: is missing; only loopback may go without it");
+                 "curve: is missing; only loopback and a trusted_network may "
+                 "go without it");
         return false;
     }
     return true;
@@ -288,6 +330,108 @@
     return true;
 }
 
+/* An empty text counts as absent: templates render absent values so. */
+static void
+drop_empty(char **text)
+{
+    if (*text != NULL && (*text)[0] == '\0') {
+        free(*text);
+        *text = NULL;
+    }
+}
+
+static bool
+check_address(const char *field, const char *text, char *why,
+              unsigned why_bytes)
+{
+    char ip[64];
+    uint16_t port;
+
+    if (text != NULL && !settings_address(text, ip, sizeof(ip), &port)) {
+        snprintf(why, why_bytes, "fleet.%s: '%s' is not IP:port", field, text);
+        return false;
+    }
+    return true;
+}
+
+/* A host of a fleet is its own only entry in hosts; others are found. */
+static void
+list_own_host(struct settings *settings)
+{
+    const struct settings_fleet *fleet = settings->fleet;
+    const char *http =
+        fleet->control != NULL ? fleet->control : fleet->clients;
+    struct settings_host *own = calloc(1, sizeof(*own));
+
+    own->name = strdup(settings->host);
+    own->data_centre = strdup(fleet->data_centre);
+    own->bus = malloc(TEXT_MAX);
+    snprintf(own->bus, TEXT_MAX, "%s:%u", settings->host, fleet->bus_port);
+    own->http = strdup(http != NULL ? http : "");
+    settings->hosts = own;
+    settings->hosts_count = 1;
+}
+
+struct fleet_range {
+    const char *name;
+    size_t offset;
+    uint32_t least;
+    uint32_t most;
+};
+
+static const struct fleet_range FLEET_RANGES[] = {
+    {"bus_port", offsetof(struct settings_fleet, bus_port), 1, 65535},
+    {"lease_ms", offsetof(struct settings_fleet, lease_ms), 500, 600000},
+    {"stop_ms", offsetof(struct settings_fleet, stop_ms), 0, 600000},
+    {"gang_ms", offsetof(struct settings_fleet, gang_ms), 100, 600000},
+    {"drain_ms", offsetof(struct settings_fleet, drain_ms), 0, 600000},
+    {"grace_ms", offsetof(struct settings_fleet, grace_ms), 500, 600000},
+    {"keep_ms", offsetof(struct settings_fleet, keep_ms), 1000, 86400000},
+    {"far_permille", offsetof(struct settings_fleet, far_permille), 1000,
+     100000},
+    {"restore_ms", offsetof(struct settings_fleet, restore_ms), 0, 600000},
+    {"harm_ms", offsetof(struct settings_fleet, harm_ms), 100, 600000},
+};
+
+static bool
+check_fleet(struct settings *settings, char *why, unsigned why_bytes)
+{
+    struct settings_fleet *fleet = settings->fleet;
+
+    if (settings->hosts_count != 0) {
+        snprintf(why, why_bytes, "hosts: cannot stand beside fleet");
+        return false;
+    }
+    drop_empty(&settings->data_folder);
+    drop_empty(&fleet->clients);
+    drop_empty(&fleet->control);
+    drop_empty(&fleet->readiness);
+    drop_empty(&fleet->metrics);
+    drop_empty(&fleet->advice);
+    for (size_t i = 0; i < sizeof(FLEET_RANGES) / sizeof(FLEET_RANGES[0]);
+         i++) {
+        const struct fleet_range *range = &FLEET_RANGES[i];
+        uint32_t value = *(uint32_t *)((char *)fleet + range->offset);
+
+        if (value < range->least || value > range->most) {
+            snprintf(why, why_bytes, "fleet.%s: %u is outside %u to %u",
+                     range->name, value, range->least, range->most);
+            return false;
+        }
+    }
+    for (unsigned i = 0; i < fleet->seeds_count; i++) {
+        if (!check_address("seeds", fleet->seeds[i], why, why_bytes)) {
+            return false;
+        }
+    }
+    list_own_host(settings);
+    return check_address("clients", fleet->clients, why, why_bytes) &&
+           check_address("control", fleet->control, why, why_bytes) &&
+           check_address("readiness", fleet->readiness, why, why_bytes) &&
+           check_address("metrics", fleet->metrics, why, why_bytes) &&
+           check_address("advice", fleet->advice, why, why_bytes);
+}
+
 static bool
 check(struct settings *settings, char *why, unsigned why_bytes)
 {
@@ -301,12 +445,20 @@
                  settings->snapshot_entries);
         return false;
     }
-    if (!is_hash(settings->operator_key_hash)) {
+    if (settings->fleet != NULL) {
+        return check_log(&settings->log, why, why_bytes) &&
+               check_ranges(&settings->times, why, why_bytes) &&
+               check_fleet(settings, why, why_bytes) &&
+               check_bus_secrecy(settings, why, why_bytes);
+    }
+    if (settings->operator_key_hash == NULL ||
+        !is_hash(settings->operator_key_hash)) {
         snprintf(why, why_bytes,
                  "operator_key_hash: needs 64 hexadecimal digits");
         return false;
     }
-    if (!is_hash(settings->target_key_hash)) {
+    if (settings->target_key_hash == NULL ||
+        !is_hash(settings->target_key_hash)) {
         snprintf(why, why_bytes,
                  "target_key_hash: needs 64 hexadecimal digits");
         return false;
--- a/node/settings.h
+++ b/node/settings.h
@@ -45,6 +45,31 @@
     char *level;  /* debug, info, notice or warning */
 };
 
+/* What a host of a platform deployment needs besides: it is told a few seeds
+ * instead of all hosts, and hosts are named by their IP number.
+ */
+struct settings_fleet {
+    char *clients;   /* IP:port for callers; absent: none on this host */
+    char *control;   /* IP:port for targets and operators; absent: none */
+    char *readiness; /* IP:port that the balancer asks; absent: none */
+    char *metrics;   /* IP:port of GET /metrics; absent: none */
+    char *advice;    /* IP:port of the placement policy; absent: none */
+    char **seeds;    /* IP:port of some hosts with a data folder */
+    unsigned seeds_count;
+    char *data_centre; /* of this host */
+    bool first_start;  /* the cell may be founded now */
+    uint32_t bus_port; /* port of the bus on every host */
+    uint32_t lease_ms; /* longest lease that a target grants */
+    uint32_t stop_ms;  /* a stopped task is gone after this */
+    uint32_t gang_ms;  /* a gang's first task waits this long for the rest */
+    uint32_t drain_ms; /* a leaving target serves on at least this long */
+    uint32_t grace_ms; /* from SIGTERM to SIGKILL */
+    uint32_t keep_ms;  /* an ended job's state can be asked this long */
+    uint32_t far_permille; /* run time away from the data, per 1000 */
+    uint32_t restore_ms;   /* to resume from a checkpoint */
+    uint32_t harm_ms;      /* a serving task may be slow this long */
+};
+
 struct settings {
     char *host;                /* name of this host, one of hosts */
     char *data_folder;         /* absent: a host without a disk */
@@ -58,6 +83,8 @@
     struct settings_tls *tls;     /* absent: plain HTTP */
     struct settings_host *hosts;
     unsigned hosts_count;
+    bool trusted_network;         /* the bus may run in clear off loopback */
+    struct settings_fleet *fleet; /* absent: the hosts are listed */
 };
 
 /* Reads and checks a file. On error why names the field and its place. */
