--- a/core/planfit.c
+++ b/core/planfit.c
@@ -14,6 +14,9 @@
     const char *labels = target->target->rec.labels;
     size_t bytes = strlen(label);
 
+    if (bytes == 0) {
+        return true;
+    }
     for (const char *at = strstr(labels, label); at != NULL;
          at = strstr(at + 1, label)) {
         if ((at == labels || at[-1] == ',') &&
@@ -21,7 +24,7 @@
             return true;
         }
     }
-    return bytes == 0;
+    return false;
 }
 
 static uint64_t
--- a/node/httpd.c
+++ b/node/httpd.c
@@ -62,13 +62,17 @@
 static char **
 copy_headers(const h2o_req_t *req)
 {
-    char **headers = g_new0(char *, req->headers.size * 2 + 1);
+    char **headers = g_new0(char *, req->headers.size * 2 + 3);
 
+    /* h2o keeps the Host header apart from the others. */
+    headers[0] = g_strdup("host");
+    headers[1] = g_strndup(req->authority.base, req->authority.len);
     for (size_t i = 0; i < req->headers.size; i++) {
         const h2o_header_t *header = &req->headers.entries[i];
 
-        headers[2 * i] = g_strndup(header->name->base, header->name->len);
-        headers[2 * i + 1] = g_strndup(header->value.base, header->value.len);
+        headers[2 * i + 2] = g_strndup(header->name->base, header->name->len);
+        headers[2 * i + 3] =
+            g_strndup(header->value.base, header->value.len);
     }
     return headers;
 }
