Advice: a question widens to targets that were not named before

Cause: a step whose named targets were all refused named the same ones again; a step that opened before its estimate waited for the estimate. Ruled out: lost answers (the question's time-out frees the step).

--- a/core/plan.c
+++ b/core/plan.c
@@ -94,6 +94,7 @@
     if (!step->listed && step->idle > 0 && !step->job->ended &&
         !is_blocked(step)) {
         step->listed = true;
+        step->ask_after_ms = 0; /* it may open before its estimate */
         g_ptr_array_add(plan->open, step);
     }
     plan->dirty = true;
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -48,11 +48,18 @@
     GPtrArray *runs;        /* struct plan_run, owned */
 };
 
+/* What the policy said of one target for one step. */
+enum policy_word {
+    POLICY_ASKED,   /* no answer yet */
+    POLICY_REFUSED, /* it may not run the step, ever */
+    POLICY_GRANTED  /* it may, with a ticket that is good for a while */
+};
+
 struct plan_ticket {
     struct plan_target *target; /* NULL: gone */
-    char id[FLEET_NAME_BYTES];
+    enum policy_word word;
     char ticket[FLEET_TICKET_BYTES];
-    uint64_t until_ms;
+    uint64_t until_ms; /* 0: no good ticket */
 };
 
 /* A step of one occurrence of a job. */
--- a/core/planticket.c
+++ b/core/planticket.c
@@ -44,14 +44,19 @@
 {
     const struct plan_ticket *ticket = find_ticket(step, target);
 
-    return ticket != NULL && now_ms < ticket->until_ms ? ticket->ticket : NULL;
+    return ticket != NULL && ticket->word == POLICY_GRANTED &&
+                   now_ms < ticket->until_ms
+               ? ticket->ticket
+               : NULL;
 }
 
 bool
 plan_was_granted(const struct plan_step *step,
                  const struct plan_target *target)
 {
-    return find_ticket(step, target) != NULL;
+    const struct plan_ticket *ticket = find_ticket(step, target);
+
+    return ticket != NULL && ticket->word == POLICY_GRANTED;
 }
 
 void
@@ -89,9 +94,10 @@
     return x->room == y->room ? 0 : x->room > y->room ? -1 : 1;
 }
 
-/* A first question: all that could run it, those with most room first. */
+/* Targets that could run the step and were not named before, those with most
+ * room first. */
 static GArray *
-list_all(const struct plan *plan, const struct plan_step *step)
+list_unknown(const struct plan *plan, const struct plan_step *step)
 {
     GArray *list = g_array_new(FALSE, FALSE, sizeof(struct candidate));
     const struct fleet_size size = plan_task_size(step->def);
@@ -101,6 +107,7 @@
         struct candidate candidate = {target, 0};
 
         if (target->usable && !target->target->rec.leaving &&
+            find_ticket(step, target) == NULL &&
             plan_may_ever_fit(plan, target, step)) {
             candidate.room = free_room(target, &size);
             if (step->def->rack[0] != '\0' &&
@@ -114,19 +121,19 @@
     return list;
 }
 
-/* A later question: those that were granted, for fresh tickets. */
+/* Targets that were granted and whose tickets end before until_ms. */
 static GArray *
-list_granted(const struct plan *plan, const struct plan_step *step)
+list_expiring(const struct plan_step *step, uint64_t until_ms)
 {
     GArray *list = g_array_new(FALSE, FALSE, sizeof(struct candidate));
 
-    (void)plan;
-    for (guint i = 0; i < step->tickets->len; i++) {
+    for (guint i = 0; step->tickets != NULL && i < step->tickets->len; i++) {
         const struct plan_ticket *ticket =
             &g_array_index(step->tickets, struct plan_ticket, i);
         struct candidate candidate = {ticket->target, 0};
 
-        if (ticket->target != NULL && ticket->target->usable &&
+        if (ticket->target != NULL && ticket->word == POLICY_GRANTED &&
+            ticket->until_ms < until_ms && ticket->target->usable &&
             !ticket->target->target->rec.leaving) {
             g_array_append_val(list, candidate);
         }
@@ -134,6 +141,23 @@
     return list;
 }
 
+static bool
+has_room_granted(const struct plan_step *step, uint64_t now_ms)
+{
+    const struct fleet_size size = plan_task_size(step->def);
+
+    for (guint i = 0; step->tickets != NULL && i < step->tickets->len; i++) {
+        const struct plan_ticket *ticket =
+            &g_array_index(step->tickets, struct plan_ticket, i);
+
+        if (ticket->target != NULL && ticket->word == POLICY_GRANTED &&
+            plan_fits(ticket->target, &size, step, now_ms)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static uint32_t
 count_to_name(const struct plan_step *step, guint listed)
 {
@@ -153,23 +177,6 @@
     return (conf->advice_us + conf->advice_each_us * targets) / 1000;
 }
 
-/* Good for long enough that asking now would be too early. */
-static bool
-tickets_last(const struct plan_step *step, uint32_t ask_ms, uint64_t now_ms)
-{
-    uint64_t until_ms = 0;
-
-    for (guint i = 0; i < step->tickets->len; i++) {
-        const struct plan_ticket *ticket =
-            &g_array_index(step->tickets, struct plan_ticket, i);
-
-        if (ticket->target != NULL) {
-            until_ms = MAX(until_ms, ticket->until_ms);
-        }
-    }
-    return now_ms + ask_ms + ASK_ROUND_TRIP_MS < until_ms;
-}
-
 /* When the steps before it will be done, by estimate. */
 static uint64_t
 opens_at_ms(const struct plan *plan, const struct plan_step *step)
@@ -194,6 +201,62 @@
     return at_ms;
 }
 
+/* Whom to name: first targets that are not known yet; once some were granted,
+ * those for fresh tickets; and others again when the granted ones are full. */
+static GArray *
+choose_targets(const struct plan *plan, const struct plan_step *step,
+               uint32_t ask_ms, uint64_t now_ms)
+{
+    GArray *list = list_expiring(step, now_ms + ask_ms + ASK_ROUND_TRIP_MS);
+
+    if (list->len == 0 && !has_room_granted(step, now_ms)) {
+        g_array_free(list, TRUE);
+        list = list_unknown(plan, step);
+        g_array_set_size(list, count_to_name(step, list->len));
+    }
+    else if (list->len > FLEET_ADVICE_MAX) {
+        g_array_set_size(list, FLEET_ADVICE_MAX);
+    }
+    return list;
+}
+
+static void
+note_asked(struct plan_step *step, const GArray *list)
+{
+    struct plan_ticket fresh = {.word = POLICY_ASKED};
+
+    if (step->tickets == NULL) {
+        step->tickets = g_array_new(FALSE, FALSE, sizeof(struct plan_ticket));
+    }
+    for (guint i = 0; i < list->len; i++) {
+        fresh.target = g_array_index(list, struct candidate, i).target;
+        if (find_ticket(step, fresh.target) == NULL) {
+            g_array_append_val(step->tickets, fresh);
+        }
+    }
+    step->asking = true;
+}
+
+/* The step is not open yet: asks so that the tickets are fresh when it opens.
+ */
+static bool
+is_too_early(const struct plan *plan, struct plan_step *step, uint32_t ask_ms,
+             uint64_t now_ms)
+{
+    uint64_t lead_ms = ask_ms + step->job->job->queue->conf.ticket_ms / 2;
+    uint64_t opens_ms;
+
+    if (!step->coming || step->listed) {
+        return false;
+    }
+    opens_ms = opens_at_ms(plan, step);
+    if (opens_ms <= now_ms + lead_ms) {
+        return false;
+    }
+    step->ask_after_ms = opens_ms - lead_ms;
+    return true;
+}
+
 void
 plan_ask(struct plan *plan, struct plan_step *step, uint64_t now_ms)
 {
@@ -201,62 +264,45 @@
     struct fleet_task_name name = {step->job->job->submit.id, step->occurrence,
                                    step->index, 0};
     struct fleet_target *targets[FLEET_ADVICE_MAX];
-    GArray *list;
-    uint32_t count;
     uint32_t ask_ms = question_ms(conf, ASK_TARGETS_LEAST);
+    GArray *list;
 
     if (step->asking || now_ms < step->ask_after_ms ||
-        (step->advised && tickets_last(step, ask_ms, now_ms))) {
+        is_too_early(plan, step, ask_ms, now_ms)) {
         return;
     }
-    if (step->coming) {
-        uint64_t opens_ms = opens_at_ms(plan, step);
-
-        if (opens_ms > now_ms + ask_ms + conf->ticket_ms / 2) {
-            step->ask_after_ms = opens_ms - ask_ms -
-                                 MIN(conf->ticket_ms / 2, opens_ms - ask_ms);
-            return;
-        }
-    }
-    list = step->advised ? list_granted(plan, step) : list_all(plan, step);
-    if (step->advised && list->len == 0) {
-        step->advised = false; /* all that were granted are gone */
-    }
-    count = step->advised ? MIN(list->len, FLEET_ADVICE_MAX)
-                          : count_to_name(step, list->len);
-    for (uint32_t i = 0; i < count; i++) {
+    list = choose_targets(plan, step, ask_ms, now_ms);
+    for (guint i = 0; i < list->len; i++) {
         targets[i] = g_array_index(list, struct candidate, i).target->target;
     }
-    ask_ms = question_ms(conf, count);
-    if (count > 0 && plan->ops.advise(plan->ops.ctx, &name, targets, count,
-                                      ask_ms, ask_ms < PLAN_SHORT_CALL_MS)) {
-        step->asking = true;
+    ask_ms = question_ms(conf, list->len);
+    if (list->len == 0) {
+        step->ask_after_ms = now_ms + ASK_AGAIN_MS;
+    }
+    else if (plan->ops.advise(plan->ops.ctx, &name, targets, list->len, ask_ms,
+                              ask_ms < PLAN_SHORT_CALL_MS)) {
+        note_asked(step, list);
         plan->counters.questions++;
     }
     g_array_free(list, TRUE);
 }
 
+/* What the policy did not grant it refused; without an answer nothing is
+ * known of those that were named for the first time. */
 static void
-set_ticket(struct plan *plan, struct plan_step *step,
-           const struct call_ticket *from, uint64_t until_ms)
+settle_asked(struct plan_step *step, bool answered)
 {
-    struct fleet_target *target = fleet_find_target(plan->fleet, from->id);
-    struct plan_ticket *ticket;
-    struct plan_ticket fresh = {.target = NULL};
+    for (guint i = step->tickets->len; i > 0; i--) {
+        struct plan_ticket *ticket =
+            &g_array_index(step->tickets, struct plan_ticket, i - 1);
 
-    if (target == NULL || target->plan == NULL) {
-        return;
-    }
-    ticket = find_ticket(step, target->plan);
-    if (ticket == NULL) {
-        fresh.target = target->plan;
-        g_strlcpy(fresh.id, from->id, sizeof(fresh.id));
-        g_array_append_val(step->tickets, fresh);
-        ticket = &g_array_index(step->tickets, struct plan_ticket,
-                                step->tickets->len - 1);
+        if (ticket->word == POLICY_ASKED && answered) {
+            ticket->word = POLICY_REFUSED;
+        }
+        else if (ticket->word == POLICY_ASKED) {
+            g_array_remove_index_fast(step->tickets, i - 1);
+        }
     }
-    g_strlcpy(ticket->ticket, from->ticket, sizeof(ticket->ticket));
-    ticket->until_ms = until_ms;
 }
 
 void
@@ -273,28 +319,29 @@
         return;
     }
     at = name->occurrence * job->step_count + name->step;
-    if (at >= pjob->step_count) {
+    if (at >= pjob->step_count || pjob->steps[at].tickets == NULL) {
         return;
     }
     step = &pjob->steps[at];
     step->asking = false;
     plan->dirty = true;
-    if (err != FP_OK) {
-        step->ask_after_ms = now_ms + ASK_AGAIN_MS;
-        return;
-    }
-    if (step->tickets == NULL) {
-        step->tickets = g_array_new(FALSE, FALSE, sizeof(struct plan_ticket));
-    }
-    step->advised = true;
-    for (uint32_t i = 0; i < count; i++) {
+    for (uint32_t i = 0; err == FP_OK && i < count; i++) {
+        struct fleet_target *target =
+            fleet_find_target(plan->fleet, tickets[i].id);
+        struct plan_ticket *ticket =
+            target != NULL ? find_ticket(step, target->plan) : NULL;
         uint32_t good_ms = job->queue->conf.ticket_ms;
 
-        set_ticket(plan, step, &tickets[i],
-                   now_ms + good_ms - MIN(good_ms, TICKET_MARGIN_MS));
+        if (ticket != NULL) {
+            ticket->word = POLICY_GRANTED;
+            ticket->until_ms =
+                now_ms + good_ms - MIN(good_ms, TICKET_MARGIN_MS);
+            g_strlcpy(ticket->ticket, tickets[i].ticket,
+                      sizeof(ticket->ticket));
+        }
     }
-    if (step->tickets->len == 0) {
-        step->advised = false; /* others are named next time */
+    settle_asked(step, err == FP_OK);
+    if (err != FP_OK) {
         step->ask_after_ms = now_ms + ASK_AGAIN_MS;
     }
 }
