--- a/core/planticket.c
+++ b/core/planticket.c
@@ -257,6 +257,24 @@
     return true;
 }
 
+/* What the policy did not grant it refused; without an answer nothing is
+ * known of those that were named for the first time. */
+static void
+settle_asked(struct plan_step *step, bool answered)
+{
+    for (guint i = step->tickets->len; i > 0; i--) {
+        struct plan_ticket *ticket =
+            &g_array_index(step->tickets, struct plan_ticket, i - 1);
+
+        if (ticket->word == POLICY_ASKED && answered) {
+            ticket->word = POLICY_REFUSED;
+        }
+        else if (ticket->word == POLICY_ASKED) {
+            g_array_remove_index_fast(step->tickets, i - 1);
+        }
+    }
+}
+
 void
 plan_ask(struct plan *plan, struct plan_step *step, uint64_t now_ms)
 {
@@ -279,30 +297,18 @@
     if (list->len == 0) {
         step->ask_after_ms = now_ms + ASK_AGAIN_MS;
     }
-    else if (plan->ops.advise(plan->ops.ctx, &name, targets, list->len, ask_ms,
-                              ask_ms < PLAN_SHORT_CALL_MS)) {
+    else {
+        /* Noted first: the answer may come before the call returns. */
         note_asked(step, list);
         plan->counters.questions++;
-    }
-    g_array_free(list, TRUE);
-}
-
-/* What the policy did not grant it refused; without an answer nothing is
- * known of those that were named for the first time. */
-static void
-settle_asked(struct plan_step *step, bool answered)
-{
-    for (guint i = step->tickets->len; i > 0; i--) {
-        struct plan_ticket *ticket =
-            &g_array_index(step->tickets, struct plan_ticket, i - 1);
-
-        if (ticket->word == POLICY_ASKED && answered) {
-            ticket->word = POLICY_REFUSED;
-        }
-        else if (ticket->word == POLICY_ASKED) {
-            g_array_remove_index_fast(step->tickets, i - 1);
+        if (!plan->ops.advise(plan->ops.ctx, &name, targets, list->len, ask_ms,
+                              ask_ms < PLAN_SHORT_CALL_MS)) {
+            plan->counters.questions--;
+            step->asking = false;
+            settle_asked(step, false);
         }
     }
+    g_array_free(list, TRUE);
 }
 
 void
--- a/node/relay.c
+++ b/node/relay.c
@@ -128,7 +128,7 @@
         call->open++;
     }
     else if (call->fixed) {
-        finish(relay, call, FP_ERR_NOT_CONNECTED, NULL);
+        call->end_ms = now_ms; /* ends with the next tick, not in here */
     }
     else {
         call->next_ms = now_ms + NOT_LED_PAUSE_MS;
