Gangs: room is held for every member, questions widen until all fit

Cause: coat-scan gangs of three and four waited for targets that happened to be free at once; only one was held, and one free target ended the widening.

--- a/core/planfit.c
+++ b/core/planfit.c
@@ -223,43 +223,66 @@
     return at_ms;
 }
 
+static bool
+may_hold(const struct plan *plan, const struct plan_target *target,
+         const struct plan_step *step, uint64_t now_ms)
+{
+    return (target->held_for == NULL || now_ms >= target->held_until_ms) &&
+           target->usable && !target->target->rec.leaving &&
+           plan_may_ever_fit(plan, target, step) &&
+           (!plan_needs_ticket(step) || plan_was_granted(step, target));
+}
+
+/* Holds room for one task on the target that has it first. */
+static bool
+hold_one(struct plan *plan, struct plan_step *step,
+         const struct fleet_size *size, uint64_t now_ms)
+{
+    struct plan_target *best = NULL;
+    uint64_t best_ms = UINT64_MAX;
+
+    for (guint i = 0; i < plan->targets->len; i++) {
+        struct plan_target *target = plan->targets->pdata[i];
+        uint64_t at_ms;
+
+        if (may_hold(plan, target, step, now_ms)) {
+            at_ms = free_at_ms(target, size, now_ms);
+            if (at_ms < best_ms) {
+                best = target;
+                best_ms = at_ms;
+            }
+        }
+    }
+    if (best == NULL) {
+        return false;
+    }
+    best->held_for = step;
+    best->held = *size;
+    best->held_until_ms = best_ms + HOLD_MS;
+    return true;
+}
+
 /* Load pattern: accelerators nearly all in use, by tasks of one and tasks of
  * eight. Without held room a task of eight waits until eight happen to be free
- * on one of the few targets it may use. Room is held on one target, the one
- * that is free first. */
+ * on one of the few targets it may use, and a gang until that happens on
+ * several at once. Room is held on the targets that are free first. */
 static void
 hold_room(struct plan *plan, struct plan_step *step,
           const struct fleet_size *size, uint64_t now_ms)
 {
-    struct plan_target *best = NULL;
-    uint64_t best_ms = UINT64_MAX;
+    uint32_t want = step->def->gang ? step->def->count : 1;
+    uint32_t held = 0;
 
     if (step->def->accel < HOLD_ACCEL_MIN) {
         return;
     }
     for (guint i = 0; i < plan->targets->len; i++) {
-        struct plan_target *target = plan->targets->pdata[i];
-        uint64_t at_ms;
+        const struct plan_target *target = plan->targets->pdata[i];
 
-        if (target->held_for == step && now_ms < target->held_until_ms) {
-            return;
-        }
-        if ((target->held_for != NULL && now_ms < target->held_until_ms) ||
-            !target->usable || target->target->rec.leaving ||
-            !plan_may_ever_fit(plan, target, step) ||
-            (plan_needs_ticket(step) && !plan_was_granted(step, target))) {
-            continue;
-        }
-        at_ms = free_at_ms(target, size, now_ms);
-        if (at_ms < best_ms) {
-            best = target;
-            best_ms = at_ms;
-        }
+        held += target->held_for == step && now_ms < target->held_until_ms;
     }
-    if (best != NULL) {
-        best->held_for = step;
-        best->held = *size;
-        best->held_until_ms = MAX(best_ms, now_ms) + HOLD_MS;
+    while (held < want && hold_one(plan, step, size, now_ms)) {
+        held++;
     }
 }
 
--- a/core/planticket.c
+++ b/core/planticket.c
@@ -141,21 +141,47 @@
     return list;
 }
 
-static bool
-has_room_granted(const struct plan_step *step, uint64_t now_ms)
+static uint64_t
+times_in(uint64_t room, uint64_t size)
+{
+    return size == 0 ? UINT32_MAX : room / size;
+}
+
+/* How many more tasks of the step the granted targets have room for now. */
+static uint64_t
+room_granted(const struct plan_step *step, uint64_t now_ms)
 {
     const struct fleet_size size = plan_task_size(step->def);
+    uint64_t sum = 0;
 
     for (guint i = 0; step->tickets != NULL && i < step->tickets->len; i++) {
         const struct plan_ticket *ticket =
             &g_array_index(step->tickets, struct plan_ticket, i);
+        const struct plan_target *target = ticket->target;
+        uint64_t times;
 
-        if (ticket->target != NULL && ticket->word == POLICY_GRANTED &&
-            plan_fits(ticket->target, &size, step, now_ms)) {
-            return true;
+        if (target == NULL || ticket->word != POLICY_GRANTED ||
+            !plan_fits(target, &size, step, now_ms)) {
+            continue;
         }
+        times =
+            MIN(times_in(target->size.accel - target->used.accel, size.accel),
+                times_in(target->size.cpu_milli - target->used.cpu_milli,
+                         size.cpu_milli));
+        if (step->def->spread > 0) {
+            times = MIN(times, step->def->spread);
+        }
+        sum += times;
     }
-    return false;
+    return sum;
+}
+
+/* A gang needs room for all, other tasks for one at a time. */
+static bool
+has_room_granted(const struct plan_step *step, uint64_t now_ms)
+{
+    return room_granted(step, now_ms) >=
+           (step->def->gang ? step->def->count : 1);
 }
 
 static uint32_t
@@ -201,20 +227,21 @@
     return at_ms;
 }
 
-/* Whom to name: first targets that are not known yet; once some were granted,
- * those for fresh tickets; and others again when the granted ones are full. */
+/* Whom to name: those that were granted, for fresh tickets, and while the
+ * granted ones are full also some that were not named before. */
 static GArray *
 choose_targets(const struct plan *plan, const struct plan_step *step,
                uint32_t ask_ms, uint64_t now_ms)
 {
     GArray *list = list_expiring(step, now_ms + ask_ms + ASK_ROUND_TRIP_MS);
 
-    if (list->len == 0 && !has_room_granted(step, now_ms)) {
-        g_array_free(list, TRUE);
-        list = list_unknown(plan, step);
-        g_array_set_size(list, count_to_name(step, list->len));
+    if (!has_room_granted(step, now_ms)) {
+        GArray *more = list_unknown(plan, step);
+
+        g_array_append_vals(list, more->data, count_to_name(step, more->len));
+        g_array_free(more, TRUE);
     }
-    else if (list->len > FLEET_ADVICE_MAX) {
+    if (list->len > FLEET_ADVICE_MAX) {
         g_array_set_size(list, FLEET_ADVICE_MAX);
     }
     return list;
