--- a/core/plan.c
+++ b/core/plan.c
@@ -12,7 +12,7 @@
 #define SHUN_UNHEALTHY_MS 600u  /* a target that refused for its health */
 #define SHUN_NO_ROOM_MS 150u    /* a target that had no room after all */
 #define SHUN_FAILING_MS 1500u   /* for each failure in a row past these: */
-#define FAILED_ROW_MAX 2u       /* failures in a row that are borne */
+#define FAILED_ROW_MAX 1u       /* failures in a row that are borne */
 #define SHUN_MAX_MS 8000u       /* longest time without a trial */
 #define STOP_AGAIN_MS 700u      /* an unanswered stop is ordered again */
 #define MIXED_GANG_MAX_MS 2000u /* a gang that lost members is stopped */
@@ -177,6 +177,17 @@
     }
 }
 
+/* A task has one run less, and starts again when that was the last. */
+static void
+free_task(struct plan *plan, struct plan_step *step, struct plan_task *task)
+{
+    task->runs--;
+    if (task->runs == 0 && !task->done) {
+        step->idle++;
+        list_step(plan, step);
+    }
+}
+
 /* The run is no more, however it ended. */
 static void
 drop_run(struct plan *plan, struct plan_run *run)
@@ -193,16 +204,32 @@
         if (step->def->tail_ms > 0) {
             run->target->serving -= MIN(run->target->serving, 1);
         }
-        task->runs--;
-        if (task->runs == 0 && !task->done) {
-            step->idle++;
-            list_step(plan, step);
+        if (!run->detached) {
+            free_task(plan, step, task);
         }
     }
     g_ptr_array_remove_fast(run->target->runs, run);
     plan->dirty = true;
 }
 
+/* Load pattern: work with a tight objective on a target that has fallen
+ * silent. Where copies are allowed the task starts elsewhere at once; the
+ * first one to end counts. */
+static void
+detach_copies(struct plan *plan, struct plan_target *target)
+{
+    for (guint i = 0; i < target->runs->len; i++) {
+        struct plan_run *run = target->runs->pdata[i];
+
+        if (run->step != NULL && run->step->def->duplicates &&
+            !run->step->def->gang && !run->detached &&
+            !run->step->job->ended) {
+            run->detached = true;
+            free_task(plan, run->step, &run->step->job->tasks[run->number]);
+        }
+    }
+}
+
 void
 plan_order_stop(struct plan *plan, struct plan_run *run, uint64_t now_ms)
 {
@@ -308,7 +335,7 @@
         if (task->runs == 0) {
             step->idle--;
         }
-        else if (!step->def->gang) {
+        if (!step->def->gang && (task->runs > 0 || step->def->duplicates)) {
             stop_other_runs(plan, step, i, now_ms);
         }
     }
@@ -400,6 +427,7 @@
     }
     if (run != NULL) {
         learn_health(on, run, end->outcome, now_ms);
+        drop_run(plan, run);
     }
     if (step != NULL && number != UINT32_MAX) {
         struct plan_task *task = &pjob->tasks[number];
@@ -419,9 +447,6 @@
             stop_gang(plan, step, end->run, now_ms);
         }
     }
-    if (run != NULL) {
-        drop_run(plan, run);
-    }
 }
 
 void
@@ -681,6 +706,9 @@
     if (on->usable != usable) {
         on->usable = usable;
         plan->dirty = true;
+        if (!usable) {
+            detach_copies(plan, on);
+        }
     }
 }
 
@@ -851,9 +879,9 @@
     pjob->ended = true;
     note_started(pjob);
     for (uint32_t i = 0; i < job->task_count; i++) {
-        runs += pjob->tasks[i].runs;
+        runs += pjob->tasks[i].next_run;
     }
-    for (guint t = 0; runs > 0 && t < plan->targets->len; t++) {
+    for (guint t = 0; runs > job->task_count && t < plan->targets->len; t++) {
         struct plan_target *target = plan->targets->pdata[t];
 
         for (guint i = 0; i < target->runs->len; i++) {
--- a/node/dispatchlane.c
+++ b/node/dispatchlane.c
@@ -4,12 +4,18 @@
 #include "base/log.h"
 #include "node/dispatchpriv.h"
 
-#define HOLD_WAIT_MS 1500u     /* a hold waits this long for an end */
-#define ORDER_TIMEOUT_MS 900u  /* for an answer, beyond any wait */
-#define HOLD_AGAIN_MS 120u     /* after a hold that failed */
-#define CLOCK_DRIFT_PERCENT 2u /* a target's clock may be this slow */
-#define LEASE_SLACK_MS 100u    /* on top of a computed end of a lease */
-#define REFUSED_SPAN_MS 200u   /* refused connections this far apart: dead */
+#define HOLD_WAIT_MS 1800u      /* a hold waits this long for an end */
+#define HOLD_SHORT_WAIT_MS 400u /* the same, while orders go unanswered */
+#define ORDER_TIMEOUT_MS 900u   /* for an answer, beyond any wait */
+#define START_TIMEOUT_MS                                                      \
+    220u                     /* for the first copy of a start: tens of round  \
+                              * trips, a third of the shortest work */
+#define HOLD_TIMEOUT_MS 350u /* beyond the wait */
+#define UNANSWERED_SPAN_MS 4000u /* one loss makes others likely this long */
+#define HOLD_AGAIN_MS 120u       /* after a hold that failed */
+#define CLOCK_DRIFT_PERCENT 2u   /* a target's clock may be this slow */
+#define LEASE_SLACK_MS 100u      /* on top of a computed end of a lease */
+#define REFUSED_SPAN_MS 200u     /* refused connections this far apart: dead */
 #define REMOVE_LOST_AFTER_MS 2500u /* a lost target is then forgotten */
 #define REMOVE_DEAD_AFTER_MS 500u  /* the same, when it is known to be dead */
 
@@ -112,6 +118,9 @@
     if (answer != ORDER_DONE) {
         dispatch->orders_failed++;
     }
+    if (answer == ORDER_UNKNOWN) {
+        dispatch->unanswered_ms = now_ms;
+    }
     if (answer == ORDER_UNKNOWN && !pending->again && leads(dispatch)) {
         pending->again = true;
         send_start(lane, target, pending);
@@ -130,8 +139,9 @@
            struct pending *pending)
 {
     const struct order_channel *orders = lane->dispatch->parts.orders;
-    struct order_head head =
-        head_for(lane, target, ORDER_TIMEOUT_MS, clock_mono_ms());
+    struct order_head head = head_for(
+        lane, target, pending->again ? ORDER_TIMEOUT_MS : START_TIMEOUT_MS,
+        clock_mono_ms());
 
     pending->start.target = target;
     orders->start(orders->channel, &head, &pending->start, on_started,
@@ -323,6 +333,9 @@
             const struct order_reply *reply, uint64_t now_ms)
 {
     lane->dispatch->orders_failed++;
+    if (reply->answer == ORDER_UNKNOWN) {
+        lane->dispatch->unanswered_ms = now_ms;
+    }
     lane->next_hold_ms = now_ms + HOLD_AGAIN_MS;
     plan_target_usable(lane->dispatch->plan, target, false);
     if (reply->answer == ORDER_OTHER) {
@@ -376,9 +389,12 @@
           uint64_t now_ms)
 {
     const struct order_channel *orders = lane->dispatch->parts.orders;
-    uint32_t wait_ms = lane->listed && lane->has_clock ? HOLD_WAIT_MS : 0;
+    bool lossy = now_ms < lane->dispatch->unanswered_ms + UNANSWERED_SPAN_MS;
+    uint32_t wait_ms = !lane->listed || !lane->has_clock ? 0
+                       : lossy                           ? HOLD_SHORT_WAIT_MS
+                                                         : HOLD_WAIT_MS;
     struct order_head head =
-        head_for(lane, target, wait_ms + ORDER_TIMEOUT_MS, now_ms);
+        head_for(lane, target, wait_ms + HOLD_TIMEOUT_MS, now_ms);
     struct pending *pending = dispatch_add_pending(lane->dispatch, lane);
 
     pending->asked_ms = now_ms;
--- a/node/dispatchpriv.h
+++ b/node/dispatchpriv.h
@@ -56,11 +56,12 @@
     struct plan *plan;
     uint64_t since_ms;
     bool settled;
-    GHashTable *lanes;   /* ID to struct lane */
-    GHashTable *helpers; /* host to struct helper */
-    GHashTable *pending; /* the set of struct pending */
-    GHashTable *taking;  /* job IDs whose submission is on its way */
-    bool local_busy;     /* this host asks the policy itself */
+    GHashTable *lanes;      /* ID to struct lane */
+    GHashTable *helpers;    /* host to struct helper */
+    GHashTable *pending;    /* the set of struct pending */
+    GHashTable *taking;     /* job IDs whose submission is on its way */
+    bool local_busy;        /* this host asks the policy itself */
+    uint64_t unanswered_ms; /* when an order last went without an answer */
     uint64_t orders_sent;
     uint64_t orders_failed;
     uint64_t holds;
--- a/node/httpd.c
+++ b/node/httpd.c
@@ -71,8 +71,7 @@
         const h2o_header_t *header = &req->headers.entries[i];
 
         headers[2 * i + 2] = g_strndup(header->name->base, header->name->len);
-        headers[2 * i + 3] =
-            g_strndup(header->value.base, header->value.len);
+        headers[2 * i + 3] = g_strndup(header->value.base, header->value.len);
     }
     return headers;
 }
--- a/node/relay.c
+++ b/node/relay.c
@@ -8,6 +8,9 @@
 #define ATTEMPT_MS 450u      /* an unanswered copy is followed by another */
 #define NOT_LED_PAUSE_MS 40u /* before the next host is asked */
 #define HOSTS_MAX 64u
+/* Without any answer of a leader for this long, calls are refused at once: an
+ * election takes less, and callers do better at another host. */
+#define SILENT_MS 1300u
 
 /* One call of this host on its way. */
 struct outgoing {
@@ -135,10 +138,20 @@
     }
 }
 
+/* No leader has answered for long: held calls and new ones are ended. Pings
+ * go on, and find the leader again. */
+static bool
+is_hopeless(const struct relay *relay, const struct outgoing *call,
+            uint64_t now_ms)
+{
+    return !call->fixed && call->kind != CALL_PING &&
+           now_ms > relay->heard_ms + SILENT_MS;
+}
+
 static void
 advance(struct relay *relay, struct outgoing *call, uint64_t now_ms)
 {
-    if (now_ms >= call->end_ms) {
+    if (now_ms >= call->end_ms || is_hopeless(relay, call, now_ms)) {
         relay->counters.timed_out++;
         finish(relay, call,
                call->open > 0 ? FP_ERR_UNKNOWN_OUTCOME : FP_ERR_NO_LEADER,
@@ -237,9 +250,16 @@
 relay_call(struct relay *relay, uint32_t kind, const struct fp_schema *schema,
            const void *record, uint32_t timeout_ms, relay_done done, void *ctx)
 {
-    send_copy(relay,
-              add_call(relay, kind, schema, record, timeout_ms, done, ctx),
-              clock_mono_ms());
+    uint64_t now_ms = clock_mono_ms();
+    struct outgoing *call =
+        add_call(relay, kind, schema, record, timeout_ms, done, ctx);
+
+    if (is_hopeless(relay, call, now_ms)) {
+        finish(relay, call, FP_ERR_NO_LEADER, NULL);
+    }
+    else {
+        send_copy(relay, call, now_ms);
+    }
 }
 
 void
--- /dev/null
+++ b/tests/fleet_test.cc
@@ -0,0 +1,246 @@
+// The replicated state of a fleet: versions of the configuration, jobs by
+// their ID, ends counted once, snapshots; and who joins the cell.
+
+#include "tests/plan_world.h"
+
+extern "C" {
+#include "core/members.h"
+}
+
+using namespace plan_world;
+
+namespace {
+
+TEST(Fleet, TheHighestVersionIsInForceAndOlderOnesChangeNothing)
+{
+    World w;
+    w.version = 6;
+    w.configure({"q"});
+    w.version = 2;
+    w.configure({"other"});
+    EXPECT_EQ(w.f->config.version, 7u);
+    EXPECT_NE(fleet_find_queue(w.f, "h", "/q/1"), nullptr);
+    EXPECT_EQ(fleet_find_queue(w.f, "h", "/other/1"), nullptr);
+}
+
+TEST(Fleet, AQueueThatIsDroppedKeepsItsJobsAndTakesNoMore)
+{
+    World w;
+    w.configure({"q", "p"});
+    w.submit(1, {{}});
+    w.configure({"p"});
+    EXPECT_EQ(fleet_find_queue(w.f, "h", "/q/1"), nullptr);
+    ASSERT_NE(w.job(1), nullptr);
+    EXPECT_STREQ(w.job(1)->queue->conf.service, "svc");
+}
+
+TEST(Fleet, TheLongestPrefixWins)
+{
+    World w;
+    w.configure({"q", "q/deep"});
+    EXPECT_STREQ(fleet_find_queue(w.f, "h", "/q/deep/1")->conf.name, "q/deep");
+    EXPECT_STREQ(fleet_find_queue(w.f, "h", "/q/1")->conf.name, "q");
+    EXPECT_EQ(fleet_find_queue(w.f, "x", "/q/1"), nullptr);
+}
+
+TEST(Fleet, InvalidConfigurationsAreRefusedAsAWhole)
+{
+    char why[200];
+    fleet_config config;
+    memset(&config, 0, sizeof(config));
+    auto *queue = (fleet_queue_conf *)fp_list_add(&config.queues,
+                                                  sizeof(fleet_queue_conf));
+    g_strlcpy(queue->service, "nobody", FLEET_NAME_BYTES);
+    EXPECT_EQ(fleet_check_config(&config, why, sizeof(why)),
+              FP_ERR_BAD_REQUEST);
+    auto *service = (fleet_service_conf *)fp_list_add(
+        &config.services, sizeof(fleet_service_conf));
+    g_strlcpy(service->name, "nobody", FLEET_NAME_BYTES);
+    EXPECT_EQ(fleet_check_config(&config, why, sizeof(why)), FP_OK);
+    fp_list_add(&config.queues, sizeof(fleet_queue_conf));
+    auto *queues = (fleet_queue_conf *)config.queues.items;
+    queues[1] = queues[0];
+    EXPECT_EQ(fleet_check_config(&config, why, sizeof(why)),
+              FP_ERR_BAD_REQUEST)
+        << "two queues at one place";
+    queues[1].prefix[0] = '/';
+    EXPECT_EQ(fleet_check_config(&config, why, sizeof(why)), FP_OK);
+    for (const char *name : {"a", "b"}) {
+        auto *team = (fleet_team_conf *)fp_list_add(&config.teams,
+                                                    sizeof(fleet_team_conf));
+        g_strlcpy(team->name, name, FLEET_NAME_BYTES);
+        auto *key = (fleet_key_conf *)fp_list_add(&team->keys,
+                                                  sizeof(fleet_key_conf));
+        g_strlcpy(key->key, "same", FLEET_KEY_BYTES);
+    }
+    EXPECT_EQ(fleet_check_config(&config, why, sizeof(why)),
+              FP_ERR_BAD_REQUEST)
+        << "two teams with one key";
+    fp_record_free(&FLEET_CONFIG_SCHEMA, &config);
+}
+
+TEST(Fleet, AJobSentAgainIsOneJob)
+{
+    World w;
+    w.configure({"q"});
+    EXPECT_TRUE(w.submit(1, {{.count = 2}}).first);
+    change_answer again = w.submit(1, {{.count = 5}});
+    EXPECT_EQ(again.err, FP_OK);
+    EXPECT_FALSE(again.first);
+    EXPECT_EQ(w.job(1)->task_count, 2u);
+}
+
+TEST(Fleet, AFailureIsCountedOnceARunAndTheLastEndsTheJob)
+{
+    World w;
+    w.configure({"q"});
+    w.submit(1, {{.count = 1}});
+    fleet_end end = {{1, 0, 0, 0}, 1, RUN_FAILED, ""};
+    w.commit(end);
+    w.commit(end);
+    EXPECT_EQ(w.job(1)->tasks[0].failures, 1u);
+    end.run = 2;
+    w.commit(end);
+    EXPECT_TRUE(fleet_is_live(w.job(1)));
+    end.run = 3;
+    w.commit(end);
+    EXPECT_EQ(w.job(1)->state, JOB_FAILED);
+}
+
+TEST(Fleet, EndsOfUnknownTasksAreIgnored)
+{
+    World w;
+    w.configure({"q"});
+    w.submit(1, {{.count = 1}});
+    w.commit({{1, 0, 0, 5}, 1, RUN_DONE, ""});
+    w.commit({{1, 0, 3, 0}, 1, RUN_DONE, ""});
+    w.commit({{1, 7, 0, 0}, 1, RUN_DONE, ""});
+    w.commit({{2, 0, 0, 0}, 1, RUN_DONE, ""});
+    EXPECT_TRUE(fleet_is_live(w.job(1)));
+}
+
+TEST(Fleet, AnAddressBelongsToTheIncarnationBornLast)
+{
+    World w;
+    w.configure({"q"});
+    w.target("t1", 1000, 0, "r1", false, 10);
+    fleet_target_rec rec = w.find("t1")->rec;
+    g_strlcpy(rec.id, "t2", FLEET_NAME_BYTES);
+    rec.born_ms = 20;
+    EXPECT_EQ(w.apply(&FLEET_TARGET_SCHEMA, &rec).err, FP_OK);
+    EXPECT_EQ(w.find("t1"), nullptr);
+    g_strlcpy(rec.id, "t1", FLEET_NAME_BYTES);
+    rec.born_ms = 10; // an announcement that was held up
+    EXPECT_EQ(w.apply(&FLEET_TARGET_SCHEMA, &rec).err, FP_ERR_STALE);
+    EXPECT_NE(w.find("t2"), nullptr);
+}
+
+TEST(Fleet, ATargetThatLeavesStaysLeavingUntilItIsBornAgain)
+{
+    World w;
+    w.configure({"q"});
+    w.target("t1", 1000, 0, "r1", true);
+    w.target("t1", 1000, 0, "r1", false);
+    EXPECT_TRUE(w.find("t1")->rec.leaving);
+    w.target("t1", 1000, 0, "r1", false, 2);
+    EXPECT_FALSE(w.find("t1")->rec.leaving);
+}
+
+TEST(Fleet, ASnapshotHoldsAllThatWasAccepted)
+{
+    World w;
+    World other;
+    fp_blob blob = {nullptr, 0};
+    w.configure({"q"});
+    w.target("t1");
+    w.submit(1, {{.count = 3}, {.count = 1, .after = {0}}});
+    w.submit(2, {{.count = 1}});
+    w.submit(3, {{.count = 1}});
+    w.commit({{1, 0, 0, 1}, 1, RUN_DONE, ""});
+    w.commit({{1, 0, 0, 2}, 4, RUN_FAILED, "saved"});
+    w.commit({{2, 0, 0, 0}, 1, RUN_DONE, ""});
+    fleet_save(w.f, &blob);
+    ASSERT_EQ(fleet_load(other.f, &blob), FP_OK);
+    EXPECT_EQ(other.f->config.version, 1u);
+    EXPECT_NE(other.find("t1"), nullptr);
+    EXPECT_EQ(other.job(1)->left, 3u);
+    EXPECT_TRUE(other.job(1)->tasks[1].done);
+    EXPECT_EQ(other.job(1)->tasks[2].failed_run, 4u);
+    EXPECT_STREQ(other.job(1)->tasks[2].checkpoint, "saved");
+    EXPECT_EQ(other.job(2)->state, JOB_COMPLETED);
+    EXPECT_TRUE(fleet_is_live(other.job(3)));
+    blob.data[blob.size_bytes / 2] ^= 0xff;
+    blob.size_bytes -= 3;
+    EXPECT_NE(fleet_load(other.f, &blob), FP_OK);
+    EXPECT_EQ(other.job(1)->left, 3u) << "a damaged snapshot changes nothing";
+    fp_blob_free(&blob);
+}
+
+TEST(Fleet, EndedJobsAreForgottenAfterTheirTime)
+{
+    World w;
+    w.configure({"q"});
+    w.submit(1, {{}});
+    w.commit({{1, 0, 0, 0}, 1, RUN_DONE, ""});
+    w.now += 119000;
+    w.submit(2, {{}});
+    EXPECT_NE(w.job(1), nullptr);
+    w.now += 3000;
+    w.submit(3, {{}});
+    EXPECT_EQ(w.job(1), nullptr);
+}
+
+TEST(Fleet, MalformedChangesAreRefused)
+{
+    World w;
+    change_answer answer;
+    uint8_t bytes[64];
+    memset(bytes, 0x91, sizeof(bytes));
+    fleet_apply(w.f, bytes, sizeof(bytes), &answer);
+    EXPECT_EQ(answer.err, FP_ERR_CORRUPT);
+    w.configure({"q"});
+    EXPECT_EQ(w.submit(1, {{.count = 0}}).err, FP_ERR_BAD_REQUEST);
+    EXPECT_EQ(w.submit(1, {{.after = {0}}}).err, FP_ERR_BAD_REQUEST);
+    EXPECT_EQ(w.submit(1, {}).err, FP_ERR_BAD_REQUEST);
+}
+
+// ---- members ---------------------------------------------------------------
+
+TEST(Members, AnEmptyDiskJoinsInPlaceOfTheOneItsHostHad)
+{
+    member_view views[] = {{1, "a", true, true, 5000},
+                           {2, "b", true, true, 4990},
+                           {3, "c", true, true, 1000},
+                           {9, "c", false, false, 4990}};
+    member_step step = members_next(views, 4, 5000);
+    EXPECT_EQ(step.action, MEMBER_ADD);
+    EXPECT_EQ(step.id, 9u);
+}
+
+TEST(Members, ANewHostTakesThePlaceOfASilentOne)
+{
+    member_view views[] = {{1, "a", true, true, 9000},
+                           {2, "b", true, true, 8990},
+                           {3, "c", true, true, 1000},
+                           {9, "d", false, false, 8990}};
+    member_step step = members_next(views, 4, 9000);
+    EXPECT_EQ(step.action, MEMBER_REMOVE);
+    EXPECT_EQ(step.id, 3u);
+    views[2].heard_ms = 8900;
+    step = members_next(views, 4, 9000);
+    EXPECT_EQ(step.action, MEMBER_ADD);
+}
+
+TEST(Members, NobodyIsRemovedWithoutANewcomerOrWithoutAMajority)
+{
+    member_view views[] = {{1, "a", true, true, 9000},
+                           {2, "b", true, true, 1000},
+                           {3, "c", true, true, 1000},
+                           {9, "d", false, false, 8990}};
+    EXPECT_EQ(members_next(views, 3, 9000).action, MEMBER_NONE);
+    EXPECT_NE(members_next(views, 4, 9000).action, MEMBER_REMOVE);
+    views[3].heard_ms = 5000;
+    EXPECT_EQ(members_next(views, 4, 9000).action, MEMBER_NONE);
+}
+
+} // namespace
