Reserve for tight work; holds follow expected ends while orders are lost

Cause: a burst of quotes met a service that batch work had filled; a lost hold or start cost more than the slack.

--- a/core/plan.c
+++ b/core/plan.c
@@ -18,6 +18,7 @@
 #define MIXED_GANG_MAX_MS 2000u /* a gang that lost members is stopped */
 #define PASS_IDLE_MS 100u       /* passes without news, for timed matters */
 #define SLOW_KEEP 7u            /* of 8 parts of the smoothed run time */
+#define TIGHT_SLACK_MS 1500u    /* work with less slack must start at once */
 #define PACE_STEPS 2u           /* a pace is cut by this factor */
 #define PACE_LEAST 10u          /* percent; below it: 0 */
 
@@ -160,6 +161,10 @@
         }
     }
     add_size(&target->used, &run->size);
+    add_size(&target->pool->used, &run->size);
+    if (step != NULL && step->job->tight) {
+        add_size(&target->pool->tight, &run->size);
+    }
     if (run->team != NULL) {
         add_size(&run->team->used, &run->size);
     }
@@ -195,6 +200,10 @@
     struct plan_step *step = run->step;
 
     take_size(&run->target->used, &run->size);
+    take_size(&run->target->pool->used, &run->size);
+    if (step != NULL && step->job->tight) {
+        take_size(&run->target->pool->tight, &run->size);
+    }
     if (run->team != NULL) {
         take_size(&run->team->used, &run->size);
     }
@@ -680,6 +689,19 @@
     g_free(target);
 }
 
+static struct plan_pool *
+need_pool(struct plan *plan, const char *service)
+{
+    struct plan_pool *pool = g_hash_table_lookup(plan->pools, service);
+
+    if (pool == NULL) {
+        pool = g_new0(struct plan_pool, 1);
+        g_strlcpy(pool->service, service, sizeof(pool->service));
+        g_hash_table_insert(plan->pools, pool->service, pool);
+    }
+    return pool;
+}
+
 void
 plan_target_changed(struct plan *plan, struct fleet_target *target)
 {
@@ -693,6 +715,7 @@
         target->plan = on;
         g_ptr_array_add(plan->targets, on);
     }
+    on->pool = need_pool(plan, target->rec.service);
     on->size = (struct fleet_size){target->rec.cpu_milli,
                                    target->rec.memory_mb, target->rec.accel};
     plan->dirty = true;
@@ -852,6 +875,7 @@
     job->chain_ms = plan_chain_ms(&from->submit, &from->queue->conf,
                                   plan->params.restore_ms);
     job->objective_ms = plan_objective_ms(job->chain_ms, &from->queue->conf);
+    job->tight = job->objective_ms < job->chain_ms + TIGHT_SLACK_MS;
     from->plan = job;
     if (!job->started) {
         from->queue->waiting++;
@@ -945,6 +969,9 @@
             struct plan_run *run = target->runs->pdata[i];
 
             if (run->step != NULL && run->step->job == pjob) {
+                if (pjob->tight) {
+                    take_size(&target->pool->tight, &run->size);
+                }
                 run->step = NULL;
             }
         }
@@ -1035,6 +1062,7 @@
     plan->counters.passes++;
     drop_closed_steps(plan);
     plan_sort_open(plan, now_ms);
+    plan_count_pools(plan, now_ms);
     for (guint i = 0; i < plan->open->len; i++) {
         struct plan_step *step = plan->open->pdata[i];
 
@@ -1072,6 +1100,7 @@
     plan->open = g_ptr_array_new();
     plan->coming = g_ptr_array_new();
     plan->targets = g_ptr_array_new();
+    plan->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     g_hash_table_iter_init(&iter, fleet->teams);
     while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&team)) {
         memset(&team->used, 0, sizeof(team->used));
@@ -1119,9 +1148,26 @@
     g_ptr_array_free(plan->open, TRUE);
     g_ptr_array_free(plan->coming, TRUE);
     g_ptr_array_free(plan->targets, TRUE);
+    g_hash_table_destroy(plan->pools);
     g_free(plan);
 }
 
+uint64_t
+plan_next_end_ms(const struct fleet_target *target)
+{
+    const struct plan_target *on = target->plan;
+    uint64_t at_ms = UINT64_MAX;
+
+    for (guint i = 0; i < on->runs->len; i++) {
+        const struct plan_run *run = on->runs->pdata[i];
+
+        if (run->step != NULL && !run->step->def->lasting) {
+            at_ms = MIN(at_ms, run->expected_ms);
+        }
+    }
+    return at_ms;
+}
+
 enum fleet_job_state
 plan_job_state(const struct fleet_job *job)
 {
--- a/core/plan.h
+++ b/core/plan.h
@@ -166,6 +166,9 @@
                                uint64_t now_ms);
 
 /* Queries. */
+
+/* When the next run on a target should end; UINT64_MAX: none will. */
+uint64_t plan_next_end_ms(const struct fleet_target *target);
 enum fleet_job_state plan_job_state(const struct fleet_job *job);
 const struct plan_counters *plan_counters(const struct plan *plan);
 json_t *plan_dump(const struct plan *plan);
--- a/core/planfit.c
+++ b/core/planfit.c
@@ -149,6 +149,7 @@
         uint64_t points;
 
         if (!plan_may_ever_fit(plan, target, step) ||
+            !plan_leaves_reserve(target->pool, step, size) ||
             (rack != NULL && strcmp(rack, target->target->rec.rack) != 0) ||
             !plan_fits(target, size, step, now_ms) ||
             (ticket && plan_ticket_for(step, target,
--- a/core/planorder.c
+++ b/core/planorder.c
@@ -115,6 +115,75 @@
     g_ptr_array_sort(plan->open, by_key);
 }
 
+/* ---- reserve ------------------------------------------------------------ */
+
+#define PEAK_KEEP_PERMILLE 980u /* of the peak after each PEAK_STEP_MS */
+#define PEAK_STEP_MS 100u
+#define RESERVE_PERCENT 70u /* of the peak, kept free on top of what runs */
+
+static uint64_t
+decay(uint64_t peak, uint64_t now)
+{
+    return MAX(now, peak * PEAK_KEEP_PERMILLE / 1000);
+}
+
+static void
+decay_peak(struct plan_pool *pool, uint64_t now_ms)
+{
+    while (pool->decayed_ms + PEAK_STEP_MS <= now_ms) {
+        pool->peak.cpu_milli =
+            decay(pool->peak.cpu_milli, pool->tight.cpu_milli);
+        pool->peak.accel = decay(pool->peak.accel, pool->tight.accel);
+        pool->decayed_ms += PEAK_STEP_MS;
+        if (pool->decayed_ms + 100u * PEAK_STEP_MS < now_ms) {
+            pool->decayed_ms = now_ms; /* after a long pause once is enough */
+        }
+    }
+}
+
+/* Sums up each service's room over its usable targets. */
+void
+plan_count_pools(struct plan *plan, uint64_t now_ms)
+{
+    GHashTableIter iter;
+    struct plan_pool *pool;
+
+    g_hash_table_iter_init(&iter, plan->pools);
+    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&pool)) {
+        memset(&pool->size, 0, sizeof(pool->size));
+        memset(&pool->used, 0, sizeof(pool->used));
+        decay_peak(pool, now_ms);
+    }
+    for (guint i = 0; i < plan->targets->len; i++) {
+        const struct plan_target *target = plan->targets->pdata[i];
+
+        if (target->usable && !target->target->rec.leaving) {
+            target->pool->size.cpu_milli += target->size.cpu_milli;
+            target->pool->size.accel += target->size.accel;
+            target->pool->used.cpu_milli += target->used.cpu_milli;
+            target->pool->used.accel += target->used.accel;
+        }
+    }
+}
+
+/* Load pattern: a burst of work with a fraction of a second of slack, on a
+ * service that batch work would fill. Work that can wait leaves as much room
+ * free as the tight work has lately used at its peak, or a part of it. */
+bool
+plan_leaves_reserve(const struct plan_pool *pool, const struct plan_step *step,
+                    const struct fleet_size *size)
+{
+    uint64_t keep_cpu = pool->peak.cpu_milli * RESERVE_PERCENT / 100;
+    uint64_t keep_accel = pool->peak.accel * RESERVE_PERCENT / 100;
+
+    if (step->job->tight || step->def->lasting || step->def->fills) {
+        return true;
+    }
+    return pool->used.cpu_milli + size->cpu_milli + keep_cpu <=
+               pool->size.cpu_milli &&
+           pool->used.accel + size->accel + keep_accel <= pool->size.accel;
+}
+
 static bool
 fits_somewhere(const struct plan *plan, const char *service,
                const struct fleet_step *def)
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -33,8 +33,19 @@
     bool detached;    /* its task may have another run: copies are allowed */
 };
 
+/* The targets of one service taken together. */
+struct plan_pool {
+    char service[FLEET_NAME_BYTES];
+    struct fleet_size size;  /* of usable targets; set by each pass */
+    struct fleet_size used;  /* the same */
+    struct fleet_size tight; /* by runs of work with little slack */
+    struct fleet_size peak;  /* of tight, decaying */
+    uint64_t decayed_ms;     /* when peak last decayed */
+};
+
 struct plan_target {
     struct fleet_target *target;
+    struct plan_pool *pool;
     struct fleet_size size;
     struct fleet_size used;
     struct fleet_size held; /* kept free for step held_for */
@@ -101,6 +112,7 @@
     uint64_t taken_ms;
     uint32_t chain_ms;       /* longest chain of run times and questions */
     uint32_t objective_ms;   /* on time until taken_ms plus this */
+    bool tight;              /* little slack: it must start at once */
     struct plan_step *steps; /* by occurrence, then step */
     uint32_t step_count;
     struct plan_task *tasks;
@@ -115,6 +127,7 @@
     GPtrArray *coming;  /* struct plan_step that the steps before it, all
                          * running, will open */
     GPtrArray *targets; /* struct plan_target */
+    GHashTable *pools;  /* service to struct plan_pool */
     int64_t wall_offset_ms; /* wall clock less monotonic clock */
     bool settled;
     bool dirty;
@@ -135,6 +148,10 @@
 uint32_t plan_objective_ms(uint32_t chain_ms,
                            const struct fleet_queue_conf *queue);
 void plan_sort_open(struct plan *plan, uint64_t now_ms);
+void plan_count_pools(struct plan *plan, uint64_t now_ms);
+bool plan_leaves_reserve(const struct plan_pool *pool,
+                         const struct plan_step *step,
+                         const struct fleet_size *size);
 
 /* planfit.c */
 bool plan_fits(const struct plan_target *target, const struct fleet_size *size,
--- a/node/dispatchlane.c
+++ b/node/dispatchlane.c
@@ -4,18 +4,22 @@
 #include "base/log.h"
 #include "node/dispatchpriv.h"
 
-#define HOLD_WAIT_MS 1800u      /* a hold waits this long for an end */
-#define HOLD_SHORT_WAIT_MS 400u /* the same, while orders go unanswered */
-#define ORDER_TIMEOUT_MS 900u   /* for an answer, beyond any wait */
+#define HOLD_WAIT_MS 1800u /* a hold waits this long for an end */
+/* While orders go unanswered a hold waits until just past the next end that is
+ * expected, within these bounds: a lost one then hides that end no longer. */
+#define HOLD_LOSSY_LEAST_MS 120u
+#define HOLD_LOSSY_MOST_MS 700u
+#define HOLD_PAST_END_MS 60u
+#define ORDER_TIMEOUT_MS 900u /* for an answer, beyond any wait */
 #define START_TIMEOUT_MS                                                      \
-    220u                     /* for the first copy of a start: tens of round  \
-                              * trips, a third of the shortest work */
-#define HOLD_TIMEOUT_MS 350u /* beyond the wait */
+    90u                      /* for the first copy of a start: tens of round  \
+                              * trips; a second one does no harm */
+#define HOLD_TIMEOUT_MS 200u /* beyond the wait */
 #define UNANSWERED_SPAN_MS 4000u /* one loss makes others likely this long */
-#define HOLD_AGAIN_MS 120u       /* after a hold that failed */
+#define HOLD_AGAIN_MS 80u        /* after a hold that failed */
 #define CLOCK_DRIFT_PERCENT 2u   /* a target's clock may be this slow */
 #define LEASE_SLACK_MS 100u      /* on top of a computed end of a lease */
-#define REFUSED_SPAN_MS 200u     /* refused connections this far apart: dead */
+#define REFUSED_SPAN_MS 100u     /* refused connections this far apart: dead */
 #define REMOVE_LOST_AFTER_MS 2500u /* a lost target is then forgotten */
 #define REMOVE_DEAD_AFTER_MS 500u  /* the same, when it is known to be dead */
 
@@ -384,15 +388,33 @@
     dispatch_drop_pending(pending);
 }
 
+static uint32_t
+hold_wait_ms(const struct lane *lane, const struct fleet_target *target,
+             uint64_t now_ms)
+{
+    uint64_t end_ms;
+
+    if (!lane->listed || !lane->has_clock) {
+        return 0;
+    }
+    if (now_ms >= lane->dispatch->unanswered_ms + UNANSWERED_SPAN_MS) {
+        return HOLD_WAIT_MS;
+    }
+    end_ms = plan_next_end_ms(target);
+    if (end_ms == UINT64_MAX || end_ms > now_ms + HOLD_LOSSY_MOST_MS) {
+        return HOLD_LOSSY_MOST_MS;
+    }
+    end_ms += HOLD_PAST_END_MS;
+    return (uint32_t)MAX(end_ms > now_ms ? end_ms - now_ms : 0,
+                         HOLD_LOSSY_LEAST_MS);
+}
+
 static void
 send_hold(struct lane *lane, const struct fleet_target *target,
           uint64_t now_ms)
 {
     const struct order_channel *orders = lane->dispatch->parts.orders;
-    bool lossy = now_ms < lane->dispatch->unanswered_ms + UNANSWERED_SPAN_MS;
-    uint32_t wait_ms = !lane->listed || !lane->has_clock ? 0
-                       : lossy                           ? HOLD_SHORT_WAIT_MS
-                                                         : HOLD_WAIT_MS;
+    uint32_t wait_ms = hold_wait_ms(lane, target, now_ms);
     struct order_head head =
         head_for(lane, target, wait_ms + HOLD_TIMEOUT_MS, now_ms);
     struct pending *pending = dispatch_add_pending(lane->dispatch, lane);
