--- a/core/members.h
+++ b/core/members.h
@@ -2,8 +2,9 @@
  *
  * Members follow the hosts: an empty data folder joins in place of the one
  * that its host had, a new host joins, and a voter that has been silent makes
- * room for it. Without a newcomer nobody is removed, since a silent voter may
- * come back and a smaller cell bears no more losses.
+ * room for it. Without a newcomer a silent voter is removed only where the
+ * rest then bears more losses: from an even number, or one of two out of five.
+ * Otherwise it stays, since it may come back.
  */
 #ifndef FP_MEMBERS_H
 #define FP_MEMBERS_H
--- a/node/dispatchlane.c
+++ b/node/dispatchlane.c
@@ -15,13 +15,11 @@
     90u                      /* for the first copy of a start: tens of round  \
                               * trips; a second one does no harm */
 #define HOLD_TIMEOUT_MS 200u /* beyond the wait */
-#define UNANSWERED_SPAN_MS 4000u /* one loss makes others likely this long */
-#define HOLD_AGAIN_MS 80u        /* after a hold that failed */
-#define CLOCK_DRIFT_PERCENT 2u   /* a target's clock may be this slow */
-#define LEASE_SLACK_MS 100u      /* on top of a computed end of a lease */
-#define REFUSED_SPAN_MS 100u     /* refused connections this far apart: dead */
-#define REMOVE_LOST_AFTER_MS 2500u /* a lost target is then forgotten */
-#define REMOVE_DEAD_AFTER_MS 500u  /* the same, when it is known to be dead */
+#define UNANSWERED_SPAN_MS 4000u   /* one loss makes others likely this long */
+#define HOLD_AGAIN_MS 80u          /* after a hold that failed */
+#define CLOCK_DRIFT_PERCENT 2u     /* a target's clock may be this slow */
+#define LEASE_SLACK_MS 100u        /* on top of a computed end of a lease */
+#define REMOVE_LOST_AFTER_MS 1500u /* a lost target is then forgotten */
 
 static struct lane *
 lane_of(const struct dispatch *dispatch, const struct fleet_target *target)
@@ -58,7 +56,9 @@
     }
 }
 
-/* Grants a whole lease from now on, and notes when it will surely be over. */
+/* Grants a whole lease from now on, and notes when it will surely be over.
+ * While the target does not answer nothing more is granted: an order that is
+ * never answered may have been carried out. */
 static uint64_t
 grant(struct lane *lane, uint64_t now_ms)
 {
@@ -69,12 +69,16 @@
     if (!lane->has_clock) {
         return 0;
     }
+    if (lane->silent) {
+        return lane->deadline_ms;
+    }
     deadline_ms = lane->clock_ms + (now_ms - lane->clock_at_ms) + lease_ms;
     span_ms =
         (deadline_ms - lane->clock_ms) * 100 / (100 - CLOCK_DRIFT_PERCENT) +
         LEASE_SLACK_MS;
     lane->gone_by_ms = MAX(lane->gone_by_ms, lane->clock_at_ms + span_ms);
-    return deadline_ms;
+    lane->deadline_ms = MAX(lane->deadline_ms, deadline_ms);
+    return lane->deadline_ms;
 }
 
 static struct order_head
@@ -302,7 +306,7 @@
 {
     struct dispatch *dispatch = lane->dispatch;
 
-    lane->refused_ms = 0;
+    lane->silent = false;
     lane->lost = false;
     for (uint32_t i = 0; i < reply->end_count; i++) {
         if (reply->ends[i].number > lane->noted) {
@@ -340,21 +344,14 @@
     if (reply->answer == ORDER_UNKNOWN) {
         lane->dispatch->unanswered_ms = now_ms;
     }
+    lane->silent = true;
     lane->next_hold_ms = now_ms + HOLD_AGAIN_MS;
     plan_target_usable(lane->dispatch->plan, target, false);
     if (reply->answer == ORDER_OTHER) {
         give_up(lane, target, "another incarnation has its address", now_ms);
         return;
     }
-    if (!reply->refused_connection) {
-        lane->refused_ms = 0;
-    }
-    else if (lane->refused_ms == 0) {
-        lane->refused_ms = now_ms;
-    }
-    else if (now_ms >= lane->refused_ms + REFUSED_SPAN_MS) {
-        give_up(lane, target, "nobody listens at its address", now_ms);
-    }
+    /* A refused connection proves nothing: a link that is cut may refuse. */
 }
 
 static void
@@ -459,7 +456,8 @@
     lane->removing = false;
     lane->noted = 0;
     lane->next_hold_ms = 0;
-    lane->refused_ms = 0;
+    lane->silent = false;
+    lane->deadline_ms = 0;
     lane->leaves_ms = 0;
 }
 
@@ -492,14 +490,13 @@
 {
     struct fleet_target *target =
         fleet_find_target(lane->dispatch->parts.fleet, lane->id);
-    uint64_t keep_ms =
-        lane->refused_ms != 0 ? REMOVE_DEAD_AFTER_MS : REMOVE_LOST_AFTER_MS;
 
     if (!lane->lost && now_ms >= lane->gone_by_ms) {
         plan_target_usable(lane->dispatch->plan, target, false);
         give_up(lane, target, "its lease is over", now_ms);
     }
-    if (lane->lost && !lane->removing && now_ms >= lane->lost_ms + keep_ms) {
+    if (lane->lost && !lane->removing &&
+        now_ms >= lane->lost_ms + REMOVE_LOST_AFTER_MS) {
         propose_removal(lane);
     }
     if (!lane->holding && !lane->committing && now_ms >= lane->next_hold_ms) {
--- a/node/dispatchpriv.h
+++ b/node/dispatchpriv.h
@@ -24,7 +24,8 @@
     uint64_t gone_by_ms; /* every lease that was granted is over by then */
     uint64_t noted;      /* ends up to this are committed */
     uint64_t next_hold_ms;
-    uint64_t refused_ms; /* first of the refused connections in a row */
+    uint64_t deadline_ms; /* newest that was granted, on its clock */
+    bool silent;          /* its last hold went without an answer */
     uint64_t lost_ms;
     uint64_t leaves_ms; /* leaving: serves until then; 0: stays */
 };
--- a/node/fetch.c
+++ b/node/fetch.c
@@ -2,7 +2,6 @@
 #include "node/fetch.h"
 
 #include <curl/curl.h>
-#include <errno.h>
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
@@ -150,7 +149,6 @@
     struct fetch_answer answer = {.body = transfer->answer->data,
                                   .body_bytes = transfer->answer->len};
     long status = 0;
-    long os_errno = 0;
     char *type = NULL;
     fetch_done done = transfer->done;
     void *ctx = transfer->ctx;
@@ -158,10 +156,6 @@
     curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
     curl_easy_getinfo(transfer->easy, CURLINFO_CONTENT_TYPE, &type);
     answer.err = kind_of(transfer, code, status);
-    if (code == CURLE_COULDNT_CONNECT) {
-        curl_easy_getinfo(transfer->easy, CURLINFO_OS_ERRNO, &os_errno);
-        answer.refused = os_errno == ECONNREFUSED;
-    }
     answer.status = (uint32_t)status;
     answer.content_type = type == NULL ? "" : type;
     answer.took_ms = (uint32_t)(clock_mono_ms() - transfer->began_ms);
--- a/node/fetch.h
+++ b/node/fetch.h
@@ -37,7 +37,6 @@
  */
 struct fetch_answer {
     enum fp_err err;
-    bool refused; /* nobody listens at the address */
     uint32_t status;
     const char *content_type; /* "" when absent */
     const void *body;
--- a/node/orders.h
+++ b/node/orders.h
@@ -26,7 +26,6 @@
 /* The answer to an order. */
 struct order_reply {
     enum order_answer answer;
-    bool refused_connection; /* nobody listens at the address */
     bool has_clock;
     uint64_t clock_ms; /* of the target */
     /* Of a hold that was ORDER_DONE: */
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -231,6 +231,27 @@
     EXPECT_EQ(step.action, MEMBER_ADD);
 }
 
+// A host was replaced by plan, so that four vote; the old one has gone. When
+// another disk is lost two of four would be left, and the cell would stop.
+TEST(Members, ASilentVoterOfAnEvenNumberIsRemoved)
+{
+    member_view views[] = {{1, "a", true, true, 9000},
+                           {2, "b", true, true, 8990},
+                           {3, "c", true, true, 1000},
+                           {4, "d", true, true, 8990},
+                           {5, "e", true, true, 8990}};
+    EXPECT_EQ(members_next(views, 5, 9000).action, MEMBER_NONE);
+    member_step step = members_next(views, 4, 9000);
+    EXPECT_EQ(step.action, MEMBER_REMOVE);
+    EXPECT_EQ(step.id, 3u);
+    EXPECT_EQ(members_next(views, 3, 9000).action, MEMBER_NONE);
+    views[1].heard_ms = 2000;
+    EXPECT_EQ(members_next(views, 5, 9000).action, MEMBER_REMOVE)
+        << "two of five";
+    EXPECT_EQ(members_next(views, 4, 9000).action, MEMBER_NONE)
+        << "without a majority";
+}
+
 TEST(Members, NobodyIsRemovedWithoutANewcomerOrWithoutAMajority)
 {
     member_view views[] = {{1, "a", true, true, 9000},
