--- a/base/log.c
+++ b/base/log.c
@@ -5,6 +5,8 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "base/event.h"
+
 static const char *const PREFIXES[LOG_PART_COUNT] = {
     "node", "raft", "cell", "sched",  "route",
     "http", "bus",  "disk", "standin"};
@@ -74,6 +76,30 @@
     return G_LOG_WRITER_HANDLED;
 }
 
+static GLogWriterOutput
+write_event(GLogLevelFlags level, const GLogField *fields, gsize count,
+            gpointer data)
+{
+    const struct writer *writer = data;
+
+    if ((level & G_LOG_LEVEL_MASK) <= writer->lowest) {
+        EVENT(EVENT_TEXT,
+              EVENT_S("part", find_value(fields, count, "FP_PART")),
+              EVENT_S("level", level_name(level)),
+              EVENT_S("text", find_value(fields, count, "MESSAGE")));
+    }
+    return G_LOG_WRITER_HANDLED;
+}
+
+void
+log_open_events(GLogLevelFlags lowest)
+{
+    struct writer *writer = g_new0(struct writer, 1);
+
+    writer->lowest = lowest;
+    g_log_set_writer_func(write_event, writer, g_free);
+}
+
 void
 log_open(bool as_json, GLogLevelFlags lowest)
 {
--- a/base/log.h
+++ b/base/log.h
@@ -24,6 +24,9 @@
 /* Sends lines to stderr, as text or as one JSON object a line. */
 void log_open(bool as_json, GLogLevelFlags lowest);
 
+/* Sends lines to the log of events (base/event.h) instead. */
+void log_open_events(GLogLevelFlags lowest);
+
 /* Writes one line; level is G_LOG_LEVEL_WARNING, _MESSAGE, _INFO, _DEBUG. */
 void log_line(enum log_part part, GLogLevelFlags level, const char *format,
               ...) G_GNUC_PRINTF(3, 4);
--- a/cli/process.c
+++ b/cli/process.c
@@ -2,7 +2,9 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
+#include "base/event.h"
 #include "base/log.h"
 #include "bench/bench.h"
 #include "bench/standin.h"
@@ -99,11 +101,11 @@
         snprintf(why, sizeof(why), "fleet: is missing in %s", words[0]);
     }
     if (err == FP_OK) {
-        log_open(settings->log.format != NULL &&
-                     strcmp(settings->log.format, "json") == 0,
-                 level_of(settings->log.level));
+        event_open(STDOUT_FILENO);
+        log_open_events(level_of(settings->log.level));
         err = fleetnode_run(settings, words[0], &PLATFORM_EDGE, why,
                             sizeof(why));
+        event_close();
     }
     settings_free(settings);
     return err == FP_OK ? 0 : cli_error(err, "%s", why);
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -455,6 +455,23 @@
            job->first_task[name->step] + name->index;
 }
 
+void
+fleet_step_text(const struct fleet_task_name *name, char *out,
+                size_t out_bytes)
+{
+    snprintf(out, out_bytes, "%016llx.%u.%u", (unsigned long long)name->job_id,
+             name->occurrence, name->step);
+}
+
+void
+fleet_task_text(const struct fleet_task_name *name, char *out,
+                size_t out_bytes)
+{
+    snprintf(out, out_bytes, "%016llx.%u.%u.%u",
+             (unsigned long long)name->job_id, name->occurrence, name->step,
+             name->index);
+}
+
 /* Takes over submit. */
 static struct fleet_job *
 add_job(struct fleet *fleet, struct fleet_submit *submit)
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -122,6 +122,13 @@
 uint32_t fleet_task_number(const struct fleet_job *job,
                            const struct fleet_task_name *name);
 
+/* "ID.occurrence.step.index" of a task, without the index of a step. */
+#define FLEET_TASK_TEXT_BYTES 64u
+void fleet_task_text(const struct fleet_task_name *name, char *out,
+                     size_t out_bytes);
+void fleet_step_text(const struct fleet_task_name *name, char *out,
+                     size_t out_bytes);
+
 /* What a failed run counts towards: the whole step for a gang. */
 bool fleet_is_live(const struct fleet_job *job);
 
--- a/core/plan.c
+++ b/core/plan.c
@@ -18,6 +18,7 @@
 #define MIXED_GANG_MAX_MS 2000u /* a gang that lost members is stopped */
 #define PASS_IDLE_MS 100u       /* passes without news, for timed matters */
 #define SLOW_KEEP 7u            /* of 8 parts of the smoothed run time */
+#define TELL_WAIT_MS 1000u      /* between lines on one step that waits */
 #define TIGHT_SLACK_MS 1500u    /* work with less slack must start at once */
 #define PACE_STEPS 2u           /* a pace is cut by this factor */
 #define PACE_LEAST 10u          /* percent; below it: 0 */
@@ -95,6 +96,7 @@
     if (!step->listed && step->idle > 0 && !step->job->ended &&
         !is_blocked(step)) {
         step->listed = true;
+        step->open_ms = plan->now_ms;
         step->ask_after_ms = 0; /* it may open before its estimate */
         g_ptr_array_add(plan->open, step);
     }
@@ -240,7 +242,8 @@
 }
 
 void
-plan_order_stop(struct plan *plan, struct plan_run *run, uint64_t now_ms)
+plan_order_stop(struct plan *plan, struct plan_run *run, const char *why,
+                uint64_t now_ms)
 {
     if (run->state == RUN_ACTIVE) {
         run->state = RUN_STOPPING;
@@ -250,7 +253,8 @@
     }
     run->stop_ms = now_ms;
     plan->counters.stops++;
-    plan->ops.stop(plan->ops.ctx, run->target->target, &run->task, run->run);
+    plan->ops.stop(plan->ops.ctx, run->target->target, &run->task, run->run,
+                   why);
 }
 
 bool
@@ -320,7 +324,10 @@
 
             if (run->step == step && run->number == number &&
                 run->stop_ms == 0) {
-                plan_order_stop(plan, run, now_ms);
+                plan_order_stop(plan, run,
+                                "another run of its task has ended, or its "
+                                "gang is not whole",
+                                now_ms);
             }
         }
     }
@@ -384,15 +391,15 @@
             struct plan_run *run = target->runs->pdata[i];
 
             if (run->step == step && run->run == number && run->stop_ms == 0) {
-                plan_order_stop(plan, run, now_ms);
+                plan_order_stop(plan, run, "its gang is not whole", now_ms);
             }
         }
     }
 }
 
 static void
-learn_health(struct plan_target *target, const struct plan_run *run,
-             uint32_t outcome, uint64_t now_ms)
+learn_health(struct plan *plan, struct plan_target *target,
+             const struct plan_run *run, uint32_t outcome, uint64_t now_ms)
 {
     uint64_t estimate_ms = run->expected_ms - run->ordered_ms;
 
@@ -402,7 +409,12 @@
             uint64_t span_ms = (uint64_t)SHUN_FAILING_MS *
                                (target->failed_row - FAILED_ROW_MAX);
 
-            target->shunned_ms = now_ms + MIN(span_ms, SHUN_MAX_MS);
+            span_ms = MIN(span_ms, SHUN_MAX_MS);
+            target->shunned_ms = now_ms + span_ms;
+            if (plan->ops.shunned != NULL) {
+                plan->ops.shunned(plan->ops.ctx, target->target, span_ms,
+                                  target->failed_row);
+            }
         }
     }
     else if (outcome == RUN_DONE) {
@@ -435,7 +447,7 @@
         plan->counters.ends[end->outcome]++;
     }
     if (run != NULL) {
-        learn_health(on, run, end->outcome, now_ms);
+        learn_health(plan, on, run, end->outcome, now_ms);
         drop_run(plan, run);
     }
     if (step != NULL && number != UINT32_MAX) {
@@ -484,7 +496,7 @@
     if (answer == ORDER_UNKNOWN) {
         plan->counters.start_unknown++;
         if (run->state == RUN_STARTING) {
-            plan_order_stop(plan, run, now_ms);
+            plan_order_stop(plan, run, "its start has no answer", now_ms);
         }
     }
     else {
@@ -560,6 +572,10 @@
             step->idle--;
         }
     }
+    if (plan->ops.found != NULL) {
+        plan->ops.found(plan->ops.ctx, on->target, &row->task, row->run,
+                        wanted);
+    }
     if (wanted) {
         if (row->checkpoint[0] != '\0') {
             set_checkpoint(step, number, row->checkpoint);
@@ -569,7 +585,7 @@
         }
         return;
     }
-    plan_order_stop(plan, run, now_ms);
+    plan_order_stop(plan, run, "it was not ordered in this term", now_ms);
 }
 
 static void
@@ -600,7 +616,7 @@
         if (run->seen_ms == now_ms) {
             if (run->stop_ms != 0 && run->stopped_ms == 0 &&
                 run->stop_ms + STOP_AGAIN_MS < now_ms) {
-                plan_order_stop(plan, run, now_ms);
+                plan_order_stop(plan, run, "its stop has no answer", now_ms);
             }
         }
         else if (run->stopped_ms != 0 && run->stopped_ms < asked_ms) {
@@ -609,11 +625,11 @@
         }
         else if (run->state == RUN_ACTIVE && run->active_ms < asked_ms) {
             run->state = RUN_UNSURE;
-            plan_order_stop(plan, run, now_ms);
+            plan_order_stop(plan, run, "the target does not list it", now_ms);
         }
         else if (run->stop_ms != 0 && run->stopped_ms == 0 &&
                  run->stop_ms + STOP_AGAIN_MS < now_ms) {
-            plan_order_stop(plan, run, now_ms);
+            plan_order_stop(plan, run, "its stop has no answer", now_ms);
         }
     }
 }
@@ -913,7 +929,7 @@
 
             if (run->step != NULL && run->step->job == pjob &&
                 run->stop_ms == 0) {
-                plan_order_stop(plan, run, now_ms);
+                plan_order_stop(plan, run, "its job has ended", now_ms);
             }
         }
     }
@@ -1050,10 +1066,41 @@
            is_due(plan, step, now_ms);
 }
 
+static void
+tell_wait(struct plan *plan, struct plan_step *step, uint64_t now_ms)
+{
+    struct plan_wait wait = {
+        .step = {step->job->job->submit.id, step->occurrence, step->index, 0},
+        .why = step->why,
+        .idle = step->idle,
+        .waited_ms = now_ms - step->open_ms};
+    const struct plan_pool *pool =
+        g_hash_table_lookup(plan->pools, step->job->job->queue->conf.service);
+
+    if (step->idle == 0 || plan->ops.waits == NULL || step->why == NULL ||
+        now_ms < MAX(step->open_ms, step->told_ms) + TELL_WAIT_MS) {
+        return;
+    }
+    step->told_ms = now_ms;
+    if (pool != NULL) {
+        wait.free_cpu_milli = pool->size.cpu_milli -
+                              MIN(pool->used.cpu_milli, pool->size.cpu_milli);
+        wait.free_accel =
+            pool->size.accel - MIN(pool->used.accel, pool->size.accel);
+    }
+    for (guint i = 0; step->tickets != NULL && i < step->tickets->len; i++) {
+        wait.granted +=
+            g_array_index(step->tickets, struct plan_ticket, i).word ==
+            POLICY_GRANTED;
+    }
+    plan->ops.waits(plan->ops.ctx, &wait);
+}
+
 void
 plan_pass(struct plan *plan, uint64_t now_ms, uint64_t wall_ms)
 {
     plan->wall_offset_ms = (int64_t)wall_ms - (int64_t)now_ms;
+    plan->now_ms = now_ms;
     if (!plan->dirty && now_ms < plan->next_ms) {
         return;
     }
@@ -1076,6 +1123,7 @@
             mend_gang(plan, step, now_ms);
         }
         plan_place_step(plan, step, now_ms);
+        tell_wait(plan, step, now_ms);
     }
     for (guint i = 0; i < plan->coming->len; i++) {
         plan_ask(plan, plan->coming->pdata[i], now_ms);
@@ -1152,6 +1200,21 @@
     g_free(plan);
 }
 
+void
+plan_each_run(const struct fleet_target *target,
+              void (*fn)(void *ctx, const struct fleet_task_name *task,
+                         uint32_t run),
+              void *ctx)
+{
+    const struct plan_target *on = target->plan;
+
+    for (guint i = 0; on != NULL && i < on->runs->len; i++) {
+        const struct plan_run *run = on->runs->pdata[i];
+
+        fn(ctx, &run->task, run->run);
+    }
+}
+
 uint64_t
 plan_next_end_ms(const struct fleet_target *target)
 {
@@ -1168,6 +1231,16 @@
     return at_ms;
 }
 
+void
+plan_job_times(const struct fleet_job *job, uint32_t *chain_ms,
+               uint32_t *objective_ms)
+{
+    const struct plan_job *pjob = job->plan;
+
+    *chain_ms = pjob != NULL ? pjob->chain_ms : 0;
+    *objective_ms = pjob != NULL ? pjob->objective_ms : 0;
+}
+
 enum fleet_job_state
 plan_job_state(const struct fleet_job *job)
 {
--- a/core/plan.h
+++ b/core/plan.h
@@ -42,6 +42,8 @@
     const struct fleet_target *target;
     struct fleet_task_name task;
     uint32_t run;
+    uint64_t waited_ms; /* since the job was taken */
+    uint32_t estimate_ms;
     const struct fp_blob *spec;
     const char *checkpoint; /* "" for none */
     const char *ticket;     /* "" for none */
@@ -56,10 +58,23 @@
     char checkpoint[FLEET_CHECKPOINT_BYTES];
 };
 
+/* Why a step waits. */
+struct plan_wait {
+    struct fleet_task_name step;
+    const char *why;  /* limit, ticket, reserve, room or attempts */
+    uint32_t idle;    /* tasks that wait */
+    uint32_t granted; /* targets that the policy allows */
+    uint64_t waited_ms;
+    uint64_t free_cpu_milli; /* of the whole service */
+    uint64_t free_accel;
+};
+
 struct plan_ops {
     void (*start)(void *ctx, const struct plan_start *start);
+    /* why: one of a few words, for the log. */
     void (*stop)(void *ctx, const struct fleet_target *target,
-                 const struct fleet_task_name *task, uint32_t run);
+                 const struct fleet_task_name *task, uint32_t run,
+                 const char *why);
     void (*pace)(void *ctx, const struct fleet_target *target,
                  const struct fleet_task_name *task, uint32_t run,
                  uint32_t percent);
@@ -69,6 +84,15 @@
     bool (*advise)(void *ctx, const struct fleet_task_name *step,
                    struct fleet_target *const *targets, uint32_t count,
                    uint32_t expected_ms, bool short_call);
+    /* For the log; each may be NULL. A run that was not ordered here: */
+    void (*found)(void *ctx, const struct fleet_target *target,
+                  const struct fleet_task_name *task, uint32_t run,
+                  bool wanted);
+    /* A step that has waited for over a second, told once a second: */
+    void (*waits)(void *ctx, const struct plan_wait *wait);
+    /* A target that gets no starts for a while: */
+    void (*shunned)(void *ctx, const struct fleet_target *target,
+                    uint64_t for_ms, uint32_t failures);
     void *ctx;
 };
 
@@ -165,10 +189,19 @@
                                const struct fleet_submit *submit,
                                uint64_t now_ms);
 
+/* Calls fn for each run that counts on a target. */
+void plan_each_run(const struct fleet_target *target,
+                   void (*fn)(void *ctx, const struct fleet_task_name *task,
+                              uint32_t run),
+                   void *ctx);
+
 /* Queries. */
 
 /* When the next run on a target should end; UINT64_MAX: none will. */
 uint64_t plan_next_end_ms(const struct fleet_target *target);
+/* A job's longest chain and its objective, both 0 when it is not planned. */
+void plan_job_times(const struct fleet_job *job, uint32_t *chain_ms,
+                    uint32_t *objective_ms);
 enum fleet_job_state plan_job_state(const struct fleet_job *job);
 const struct plan_counters *plan_counters(const struct plan *plan);
 json_t *plan_dump(const struct plan *plan);
--- a/core/planfit.c
+++ b/core/planfit.c
@@ -299,6 +299,24 @@
     }
 }
 
+/* Why no target was found, for the log. */
+static const char *
+why_none(const struct plan *plan, const struct plan_step *step,
+         const struct fleet_size *size)
+{
+    const struct plan_pool *pool =
+        g_hash_table_lookup(plan->pools, step->job->job->queue->conf.service);
+
+    if (pool == NULL) {
+        return "its service has no targets";
+    }
+    if (!plan_leaves_reserve(pool, step, size)) {
+        return "the room left is kept for tighter work";
+    }
+    return plan_needs_ticket(step) ? "no room on a target with a good ticket"
+                                   : "no room";
+}
+
 static void
 place_tasks(struct plan *plan, struct plan_step *step, uint64_t now_ms)
 {
@@ -312,10 +330,12 @@
             continue;
         }
         if (!within_limit(step->job->job->team, &size)) {
+            step->why = "its team is at its limit";
             return;
         }
         target = pick(plan, step, &size, NULL, now_ms);
         if (target == NULL) {
+            step->why = why_none(plan, step, &size);
             hold_room(plan, step, &size, now_ms);
             return;
         }
@@ -392,6 +412,7 @@
         run = MAX(run, step->job->tasks[step->first + i].next_run);
     }
     if (!within_limit(step->job->job->team, &whole)) {
+        step->why = "its team is at its limit";
         return;
     }
     chosen = g_new0(struct plan_target *, step->def->count);
@@ -402,6 +423,7 @@
         release_held(plan, step);
     }
     else {
+        step->why = why_none(plan, step, &size);
         hold_room(plan, step, &size, now_ms);
     }
     g_free(chosen);
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -86,6 +86,9 @@
     uint64_t due_ms;   /* not before (wall clock); 0: at once */
     bool listed;       /* in plan->open */
     bool coming;       /* in plan->coming */
+    const char *why;   /* why it waits, as of the last pass */
+    uint64_t open_ms;  /* when it was listed */
+    uint64_t told_ms;  /* when its wait was last logged */
     uint64_t mixed_ms; /* a gang that is neither whole nor idle, since */
     bool asking;
     bool advised; /* tickets holds the policy's choice */
@@ -129,6 +132,7 @@
     GPtrArray *targets; /* struct plan_target */
     GHashTable *pools;  /* service to struct plan_pool */
     int64_t wall_offset_ms; /* wall clock less monotonic clock */
+    uint64_t now_ms;        /* of the last pass */
     bool settled;
     bool dirty;
     uint64_t next_ms; /* a pass is needed then, be it that nothing changed */
@@ -138,7 +142,8 @@
 bool plan_start_run(struct plan *plan, struct plan_step *step, uint32_t index,
                     uint32_t run, struct plan_target *target,
                     const char *ticket, uint64_t now_ms);
-void plan_order_stop(struct plan *plan, struct plan_run *run, uint64_t now_ms);
+void plan_order_stop(struct plan *plan, struct plan_run *run, const char *why,
+                     uint64_t now_ms);
 struct fleet_size plan_task_size(const struct fleet_step *def);
 
 /* planorder.c */
--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "base/event.h"
 #include "base/log.h"
 #include "node/dispatchpriv.h"
 
@@ -144,13 +145,28 @@
     return FP_OK;
 }
 
+static void
+tell_rejected(const struct dispatch *dispatch, const struct call_submit *call,
+              uint64_t id, const struct call_answer *answer, uint32_t wait_ms)
+{
+    char text[32];
+
+    g_snprintf(text, sizeof(text), "%016llx", (unsigned long long)id);
+    EVENT(EVENT_JOB_REJECTED, EVENT_S("id", text),
+          EVENT_S("queue", call->to.path),
+          EVENT_S("error", fp_err_row(answer->err)->name),
+          EVENT_N("wait_ms", wait_ms),
+          EVENT_N("retry_after_ms", answer->retry_after_ms),
+          EVENT_N("config", dispatch->parts.fleet->config.version));
+}
+
 static void
 on_submit(struct dispatch *dispatch, const struct relay_caller *caller,
           struct call_submit *call)
 {
     struct fleet_queue *queue;
     struct fleet_team *team;
-    struct plan_verdict verdict;
+    struct plan_verdict verdict = {FP_OK, 0, 0};
     struct call_answer answer = {.err = FP_OK};
     uint64_t id = 0;
     char why[200];
@@ -174,6 +190,7 @@
         answer.retry_after_ms = verdict.retry_after_ms;
     }
     if (answer.err != FP_OK) {
+        tell_rejected(dispatch, call, id, &answer, verdict.wait_ms);
         relay_answer(dispatch->parts.relay, caller, FP_OK, &answer);
         return;
     }
@@ -245,8 +262,8 @@
     enum fp_err err = fleet_check_config(config, why, sizeof(why));
 
     if (err != FP_OK) {
-        log_note(LOG_CELL, "configuration %llu is refused: %s",
-                 (unsigned long long)config->version, why);
+        EVENT(EVENT_CONFIG_REFUSED, EVENT_N("version", config->version),
+              EVENT_S("why", why));
     }
     if (err != FP_OK ||
         config->version <= dispatch->parts.fleet->config.version) {
@@ -475,12 +492,36 @@
 void
 dispatch_job_added(struct dispatch *dispatch, struct fleet_job *job)
 {
+    char text[32];
+    uint32_t chain_ms;
+    uint32_t objective_ms;
+
     plan_job_added(dispatch->plan, job, clock_mono_ms());
+    plan_job_times(job, &chain_ms, &objective_ms);
+    g_snprintf(text, sizeof(text), "%016llx",
+               (unsigned long long)job->submit.id);
+    EVENT(EVENT_JOB_ACCEPTED, EVENT_S("id", text),
+          EVENT_S("queue", job->queue->conf.name),
+          EVENT_S("team", job->submit.team), EVENT_N("tasks", job->task_count),
+          EVENT_N("chain_ms", chain_ms), EVENT_N("objective_ms", objective_ms),
+          EVENT_N("config", dispatch->parts.fleet->config.version));
 }
 
 void
 dispatch_job_ended(struct dispatch *dispatch, struct fleet_job *job)
 {
+    char text[32];
+    uint32_t chain_ms;
+    uint32_t objective_ms;
+
+    plan_job_times(job, &chain_ms, &objective_ms);
+    g_snprintf(text, sizeof(text), "%016llx",
+               (unsigned long long)job->submit.id);
+    EVENT(EVENT_JOB_ENDED, EVENT_S("id", text),
+          EVENT_S("state", JOB_STATE_NAMES[job->state]),
+          EVENT_N("took_ms",
+                  job->ended_ms - MIN(job->submit.head.at_ms, job->ended_ms)),
+          EVENT_N("objective_ms", objective_ms));
     plan_job_ended(dispatch->plan, job, clock_mono_ms());
 }
 
@@ -506,6 +547,41 @@
     }
 }
 
+static void
+tell_found(void *ctx, const struct fleet_target *target,
+           const struct fleet_task_name *task, uint32_t run, bool wanted)
+{
+    char id[FLEET_TASK_TEXT_BYTES];
+
+    (void)ctx;
+    fleet_task_text(task, id, sizeof(id));
+    EVENT(EVENT_RUN_FOUND, EVENT_S("id", id), EVENT_N("run", run),
+          EVENT_S("target", target->rec.id), EVENT_N("wanted", wanted));
+}
+
+static void
+tell_wait(void *ctx, const struct plan_wait *wait)
+{
+    char id[FLEET_TASK_TEXT_BYTES];
+
+    (void)ctx;
+    fleet_step_text(&wait->step, id, sizeof(id));
+    EVENT(EVENT_STEP_WAITS, EVENT_S("id", id), EVENT_N("idle", wait->idle),
+          EVENT_S("why", wait->why), EVENT_N("waited_ms", wait->waited_ms),
+          EVENT_N("granted", wait->granted),
+          EVENT_N("free_cpu", wait->free_cpu_milli),
+          EVENT_N("free_accel", wait->free_accel));
+}
+
+static void
+tell_shunned(void *ctx, const struct fleet_target *target, uint64_t for_ms,
+             uint32_t failures)
+{
+    (void)ctx;
+    EVENT(EVENT_TARGET_SHUNNED, EVENT_S("id", target->rec.id),
+          EVENT_N("for_ms", for_ms), EVENT_N("failures", failures));
+}
+
 struct dispatch *
 dispatch_new(const struct dispatch_parts *parts)
 {
@@ -518,8 +594,14 @@
         .harm_ms = fleet->harm_ms,
         .run_base =
             (uint32_t)raft_term(replica_raft(parts->replica)) * RUNS_A_TERM};
-    const struct plan_ops ops = {dispatch_start, dispatch_stop, dispatch_pace,
-                                 dispatch_advise, dispatch};
+    const struct plan_ops ops = {.start = dispatch_start,
+                                 .stop = dispatch_stop,
+                                 .pace = dispatch_pace,
+                                 .advise = dispatch_advise,
+                                 .found = tell_found,
+                                 .waits = tell_wait,
+                                 .shunned = tell_shunned,
+                                 .ctx = dispatch};
     GHashTableIter iter;
     struct fleet_target *target;
 
--- a/node/dispatchask.c
+++ b/node/dispatchask.c
@@ -5,6 +5,7 @@
  */
 #include <string.h>
 
+#include "base/event.h"
 #include "node/dispatchpriv.h"
 
 #define HELPER_SILENT_MS 1500u /* a helper not heard of is not asked */
@@ -37,7 +38,15 @@
 {
     struct pending *pending = asking->pending;
     struct dispatch *dispatch = pending->dispatch;
+    char id[FLEET_TASK_TEXT_BYTES];
 
+    if (dispatch != NULL) {
+        fleet_step_text(&pending->task, id, sizeof(id));
+        EVENT(EVENT_POLICY_ANSWERED, EVENT_S("id", id),
+              EVENT_N("granted", count),
+              EVENT_S("error", fp_err_row(err)->name),
+              EVENT_N("took_ms", clock_mono_ms() - pending->asked_ms));
+    }
     if (dispatch != NULL) {
         struct helper *helper =
             g_hash_table_lookup(dispatch->helpers, asking->host);
@@ -112,6 +121,7 @@
                                    .timeout_ms =
                                        expected_ms * 2 + ANSWER_SLACK_MS};
     struct asking *asking;
+    char id[FLEET_TASK_TEXT_BYTES];
 
     if (helper == NULL &&
         (dispatch->local_busy || g_hash_table_size(dispatch->helpers) > 0)) {
@@ -126,6 +136,11 @@
     asking = g_new0(struct asking, 1);
     asking->pending = dispatch_add_pending(dispatch, NULL);
     asking->pending->task = *step;
+    asking->pending->asked_ms = clock_mono_ms();
+    fleet_step_text(step, id, sizeof(id));
+    EVENT(EVENT_POLICY_ASKED, EVENT_S("id", id),
+          EVENT_S("asker", helper != NULL ? helper->host : "here"),
+          EVENT_N("named", count), EVENT_N("expected_ms", expected_ms));
     if (helper != NULL) {
         helper->busy = true;
         g_strlcpy(asking->host, helper->host, sizeof(asking->host));
--- a/node/dispatchlane.c
+++ b/node/dispatchlane.c
@@ -1,6 +1,7 @@
 /* dispatchlane.c -- orders to targets, their leases, and the ends they list */
 #include <string.h>
 
+#include "base/event.h"
 #include "base/log.h"
 #include "node/dispatchpriv.h"
 
@@ -95,6 +96,28 @@
     return head;
 }
 
+/* Logs something that concerns one run. */
+static void
+tell_run(enum event_kind kind, const struct fleet_task_name *task,
+         uint32_t run, const char *target, const char *name, const char *text)
+{
+    char id[FLEET_TASK_TEXT_BYTES];
+
+    fleet_task_text(task, id, sizeof(id));
+    EVENT(kind, EVENT_S("id", id), EVENT_N("run", run),
+          EVENT_S("target", target), EVENT_S(name, text));
+}
+
+static const char *
+answer_name(enum order_answer answer)
+{
+    static const char *const names[] = {
+        "done",      "fenced",  "old",      "late",  "no room", "bad ticket",
+        "unhealthy", "invalid", "not sent", "other", "unknown"};
+
+    return names[answer];
+}
+
 /* ---- starts and stops --------------------------------------------------- */
 
 static void send_start(struct lane *lane, const struct fleet_target *target,
@@ -137,6 +160,12 @@
     if (pending->again && answer != ORDER_DONE) {
         answer = ORDER_UNKNOWN;
     }
+    if (answer != ORDER_DONE) {
+        tell_run(answer == ORDER_UNKNOWN ? EVENT_RUN_UNANSWERED
+                                         : EVENT_RUN_REFUSED,
+                 &pending->task, pending->run, pending->id, "answer",
+                 answer_name(answer));
+    }
     plan_start_answered(dispatch->plan, target, &pending->task, pending->run,
                         answer, now_ms);
     dispatch_drop_pending(pending);
@@ -156,6 +185,19 @@
                   pending);
 }
 
+static void
+tell_start(const struct plan_start *start)
+{
+    char id[FLEET_TASK_TEXT_BYTES];
+
+    fleet_task_text(&start->task, id, sizeof(id));
+    EVENT(EVENT_RUN_ORDERED, EVENT_S("id", id), EVENT_N("run", start->run),
+          EVENT_S("target", start->target->rec.id),
+          EVENT_N("waited_ms", start->waited_ms),
+          EVENT_N("estimate_ms", start->estimate_ms),
+          EVENT_N("resumes", start->checkpoint[0] != '\0'));
+}
+
 void
 dispatch_start(void *ctx, const struct plan_start *start)
 {
@@ -176,6 +218,7 @@
     pending->start.checkpoint = pending->checkpoint;
     pending->start.ticket = pending->ticket;
     pending->start.spec = &pending->spec;
+    tell_start(start);
     send_start(lane, start->target, pending);
 }
 
@@ -196,7 +239,8 @@
 
 void
 dispatch_stop(void *ctx, const struct fleet_target *target,
-              const struct fleet_task_name *task, uint32_t run)
+              const struct fleet_task_name *task, uint32_t run,
+              const char *why)
 {
     struct dispatch *dispatch = ctx;
     const struct order_channel *orders = dispatch->parts.orders;
@@ -207,6 +251,7 @@
     if (lane == NULL || !leads(dispatch)) {
         return;
     }
+    tell_run(EVENT_RUN_STOPPED, task, run, target->rec.id, "why", why);
     head = head_for(lane, target, ORDER_TIMEOUT_MS, clock_mono_ms());
     pending = dispatch_add_pending(dispatch, lane);
     pending->task = *task;
@@ -235,10 +280,14 @@
     const struct order_channel *orders = dispatch->parts.orders;
     struct lane *lane = lane_of(dispatch, target);
     struct order_head head;
+    char id[FLEET_TASK_TEXT_BYTES];
 
     if (lane == NULL || !leads(dispatch)) {
         return;
     }
+    fleet_task_text(task, id, sizeof(id));
+    EVENT(EVENT_RUN_PACED, EVENT_S("id", id), EVENT_N("run", run),
+          EVENT_S("target", target->rec.id), EVENT_N("percent", percent));
     head = head_for(lane, target, ORDER_TIMEOUT_MS, clock_mono_ms());
     orders->pace(orders->channel, &head, task, run, percent, on_paced,
                  dispatch_add_pending(dispatch, lane));
@@ -299,6 +348,14 @@
     g_free(ends.items.items);
 }
 
+static void
+tell_end(const struct lane *lane, const struct fleet_end *end)
+{
+    tell_run(EVENT_RUN_ENDED, &end->task, end->run, lane->id, "how",
+             end->outcome < RUN_OUTCOME_COUNT ? RUN_OUTCOME_NAMES[end->outcome]
+                                              : "?");
+}
+
 /* The target lives: its ends first, then its runs, then the next hold. */
 static void
 take_lists(struct lane *lane, struct fleet_target *target,
@@ -306,10 +363,15 @@
 {
     struct dispatch *dispatch = lane->dispatch;
 
+    if (lane->silent || lane->lost) {
+        EVENT(EVENT_TARGET_BACK, EVENT_S("id", lane->id),
+              EVENT_N("runs", reply->row_count));
+    }
     lane->silent = false;
     lane->lost = false;
     for (uint32_t i = 0; i < reply->end_count; i++) {
         if (reply->ends[i].number > lane->noted) {
+            tell_end(lane, &reply->ends[i].end);
             plan_run_ended(dispatch->plan, target, &reply->ends[i].end,
                            now_ms);
         }
@@ -324,12 +386,21 @@
     }
 }
 
+static void
+tell_lost(void *ctx, const struct fleet_task_name *task, uint32_t run)
+{
+    const struct lane *lane = ctx;
+
+    tell_run(EVENT_RUN_LOST, task, run, lane->id, "why", "its target is lost");
+}
+
 static void
 give_up(struct lane *lane, struct fleet_target *target, const char *why,
         uint64_t now_ms)
 {
     if (!lane->lost) {
-        log_note(LOG_SCHED, "target %s is lost: %s", lane->id, why);
+        EVENT(EVENT_TARGET_LOST, EVENT_S("id", lane->id), EVENT_S("why", why));
+        plan_each_run(target, tell_lost, lane);
         lane->lost = true;
         lane->lost_ms = now_ms;
         plan_target_lost(lane->dispatch->plan, target, now_ms);
@@ -344,6 +415,10 @@
     if (reply->answer == ORDER_UNKNOWN) {
         lane->dispatch->unanswered_ms = now_ms;
     }
+    if (!lane->silent && !lane->lost) {
+        EVENT(EVENT_TARGET_SILENT, EVENT_S("id", lane->id),
+              EVENT_S("answer", answer_name(reply->answer)));
+    }
     lane->silent = true;
     lane->next_hold_ms = now_ms + HOLD_AGAIN_MS;
     plan_target_usable(lane->dispatch->plan, target, false);
@@ -518,9 +593,9 @@
         }
     }
     dispatch->settled = true;
-    log_note(LOG_SCHED, "took over %u targets in %llu ms",
-             g_hash_table_size(dispatch->lanes),
-             (unsigned long long)(now_ms - dispatch->since_ms));
+    EVENT(EVENT_TOOK_OVER,
+          EVENT_N("targets", g_hash_table_size(dispatch->lanes)),
+          EVENT_N("after_ms", now_ms - dispatch->since_ms));
     plan_settled(dispatch->plan);
 }
 
--- a/node/dispatchpriv.h
+++ b/node/dispatchpriv.h
@@ -37,7 +37,7 @@
     uint64_t born_ms;
     struct fleet_task_name task;
     uint32_t run;
-    uint64_t asked_ms;
+    uint64_t asked_ms;       /* when it was sent */
     bool again;              /* a second copy: the first may have worked */
     struct plan_start start; /* of a start; owns what it points to: */
     char *checkpoint;
@@ -81,7 +81,8 @@
                          struct fleet_target *target, uint64_t now_ms);
 void dispatch_start(void *ctx, const struct plan_start *start);
 void dispatch_stop(void *ctx, const struct fleet_target *target,
-                   const struct fleet_task_name *task, uint32_t run);
+                   const struct fleet_task_name *task, uint32_t run,
+                   const char *why);
 void dispatch_pace(void *ctx, const struct fleet_target *target,
                    const struct fleet_task_name *task, uint32_t run,
                    uint32_t percent);
--- a/node/fleetnode.c
+++ b/node/fleetnode.c
@@ -7,6 +7,7 @@
 #include <signal.h>
 #include <string.h>
 
+#include "base/event.h"
 #include "base/log.h"
 #include "core/members.h"
 #include "node/dispatch.h"
@@ -70,13 +71,14 @@
             .orders = node->edge_ops->orders(node->edge),
             .policy = node->edge_ops->policy(node->edge)};
 
-        log_note(LOG_RAFT, "leads, term %llu, configuration %llu",
-                 (unsigned long long)raft_term(replica_raft(node->replica)),
-                 (unsigned long long)node->fleet->config.version);
+        EVENT(EVENT_LEADS, EVENT_S("host", node->settings->host),
+              EVENT_N("term", raft_term(replica_raft(node->replica))),
+              EVENT_N("config", node->fleet->config.version));
         node->dispatch = dispatch_new(&parts);
     }
     else if (!leading && node->dispatch != NULL) {
-        log_note(LOG_RAFT, "no longer leads");
+        EVENT(EVENT_LEADS_NO_MORE, EVENT_S("host", node->settings->host),
+              EVENT_N("term", raft_term(replica_raft(node->replica))));
         dispatch_free(node->dispatch);
         node->dispatch = NULL;
     }
@@ -93,8 +95,10 @@
 {
     struct fleetnode *node = ctx;
 
-    log_note(LOG_CELL, "configuration %llu is in force",
-             (unsigned long long)node->fleet->config.version);
+    EVENT(EVENT_CONFIG_IN_FORCE,
+          EVENT_N("version", node->fleet->config.version),
+          EVENT_N("queues", node->fleet->config.queues.count),
+          EVENT_N("teams", node->fleet->config.teams.count));
     if (node->dispatch != NULL) {
         dispatch_config_changed(node->dispatch);
     }
@@ -106,10 +110,11 @@
     struct fleetnode *node = ctx;
 
     if (node->dispatch != NULL) {
-        log_note(LOG_SCHED, "target %s of %s at %s%s%s", target->rec.id,
-                 target->rec.service, target->rec.address,
-                 target->rec.leaving ? ", leaving" : "",
-                 reborn ? ", started again" : "");
+        EVENT(EVENT_TARGET_KNOWN, EVENT_S("id", target->rec.id),
+              EVENT_S("service", target->rec.service),
+              EVENT_S("address", target->rec.address),
+              EVENT_N("leaving", target->rec.leaving),
+              EVENT_N("born", target->rec.born_ms));
         dispatch_target_changed(node->dispatch, target, reborn);
     }
 }
@@ -120,7 +125,7 @@
     struct fleetnode *node = ctx;
 
     if (node->dispatch != NULL) {
-        log_note(LOG_SCHED, "target %s is removed", target->rec.id);
+        EVENT(EVENT_TARGET_REMOVED, EVENT_S("id", target->rec.id));
         dispatch_target_removed(node->dispatch, target);
     }
 }
@@ -239,8 +244,9 @@
         err = replica_member_remove(node->replica, step.host);
     }
     if (step.action != MEMBER_NONE && err == FP_OK) {
-        log_note(LOG_RAFT, "%s host %s",
-                 step.action == MEMBER_ADD ? "adds" : "removes", step.host);
+        EVENT(step.action == MEMBER_ADD ? EVENT_MEMBER_ADDED
+                                        : EVENT_MEMBER_REMOVED,
+              EVENT_S("host", step.host), EVENT_N("replica", step.id));
     }
 }
 
@@ -452,14 +458,14 @@
 
     if (settings_load(node->path, &fresh, why, sizeof(why)) != FP_OK ||
         fresh->fleet == NULL) {
-        log_warn(LOG_NODE, "the settings stay as they are: %s",
-                 fresh != NULL ? "no fleet in the file" : why);
+        EVENT(EVENT_SETTINGS_KEPT, EVENT_S("path", node->path),
+              EVENT_S("why", fresh != NULL ? "no fleet in the file" : why));
     }
     else {
         learn_seeds(node, fresh->fleet);
         node->reloads++;
-        log_note(LOG_NODE, "settings read again, %u seeds",
-                 fresh->fleet->seeds_count);
+        EVENT(EVENT_SETTINGS_READ, EVENT_S("path", node->path),
+              EVENT_N("seeds", fresh->fleet->seeds_count));
     }
     settings_free(fresh);
 }
@@ -490,11 +496,11 @@
     return node->clients != NULL ? node->clients : node->control;
 }
 
-static bool
-is_idle(const struct fleetnode *node)
+static uint32_t
+in_flight(const struct fleetnode *node)
 {
-    return (node->clients == NULL || httpd_in_flight(node->clients) == 0) &&
-           (node->control == NULL || httpd_in_flight(node->control) == 0);
+    return (node->clients != NULL ? httpd_in_flight(node->clients) : 0) +
+           (node->control != NULL ? httpd_in_flight(node->control) : 0);
 }
 
 /* Readiness goes first, so that the balancer sends nobody here any more;
@@ -507,7 +513,7 @@
     if (node->stage == STAGE_SERVING) {
         return;
     }
-    if (!is_idle(node)) {
+    if (in_flight(node) > 0) {
         node->busy_ms = now_ms;
     }
     if (node->stage == STAGE_UNREADY &&
@@ -537,7 +543,8 @@
     if (node->stage != STAGE_SERVING) {
         return;
     }
-    log_note(LOG_NODE, "signal %d: draining", number);
+    EVENT(EVENT_NODE_DRAINING, EVENT_S("host", node->settings->host),
+          EVENT_N("signal", number), EVENT_N("in_flight", in_flight(node)));
     node->stage = STAGE_UNREADY;
     node->term_ms = clock_mono_ms();
     node->busy_ms = node->term_ms;
@@ -585,6 +592,7 @@
     if (node->dispatch != NULL) {
         dispatch_flush(node->dispatch, clock_mono_ms());
     }
+    event_flush();
 }
 
 static enum fp_err
@@ -690,10 +698,10 @@
     if (node->replica != NULL) {
         timers_subscribe(node->timers, MEMBERS_EVERY_MS, on_members_time,
                          node);
-        uv_prepare_init(&node->loop, &node->flush);
-        node->flush.data = node;
-        uv_prepare_start(&node->flush, on_flush);
     }
+    uv_prepare_init(&node->loop, &node->flush);
+    node->flush.data = node;
+    uv_prepare_start(&node->flush, on_flush);
     on_ping_time(node, clock_mono_ms());
     watch_signals(node);
 }
@@ -752,9 +760,13 @@
     err = open_parts(node, why, why_bytes);
     if (err == FP_OK) {
         start_clockwork(node);
-        log_note(LOG_NODE, "host %s serves", settings->host);
+        EVENT(EVENT_NODE_STARTED, EVENT_S("host", settings->host),
+              EVENT_S("data_folder", settings->data_folder != NULL
+                                         ? settings->data_folder
+                                         : ""));
         uv_run(&node->loop, UV_RUN_DEFAULT);
-        log_note(LOG_NODE, "host %s ends", settings->host);
+        EVENT(EVENT_NODE_ENDED, EVENT_S("host", settings->host),
+              EVENT_N("in_flight", in_flight(node)));
     }
     close_parts(node);
     g_free(node->settings_text);
--- a/node/relay.c
+++ b/node/relay.c
@@ -4,6 +4,8 @@
 #include <glib.h>
 #include <string.h>
 
+#include "base/event.h"
+
 #define TICK_MS 10u
 #define ATTEMPT_MS 450u      /* an unanswered copy is followed by another */
 #define NOT_LED_PAUSE_MS 40u /* before the next host is asked */
@@ -38,6 +40,7 @@
     GHashTable *calls; /* request ID to struct outgoing */
     uint64_t next_request;
     uint64_t heard_ms;
+    bool silent; /* no leader answers */
 };
 
 static void
@@ -168,6 +171,11 @@
     struct relay *relay = ctx;
     GList *all = g_hash_table_get_values(relay->calls);
 
+    if (!relay->silent && now_ms > relay->heard_ms + SILENT_MS) {
+        relay->silent = true;
+        EVENT(EVENT_LEADER_LOST, EVENT_S("leader", relay_leader(relay)),
+              EVENT_N("silent_ms", SILENT_MS));
+    }
     for (GList *at = all; at != NULL; at = at->next) {
         advance(relay, at->data, now_ms);
     }
@@ -188,6 +196,7 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_call);
     /* Answers to an earlier process of this host must not fit. */
     relay->next_request = clock_wall_ms() << 16;
+    relay->silent = true; /* until the first answer */
     timers_subscribe(timers, TICK_MS, on_tick, relay);
     return relay;
 }
@@ -317,6 +326,11 @@
         return; /* as good as lost */
     }
     if (!call->fixed) {
+        if (relay->silent) {
+            EVENT(EVENT_LEADER_HEARD, EVENT_S("leader", from),
+                  EVENT_N("silent_ms", clock_mono_ms() - relay->heard_ms));
+        }
+        relay->silent = false;
         relay->heard_ms = clock_mono_ms();
         if (strcmp(relay->leader, from) != 0) {
             g_strlcpy(relay->leader, from, sizeof(relay->leader));
--- a/tests/plan_world.h
+++ b/tests/plan_world.h
@@ -139,7 +139,8 @@
     void lead(uint32_t run_base = 1024)
     {
         plan_params params = {1500, 100, 900, 4000, run_base};
-        plan_ops ops = {on_start, on_stop, on_pace, on_advise, this};
+        plan_ops ops = {on_start, on_stop, on_pace, on_advise,
+                        nullptr,  nullptr, nullptr, this};
         p = plan_new(f, &params, &ops, now);
         for (guint i = 0; i < p->targets->len; i++) {
             ((plan_target *)p->targets->pdata[i])->usable = true;
@@ -316,7 +317,8 @@
                                      start->ticket});
     }
     static void on_stop(void *ctx, const fleet_target *t,
-                        const fleet_task_name *task, uint32_t run)
+                        const fleet_task_name *task, uint32_t run,
+                        const char *)
     {
         self(ctx)->stops.push_back({t->rec.id, *task, run, "", ""});
     }
