--- a/node/store.c
+++ b/node/store.c
@@ -252,7 +252,13 @@
         last = &g_array_index(loading->entries, struct raft_entry,
                               loading->entries->len - 1);
         if (last->index + 1 != entry->index) {
-            return false;
+            /* The log before this one came back after a loss of power: its
+             * removal had not lasted. The snapshot covers all of it. */
+            if (last->index > loading->init->snapshot.last_index ||
+                entry->index > loading->init->snapshot.last_index + 1) {
+                return false;
+            }
+            cut_entries(loading->entries, 0);
         }
     }
     g_array_append_val(loading->entries, *entry);
--- a/tests/store_test.cc
+++ b/tests/store_test.cc
@@ -269,6 +269,48 @@
     }
 }
 
+// A snapshot that came from the leader reaches past the log that it replaced.
+// After a loss of power the removal of that log may not have lasted.
+TEST(Store, AnOlderLogThatComesBackBehindASnapshotIsPassedOver)
+{
+    Folder f;
+    fill(f, 5);
+    std::string old_path = f.log();
+    std::string old_log = read_file(old_path);
+    {
+        Opened o(f);
+        raft_snapshot snap;
+        fp_list vote = {nullptr, 0};
+        memset(&snap, 0, sizeof(snap));
+        snap.last_index = 20;
+        snap.last_term = 2;
+        store_pack_vote(&vote, 2, 7);
+        ASSERT_EQ(store_snapshot(o.s, &snap, vote.items, vote.count), FP_OK);
+        g_free(vote.items);
+        ASSERT_EQ(o.append(21, 2, "after"), FP_OK);
+        ASSERT_EQ(o.append(22, 2, "later"), FP_OK);
+    }
+    write_file(old_path, old_log);
+    Opened o(f);
+    ASSERT_EQ(o.err, FP_OK) << o.why;
+    EXPECT_EQ(o.init.snapshot.last_index, 20u);
+    ASSERT_EQ(o.init.entries.count, 2u);
+    EXPECT_EQ(o.text(0), "after");
+}
+
+// A gap that no snapshot explains is damage.
+TEST(Store, AGapInTheLogIsRefused)
+{
+    Folder f;
+    fill(f, 3);
+    {
+        Opened o(f);
+        ASSERT_EQ(o.append(9, 1, "gap"), FP_OK);
+    }
+    Opened o(f);
+    EXPECT_EQ(o.err, FP_ERR_CORRUPT);
+}
+
 TEST(Store, TakesAnyBytes)
 {
     std::mt19937_64 rng(3);
