--- a/core/plan.c
+++ b/core/plan.c
@@ -281,6 +281,7 @@
     task->next_run = run_number + 1;
     run->run = run_number;
     run->state = RUN_STARTING;
+    run->unanswered = true;
     run->ordered_ms = now_ms;
     if (step->def->rack[0] != '\0' &&
         strcmp(step->def->rack, target->target->rec.rack) != 0) {
@@ -483,6 +484,7 @@
         return;
     }
     plan->dirty = true;
+    run->unanswered = false;
     step = run->step;
     if (answer == ORDER_DONE) {
         if (run->active_ms == 0) {
@@ -761,27 +763,59 @@
     plan->dirty = true;
 }
 
-void
-plan_target_lost(struct plan *plan, struct fleet_target *target,
-                 uint64_t now_ms)
+static void
+lose_run(struct plan *plan, struct plan_run *run, uint64_t now_ms)
 {
-    struct plan_target *on = target->plan;
+    struct plan_step *step = run->step;
+    uint32_t number = run->run;
+
+    plan->counters.lost++;
+    drop_run(plan, run);
+    if (step != NULL && step->def->gang) {
+        stop_gang(plan, step, number, now_ms);
+    }
+}
 
+static void
+reset_health(struct plan_target *on)
+{
     on->usable = false;
     on->failed_row = 0;
     on->shunned_ms = 0;
     on->leaves_ms = 0;
     on->slow_permille = 1000;
+}
+
+void
+plan_target_lost(struct plan *plan, struct fleet_target *target,
+                 uint64_t now_ms)
+{
+    struct plan_target *on = target->plan;
+
+    reset_health(on);
     while (on->runs->len > 0) {
-        struct plan_run *run = on->runs->pdata[on->runs->len - 1];
-        struct plan_step *step = run->step;
-        uint32_t number = run->run;
+        lose_run(plan, on->runs->pdata[on->runs->len - 1], now_ms);
+    }
+}
 
-        plan->counters.lost++;
-        drop_run(plan, run);
-        if (step != NULL && step->def->gang) {
-            stop_gang(plan, step, number, now_ms);
+void
+plan_target_reborn(struct plan *plan, struct fleet_target *target,
+                   uint64_t now_ms)
+{
+    struct plan_target *on = target->plan;
+
+    reset_health(on);
+    for (guint i = on->runs->len; i > 0; i--) {
+        struct plan_run *run = on->runs->pdata[i - 1];
+
+        if (!run->unanswered) {
+            lose_run(plan, run, now_ms);
+            continue;
         }
+        run->state = RUN_UNSURE;
+        run->active_ms = 0;
+        run->stopped_ms = 0;
+        plan_order_stop(plan, run, "its target was started again", now_ms);
     }
 }
 
--- a/core/plan.h
+++ b/core/plan.h
@@ -154,6 +154,11 @@
 void plan_target_lost(struct plan *plan, struct fleet_target *target,
                       uint64_t now_ms);
 
+/* The target was started again under its ID: what ran there is gone, but a
+ * start without an answer may reach the new incarnation. */
+void plan_target_reborn(struct plan *plan, struct fleet_target *target,
+                        uint64_t now_ms);
+
 /* A leaving target serves on until then. */
 void plan_target_leaves(struct plan *plan, struct fleet_target *target,
                         uint64_t until_ms);
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -30,6 +30,7 @@
     uint32_t load;
     uint32_t pace;    /* percent that was last ordered */
     uint64_t seen_ms; /* last listed by its target */
+    bool unanswered;  /* a copy of its start order may still be on its way */
     bool detached;    /* its task may have another run: copies are allowed */
 };
 
--- a/node/dispatchlane.c
+++ b/node/dispatchlane.c
@@ -452,7 +452,6 @@
         lane->has_clock = false;
         lane->next_hold_ms = now_ms + HOLD_AGAIN_MS;
         plan_target_usable(lane->dispatch->plan, target, false);
-        give_up(lane, target, "it was started again", now_ms);
     }
     else {
         take_lists(lane, target, reply, pending->asked_ms, now_ms);
@@ -522,7 +521,7 @@
 {
     struct lane *lane = lane_of(dispatch, target);
 
-    plan_target_lost(dispatch->plan, target, now_ms);
+    plan_target_reborn(dispatch->plan, target, now_ms);
     lane->born_ms = target->rec.born_ms;
     lane->holding = false;
     lane->committing = false;
--- a/node/fleetmetrics.c
+++ b/node/fleetmetrics.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/event.h"
+
 static void
 add(GString *out, const char *name, uint64_t value)
 {
@@ -67,6 +69,7 @@
 
     add(out, "ready", parts->ready);
     add(out, "reloads_total", parts->reloads);
+    add(out, "log_lines_dropped_total", event_dropped());
     add_relay(out, parts->relay);
     add_bus(out, parts->bus);
     if (parts->replica != NULL) {
--- a/tests/plan_test.cc
+++ b/tests/plan_test.cc
@@ -252,6 +252,33 @@
     EXPECT_EQ(w.starts[0].target, "t2");
 }
 
+// Found by session fleet-day: a second copy of a start reached the target after
+// it was started again, while the task had been given to another one.
+TEST(Plan, AnUnansweredStartIsStoppedOnATargetThatWasBornAgain)
+{
+    World w;
+    w.configure({"q"});
+    w.target("t1", 2000);
+    w.lead();
+    w.submit(1, {{.count = 2}});
+    w.pass();
+    w.confirm(w.starts[0]);
+    w.target("t2", 2000);
+    w.use("t2");
+    w.target("t1", 2000, 0, "r1", false, 2);
+    w.pass(5);
+    ASSERT_EQ(w.stops.size(), 1u);
+    EXPECT_EQ(w.stops[0].task.index, w.starts[1].task.index);
+    ASSERT_EQ(w.starts.size(), 3u) << "only the confirmed one starts again";
+    EXPECT_EQ(w.starts[2].task.index, w.starts[0].task.index);
+    plan_stop_answered(w.p, w.find("t1"), &w.starts[1].task, w.starts[1].run,
+                       ORDER_DONE, w.now);
+    w.now += 10;
+    w.rows("t1", {}, false, w.now);
+    w.pass(5);
+    EXPECT_EQ(w.starts.size(), 4u);
+}
+
 // ---- gangs -----------------------------------------------------------------
 
 TEST(Plan, AGangStartsOnAllOrNoneWithOneRunNumber)
--- a/tests/plan_world.h
+++ b/tests/plan_world.h
@@ -282,7 +282,7 @@
         if (self(ctx)->p) {
             plan_target_changed(self(ctx)->p, t);
             if (reborn) {
-                plan_target_lost(self(ctx)->p, t, self(ctx)->now);
+                plan_target_reborn(self(ctx)->p, t, self(ctx)->now);
             }
         }
     }
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -16,8 +16,8 @@
 import random
 import sys
 import time
+import zlib
 
-POLICY = "127.0.0.9:18683"
 CONFIG = {
     "routes": [
         {"name": "quotes", "host": "shop.example", "path_prefix": "/quotes/",
@@ -115,7 +115,7 @@
     def __init__(self, number, options, fleet, dice):
         self.number = number
         self.id = "t-%03d" % number
-        self.address = "127.0.1.%d:18465" % (number + 1)
+        self.address = "127.0.1.%d:%d" % (number + 1, options.port)
         self.options = options
         self.fleet = fleet
         self.dice = dice
@@ -271,10 +271,10 @@
     async def advise(_path, _fields, body):
         await asyncio.sleep(0.005 + 0.0002 * len(body["workers"]))
         chosen = [w for w in body["workers"]
-                  if hash((body["step"][:18], w)) % 10 < 7]
+                  if zlib.crc32((body["step"][:18] + w).encode()) % 10 < 7]
         return 200, {"granted": [[w, "ticket-" + w] for w in chosen],
                      "valid_ms": 1500}
-    await serve(POLICY, advise)
+    await serve("127.0.0.9:%d" % options.port, advise)
     for target in targets:
         asyncio.ensure_future(target.live())
     ends_at = time.monotonic() + options.seconds
@@ -352,6 +352,7 @@
     parser.add_argument("--count", type=int, default=5)
     parser.add_argument("--control", default="127.0.0.1:18688")
     parser.add_argument("--front", default="127.0.0.5:18686")
+    parser.add_argument("--port", type=int, default=18465)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=30)
     parser.add_argument("--late", type=float, default=0)
