--- a/core/plan.c
+++ b/core/plan.c
@@ -16,6 +16,7 @@
 #define SHUN_MAX_MS 8000u       /* longest time without a trial */
 #define STOP_AGAIN_MS 700u      /* an unanswered stop is ordered again */
 #define MIXED_GANG_MAX_MS 2000u /* a gang that lost members is stopped */
+#define PASS_LEAST_MS 2u        /* between two passes, to bound their cost */
 #define PASS_IDLE_MS 100u       /* passes without news, for timed matters */
 #define SLOW_KEEP 7u            /* of 8 parts of the smoothed run time */
 #define TELL_WAIT_MS 1000u      /* between lines on one step that waits */
@@ -48,6 +49,19 @@
     from->accel -= MIN(size->accel, from->accel);
 }
 
+static struct plan_pool *
+need_pool(struct plan *plan, const char *service)
+{
+    struct plan_pool *pool = g_hash_table_lookup(plan->pools, service);
+
+    if (pool == NULL) {
+        pool = g_new0(struct plan_pool, 1);
+        g_strlcpy(pool->service, service, sizeof(pool->service));
+        g_hash_table_insert(plan->pools, pool->service, pool);
+    }
+    return pool;
+}
+
 /* ---- steps -------------------------------------------------------------- */
 
 static struct plan_step *
@@ -158,6 +172,7 @@
         run->team = step->job->job->team;
         run->size = plan_task_size(step->def);
         step->job->tasks[number].runs++;
+        step->job->tasks[number].copies++;
         if (step->def->tail_ms > 0) {
             target->serving++;
         }
@@ -215,6 +230,7 @@
         if (step->def->tail_ms > 0) {
             run->target->serving -= MIN(run->target->serving, 1);
         }
+        task->copies--;
         if (!run->detached) {
             free_task(plan, step, task);
         }
@@ -288,6 +304,7 @@
         took_ms = took_ms * plan->params.far_permille / 1000;
     }
     run->expected_ms = now_ms + took_ms;
+    step->ends_ms = MAX(step->ends_ms, run->expected_ms);
     note_started(job);
     if (step->idle == 0) {
         list_followers(plan, step);
@@ -352,7 +369,7 @@
         if (task->runs == 0) {
             step->idle--;
         }
-        if (!step->def->gang && (task->runs > 0 || step->def->duplicates)) {
+        if (!step->def->gang && task->copies > 0) {
             stop_other_runs(plan, step, i, now_ms);
         }
     }
@@ -570,6 +587,7 @@
         task->next_run = MAX(task->next_run, row->run + 1);
         note_started(pjob);
         run->expected_ms += step->def->estimate_ms / 2;
+        step->ends_ms = MAX(step->ends_ms, run->expected_ms);
         if (task->runs == 1 && !task->done) {
             step->idle--;
         }
@@ -707,19 +725,6 @@
     g_free(target);
 }
 
-static struct plan_pool *
-need_pool(struct plan *plan, const char *service)
-{
-    struct plan_pool *pool = g_hash_table_lookup(plan->pools, service);
-
-    if (pool == NULL) {
-        pool = g_new0(struct plan_pool, 1);
-        g_strlcpy(pool->service, service, sizeof(pool->service));
-        g_hash_table_insert(plan->pools, pool->service, pool);
-    }
-    return pool;
-}
-
 void
 plan_target_changed(struct plan *plan, struct fleet_target *target)
 {
@@ -926,6 +931,7 @@
                                   plan->params.restore_ms);
     job->objective_ms = plan_objective_ms(job->chain_ms, &from->queue->conf);
     job->tight = job->objective_ms < job->chain_ms + TIGHT_SLACK_MS;
+    job->pool = need_pool(plan, from->queue->conf.service);
     from->plan = job;
     if (!job->started) {
         from->queue->waiting++;
@@ -1030,9 +1036,21 @@
     free_plan_job(pjob);
 }
 
+/* A queue may have moved to another service. */
 void
 plan_config_changed(struct plan *plan)
 {
+    GHashTableIter iter;
+    struct fleet_job *job;
+
+    g_hash_table_iter_init(&iter, plan->fleet->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&job)) {
+        struct plan_job *pjob = job->plan;
+
+        if (pjob != NULL) {
+            pjob->pool = need_pool(plan, job->queue->conf.service);
+        }
+    }
     plan->dirty = true;
 }
 
@@ -1135,10 +1153,14 @@
 {
     plan->wall_offset_ms = (int64_t)wall_ms - (int64_t)now_ms;
     plan->now_ms = now_ms;
-    if (!plan->dirty && now_ms < plan->next_ms) {
+    if (now_ms <
+        (plan->dirty ? plan->passed_ms + PASS_LEAST_MS : plan->next_ms)) {
         return;
     }
     plan->dirty = false;
+    plan->passed_ms = now_ms;
+    plan->no_asker = false;
+    plan->no_long_asker = false;
     plan->next_ms = now_ms + PASS_IDLE_MS;
     plan->counters.passes++;
     drop_closed_steps(plan);
--- a/core/planfit.c
+++ b/core/planfit.c
@@ -47,18 +47,15 @@
 }
 
 bool
-plan_may_ever_fit(const struct plan *plan, const struct plan_target *target,
+plan_may_ever_fit(const struct plan_target *target,
                   const struct plan_step *step)
 {
-    const struct fleet_size size = plan_task_size(step->def);
+    const struct fleet_step *def = step->def;
 
-    (void)plan;
-    return strcmp(target->target->rec.service,
-                  step->job->job->queue->conf.service) == 0 &&
-           size.cpu_milli <= target->size.cpu_milli &&
-           size.memory_mb <= target->size.memory_mb &&
-           size.accel <= target->size.accel &&
-           has_label(target, step->def->label);
+    return target->pool == step->job->pool &&
+           (def->fills || def->cpu_milli <= target->size.cpu_milli) &&
+           def->memory_mb <= target->size.memory_mb &&
+           def->accel <= target->size.accel && has_label(target, def->label);
 }
 
 bool
@@ -134,35 +131,60 @@
     return points + left_cpu;
 }
 
+struct pick {
+    struct plan_step *step;
+    const struct fleet_size *size;
+    const char *rack; /* NULL: any */
+    uint64_t now_ms;
+    struct plan_target *best;
+    uint64_t best_points;
+};
+
+static void
+consider(struct pick *pick, struct plan_target *target)
+{
+    uint64_t points;
+
+    if (!plan_may_ever_fit(target, pick->step) ||
+        (pick->rack != NULL &&
+         strcmp(pick->rack, target->target->rec.rack) != 0) ||
+        !plan_fits(target, pick->size, pick->step, pick->now_ms)) {
+        return;
+    }
+    points = score(target, pick->step);
+    if (points < pick->best_points) {
+        pick->best = target;
+        pick->best_points = points;
+    }
+}
+
 /* The best target for one more task of the step, by ticket where one is
  * needed. */
 static struct plan_target *
-pick(const struct plan *plan, const struct plan_step *step,
-     const struct fleet_size *size, const char *rack, uint64_t now_ms)
+pick_target(const struct plan *plan, struct plan_step *step,
+            const struct fleet_size *size, const char *rack, uint64_t now_ms)
 {
-    struct plan_target *best = NULL;
-    uint64_t best_points = UINT64_MAX;
-    bool ticket = plan_needs_ticket(step);
+    struct pick pick = {step, size, rack, now_ms, NULL, UINT64_MAX};
 
-    for (guint i = 0; i < plan->targets->len; i++) {
-        struct plan_target *target = plan->targets->pdata[i];
-        uint64_t points;
-
-        if (!plan_may_ever_fit(plan, target, step) ||
-            !plan_leaves_reserve(target->pool, step, size) ||
-            (rack != NULL && strcmp(rack, target->target->rec.rack) != 0) ||
-            !plan_fits(target, size, step, now_ms) ||
-            (ticket && plan_ticket_for(step, target,
-                                       now_ms + TICKET_SLACK_MS) == NULL)) {
-            continue;
+    if (!plan_leaves_reserve(step->job->pool, step, size)) {
+        return NULL;
+    }
+    if (!plan_needs_ticket(step)) {
+        for (guint i = 0; i < plan->targets->len; i++) {
+            consider(&pick, plan->targets->pdata[i]);
         }
-        points = score(target, step);
-        if (points < best_points) {
-            best = target;
-            best_points = points;
+        return pick.best;
+    }
+    for (guint i = 0; step->tickets != NULL && i < step->tickets->len; i++) {
+        const struct plan_ticket *ticket =
+            &g_array_index(step->tickets, struct plan_ticket, i);
+
+        if (ticket->target != NULL && ticket->word == POLICY_GRANTED &&
+            now_ms + TICKET_SLACK_MS < ticket->until_ms) {
+            consider(&pick, ticket->target);
         }
     }
-    return best;
+    return pick.best;
 }
 
 static bool
@@ -225,13 +247,26 @@
 }
 
 static bool
-may_hold(const struct plan *plan, const struct plan_target *target,
-         const struct plan_step *step, uint64_t now_ms)
+may_hold(const struct plan_target *target, const struct plan_step *step,
+         uint64_t now_ms)
 {
     return (target->held_for == NULL || now_ms >= target->held_until_ms) &&
            target->usable && !target->target->rec.leaving &&
-           plan_may_ever_fit(plan, target, step) &&
-           (!plan_needs_ticket(step) || plan_was_granted(step, target));
+           plan_may_ever_fit(target, step);
+}
+
+static void
+consider_hold(struct pick *pick, struct plan_target *target)
+{
+    uint64_t at_ms;
+
+    if (may_hold(target, pick->step, pick->now_ms)) {
+        at_ms = free_at_ms(target, pick->size, pick->now_ms);
+        if (at_ms < pick->best_points) {
+            pick->best = target;
+            pick->best_points = at_ms;
+        }
+    }
 }
 
 /* Holds room for one task on the target that has it first. */
@@ -239,27 +274,27 @@
 hold_one(struct plan *plan, struct plan_step *step,
          const struct fleet_size *size, uint64_t now_ms)
 {
-    struct plan_target *best = NULL;
-    uint64_t best_ms = UINT64_MAX;
+    struct pick pick = {step, size, NULL, now_ms, NULL, UINT64_MAX};
 
-    for (guint i = 0; i < plan->targets->len; i++) {
-        struct plan_target *target = plan->targets->pdata[i];
-        uint64_t at_ms;
+    if (!plan_needs_ticket(step)) {
+        for (guint i = 0; i < plan->targets->len; i++) {
+            consider_hold(&pick, plan->targets->pdata[i]);
+        }
+    }
+    for (guint i = 0; step->tickets != NULL && i < step->tickets->len; i++) {
+        const struct plan_ticket *ticket =
+            &g_array_index(step->tickets, struct plan_ticket, i);
 
-        if (may_hold(plan, target, step, now_ms)) {
-            at_ms = free_at_ms(target, size, now_ms);
-            if (at_ms < best_ms) {
-                best = target;
-                best_ms = at_ms;
-            }
+        if (ticket->target != NULL && ticket->word == POLICY_GRANTED) {
+            consider_hold(&pick, ticket->target);
         }
     }
-    if (best == NULL) {
+    if (pick.best == NULL) {
         return false;
     }
-    best->held_for = step;
-    best->held = *size;
-    best->held_until_ms = best_ms + HOLD_MS;
+    pick.best->held_for = step;
+    pick.best->held = *size;
+    pick.best->held_until_ms = pick.best_points + HOLD_MS;
     return true;
 }
 
@@ -301,16 +336,9 @@
 
 /* Why no target was found, for the log. */
 static const char *
-why_none(const struct plan *plan, const struct plan_step *step,
-         const struct fleet_size *size)
+why_none(const struct plan_step *step, const struct fleet_size *size)
 {
-    const struct plan_pool *pool =
-        g_hash_table_lookup(plan->pools, step->job->job->queue->conf.service);
-
-    if (pool == NULL) {
-        return "its service has no targets";
-    }
-    if (!plan_leaves_reserve(pool, step, size)) {
+    if (!plan_leaves_reserve(step->job->pool, step, size)) {
         return "the room left is kept for tighter work";
     }
     return plan_needs_ticket(step) ? "no room on a target with a good ticket"
@@ -333,9 +361,9 @@
             step->why = "its team is at its limit";
             return;
         }
-        target = pick(plan, step, &size, NULL, now_ms);
+        target = pick_target(plan, step, &size, NULL, now_ms);
         if (target == NULL) {
-            step->why = why_none(plan, step, &size);
+            step->why = why_none(step, &size);
             hold_room(plan, step, &size, now_ms);
             return;
         }
@@ -355,7 +383,8 @@
     uint32_t found = 0;
 
     while (found < step->def->count) {
-        struct plan_target *target = pick(plan, step, &size, rack, now_ms);
+        struct plan_target *target =
+            pick_target(plan, step, &size, rack, now_ms);
         uint32_t already = 0;
 
         for (uint32_t i = 0; target != NULL && i < found; i++) {
@@ -423,7 +452,7 @@
         release_held(plan, step);
     }
     else {
-        step->why = why_none(plan, step, &size);
+        step->why = why_none(step, &size);
         hold_room(plan, step, &size, now_ms);
     }
     g_free(chosen);
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -92,7 +92,8 @@
     uint64_t told_ms;  /* when its wait was last logged */
     uint64_t mixed_ms; /* a gang that is neither whole nor idle, since */
     bool asking;
-    bool advised; /* tickets holds the policy's choice */
+    uint64_t ends_ms; /* when the last of its runs should end */
+    bool advised;     /* tickets holds the policy's choice */
     uint64_t ask_after_ms;
     GArray *tickets;       /* struct plan_ticket */
     uint64_t order_key[3]; /* set by planorder.c, smallest first */
@@ -103,6 +104,7 @@
     uint32_t failures; /* that are known here, committed or not */
     uint32_t failed_run;
     uint32_t runs;     /* not ended */
+    uint32_t copies;   /* runs, those of copies included */
     uint32_t next_run; /* number of the next start */
     uint64_t after_ms; /* no start before */
     char *checkpoint;  /* newest seen */
@@ -110,6 +112,7 @@
 
 struct plan_job {
     struct fleet_job *job;
+    struct plan_pool *pool; /* of the service that runs it */
     bool inherited;
     bool started;
     bool ended; /* in the fleet's state: its runs are stopped */
@@ -134,9 +137,12 @@
     GHashTable *pools;  /* service to struct plan_pool */
     int64_t wall_offset_ms; /* wall clock less monotonic clock */
     uint64_t now_ms;        /* of the last pass */
+    bool no_long_asker; /* in this pass: nobody is free for long questions */
+    bool no_asker;      /* and nobody at all */
     bool settled;
     bool dirty;
-    uint64_t next_ms; /* a pass is needed then, be it that nothing changed */
+    uint64_t passed_ms; /* when the last pass was */
+    uint64_t next_ms;   /* a pass is needed then, be it that nothing changed */
 };
 
 /* plan.c */
@@ -162,8 +168,7 @@
 /* planfit.c */
 bool plan_fits(const struct plan_target *target, const struct fleet_size *size,
                const struct plan_step *step, uint64_t now_ms);
-bool plan_may_ever_fit(const struct plan *plan,
-                       const struct plan_target *target,
+bool plan_may_ever_fit(const struct plan_target *target,
                        const struct plan_step *step);
 void plan_place_step(struct plan *plan, struct plan_step *step,
                      uint64_t now_ms);
--- a/node/dispatchlane.c
+++ b/node/dispatchlane.c
@@ -12,10 +12,13 @@
 #define HOLD_LOSSY_MOST_MS 700u
 #define HOLD_PAST_END_MS 60u
 #define ORDER_TIMEOUT_MS 900u /* for an answer, beyond any wait */
-#define START_TIMEOUT_MS                                                      \
-    90u                      /* for the first copy of a start: tens of round  \
-                              * trips; a second one does no harm */
-#define HOLD_TIMEOUT_MS 200u /* beyond the wait */
+/* For the first copy of a start: a multiple of the usual time of an answer,
+ * within bounds. A second copy does no harm, but costs as much as the first.
+ */
+#define START_TIMEOUT_LEAST_MS 90u
+#define START_TIMEOUT_FACTOR 12u
+#define ANSWER_KEEP 15u            /* of 16 parts of the smoothed time */
+#define HOLD_TIMEOUT_MS 200u       /* beyond the wait */
 #define UNANSWERED_SPAN_MS 4000u   /* one loss makes others likely this long */
 #define HOLD_AGAIN_MS 80u          /* after a hold that failed */
 #define CLOCK_DRIFT_PERCENT 2u     /* a target's clock may be this slow */
@@ -120,6 +123,24 @@
 
 /* ---- starts and stops --------------------------------------------------- */
 
+static uint32_t
+start_timeout_ms(const struct dispatch *dispatch)
+{
+    uint32_t usual_ms = dispatch->answer_us * START_TIMEOUT_FACTOR / 1000;
+
+    return MIN(MAX(usual_ms, START_TIMEOUT_LEAST_MS), ORDER_TIMEOUT_MS);
+}
+
+static void
+learn_answer_time(struct dispatch *dispatch, const struct pending *pending)
+{
+    uint64_t took_us = clock_mono_us() - pending->sent_us;
+
+    dispatch->answer_us = (uint32_t)((dispatch->answer_us * ANSWER_KEEP +
+                                      MIN(took_us, ORDER_TIMEOUT_MS * 1000)) /
+                                     (ANSWER_KEEP + 1));
+}
+
 static void send_start(struct lane *lane, const struct fleet_target *target,
                        struct pending *pending);
 
@@ -146,6 +167,7 @@
     }
     lane = lane_of(dispatch, target);
     take_clock(lane, reply, now_ms);
+    learn_answer_time(dispatch, pending);
     if (answer != ORDER_DONE) {
         dispatch->orders_failed++;
     }
@@ -177,10 +199,12 @@
 {
     const struct order_channel *orders = lane->dispatch->parts.orders;
     struct order_head head = head_for(
-        lane, target, pending->again ? ORDER_TIMEOUT_MS : START_TIMEOUT_MS,
+        lane, target,
+        pending->again ? ORDER_TIMEOUT_MS : start_timeout_ms(lane->dispatch),
         clock_mono_ms());
 
     pending->start.target = target;
+    pending->sent_us = clock_mono_us();
     orders->start(orders->channel, &head, &pending->start, on_started,
                   pending);
 }
--- a/node/dispatchpriv.h
+++ b/node/dispatchpriv.h
@@ -38,6 +38,7 @@
     struct fleet_task_name task;
     uint32_t run;
     uint64_t asked_ms;       /* when it was sent */
+    uint64_t sent_us;        /* the newest copy of a start */
     bool again;              /* a second copy: the first may have worked */
     struct plan_start start; /* of a start; owns what it points to: */
     char *checkpoint;
@@ -62,6 +63,7 @@
     GHashTable *pending;    /* the set of struct pending */
     GHashTable *taking;     /* job IDs whose submission is on its way */
     bool local_busy;        /* this host asks the policy itself */
+    uint32_t answer_us;     /* smoothed time of an answer to a start */
     uint64_t unanswered_ms; /* when an order last went without an answer */
     uint64_t orders_sent;
     uint64_t orders_failed;
--- a/node/fetch.c
+++ b/node/fetch.c
@@ -8,11 +8,19 @@
 
 #include "node/clock.h"
 
+/* Idle connections that are kept: a hold and some starts for each of 350
+ * targets, well under the 4,096 descriptors of a small host. */
+#define KEPT_CONNECTIONS_MAX 1800L
+#define SPARE_HANDLES_MAX 256u
+
 struct fetcher {
     uv_loop_t *loop;
     CURLM *multi;
     uv_timer_t timer;
-    GHashTable *transfers; /* the set of struct transfer */
+    uv_check_t after_input; /* active while a time-out is due */
+    uv_idle_t no_wait;      /* the same */
+    GHashTable *transfers;  /* the set of struct transfer */
+    GPtrArray *spare;       /* CURL handles for further use */
 };
 
 struct transfer {
@@ -44,7 +52,13 @@
     struct transfer *transfer = item;
 
     curl_multi_remove_handle(transfer->fetcher->multi, transfer->easy);
-    curl_easy_cleanup(transfer->easy);
+    if (transfer->fetcher->spare->len < SPARE_HANDLES_MAX) {
+        curl_easy_reset(transfer->easy);
+        g_ptr_array_add(transfer->fetcher->spare, transfer->easy);
+    }
+    else {
+        curl_easy_cleanup(transfer->easy);
+    }
     curl_slist_free_all(transfer->headers);
     g_byte_array_free(transfer->answer, TRUE);
     g_free(transfer->body);
@@ -245,15 +259,35 @@
 }
 
 static void
-on_timer(uv_timer_t *timer)
+on_after_input(uv_check_t *check)
 {
-    struct fetcher *fetcher = timer->data;
+    struct fetcher *fetcher = check->data;
     int running;
 
+    uv_check_stop(&fetcher->after_input);
+    uv_idle_stop(&fetcher->no_wait);
     curl_multi_socket_action(fetcher->multi, CURL_SOCKET_TIMEOUT, 0, &running);
     collect(fetcher);
 }
 
+static void
+on_no_wait(uv_idle_t *idle)
+{
+    (void)idle; /* keeps the loop from waiting for input */
+}
+
+/* After a pause of this process, answers that came meanwhile are read before
+ * any request is called timed out: libuv runs timers first, so that the
+ * time-out waits for the input of the same turn. */
+static void
+on_timer(uv_timer_t *timer)
+{
+    struct fetcher *fetcher = timer->data;
+
+    uv_check_start(&fetcher->after_input, on_after_input);
+    uv_idle_start(&fetcher->no_wait, on_no_wait);
+}
+
 static int
 set_timer(CURLM *multi, long timeout_ms, void *ctx)
 {
@@ -279,13 +313,18 @@
     fetcher->multi = curl_multi_init();
     fetcher->transfers = g_hash_table_new_full(g_direct_hash, g_direct_equal,
                                                free_transfer, NULL);
+    fetcher->spare = g_ptr_array_new();
     uv_timer_init(loop, &fetcher->timer);
     fetcher->timer.data = fetcher;
+    uv_check_init(loop, &fetcher->after_input);
+    fetcher->after_input.data = fetcher;
+    uv_idle_init(loop, &fetcher->no_wait);
     curl_multi_setopt(fetcher->multi, CURLMOPT_SOCKETFUNCTION, watch_socket);
     curl_multi_setopt(fetcher->multi, CURLMOPT_SOCKETDATA, fetcher);
     curl_multi_setopt(fetcher->multi, CURLMOPT_TIMERFUNCTION, set_timer);
     curl_multi_setopt(fetcher->multi, CURLMOPT_TIMERDATA, fetcher);
-    curl_multi_setopt(fetcher->multi, CURLMOPT_MAXCONNECTS, 512L);
+    curl_multi_setopt(fetcher->multi, CURLMOPT_MAXCONNECTS,
+                      KEPT_CONNECTIONS_MAX);
     return fetcher;
 }
 
@@ -345,12 +384,22 @@
     curl_easy_setopt(transfer->easy, CURLOPT_CUSTOMREQUEST, request->method);
 }
 
+static CURL *
+take_handle(struct fetcher *fetcher)
+{
+    if (fetcher->spare->len == 0) {
+        return curl_easy_init();
+    }
+    return g_ptr_array_remove_index_fast(fetcher->spare,
+                                         fetcher->spare->len - 1);
+}
+
 void
 fetch(struct fetcher *fetcher, const struct fetch_request *request,
       fetch_done done, void *ctx)
 {
     struct transfer *transfer = g_new0(struct transfer, 1);
-    CURL *easy = curl_easy_init();
+    CURL *easy = take_handle(fetcher);
 
     transfer->fetcher = fetcher;
     transfer->easy = easy;
@@ -405,7 +454,13 @@
         return;
     }
     g_hash_table_destroy(fetcher->transfers);
+    for (guint i = 0; i < fetcher->spare->len; i++) {
+        curl_easy_cleanup(fetcher->spare->pdata[i]);
+    }
+    g_ptr_array_free(fetcher->spare, TRUE);
     curl_multi_cleanup(fetcher->multi);
     uv_timer_stop(&fetcher->timer);
+    uv_close((uv_handle_t *)&fetcher->after_input, NULL);
+    uv_close((uv_handle_t *)&fetcher->no_wait, NULL);
     uv_close((uv_handle_t *)&fetcher->timer, free_fetcher);
 }
