--- a/core/fleet.c
+++ b/core/fleet.c
@@ -319,6 +319,27 @@
     return g_hash_table_lookup(fleet->targets, id);
 }
 
+bool
+fleet_knows_target(const struct fleet *fleet,
+                   const struct fleet_target_rec *rec)
+{
+    const struct fleet_target *target = fleet_find_target(fleet, rec->id);
+    const struct fleet_target_rec *known;
+
+    if (target == NULL) {
+        return false;
+    }
+    known = &target->rec;
+    return known->born_ms == rec->born_ms &&
+           strcmp(known->address, rec->address) == 0 &&
+           strcmp(known->service, rec->service) == 0 &&
+           known->cpu_milli == rec->cpu_milli &&
+           known->memory_mb == rec->memory_mb && known->accel == rec->accel &&
+           strcmp(known->rack, rec->rack) == 0 &&
+           strcmp(known->labels, rec->labels) == 0 &&
+           rec->leaving <= known->leaving;
+}
+
 static void
 remove_target(struct fleet *fleet, struct fleet_target *target)
 {
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -117,6 +117,10 @@
 const struct fleet_service_conf *fleet_find_service(const struct fleet *fleet,
                                                     const char *name);
 
+/* Whether the state holds what a target says of itself. */
+bool fleet_knows_target(const struct fleet *fleet,
+                        const struct fleet_target_rec *rec);
+
 /* Number of a task within its job; UINT32_MAX when the name is out of range.
  */
 uint32_t fleet_task_number(const struct fleet_job *job,
--- a/core/msg.h
+++ b/core/msg.h
@@ -239,9 +239,9 @@
 
 struct msg_forward_reply {
     uint64_t request_id;
-    uint32_t err;                    /* FP_ERR_NO_LEADER: not looked at */
+    uint32_t err;                     /* FP_ERR_NO_LEADER: not looked at */
     char leader_host[MSG_HOST_BYTES]; /* "" when not known */
-    struct fp_blob body;             /* the answer's record */
+    struct fp_blob body;              /* the answer's record */
 };
 
 extern const struct fp_schema MSG_FORWARD_SCHEMA;
--- a/node/bus.c
+++ b/node/bus.c
@@ -18,8 +18,8 @@
 /* Silent connections are found by pings; ms. */
 #define PING_EVERY_MS 1000
 #define PING_TIMEOUT_MS 3000
-#define FLEET_PING_EVERY_MS 400
-#define FLEET_PING_TIMEOUT_MS 1200
+#define FLEET_PING_EVERY_MS 500
+#define FLEET_PING_TIMEOUT_MS 1300
 
 struct peer {
     struct bus *bus;
--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -285,16 +285,6 @@
     relay_answer(dispatch->parts.relay, caller, FP_OK, &answer);
 }
 
-static bool
-same_target(const struct fleet_target_rec *a, const struct fleet_target_rec *b)
-{
-    return a->born_ms == b->born_ms && strcmp(a->address, b->address) == 0 &&
-           strcmp(a->service, b->service) == 0 &&
-           a->cpu_milli == b->cpu_milli && a->memory_mb == b->memory_mb &&
-           a->accel == b->accel && strcmp(a->rack, b->rack) == 0 &&
-           strcmp(a->labels, b->labels) == 0 && a->leaving <= b->leaving;
-}
-
 static void
 on_announce(struct dispatch *dispatch, const struct relay_caller *caller,
             struct call_announce *call)
@@ -323,7 +313,7 @@
         lane->leaves_ms = clock_mono_ms() + call->remaining_ms;
         plan_target_leaves(dispatch->plan, known, lane->leaves_ms);
     }
-    if (known != NULL && same_target(&call->target, &known->rec)) {
+    if (fleet_knows_target(fleet, &call->target)) {
         answer_err(dispatch, caller, FP_OK);
         return;
     }
--- a/node/edge.h
+++ b/node/edge.h
@@ -15,6 +15,10 @@
     uv_loop_t *loop;
     struct relay *relay;
     const struct settings *settings;
+    /* Whether the state here, fresh enough to act on, already holds what a
+     * target announces: it is then acknowledged without the leader. */
+    bool (*knows)(void *ctx, const struct call_announce *announce);
+    void *knows_ctx;
 };
 
 struct edge_ops {
--- a/node/fetch.c
+++ b/node/fetch.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "node/clock.h"
 
@@ -19,6 +20,8 @@
     uv_timer_t timer;
     uv_check_t after_input; /* active while a time-out is due */
     uv_idle_t no_wait;      /* the same */
+    bool at_once;           /* the timer stands for a request to begin */
+    GHashTable *watches;    /* socket to struct watch */
     GHashTable *transfers;  /* the set of struct transfer */
     GPtrArray *spare;       /* CURL handles for further use */
 };
@@ -39,11 +42,14 @@
     void *ctx;
 };
 
-/* One socket that libcurl asked to watch. */
+/* One connection. It is watched for input as long as it is open: libcurl asks
+ * anew for each request, and each change would cost a system call. */
 struct watch {
     uv_poll_t poll;
     struct fetcher *fetcher;
     curl_socket_t socket;
+    int wanted;  /* by libcurl, as UV_READABLE and UV_WRITABLE */
+    int watched; /* what the loop watches for */
 };
 
 static void
@@ -196,6 +202,23 @@
     }
 }
 
+static void on_socket(uv_poll_t *poll, int status, int events);
+
+static void
+watch_for(struct watch *watch, int events)
+{
+    if (watch->watched == events) {
+        return;
+    }
+    watch->watched = events;
+    if (events == 0) {
+        uv_poll_stop(&watch->poll);
+    }
+    else {
+        uv_poll_start(&watch->poll, events, on_socket);
+    }
+}
+
 static void
 on_socket(uv_poll_t *poll, int status, int events)
 {
@@ -204,6 +227,10 @@
     int flags = 0;
     int running;
 
+    if (watch->wanted == 0) {
+        watch_for(watch, 0); /* an idle connection was closed from afar */
+        return;
+    }
     if (status < 0) {
         flags = CURL_CSELECT_ERR;
     }
@@ -223,20 +250,38 @@
     g_free(handle->data);
 }
 
+static void
+close_watch(void *item)
+{
+    struct watch *watch = item;
+
+    uv_poll_stop(&watch->poll);
+    uv_close((uv_handle_t *)&watch->poll, free_watch);
+}
+
+static int
+close_socket(void *ctx, curl_socket_t socket)
+{
+    struct fetcher *fetcher = ctx;
+
+    g_hash_table_remove(fetcher->watches, GINT_TO_POINTER(socket));
+    return close(socket);
+}
+
 static int
 watch_socket(CURL *easy, curl_socket_t socket, int what, void *ctx,
              void *socket_ctx)
 {
     struct fetcher *fetcher = ctx;
-    struct watch *watch = socket_ctx;
-    int events = 0;
+    struct watch *watch =
+        g_hash_table_lookup(fetcher->watches, GINT_TO_POINTER(socket));
 
     (void)easy;
+    (void)socket_ctx;
     if (what == CURL_POLL_REMOVE) {
         if (watch != NULL) {
-            uv_poll_stop(&watch->poll);
-            uv_close((uv_handle_t *)&watch->poll, free_watch);
-            curl_multi_assign(fetcher->multi, socket, NULL);
+            watch->wanted = 0;
+            watch_for(watch, watch->watched & UV_READABLE);
         }
         return 0;
     }
@@ -246,15 +291,11 @@
         watch->socket = socket;
         uv_poll_init_socket(fetcher->loop, &watch->poll, socket);
         watch->poll.data = watch;
-        curl_multi_assign(fetcher->multi, socket, watch);
-    }
-    if (what & CURL_POLL_IN) {
-        events |= UV_READABLE;
-    }
-    if (what & CURL_POLL_OUT) {
-        events |= UV_WRITABLE;
+        g_hash_table_insert(fetcher->watches, GINT_TO_POINTER(socket), watch);
     }
-    uv_poll_start(&watch->poll, events, on_socket);
+    watch->wanted = ((what & CURL_POLL_IN) ? UV_READABLE : 0) |
+                    ((what & CURL_POLL_OUT) ? UV_WRITABLE : 0);
+    watch_for(watch, watch->wanted | UV_READABLE);
     return 0;
 }
 
@@ -283,7 +324,14 @@
 on_timer(uv_timer_t *timer)
 {
     struct fetcher *fetcher = timer->data;
+    int running;
 
+    if (fetcher->at_once) {
+        curl_multi_socket_action(fetcher->multi, CURL_SOCKET_TIMEOUT, 0,
+                                 &running);
+        collect(fetcher);
+        return;
+    }
     uv_check_start(&fetcher->after_input, on_after_input);
     uv_idle_start(&fetcher->no_wait, on_no_wait);
 }
@@ -298,6 +346,7 @@
         uv_timer_stop(&fetcher->timer);
     }
     else {
+        fetcher->at_once = timeout_ms == 0;
         uv_timer_start(&fetcher->timer, on_timer, (uint64_t)timeout_ms, 0);
     }
     return 0;
@@ -314,6 +363,8 @@
     fetcher->transfers = g_hash_table_new_full(g_direct_hash, g_direct_equal,
                                                free_transfer, NULL);
     fetcher->spare = g_ptr_array_new();
+    fetcher->watches = g_hash_table_new_full(g_direct_hash, g_direct_equal,
+                                             NULL, close_watch);
     uv_timer_init(loop, &fetcher->timer);
     fetcher->timer.data = fetcher;
     uv_check_init(loop, &fetcher->after_input);
@@ -410,6 +461,8 @@
     transfer->done = done;
     transfer->ctx = ctx;
     curl_easy_setopt(easy, CURLOPT_URL, request->url);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, fetcher);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
@@ -459,6 +512,7 @@
     }
     g_ptr_array_free(fetcher->spare, TRUE);
     curl_multi_cleanup(fetcher->multi);
+    g_hash_table_destroy(fetcher->watches);
     uv_timer_stop(&fetcher->timer);
     uv_close((uv_handle_t *)&fetcher->after_input, NULL);
     uv_close((uv_handle_t *)&fetcher->no_wait, NULL);
--- a/node/fleetnode.c
+++ b/node/fleetnode.c
@@ -14,7 +14,7 @@
 #include "node/fleetmetrics.h"
 
 #define TICK_MS 10u
-#define PING_EVERY_MS 400u /* to the leader: readiness, offer to help */
+#define PING_EVERY_MS 500u /* to the leader: readiness, offer to help */
 #define PING_TIMEOUT_MS 900u
 #define READY_HEARD_MS 2000u /* ready while the leader answered within it */
 #define MEMBERS_EVERY_MS 200u
@@ -647,12 +647,23 @@
                      out, why, why_bytes);
 }
 
+static bool
+knows(void *ctx, const struct call_announce *announce)
+{
+    const struct fleetnode *node = ctx;
+
+    return node->fleet != NULL && replica_fresh(node->replica) &&
+           !announce->target.leaving &&
+           fleet_knows_target(node->fleet, &announce->target);
+}
+
 static enum fp_err
 open_parts(struct fleetnode *node, char *why, unsigned why_bytes)
 {
     const struct settings_fleet *fleet = node->settings->fleet;
     struct relay_ops relay_ops = {NULL, on_called, node};
-    struct edge_parts edge_parts = {&node->loop, NULL, node->settings};
+    struct edge_parts edge_parts = {&node->loop, NULL, node->settings, knows,
+                                    node};
     char metrics_why[200];
     enum fp_err err = node->settings->data_folder != NULL
                           ? open_replica(node, why, why_bytes)
