--- a/cli/cli.h
+++ b/cli/cli.h
@@ -93,6 +93,10 @@
 /* Prints JSON, indented when json is set, else as lines "name: value". */
 void cli_print(const struct cli *cli, const json_t *body);
 
+/* explain.c: queries on logs. */
+int explain_main(struct cli *cli, int argc, char **argv);
+int events_main(struct cli *cli, int argc, char **argv);
+
 /* Splits cli->hosts. Free with g_strfreev(). */
 char **cli_hosts(const struct cli *cli);
 
--- a/cli/query.c
+++ b/cli/query.c
@@ -125,5 +125,8 @@
     {"why", "TASK", "why a task waits", run_why},
     {"dump", "", "the whole state of a process", run_dump},
     {"metrics", "", "counters", run_metrics},
+    {"explain", "ID [FILE...]", "a job's history and cause, from logs",
+     explain_main},
+    {"events", "", "the table of log events", events_main},
     {NULL, NULL, NULL, NULL},
 };
--- a/core/fleetrec.c
+++ b/core/fleetrec.c
@@ -29,7 +29,7 @@
     }
 #define LIST(of, at, most, item)                                              \
     {                                                                         \
-#at, FP_LIST, offsetof(struct of, at), most, &item, NULL, NULL        \
+#at, FP_LIST, offsetof(struct of, at), most, &(item), NULL, NULL      \
     }
 #define TABLE(name, type, of, fields)                                         \
     {                                                                         \
--- a/core/plan.c
+++ b/core/plan.c
@@ -5,7 +5,7 @@
 
 #include "core/planpriv.h"
 
-#define RETRY_AFTER_FAILURE_MS 60u /* before a failed task starts again */
+#define RETRY_AFTER_FAILURE_MS 50u /* for each failure after the first */
 #define RETRY_AFTER_REFUSAL_MS                                                \
     40u                         /* before a refused start is tried again      \
                                  */
@@ -288,6 +288,8 @@
         .target = target->target,
         .task = name,
         .run = run_number,
+        .waited_ms = now_ms - job->taken_ms,
+        .estimate_ms = step->def->estimate_ms,
         .spec = &job->job->submit.spec,
         .checkpoint = task->checkpoint != NULL ? task->checkpoint : "",
         .ticket = ticket};
@@ -393,7 +395,8 @@
             task->failed_run = run;
             task->failures++;
         }
-        task->after_ms = now_ms + RETRY_AFTER_FAILURE_MS;
+        task->after_ms =
+            now_ms + (task->failures - 1) * RETRY_AFTER_FAILURE_MS;
     }
 }
 
@@ -481,6 +484,7 @@
         }
         else if (end->outcome == RUN_FAILED && !step->def->lasting) {
             count_failure(step, number, end->run, now_ms);
+            task->failed_on = on;
         }
         if (step->def->gang && end->outcome != RUN_DONE) {
             stop_gang(plan, step, end->run, now_ms);
--- a/core/planfit.c
+++ b/core/planfit.c
@@ -4,6 +4,7 @@
 #include "core/planpriv.h"
 
 #define SLOW_PERMILLE 2200u /* a target this much slower is a last resort */
+#define AVOID_POINTS (1ull << 52) /* more than any other reason */
 #define HOLD_ACCEL_MIN 2u   /* tasks of this many accelerators get room held */
 #define HOLD_MS 3000u       /* held room is given up after this */
 #define TICKET_SLACK_MS 60u /* a ticket must be good for this long */
@@ -134,7 +135,8 @@
 struct pick {
     struct plan_step *step;
     const struct fleet_size *size;
-    const char *rack; /* NULL: any */
+    const char *rack;                /* NULL: any */
+    const struct plan_target *avoid; /* the last one where the task failed */
     uint64_t now_ms;
     struct plan_target *best;
     uint64_t best_points;
@@ -151,7 +153,8 @@
         !plan_fits(target, pick->size, pick->step, pick->now_ms)) {
         return;
     }
-    points = score(target, pick->step);
+    points =
+        score(target, pick->step) + (target == pick->avoid ? AVOID_POINTS : 0);
     if (points < pick->best_points) {
         pick->best = target;
         pick->best_points = points;
@@ -162,9 +165,10 @@
  * needed. */
 static struct plan_target *
 pick_target(const struct plan *plan, struct plan_step *step,
-            const struct fleet_size *size, const char *rack, uint64_t now_ms)
+            const struct fleet_size *size, const char *rack,
+            const struct plan_target *avoid, uint64_t now_ms)
 {
-    struct pick pick = {step, size, rack, now_ms, NULL, UINT64_MAX};
+    struct pick pick = {step, size, rack, avoid, now_ms, NULL, UINT64_MAX};
 
     if (!plan_leaves_reserve(step->job->pool, step, size)) {
         return NULL;
@@ -274,7 +278,7 @@
 hold_one(struct plan *plan, struct plan_step *step,
          const struct fleet_size *size, uint64_t now_ms)
 {
-    struct pick pick = {step, size, NULL, now_ms, NULL, UINT64_MAX};
+    struct pick pick = {step, size, NULL, NULL, now_ms, NULL, UINT64_MAX};
 
     if (!plan_needs_ticket(step)) {
         for (guint i = 0; i < plan->targets->len; i++) {
@@ -361,7 +365,8 @@
             step->why = "its team is at its limit";
             return;
         }
-        target = pick_target(plan, step, &size, NULL, now_ms);
+        target = pick_target(plan, step, &size, NULL,
+                             step->job->tasks[number].failed_on, now_ms);
         if (target == NULL) {
             step->why = why_none(step, &size);
             hold_room(plan, step, &size, now_ms);
@@ -384,7 +389,7 @@
 
     while (found < step->def->count) {
         struct plan_target *target =
-            pick_target(plan, step, &size, rack, now_ms);
+            pick_target(plan, step, &size, rack, NULL, now_ms);
         uint32_t already = 0;
 
         for (uint32_t i = 0; target != NULL && i < found; i++) {
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -95,6 +95,7 @@
     uint64_t ends_ms; /* when the last of its runs should end */
     bool advised;     /* tickets holds the policy's choice */
     uint64_t ask_after_ms;
+    uint32_t ask_failures; /* in a row; each doubles the patience */
     GArray *tickets;       /* struct plan_ticket */
     uint64_t order_key[3]; /* set by planorder.c, smallest first */
 };
@@ -103,11 +104,12 @@
     bool done;
     uint32_t failures; /* that are known here, committed or not */
     uint32_t failed_run;
-    uint32_t runs;     /* not ended */
-    uint32_t copies;   /* runs, those of copies included */
-    uint32_t next_run; /* number of the next start */
-    uint64_t after_ms; /* no start before */
-    char *checkpoint;  /* newest seen */
+    const struct plan_target *failed_on; /* for comparison only */
+    uint32_t runs;                       /* not ended */
+    uint32_t copies;                     /* runs, those of copies included */
+    uint32_t next_run;                   /* number of the next start */
+    uint64_t after_ms;                   /* no start before */
+    char *checkpoint;                    /* newest seen */
 };
 
 struct plan_job {
--- a/core/planticket.c
+++ b/core/planticket.c
@@ -13,6 +13,7 @@
 #define ASK_TARGETS_LEAST 8u /* named even for one task */
 #define ASK_SPARE_FACTOR 5u  /* targets named for each one that is needed */
 #define ASK_AGAIN_MS 50u     /* after a question that failed */
+#define ASK_DOUBLINGS_MAX 6u /* of the patience with a slow policy */
 #define ASK_ROUND_TRIP_MS 60u
 #define TICKET_MARGIN_MS                                                      \
     250u /* off a ticket's time, for the way and clocks                       \
@@ -318,8 +319,10 @@
         /* Noted first: the answer may come before the call returns. */
         note_asked(step, list);
         plan->counters.questions++;
-        if (!plan->ops.advise(plan->ops.ctx, &name, targets, list->len, ask_ms,
-                              ask_ms < PLAN_SHORT_CALL_MS)) {
+        if (!plan->ops.advise(
+                plan->ops.ctx, &name, targets, list->len,
+                ask_ms << MIN(step->ask_failures, ASK_DOUBLINGS_MAX),
+                ask_ms < PLAN_SHORT_CALL_MS)) {
             plan->counters.questions--;
             plan->no_long_asker = true;
             plan->no_asker = ask_ms < PLAN_SHORT_CALL_MS;
@@ -366,6 +369,7 @@
         }
     }
     settle_asked(step, err == FP_OK);
+    step->ask_failures = err == FP_OK ? 0 : step->ask_failures + 1;
     if (err != FP_OK) {
         step->ask_after_ms = now_ms + ASK_AGAIN_MS;
     }
--- a/node/dispatchask.c
+++ b/node/dispatchask.c
@@ -11,7 +11,7 @@
 #define HELPER_SILENT_MS 1500u /* a helper not heard of is not asked */
 #define SHORT_SHARE 4u         /* one helper in so many is for short ones */
 #define SHORT_LEAST 2u
-#define ANSWER_SLACK_MS 900u /* beyond twice the expected time */
+#define ANSWER_SLACK_MS 200u /* beyond the expected time and a half */
 
 struct asking {
     struct pending *pending;
@@ -53,6 +53,9 @@
 
         if (helper != NULL) {
             helper->busy = false;
+            if (err == FP_ERR_NO_LEADER || err == FP_ERR_UNKNOWN_OUTCOME) {
+                helper->heard_ms = 0; /* until it is heard of again */
+            }
         }
         if (asking->host[0] == '\0') {
             dispatch->local_busy = false;
--- a/node/fetch.c
+++ b/node/fetch.c
@@ -7,6 +7,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "base/log.h"
 #include "node/clock.h"
 
 /* Idle connections that are kept: a hold and some starts for each of 350
@@ -275,11 +276,16 @@
     struct fetcher *fetcher = ctx;
     struct watch *watch =
         g_hash_table_lookup(fetcher->watches, GINT_TO_POINTER(socket));
+    int rc;
 
     (void)easy;
     (void)socket_ctx;
     if (what == CURL_POLL_REMOVE) {
-        if (watch != NULL) {
+        if (watch != NULL && (watch->wanted & UV_WRITABLE) != 0) {
+            /* Not connected: libcurl closes such a socket on its own. */
+            g_hash_table_remove(fetcher->watches, GINT_TO_POINTER(socket));
+        }
+        else if (watch != NULL) {
             watch->wanted = 0;
             watch_for(watch, watch->watched & UV_READABLE);
         }
@@ -289,7 +295,13 @@
         watch = g_new0(struct watch, 1);
         watch->fetcher = fetcher;
         watch->socket = socket;
-        uv_poll_init_socket(fetcher->loop, &watch->poll, socket);
+        rc = uv_poll_init_socket(fetcher->loop, &watch->poll, socket);
+        if (rc != 0) {
+            log_warn(LOG_HTTP, "socket %d cannot be watched: %s", (int)socket,
+                     uv_strerror(rc));
+            g_free(watch);
+            return -1;
+        }
         watch->poll.data = watch;
         g_hash_table_insert(fetcher->watches, GINT_TO_POINTER(socket), watch);
     }
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -2,18 +2,30 @@
 # mutants.sh -- each mutation takes one safeguard out of a copy of the sources;
 # the named test must then fail. Shows that the proofs can fail. Not part of
 # "make test": it rebuilds the unit tests once for each mutation.
+# With --applies it only checks that each mutation still finds its text.
 # A line, by tabs: file, text to find, what replaces it, test that must fail.
 cd "$(dirname "$0")/.." || exit 1
 COPY=$(mktemp -d "${TMPDIR:-/tmp}/filbertpath-mutants.XXXXXX")
 trap 'rm -rf "$COPY"' EXIT
+APPLIES=${1:-}
 mkdir -p "$COPY/pristine"
-cp -r Makefile base core node bench cli tests examples "$COPY/pristine/"
-(cd "$COPY/pristine" && make -s -j8 build/unit) >/dev/null || exit 1
+cp -r Makefile base core node bench platform cli tests examples "$COPY/pristine/"
+[ -n "$APPLIES" ] || (cd "$COPY/pristine" && make -s -j8 build/unit) >/dev/null || exit 1
 CAUGHT=0
 MISSED=0
 while IFS= read -r line; do
     file=$(cut -f1 <<<"$line") find=$(cut -f2 <<<"$line") replace=$(cut -f3 <<<"$line") name=$(cut -f4 <<<"$line")
     [ -z "$file" ] && continue
+    if [ -n "$APPLIES" ]; then
+        if FIND=$find perl -0ne \
+            'BEGIN { $f = $ENV{FIND}; $f =~ s/\\n/\n/g; } exit(index($_, $f) < 0)' "$file"; then
+            CAUGHT=$((CAUGHT + 1))
+        else
+            echo "NOT APPLIED: $file: $find"
+            MISSED=$((MISSED + 1))
+        fi
+        continue
+    fi
     rm -rf "$COPY/work"
     cp -a "$COPY/pristine" "$COPY/work"
     FIND=$find REPLACE=$replace perl -0pi -e \
@@ -51,11 +63,25 @@
 core/cell.c	if (answer_from_seen(cell, head->change_id, answer)) {	if (false) {	Cell.*
 core/route.c	instance->in_flight < instance->slots &&	true &&	Route.*
 core/route.c	return !team->limited || team->in_flight < team->units;	return true;	Route.*
-core/sched.c	yield_gang(sched, task->job);		Sched.*
+core/schedline.c	yield_gang(sched, task->job);		Sched.*
 core/schedhost.c	if (host->probation_ms == 0) {	if (true) {	Sched.*
 core/schedyield.c	return task->job->rec.kind == WORK_BATCH ||	return true ||	Sched.*
 node/store.c	if (!newest || any_frame_after(bytes, size, at)) {	if (!newest) {	Store.*
 node/store.c	if (store->broken) {\n        return FP_ERR_DISK;	if (false) {\n        return FP_ERR_DISK;	Store.*
+core/plan.c	if (number == UINT32_MAX) {\n        step = NULL;	if (false) {\n        step = NULL;	Plan.*
+core/plan.c	return (plan->settled || !step->job->inherited) &&	return true &&	Plan.Inherited*
+core/plan.c	if (!run->unanswered) {	if (true) {	Plan.AnUnansweredStartIsStopped*
+core/plan.c	else if (run->stopped_ms != 0 && run->stopped_ms < asked_ms) {	else if (run->stopped_ms != 0) {	Plan.AnUnanswered*
+core/planfit.c	task->failures < most);	true);	Plan.NoStart*
+core/planfit.c	count_step_runs(target, step) < step->def->spread);	true);	Plan.AtMost*
+core/planfit.c	step->why = "its team is at its limit";\n            return;	step->why = "its team is at its limit";	Plan.ACap*
+core/planticket.c	now_ms < ticket->until_ms	true	Plan.TicketsAre*
+core/planticket.c	find_ticket(step, target) == NULL &&	true &&	Plan.AQuestionThatIsRefused*
+core/fleet.c	if (config->version <= fleet->config.version) {	if (false) {	Fleet.TheHighest*
+core/fleet.c	if (run > task->failed_run) {	if (true) {	Fleet.AFailure*
+core/fleet.c	if (fleet_find_job(fleet, submit->id) != NULL) {	if (false) {	Fleet.AJobSent*
+core/members.c	return voters > 1 && alive > (voters - 1) / 2 ? silent : NULL;	return silent;	Members.*
+node/store.c	cut_entries(loading->entries, 0);\n        }\n    }\n    g_array_append_val	return false;\n        }\n    }\n    g_array_append_val	Store.AnOlder*
 LIST
 echo "$CAUGHT passed, $MISSED failed"
 [ "$MISSED" = 0 ]
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -51,7 +51,7 @@
     run_units
     while read -r ok name; do
         if [ "$ok" = OK ]; then note "$name" 0; else note "$name" 1; fi
-    done < <(tests/models.sh)
+    done < <(tests/models.sh; tests/checks.sh)
     FILES=$(ls tests/sessions/*.sh)
 fi
 NUMBER=0
