--- a/core/plan.c
+++ b/core/plan.c
@@ -817,7 +817,8 @@
     for (guint i = on->runs->len; i > 0; i--) {
         struct plan_run *run = on->runs->pdata[i - 1];
 
-        if (!run->unanswered) {
+        /* A run that no list has named may be the new incarnation's. */
+        if (!run->unanswered && run->seen_ms != 0) {
             lose_run(plan, run, now_ms);
             continue;
         }
--- a/core/plan.h
+++ b/core/plan.h
@@ -154,8 +154,9 @@
 void plan_target_lost(struct plan *plan, struct fleet_target *target,
                       uint64_t now_ms);
 
-/* The target was started again under its ID: what ran there is gone, but a
- * start without an answer may reach the new incarnation. */
+/* The target was started again under its ID: what it had listed is gone, but a
+ * start that was not answered, or whose run was not listed yet, may be the new
+ * incarnation's. */
 void plan_target_reborn(struct plan *plan, struct fleet_target *target,
                         uint64_t now_ms);
 
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -70,13 +70,14 @@
 node/store.c	if (store->broken) {\n        return FP_ERR_DISK;	if (false) {\n        return FP_ERR_DISK;	Store.*
 core/plan.c	if (number == UINT32_MAX) {\n        step = NULL;	if (false) {\n        step = NULL;	Plan.*
 core/plan.c	return (plan->settled || !step->job->inherited) &&	return true &&	Plan.Inherited*
-core/plan.c	if (!run->unanswered) {	if (true) {	Plan.AnUnansweredStartIsStopped*
+core/plan.c	if (!run->unanswered && run->seen_ms != 0) {	if (run->seen_ms != 0) {	Plan.AnUnansweredStartIsStopped*
 core/plan.c	else if (run->stopped_ms != 0 && run->stopped_ms < asked_ms) {	else if (run->stopped_ms != 0) {	Plan.AnUnanswered*
 core/planfit.c	task->failures < most);	true);	Plan.NoStart*
 core/planfit.c	count_step_runs(target, step) < step->def->spread);	true);	Plan.AtMost*
 core/planfit.c	step->why = "its team is at its limit";\n            return;	step->why = "its team is at its limit";	Plan.ACap*
 core/planticket.c	now_ms < ticket->until_ms	true	Plan.TicketsAre*
 core/planticket.c	find_ticket(step, target) == NULL &&	true &&	Plan.AQuestionThatIsRefused*
+core/plan.c	if (!run->unanswered && run->seen_ms != 0) {	if (!run->unanswered) {	Plan.AConfirmed*
 core/fleet.c	if (config->version <= fleet->config.version) {	if (false) {	Fleet.TheHighest*
 core/fleet.c	if (run > task->failed_run) {	if (true) {	Fleet.AFailure*
 core/fleet.c	if (fleet_find_job(fleet, submit->id) != NULL) {	if (false) {	Fleet.AJobSent*
--- a/tests/plan_test.cc
+++ b/tests/plan_test.cc
@@ -263,6 +263,7 @@
     w.submit(1, {{.count = 2}});
     w.pass();
     w.confirm(w.starts[0]);
+    w.rows("t1", {w.row(w.starts[0])}, false, w.now);
     w.target("t2", 2000);
     w.use("t2");
     w.target("t1", 2000, 0, "r1", false, 2);
@@ -279,6 +280,25 @@
     EXPECT_EQ(w.starts.size(), 4u);
 }
 
+// Found by the soak: the new incarnation took the start before it announced
+// itself, so that the run was confirmed and not in the old one.
+TEST(Plan, AConfirmedRunThatNoListNamedMayBeTheNewIncarnations)
+{
+    World w;
+    w.configure({"q"});
+    w.target("t1", 1000);
+    w.lead();
+    w.submit(1, {{.count = 1}});
+    w.pass();
+    w.confirm(w.starts[0]);
+    w.target("t2", 1000);
+    w.use("t2");
+    w.target("t1", 1000, 0, "r1", false, 2);
+    w.pass(5);
+    EXPECT_EQ(w.starts.size(), 1u);
+    EXPECT_EQ(w.stops.size(), 1u);
+}
+
 // ---- gangs -----------------------------------------------------------------
 
 TEST(Plan, AGangStartsOnAllOrNoneWithOneRunNumber)
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -101,7 +101,7 @@
     def __init__(self):
         self.running = {}  # task -> (target, run)
         self.noted = set()  # tasks whose end as done was noted
-        self.sizes = {}
+        self.started = set()  # jobs of which some task ran
         self.breaches = 0
         self.starts = 0
         self.ends = {}
@@ -116,6 +116,7 @@
         self.number = number
         self.id = "t-%03d" % number
         self.address = "127.0.1.%d:%d" % (number + 1, options.port)
+        self.announced = self.address
         self.options = options
         self.fleet = fleet
         self.dice = dice
@@ -179,6 +180,7 @@
         self.runs[task] = [run, self.clock() + spec["ms"], body["spec"]]
         self.fleet.running[task] = (self.id, run)
         self.fleet.starts += 1
+        self.fleet.started.add(task[:16])
         return 200, {"clock_ms": self.clock()}
 
     def stop(self, body):
@@ -240,7 +242,7 @@
         controls = self.options.control.split(",")
         while True:
             self.sequence += 1
-            body = {"service": "store", "address": self.address,
+            body = {"service": "store", "address": self.announced,
                     "zone": "z1", "version": "v1", "slots": 8,
                     "state": "ready", "cold_remaining_ms": 0,
                     "capacity": self.capacity,
@@ -263,18 +265,23 @@
             await asyncio.sleep(0.01)
 
 
-async def run_targets(options):
-    dice = random.Random(options.seed)
-    fleet = Fleet()
-    targets = [Target(i, options, fleet, dice) for i in range(options.count)]
-
+async def serve_policy(address):
+    """Grants seven in ten targets to a job, always the same ones."""
     async def advise(_path, _fields, body):
         await asyncio.sleep(0.005 + 0.0002 * len(body["workers"]))
         chosen = [w for w in body["workers"]
                   if zlib.crc32((body["step"][:18] + w).encode()) % 10 < 7]
         return 200, {"granted": [[w, "ticket-" + w] for w in chosen],
                      "valid_ms": 1500}
-    await serve("127.0.0.9:%d" % options.port, advise)
+    await serve(address, advise)
+
+
+async def run_targets(options):
+    dice = random.Random(options.seed)
+    fleet = Fleet()
+    targets = [Target(i, options, fleet, dice) for i in range(options.count)]
+
+    await serve_policy("127.0.0.9:%d" % options.port)
     for target in targets:
         asyncio.ensure_future(target.live())
     ends_at = time.monotonic() + options.seconds
