--- a/Makefile
+++ b/Makefile
@@ -49,6 +49,7 @@
 
 demo: all
 	tests/demo.sh
+	tests/fleet-demo.sh
 
 test: all $(BUILD)/unit
 	tests/run.sh
--- a/node/bus.c
+++ b/node/bus.c
@@ -337,7 +337,7 @@
     set_int(peer->dealer, ZMQ_HEARTBEAT_TIMEOUT,
             fleet ? FLEET_PING_TIMEOUT_MS : PING_TIMEOUT_MS);
     zmq_setsockopt(peer->dealer, ZMQ_ROUTING_ID, own, strlen(own));
-    if (bus->settings->curve != NULL) {
+    if (bus->settings->curve != NULL && public_key != NULL) {
         set_curve_client(peer->dealer, bus->settings->curve, public_key);
     }
     zmq_connect(peer->dealer, endpoint);
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -69,9 +69,12 @@
         return int(head.split()[1]), None
 
 
-async def serve(address, handler):
-    """A small HTTP server; handler(path, headers, object) -> answer or None."""
+async def serve(address, handler, writers=None):
+    """A small HTTP server; handler(path, headers, object) -> answer or None.
+    Open connections are kept in writers."""
     async def on_connection(reader, writer):
+        if writers is not None:
+            writers.add(writer)
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
@@ -90,7 +93,10 @@
                              b"\r\nContent-Length: %d\r\n\r\n"
                              % (status, len(data)) + data)
         except (asyncio.IncompleteReadError, ConnectionError, OSError):
-            writer.close()
+            pass
+        if writers is not None:
+            writers.discard(writer)
+        writer.close()
     host, port = address.split(":")
     return await asyncio.start_server(on_connection, host, int(port))
 
@@ -122,9 +128,14 @@
         self.dice = dice
         self.capacity = {"cpu": 16000, "mem_mb": 32768, "gpu": 0}
         self.sequence = 0
+        self.writers = set()
         self.reset()
 
     def reset(self):
+        """The process starts again: it has none of its connections."""
+        for writer in self.writers:
+            writer.transport.abort()
+        self.writers.clear()
         for task in getattr(self, "runs", {}):
             self.fleet.running.pop(task, None)
         self.born = int(time.time() * 1000)
@@ -258,7 +269,7 @@
             await asyncio.sleep(0.5)
 
     async def live(self):
-        await serve(self.address, self.handle)
+        await serve(self.address, self.handle, self.writers)
         asyncio.ensure_future(self.announce())
         while True:
             self.advance()
