--- a/core/planticket.c
+++ b/core/planticket.c
@@ -10,11 +10,10 @@
 
 #include "core/planpriv.h"
 
-#define ASK_TARGETS_LEAST 30u   /* as many as an objective allows time for */
-#define ASK_SPARE_FACTOR 5u     /* targets named for each one that is needed */
-#define ASK_AGAIN_MS 50u        /* after a question that failed */
-#define SMALL_FITS (1ull << 30) /* above any number of accelerators */
-#define ASK_DOUBLINGS_MAX 6u    /* of the patience with a slow policy */
+#define ASK_TARGETS_LEAST 8u /* named even for one task */
+#define ASK_SPARE_FACTOR 5u  /* targets named for each one that is needed */
+#define ASK_AGAIN_MS 50u     /* after a question that failed */
+#define ASK_DOUBLINGS_MAX 6u /* of the patience with a slow policy */
 #define ASK_ROUND_TRIP_MS 60u
 #define TICKET_MARGIN_MS                                                      \
     250u /* off a ticket's time, for the way and clocks                       \
@@ -96,27 +95,10 @@
     return x->room == y->room ? 0 : x->room > y->room ? -1 : 1;
 }
 
-/* Load pattern: accelerators of which many are free in all, but few targets
- * are free as a whole, while tasks of eight wait. Small tasks are kept on
- * targets that are partly used already, so those are named first; large ones
- * and work on processors want room. */
-static uint64_t
-preference(const struct plan_target *target, const struct plan_step *step,
-           const struct fleet_size *size, uint64_t now_ms)
-{
-    uint64_t room = free_room(target, size);
-
-    if (size->accel == 0 || size->accel * 2 >= target->size.accel) {
-        return room;
-    }
-    return plan_fits(target, size, step, now_ms) ? SMALL_FITS - room : room;
-}
-
-/* Targets that could run the step and were not named before, the preferred
- * ones first. */
+/* Targets that could run the step and were not named before, the emptiest
+ * first. */
 static GArray *
-list_unknown(const struct plan *plan, const struct plan_step *step,
-             uint64_t now_ms)
+list_unknown(const struct plan *plan, const struct plan_step *step)
 {
     GArray *list = g_array_new(FALSE, FALSE, sizeof(struct candidate));
     const struct fleet_size size = plan_task_size(step->def);
@@ -128,7 +110,7 @@
         if (target->usable && !target->target->rec.leaving &&
             find_ticket(step, target) == NULL &&
             plan_may_ever_fit(target, step)) {
-            candidate.room = preference(target, step, &size, now_ms);
+            candidate.room = free_room(target, &size);
             if (step->def->rack[0] != '\0' &&
                 strcmp(step->def->rack, target->target->rec.rack) == 0) {
                 candidate.room += 1ull << 40;
@@ -245,7 +227,7 @@
     GArray *list = list_expiring(step, now_ms + ask_ms + ASK_ROUND_TRIP_MS);
 
     if (!has_room_granted(step, now_ms)) {
-        GArray *more = list_unknown(plan, step, now_ms);
+        GArray *more = list_unknown(plan, step);
 
         g_array_append_vals(list, more->data, count_to_name(step, more->len));
         g_array_free(more, TRUE);
--- a/tests/plan_test.cc
+++ b/tests/plan_test.cc
@@ -433,34 +433,6 @@
     EXPECT_EQ(named.size(), 80u);
 }
 
-// Load: tasks of one accelerator come while tasks of eight wait for a whole
-// target; seen on the grown site, 317 of 784 free and none as a whole.
-TEST(Plan, SmallTasksAskForTargetsThatArePartlyUsed)
-{
-    World w;
-    w.configure({"q"}, true);
-    for (int i = 0; i < 60; i++) {
-        w.target("t" + std::to_string(i), 100000, 8);
-    }
-    w.lead();
-    w.submit(1, {{.count = 1, .accel = 1}});
-    w.pass();
-    w.grant(w.questions[0], {w.questions[0].targets[7]});
-    w.pass(5);
-    ASSERT_EQ(w.starts.size(), 1u);
-    std::string used = w.starts[0].target;
-    w.confirm_all();
-    w.submit(2, {{.count = 1, .accel = 1}});
-    w.pass(5);
-    w.submit(3, {{.count = 1, .accel = 8}});
-    w.pass(5);
-    ASSERT_EQ(w.questions.size(), 3u);
-    EXPECT_EQ(w.questions[1].targets[0], used);
-    for (const auto &id : w.questions[2].targets) {
-        EXPECT_NE(id, used) << "it has no room for eight";
-    }
-}
-
 TEST(Plan, AQuestionWithoutAnAnswerIsAskedAgain)
 {
     World w;
