--- a/core/fleetrec.c
+++ b/core/fleetrec.c
@@ -288,7 +288,6 @@
     STR(call_announce, target.labels, FLEET_LABELS_BYTES),
     BOOL(call_announce, target.leaving),
     U64(call_announce, sequence),
-    U64(call_announce, remaining_ms),
 };
 const struct fp_schema CALL_ANNOUNCE_SCHEMA =
     TABLE("call-announce", 132, call_announce, CALL_ANNOUNCE_FIELDS);
--- a/core/fleetrec.h
+++ b/core/fleetrec.h
@@ -255,8 +255,7 @@
 /* A target's word on itself. */
 struct call_announce {
     struct fleet_target_rec target;
-    uint64_t sequence;     /* rises with each announcement */
-    uint64_t remaining_ms; /* least time left, while leaving */
+    uint64_t sequence; /* rises with each announcement */
 };
 
 struct call_target_id {
--- a/core/plan.c
+++ b/core/plan.c
@@ -762,16 +762,6 @@
     }
 }
 
-void
-plan_target_leaves(struct plan *plan, struct fleet_target *target,
-                   uint64_t until_ms)
-{
-    struct plan_target *on = target->plan;
-
-    on->leaves_ms = until_ms;
-    plan->dirty = true;
-}
-
 static void
 lose_run(struct plan *plan, struct plan_run *run, uint64_t now_ms)
 {
@@ -791,7 +781,6 @@
     on->usable = false;
     on->failed_row = 0;
     on->shunned_ms = 0;
-    on->leaves_ms = 0;
     on->slow_permille = 1000;
 }
 
@@ -932,8 +921,7 @@
         fill_step(job, &job->steps[i], i / from->step_count,
                   i % from->step_count);
     }
-    job->chain_ms = plan_chain_ms(&from->submit, &from->queue->conf,
-                                  plan->params.restore_ms);
+    job->chain_ms = plan_chain_ms(&from->submit, &from->queue->conf);
     job->objective_ms = plan_objective_ms(job->chain_ms, &from->queue->conf);
     job->tight = job->objective_ms < job->chain_ms + TIGHT_SLACK_MS;
     job->pool = need_pool(plan, from->queue->conf.service);
--- a/core/plan.h
+++ b/core/plan.h
@@ -102,9 +102,6 @@
 
 struct plan_params {
     uint32_t far_permille; /* run time away from the data or over racks */
-    uint32_t restore_ms;   /* to resume from a checkpoint */
-    uint32_t stop_ms;      /* a stop takes at most this */
-    uint32_t harm_ms;      /* a serving task may be slow this long */
     uint32_t run_base;     /* run numbers of inherited tasks begin above */
 };
 
@@ -160,10 +157,6 @@
 void plan_target_reborn(struct plan *plan, struct fleet_target *target,
                         uint64_t now_ms);
 
-/* A leaving target serves on until then. */
-void plan_target_leaves(struct plan *plan, struct fleet_target *target,
-                        uint64_t until_ms);
-
 /* A target's list of runs, asked for at asked_ms. first: its first in this
  * term, whose runs are taken over. */
 void plan_rows(struct plan *plan, struct fleet_target *target,
@@ -190,10 +183,8 @@
  * wall_ms: milliseconds since 1970, for occurrences. */
 void plan_pass(struct plan *plan, uint64_t now_ms, uint64_t wall_ms);
 
-/* Whether to take a job that its caller hands in now. */
-struct plan_verdict plan_admit(struct plan *plan, struct fleet_queue *queue,
-                               const struct fleet_submit *submit,
-                               uint64_t now_ms);
+/* Whether to take another job now. */
+struct plan_verdict plan_admit(struct plan *plan);
 
 /* Calls fn for each run that counts on a target. */
 void plan_each_run(const struct fleet_target *target,
--- a/core/planorder.c
+++ b/core/planorder.c
@@ -18,14 +18,13 @@
 /* Longest chain of steps, with one question to the policy for each. */
 uint32_t
 plan_chain_ms(const struct fleet_submit *submit,
-              const struct fleet_queue_conf *queue, uint32_t restore_ms)
+              const struct fleet_queue_conf *queue)
 {
     const struct fleet_step *step = submit->steps.items;
     uint64_t *ends = g_new0(uint64_t, submit->steps.count);
     uint64_t ask_ms = 0;
     uint64_t most = 0;
 
-    (void)restore_ms;
     if (queue->advised) {
         ask_ms = (queue->advice_us +
                   queue->advice_each_us * OBJECTIVE_ADVICE_TARGETS) /
@@ -184,35 +183,15 @@
            pool->used.accel + size->accel + keep_accel <= pool->size.accel;
 }
 
-static bool
-fits_somewhere(const struct plan *plan, const char *service,
-               const struct fleet_step *def)
-{
-    for (guint i = 0; i < plan->targets->len; i++) {
-        const struct plan_target *target = plan->targets->pdata[i];
-        struct fleet_size size = plan_task_size(def);
-
-        if (strcmp(target->target->rec.service, service) == 0 &&
-            size.cpu_milli <= target->size.cpu_milli &&
-            size.memory_mb <= target->size.memory_mb &&
-            size.accel <= target->size.accel) {
-            return true;
-        }
-    }
-    return false;
-}
-
+/* Load pattern: more comes in than any number of passes could look at. Short
+ * of that every job is taken: work that waits is worth something late, and a
+ * caller that is turned away comes back into the same burst. */
 struct plan_verdict
-plan_admit(struct plan *plan, struct fleet_queue *queue,
-           const struct fleet_submit *submit, uint64_t now_ms)
+plan_admit(struct plan *plan)
 {
     struct plan_verdict verdict = {FP_OK, 0, 0};
     uint64_t tasks = 0;
 
-    (void)now_ms;
-    (void)fits_somewhere;
-    (void)queue;
-    (void)submit;
     for (guint i = 0; i < plan->open->len; i++) {
         const struct plan_step *step = plan->open->pdata[i];
 
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -53,7 +53,6 @@
     struct plan_step *held_for;
     uint64_t held_until_ms;
     bool usable;
-    uint64_t leaves_ms;     /* leaving: serves until then */
     uint64_t shunned_ms;    /* no starts before this */
     uint32_t failed_row;    /* failures in a row */
     uint32_t slow_permille; /* smoothed run time against the estimate */
@@ -157,8 +156,7 @@
 
 /* planorder.c */
 uint32_t plan_chain_ms(const struct fleet_submit *submit,
-                       const struct fleet_queue_conf *queue,
-                       uint32_t restore_ms);
+                       const struct fleet_queue_conf *queue);
 uint32_t plan_objective_ms(uint32_t chain_ms,
                            const struct fleet_queue_conf *queue);
 void plan_sort_open(struct plan *plan, uint64_t now_ms);
--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -184,8 +184,7 @@
         answer.err = fleet_check_submit(&call->job, why, sizeof(why));
     }
     if (answer.err == FP_OK && !g_hash_table_contains(dispatch->taking, &id)) {
-        verdict =
-            plan_admit(dispatch->plan, queue, &call->job, clock_mono_ms());
+        verdict = plan_admit(dispatch->plan);
         answer.err = verdict.err;
         answer.retry_after_ms = verdict.retry_after_ms;
     }
@@ -291,7 +290,6 @@
 {
     struct fleet *fleet = dispatch->parts.fleet;
     struct fleet_target *known = fleet_find_target(fleet, call->target.id);
-    struct lane *lane;
 
     if (fleet->config.version == 0) {
         answer_err(dispatch, caller, FP_ERR_NOT_FRESH);
@@ -307,12 +305,6 @@
         answer_err(dispatch, caller, FP_ERR_STALE);
         return;
     }
-    lane = g_hash_table_lookup(dispatch->lanes, call->target.id);
-    if (lane != NULL && call->target.leaving && call->remaining_ms > 0 &&
-        lane->born_ms == call->target.born_ms) {
-        lane->leaves_ms = clock_mono_ms() + call->remaining_ms;
-        plan_target_leaves(dispatch->plan, known, lane->leaves_ms);
-    }
     if (fleet_knows_target(fleet, &call->target)) {
         answer_err(dispatch, caller, FP_OK);
         return;
@@ -579,9 +571,6 @@
     const struct settings_fleet *fleet = parts->settings->fleet;
     const struct plan_params params = {
         .far_permille = fleet->far_permille,
-        .restore_ms = fleet->restore_ms,
-        .stop_ms = fleet->stop_ms,
-        .harm_ms = fleet->harm_ms,
         .run_base =
             (uint32_t)raft_term(replica_raft(parts->replica)) * RUNS_A_TERM};
     const struct plan_ops ops = {.start = dispatch_start,
--- a/node/dispatchlane.c
+++ b/node/dispatchlane.c
@@ -558,7 +558,6 @@
     lane->next_hold_ms = 0;
     lane->silent = false;
     lane->deadline_ms = 0;
-    lane->leaves_ms = 0;
 }
 
 static void
--- a/node/dispatchpriv.h
+++ b/node/dispatchpriv.h
@@ -27,7 +27,6 @@
     uint64_t deadline_ms; /* newest that was granted, on its clock */
     bool silent;          /* its last hold went without an answer */
     uint64_t lost_ms;
-    uint64_t leaves_ms; /* leaving: serves until then; 0: stays */
 };
 
 /* An order or a question without an answer. */
--- a/node/settings.c
+++ b/node/settings.c
@@ -81,14 +81,9 @@
                      first_start),
     FLEET_NUMBER(bus_port),
     FLEET_NUMBER(lease_ms),
-    FLEET_NUMBER(stop_ms),
-    FLEET_NUMBER(gang_ms),
-    FLEET_NUMBER(drain_ms),
     FLEET_NUMBER(grace_ms),
     FLEET_NUMBER(keep_ms),
     FLEET_NUMBER(far_permille),
-    FLEET_NUMBER(restore_ms),
-    FLEET_NUMBER(harm_ms),
     CYAML_FIELD_END};
 
 static const cyaml_schema_field_t FIELDS[] = {
@@ -382,15 +377,10 @@
 static const struct fleet_range FLEET_RANGES[] = {
     {"bus_port", offsetof(struct settings_fleet, bus_port), 1, 65535},
     {"lease_ms", offsetof(struct settings_fleet, lease_ms), 500, 600000},
-    {"stop_ms", offsetof(struct settings_fleet, stop_ms), 0, 600000},
-    {"gang_ms", offsetof(struct settings_fleet, gang_ms), 100, 600000},
-    {"drain_ms", offsetof(struct settings_fleet, drain_ms), 0, 600000},
     {"grace_ms", offsetof(struct settings_fleet, grace_ms), 500, 600000},
     {"keep_ms", offsetof(struct settings_fleet, keep_ms), 1000, 86400000},
     {"far_permille", offsetof(struct settings_fleet, far_permille), 1000,
      100000},
-    {"restore_ms", offsetof(struct settings_fleet, restore_ms), 0, 600000},
-    {"harm_ms", offsetof(struct settings_fleet, harm_ms), 100, 600000},
 };
 
 static bool
--- a/node/settings.h
+++ b/node/settings.h
@@ -56,18 +56,13 @@
     char *advice;    /* IP:port of the placement policy; absent: none */
     char **seeds;    /* IP:port of some hosts with a data folder */
     unsigned seeds_count;
-    char *data_centre; /* of this host */
-    bool first_start;  /* the cell may be founded now */
-    uint32_t bus_port; /* port of the bus on every host */
-    uint32_t lease_ms; /* longest lease that a target grants */
-    uint32_t stop_ms;  /* a stopped task is gone after this */
-    uint32_t gang_ms;  /* a gang's first task waits this long for the rest */
-    uint32_t drain_ms; /* a leaving target serves on at least this long */
-    uint32_t grace_ms; /* from SIGTERM to SIGKILL */
-    uint32_t keep_ms;  /* an ended job's state can be asked this long */
+    char *data_centre;     /* of this host */
+    bool first_start;      /* the cell may be founded now */
+    uint32_t bus_port;     /* port of the bus on every host */
+    uint32_t lease_ms;     /* longest lease that a target grants */
+    uint32_t grace_ms;     /* from SIGTERM to SIGKILL */
+    uint32_t keep_ms;      /* an ended job's state can be asked this long */
     uint32_t far_permille; /* run time away from the data, per 1000 */
-    uint32_t restore_ms;   /* to resume from a checkpoint */
-    uint32_t harm_ms;      /* a serving task may be slow this long */
 };
 
 struct settings {
--- a/tests/platform/lib.sh
+++ b/tests/platform/lib.sh
@@ -28,14 +28,9 @@
   first_start: $2
   bus_port: $((BASE_PORT + 6))
   lease_ms: 6000
-  stop_ms: 900
-  gang_ms: 3000
-  drain_ms: 2000
   grace_ms: 6000
   keep_ms: 120000
   far_permille: 1500
-  restore_ms: 100
-  harm_ms: 4000
   seeds: [$(echo "\"$SEEDS\"" | sed 's/,/", "/g')]
 YAML
 }
