--- a/core/plan.c
+++ b/core/plan.c
@@ -6,9 +6,8 @@
 #include "core/planpriv.h"
 
 #define RETRY_AFTER_FAILURE_MS 50u /* for each failure after the first */
-#define RETRY_AFTER_REFUSAL_MS                                                \
-    40u                         /* before a refused start is tried again      \
-                                 */
+/* Before a refused start is tried again. */
+#define RETRY_AFTER_REFUSAL_MS 40u
 #define SHUN_UNHEALTHY_MS 600u  /* a target that refused for its health */
 #define SHUN_NO_ROOM_MS 150u    /* a target that had no room after all */
 #define SHUN_FAILING_MS 1500u   /* for each failure in a row past these: */
--- a/core/planorder.c
+++ b/core/planorder.c
@@ -8,12 +8,10 @@
 
 /* Targets named in one question, as the objective counts them. */
 #define OBJECTIVE_ADVICE_TARGETS 30u
-#define LATE_FACTOR                                                           \
-    3u /* work later than this many objectives is worth none                  \
-        */
+/* Work later than this many objectives is worth nothing to its caller. */
+#define LATE_FACTOR 3u
 #define TASKS_WAITING_MAX 20000u /* bound on memory and on a pass */
-#define RETRY_LEAST_MS 500u
-#define RETRY_MOST_MS 15000u
+#define RETRY_MS 15000u          /* some tens of seconds of work are ahead */
 
 /* Longest chain of steps, with one question to the policy for each. */
 uint32_t
@@ -199,7 +197,7 @@
     }
     if (tasks > TASKS_WAITING_MAX) {
         verdict.err = FP_ERR_BUSY;
-        verdict.retry_after_ms = RETRY_MOST_MS;
+        verdict.retry_after_ms = RETRY_MS;
         plan->counters.rejected++;
     }
     return verdict;
--- a/core/planticket.c
+++ b/core/planticket.c
@@ -15,9 +15,8 @@
 #define ASK_AGAIN_MS 50u     /* after a question that failed */
 #define ASK_DOUBLINGS_MAX 6u /* of the patience with a slow policy */
 #define ASK_ROUND_TRIP_MS 60u
-#define TICKET_MARGIN_MS                                                      \
-    250u /* off a ticket's time, for the way and clocks                       \
-          */
+/* Off a ticket's time, for the way and for clocks. */
+#define TICKET_MARGIN_MS 250u
 
 bool
 plan_needs_ticket(const struct plan_step *step)
