--- a/core/plan.h
+++ b/core/plan.h
@@ -9,7 +9,8 @@
  * answer is unsure: its stop is ordered until the target has confirmed that it
  * does not and will not run, or the target's lease is over.
  *
- *   plan.c       events: jobs, targets, runs
+ *   plan.c       jobs, targets, passes
+ *   planrun.c    runs: starts, ends, what targets list
  *   planorder.c  who comes first, and what waits at the door
  *   planfit.c    where a step's tasks fit
  *   planticket.c questions to the placement policy
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -146,7 +146,21 @@
     uint64_t next_ms;   /* a pass is needed then, be it that nothing changed */
 };
 
-/* plan.c */
+/* planrun.c */
+bool plan_is_blocked(const struct plan_step *step);
+void plan_list_step(struct plan *plan, struct plan_step *step);
+struct plan_run *plan_find_run(const struct plan_target *target,
+                               const struct fleet_task_name *task,
+                               uint32_t run);
+void plan_note_started(struct plan_job *job);
+void plan_free_task(struct plan *plan, struct plan_step *step,
+                    struct plan_task *task);
+void plan_drop_run(struct plan *plan, struct plan_run *run);
+void plan_stop_task(struct plan *plan, const struct plan_step *step,
+                    uint32_t number, uint64_t now_ms);
+void plan_stop_gang(struct plan *plan, const struct plan_step *step,
+                    uint32_t number, uint64_t now_ms);
+void plan_take_size(struct fleet_size *from, const struct fleet_size *size);
 bool plan_start_run(struct plan *plan, struct plan_step *step, uint32_t index,
                     uint32_t run, struct plan_target *target,
                     const char *ticket, uint64_t now_ms);
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -68,10 +68,10 @@
 core/schedyield.c	return task->job->rec.kind == WORK_BATCH ||	return true ||	Sched.*
 node/store.c	if (!newest || any_frame_after(bytes, size, at)) {	if (!newest) {	Store.*
 node/store.c	if (store->broken) {\n        return FP_ERR_DISK;	if (false) {\n        return FP_ERR_DISK;	Store.*
-core/plan.c	if (number == UINT32_MAX) {\n        step = NULL;	if (false) {\n        step = NULL;	Plan.*
+core/planrun.c	if (number == UINT32_MAX) {\n        step = NULL;	if (false) {\n        step = NULL;	Plan.*
 core/plan.c	return (plan->settled || !step->job->inherited) &&	return true &&	Plan.Inherited*
 core/plan.c	if (!run->unanswered && run->seen_ms != 0) {	if (run->seen_ms != 0) {	Plan.AnUnansweredStartIsStopped*
-core/plan.c	else if (run->stopped_ms != 0 && run->stopped_ms < asked_ms) {	else if (run->stopped_ms != 0) {	Plan.AnUnanswered*
+core/planrun.c	else if (run->stopped_ms != 0 && run->stopped_ms < asked_ms) {	else if (run->stopped_ms != 0) {	Plan.AnUnanswered*
 core/planfit.c	task->failures < most);	true);	Plan.NoStart*
 core/planfit.c	count_step_runs(target, step) < step->def->spread);	true);	Plan.AtMost*
 core/planfit.c	step->why = "its team is at its limit";\n            return;	step->why = "its team is at its limit";	Plan.ACap*
