--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -75,7 +75,7 @@
 core/planfit.c	task->failures < most);	true);	Plan.NoStart*
 core/planfit.c	count_step_runs(target, step) < step->def->spread);	true);	Plan.AtMost*
 core/planfit.c	step->why = "its team is at its limit";\n            return;	step->why = "its team is at its limit";	Plan.ACap*
-core/planticket.c	now_ms < ticket->until_ms	true	Plan.TicketsAre*
+core/planfit.c	now_ms + TICKET_SLACK_MS < ticket->until_ms	true	Plan.TicketsAre*
 core/planticket.c	find_ticket(step, target) == NULL &&	true &&	Plan.AQuestionThatIsRefused*
 core/plan.c	if (!run->unanswered && run->seen_ms != 0) {	if (!run->unanswered) {	Plan.AConfirmed*
 core/fleet.c	if (config->version <= fleet->config.version) {	if (false) {	Fleet.TheHighest*
--- a/tests/plan_test.cc
+++ b/tests/plan_test.cc
@@ -143,6 +143,18 @@
     EXPECT_EQ(w.used_cpu("t1"), 2000u) << "it counts until it is gone";
 }
 
+TEST(Plan, ARowThatNamesNoTaskOfItsJobIsStopped)
+{
+    World w;
+    w.configure({"q"});
+    w.target("t1");
+    w.lead();
+    w.submit(1, {{.count = 1}});
+    w.rows("t1", {w.row({"t1", {1, 0, 0, 70000}, 1, "", ""})}, true, w.now);
+    ASSERT_EQ(w.stops.size(), 1u);
+    EXPECT_EQ(w.stops[0].task.index, 70000u);
+}
+
 TEST(Plan, NoStartAfterTheLastAttemptFailedEvenBeforeThatIsCommitted)
 {
     World w;
@@ -280,6 +292,24 @@
     EXPECT_EQ(w.starts.size(), 4u);
 }
 
+// The run is listed, and a copy of its start is still without an answer.
+TEST(Plan, AnUnansweredStartIsStoppedThoughItsRunWasListed)
+{
+    World w;
+    w.configure({"q"});
+    w.target("t1", 1000);
+    w.lead();
+    w.submit(1, {{.count = 1}});
+    w.pass();
+    w.rows("t1", {w.row(w.starts[0])}, false, w.now);
+    w.target("t2", 1000);
+    w.use("t2");
+    w.target("t1", 1000, 0, "r1", false, 2);
+    w.pass(5);
+    EXPECT_EQ(w.stops.size(), 1u);
+    EXPECT_EQ(w.starts.size(), 1u);
+}
+
 // Found by session fleet-day: the second copy of a start whose run had ended
 // reached the target after its restart.
 TEST(Plan, NoSecondCopyOfAStartWhoseRunHasEnded)
