A new leader counts the runs of ended jobs

A job that was cancelled just before the leader was lost had runs that its targets were still stopping; the new leader ordered their stop again but counted no room for them.

Change: such a run counts with its job's size and team; a run of a job that is not known at all keeps its whole target. Found by reading beside it: caps of teams did not count what targets that have not told may run; now they do.

Tests: three, each failed before.

--- a/core/plan.c
+++ b/core/plan.c
@@ -116,6 +116,7 @@
     struct plan_target *on = target->plan;
 
     reset_health(on);
+    on->told = true;
     while (on->runs->len > 0) {
         lose_run(plan, on->runs->pdata[on->runs->len - 1], now_ms);
     }
--- a/core/planfit.c
+++ b/core/planfit.c
@@ -83,17 +83,28 @@
 }
 
 static bool
-within_limit(const struct fleet_team *team, const struct fleet_size *size)
+is_within(uint64_t limit, uint64_t used, uint64_t untold, uint64_t size)
 {
+    return limit == 0 || used + untold + size <= limit;
+}
+
+/* Targets that have not told what runs there may be full of this team's work:
+ * the first moments of a leader's term. */
+static bool
+within_limit(const struct plan *plan, const struct fleet_team *team,
+             const struct fleet_size *size)
+{
+    const struct fleet_size *untold = &plan->untold;
+
     if (team == NULL) {
         return true;
     }
-    return (team->limit.cpu_milli == 0 ||
-            team->used.cpu_milli + size->cpu_milli <= team->limit.cpu_milli) &&
-           (team->limit.memory_mb == 0 ||
-            team->used.memory_mb + size->memory_mb <= team->limit.memory_mb) &&
-           (team->limit.accel == 0 ||
-            team->used.accel + size->accel <= team->limit.accel);
+    return is_within(team->limit.cpu_milli, team->used.cpu_milli,
+                     untold->cpu_milli, size->cpu_milli) &&
+           is_within(team->limit.memory_mb, team->used.memory_mb,
+                     untold->memory_mb, size->memory_mb) &&
+           is_within(team->limit.accel, team->used.accel, untold->accel,
+                     size->accel);
 }
 
 /* Smaller is better: data near, not slow, then the tightest fit, so that large
@@ -361,7 +372,7 @@
         if (!may_run(step, number, now_ms)) {
             continue;
         }
-        if (!within_limit(step->job->job->team, &size)) {
+        if (!within_limit(plan, step->job->job->team, &size)) {
             step->why = "its team is at its limit";
             return;
         }
@@ -445,7 +456,7 @@
         }
         run = MAX(run, step->job->tasks[step->first + i].next_run);
     }
-    if (!within_limit(step->job->job->team, &whole)) {
+    if (!within_limit(plan, step->job->job->team, &whole)) {
         step->why = "its team is at its limit";
         return;
     }
--- a/core/planorder.c
+++ b/core/planorder.c
@@ -151,9 +151,13 @@
         memset(&pool->used, 0, sizeof(pool->used));
         decay_peak(pool, now_ms);
     }
+    memset(&plan->untold, 0, sizeof(plan->untold));
     for (guint i = 0; i < plan->targets->len; i++) {
         const struct plan_target *target = plan->targets->pdata[i];
 
+        if (!target->told) {
+            plan_add_size(&plan->untold, &target->size);
+        }
         if (target->usable && !target->target->rec.leaving) {
             target->pool->size.cpu_milli += target->size.cpu_milli;
             target->pool->size.accel += target->size.accel;
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -53,6 +53,7 @@
     struct plan_step *held_for;
     uint64_t held_until_ms;
     bool usable;
+    bool told;              /* has listed its runs, or surely has none */
     uint64_t shunned_ms;    /* no starts before this */
     uint32_t failed_row;    /* failures in a row */
     uint32_t slow_permille; /* smoothed run time against the estimate */
@@ -136,8 +137,10 @@
                          * running, will open */
     GPtrArray *targets; /* struct plan_target */
     GHashTable *pools;  /* service to struct plan_pool */
-    int64_t wall_offset_ms; /* wall clock less monotonic clock */
-    uint64_t now_ms;        /* of the last pass */
+    struct fleet_size untold; /* room of targets that have not told what
+                               * runs there; set by each pass */
+    int64_t wall_offset_ms;   /* wall clock less monotonic clock */
+    uint64_t now_ms;          /* of the last pass */
     bool no_long_asker; /* in this pass: nobody is free for long questions */
     bool no_asker;      /* and nobody at all */
     bool settled;
@@ -160,6 +163,7 @@
                     uint32_t number, uint64_t now_ms);
 void plan_stop_gang(struct plan *plan, const struct plan_step *step,
                     uint32_t number, uint64_t now_ms);
+void plan_add_size(struct fleet_size *to, const struct fleet_size *size);
 void plan_take_size(struct fleet_size *from, const struct fleet_size *size);
 bool plan_start_run(struct plan *plan, struct plan_step *step, uint32_t index,
                     uint32_t run, struct plan_target *target,
--- a/core/planrun.c
+++ b/core/planrun.c
@@ -25,8 +25,8 @@
     return size;
 }
 
-static void
-add_size(struct fleet_size *to, const struct fleet_size *size)
+void
+plan_add_size(struct fleet_size *to, const struct fleet_size *size)
 {
     to->cpu_milli += size->cpu_milli;
     to->memory_mb += size->memory_mb;
@@ -136,6 +136,23 @@
     return NULL;
 }
 
+/* What a run takes that belongs to no step of this plan: one of a job that had
+ * ended before this term, or of no job that is known. The latter may be as
+ * large as its target. */
+static void
+size_unplanned(const struct plan *plan, struct plan_run *run)
+{
+    const struct fleet_job *job =
+        fleet_find_job(plan->fleet, run->task.job_id);
+
+    if (job == NULL || fleet_task_number(job, &run->task) == UINT32_MAX) {
+        run->size = run->target->size;
+        return;
+    }
+    run->team = job->team;
+    run->size = plan_task_size(&job->steps[run->task.step]);
+}
+
 static struct plan_run *
 add_run(struct plan *plan, struct plan_target *target, struct plan_step *step,
         const struct fleet_task_name *task, uint32_t number)
@@ -156,13 +173,16 @@
             target->serving++;
         }
     }
-    add_size(&target->used, &run->size);
-    add_size(&target->pool->used, &run->size);
+    else {
+        size_unplanned(plan, run);
+    }
+    plan_add_size(&target->used, &run->size);
+    plan_add_size(&target->pool->used, &run->size);
     if (step != NULL && step->job->tight) {
-        add_size(&target->pool->tight, &run->size);
+        plan_add_size(&target->pool->tight, &run->size);
     }
     if (run->team != NULL) {
-        add_size(&run->team->used, &run->size);
+        plan_add_size(&run->team->used, &run->size);
     }
     g_ptr_array_add(target->runs, run);
     plan->dirty = true;
@@ -664,6 +684,7 @@
 {
     struct plan_target *on = target->plan;
 
+    on->told = true;
     for (uint32_t i = 0; i < count; i++) {
         struct plan_run *run = plan_find_run(on, &rows[i].task, rows[i].run);
 
--- a/tests/plan_test.cc
+++ b/tests/plan_test.cc
@@ -155,6 +155,67 @@
     EXPECT_EQ(w.stops[0].task.index, 70000u);
 }
 
+// Found by a hunt (hunt-bd7c-19): a leader that took over just after a cancel.
+TEST(Plan, RunsOfAnEndedJobCountOnTheirTargetAfterATakeover)
+{
+    World w;
+    w.configure({"q"});
+    w.target("t1", 8000);
+    w.submit(1, {{.count = 1, .cpu = 5000}});
+    w.cancel(1);
+    w.lead();
+    Order old = {"t1", {1, 0, 0, 0}, 3, "", ""};
+    w.rows("t1", {w.row(old)}, true, w.now);
+    plan_settled(w.p);
+    ASSERT_EQ(w.stops.size(), 1u);
+    w.submit(2, {{.count = 1, .cpu = 5000}});
+    w.pass(5);
+    EXPECT_EQ(w.starts.size(), 0u) << "what is being stopped still counts";
+    w.end(old, RUN_STOPPED);
+    w.pass(5);
+    EXPECT_EQ(w.starts.size(), 1u);
+}
+
+TEST(Plan, ARunOfAnUnknownJobKeepsItsWholeTarget)
+{
+    World w;
+    w.configure({"q"});
+    w.target("t1", 8000);
+    w.lead();
+    Order old = {"t1", {77, 0, 0, 0}, 3, "", ""};
+    w.rows("t1", {w.row(old)}, true, w.now);
+    plan_settled(w.p);
+    w.submit(2, {{.count = 1, .cpu = 1000}});
+    w.pass(5);
+    EXPECT_EQ(w.starts.size(), 0u) << "nobody knows how large it is";
+    w.end(old, RUN_STOPPED);
+    w.pass(5);
+    EXPECT_EQ(w.starts.size(), 1u);
+}
+
+TEST(Plan, ACapHoldsWhileTargetsHaveNotTold)
+{
+    World w;
+    w.configure({"q"}, false, 9000);
+    w.target("t1", 8000);
+    w.target("t2", 8000);
+    w.submit(1, {{.count = 1, .cpu = 8000}});
+    w.lead();
+    ((plan_target *)w.find("t2")->plan)->told = false;
+    w.use("t2", false);
+    w.submit(2, {{.count = 2, .cpu = 1000}});
+    w.pass(5);
+    EXPECT_EQ(w.starts.size(), 1u) << "t2 may run 8 cores of the team";
+    w.rows("t2", {w.row({"t2", {1, 0, 0, 0}, 3, "", ""})}, true, w.now);
+    w.use("t2");
+    plan_settled(w.p);
+    w.pass(5);
+    EXPECT_EQ(w.starts.size(), 1u) << "and it does";
+    w.end({"t2", {1, 0, 0, 0}, 3, "", ""}, RUN_DONE);
+    w.pass(5);
+    EXPECT_EQ(w.starts.size(), 2u);
+}
+
 TEST(Plan, NoStartAfterTheLastAttemptFailedEvenBeforeThatIsCommitted)
 {
     World w;
@@ -182,10 +243,7 @@
     w.submit(1, {{.count = 9}});
     w.pass();
     ASSERT_EQ(w.starts.size(), 9u);
-    fleet_cancel cancel;
-    memset(&cancel, 0, sizeof(cancel));
-    cancel.id = 1;
-    EXPECT_EQ(w.apply(&FLEET_CANCEL_SCHEMA, &cancel).err, FP_OK);
+    w.cancel(1);
     EXPECT_EQ(w.stops.size(), 9u);
     w.pass(5);
     EXPECT_EQ(w.starts.size(), 9u);
--- a/tests/plan_world.h
+++ b/tests/plan_world.h
@@ -145,6 +145,7 @@
         p = plan_new(f, &params, &ops, now);
         for (guint i = 0; i < p->targets->len; i++) {
             ((plan_target *)p->targets->pdata[i])->usable = true;
+            ((plan_target *)p->targets->pdata[i])->told = true;
         }
     }
     void use(const std::string &id, bool usable = true)
@@ -193,6 +194,14 @@
         return answer;
     }
 
+    void cancel(uint64_t id)
+    {
+        fleet_cancel cancel;
+        memset(&cancel, 0, sizeof(cancel));
+        cancel.id = id;
+        EXPECT_EQ(apply(&FLEET_CANCEL_SCHEMA, &cancel).err, FP_OK);
+    }
+
     void pass(uint64_t ms = 0)
     {
         now = std::max(now + ms, p->passed_ms + 2); // passes keep a distance
