Ends are acknowledged once, to the incarnation that listed them

A target that was started again under its ID numbers its ends anew, so that a hold of the old incarnation's number made it forget ends that nobody had seen; their tasks ran again.

Shown first: the stand-in now calls it a breach when a hold names an end that the incarnation has not listed.

--- a/node/dispatchlane.c
+++ b/node/dispatchlane.c
@@ -342,7 +342,7 @@
         lane->committing = false;
         lane->next_hold_ms = 0;
         if (err == FP_OK) {
-            lane->noted = MAX(lane->noted, commit->number);
+            ends_stored(&lane->ends, commit->number);
         }
         else {
             log_warn(LOG_SCHED, "ends of target %s were not stored: %s",
@@ -396,7 +396,7 @@
     lane->silent = false;
     lane->lost = false;
     for (uint32_t i = 0; i < reply->end_count; i++) {
-        if (reply->ends[i].number > lane->noted) {
+        if (reply->ends[i].number > lane->ends.stored) {
             tell_end(lane, &reply->ends[i].end);
             plan_run_ended(dispatch->plan, target, &reply->ends[i].end,
                            now_ms);
@@ -446,6 +446,7 @@
               EVENT_S("answer", answer_name(reply->answer)));
     }
     lane->silent = true;
+    ends_unanswered(&lane->ends);
     lane->next_hold_ms = now_ms + HOLD_AGAIN_MS;
     plan_target_usable(lane->dispatch->plan, target, false);
     if (reply->answer == ORDER_OTHER) {
@@ -470,16 +471,22 @@
     lane = lane_of(pending->dispatch, target);
     lane->holding = false;
     take_clock(lane, reply, now_ms);
-    if (reply->answer != ORDER_DONE) {
+    if (reply->answer == ORDER_NOT_SENT && pending->told != 0) {
+        ends_unanswered(&lane->ends); /* the connection is gone */
+        lane->next_hold_ms = now_ms;
+    }
+    else if (reply->answer != ORDER_DONE) {
         hold_failed(lane, target, reply, now_ms);
     }
     else if (reply->born_ms != 0 && reply->born_ms != lane->born_ms) {
         /* It restarted; its own announcement brings what it is now. */
         lane->has_clock = false;
+        ends_unanswered(&lane->ends);
         lane->next_hold_ms = now_ms + HOLD_AGAIN_MS;
         plan_target_usable(lane->dispatch->plan, target, false);
     }
     else {
+        ends_answered(&lane->ends, pending->told, pending->asked_ms);
         take_lists(lane, target, reply, pending->asked_ms, now_ms);
     }
     dispatch_drop_pending(pending);
@@ -517,9 +524,13 @@
     struct pending *pending = dispatch_add_pending(lane->dispatch, lane);
 
     pending->asked_ms = now_ms;
+    pending->told = ends_to_tell(&lane->ends);
+    if (pending->told != 0) {
+        head.opened_before_ms = lane->ends.asked_ms;
+    }
     lane->holding = true;
     lane->dispatch->holds++;
-    orders->hold(orders->channel, &head, lane->noted, wait_ms, on_held,
+    orders->hold(orders->channel, &head, pending->told, wait_ms, on_held,
                  pending);
 }
 
@@ -554,7 +565,7 @@
     lane->has_clock = false;
     lane->lost = false;
     lane->removing = false;
-    lane->noted = 0;
+    memset(&lane->ends, 0, sizeof(lane->ends));
     lane->next_hold_ms = 0;
     lane->silent = false;
     lane->deadline_ms = 0;
--- a/node/dispatchpriv.h
+++ b/node/dispatchpriv.h
@@ -6,6 +6,7 @@
 
 #include <glib.h>
 
+#include "core/ends.h"
 #include "node/dispatch.h"
 
 /* One target, as the leader talks to it. */
@@ -22,7 +23,7 @@
     uint64_t clock_ms; /* of the target, at least this at clock_at_ms */
     uint64_t clock_at_ms;
     uint64_t gone_by_ms; /* every lease that was granted is over by then */
-    uint64_t noted;      /* ends up to this are committed */
+    struct end_marks ends;
     uint64_t next_hold_ms;
     uint64_t deadline_ms; /* newest that was granted, on its clock */
     bool silent;          /* its last hold went without an answer */
@@ -37,6 +38,7 @@
     struct fleet_task_name task;
     uint32_t run;
     uint64_t asked_ms;       /* when it was sent */
+    uint64_t told;           /* up to this end, by a hold */
     uint64_t sent_us;        /* the newest copy of a start */
     bool again;              /* a second copy: the first may have worked */
     struct plan_start start; /* of a start; owns what it points to: */
--- a/node/fetch.c
+++ b/node/fetch.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "base/log.h"
@@ -25,6 +26,8 @@
     GHashTable *watches;    /* socket to struct watch */
     GHashTable *transfers;  /* the set of struct transfer */
     GPtrArray *spare;       /* CURL handles for further use */
+    /* Local port to the time in ms when its newest connection was opened. */
+    GHashTable *opened;
 };
 
 struct transfer {
@@ -40,6 +43,8 @@
     bool too_large;
     bool has_length; /* Content-Length or chunked: the end is marked */
     bool crossed;    /* X-Request-Id of another request */
+    bool opens;      /* it has opened a connection */
+    uint64_t opened_before_ms;
     uint64_t began_ms;
     fetch_done done;
     void *ctx;
@@ -377,6 +382,7 @@
     fetcher->transfers = g_hash_table_new_full(g_direct_hash, g_direct_equal,
                                                free_transfer, NULL);
     fetcher->spare = g_ptr_array_new();
+    fetcher->opened = g_hash_table_new(g_direct_hash, g_direct_equal);
     fetcher->watches = g_hash_table_new_full(g_direct_hash, g_direct_equal,
                                              NULL, close_watch);
     uv_timer_init(loop, &fetcher->timer);
@@ -467,6 +473,40 @@
     curl_easy_setopt(transfer->easy, CURLOPT_CUSTOMREQUEST, request->method);
 }
 
+static curl_socket_t
+open_socket(void *ctx, curlsocktype purpose, struct curl_sockaddr *address)
+{
+    struct transfer *transfer = ctx;
+
+    (void)purpose;
+    transfer->opens = true;
+    return socket(address->family, address->socktype | SOCK_CLOEXEC,
+                  address->protocol);
+}
+
+/* Called by libcurl with the connection that a request is about to use. */
+static int
+before_request(void *ctx, char *remote, char *local, int remote_port,
+               int local_port)
+{
+    struct transfer *transfer = ctx;
+    GHashTable *opened = transfer->fetcher->opened;
+    gpointer port = GINT_TO_POINTER(local_port);
+
+    (void)remote;
+    (void)local;
+    (void)remote_port;
+    if (transfer->opens) {
+        g_hash_table_insert(opened, port, GSIZE_TO_POINTER(clock_mono_ms()));
+    }
+    if (transfer->opened_before_ms != 0 &&
+        GPOINTER_TO_SIZE(g_hash_table_lookup(opened, port)) >=
+            transfer->opened_before_ms) {
+        return CURL_PREREQFUNC_ABORT;
+    }
+    return CURL_PREREQFUNC_OK;
+}
+
 static CURL *
 take_handle(struct fetcher *fetcher)
 {
@@ -490,9 +530,14 @@
     transfer->answer_max_bytes = request->answer_max_bytes;
     transfer->request_id = g_strdup(request->request_id);
     transfer->began_ms = clock_mono_ms();
+    transfer->opened_before_ms = request->opened_before_ms;
     transfer->done = done;
     transfer->ctx = ctx;
     curl_easy_setopt(easy, CURLOPT_URL, request->url);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, open_socket);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, transfer);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, before_request);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer);
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, fetcher);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
@@ -545,6 +590,7 @@
     g_ptr_array_free(fetcher->spare, TRUE);
     curl_multi_cleanup(fetcher->multi);
     g_hash_table_destroy(fetcher->watches);
+    g_hash_table_destroy(fetcher->opened);
     uv_timer_stop(&fetcher->timer);
     uv_close((uv_handle_t *)&fetcher->after_input, NULL);
     uv_close((uv_handle_t *)&fetcher->no_wait, NULL);
--- a/node/fetch.h
+++ b/node/fetch.h
@@ -23,6 +23,9 @@
     uint64_t timeout_ms;
     uint64_t connect_ms; /* bound on connecting; 0: timeout_ms */
     size_t answer_max_bytes;
+    uint64_t opened_before_ms; /* only over a kept connection opened before
+                                * this (clock_mono_ms()), else
+                                * FP_ERR_NOT_CONNECTED; 0: over any */
     bool once; /* never sent a second time, not even by the library */
 };
 
--- a/node/orders.h
+++ b/node/orders.h
@@ -15,6 +15,9 @@
     uint64_t fence;       /* rises with each leader */
     uint64_t deadline_ms; /* end of the lease, target's clock; 0: unchanged */
     uint32_t timeout_ms;
+    /* Only over a connection opened before this, else ORDER_NOT_SENT; 0: over
+     * any. */
+    uint64_t opened_before_ms;
 };
 
 /* One end in a target's list; numbers rise within an incarnation. */
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -4,6 +4,7 @@
 #include "tests/plan_world.h"
 
 extern "C" {
+#include "core/ends.h"
 #include "core/members.h"
 }
 
@@ -206,6 +207,26 @@
 
 // ---- members ---------------------------------------------------------------
 
+TEST(Ends, ANumberIsToldOnceAndOnlyToWhoJustAnswered)
+{
+    end_marks marks = {0, 0, 0};
+    ends_answered(&marks, 0, 200);
+    ends_stored(&marks, 7);
+    EXPECT_EQ(ends_to_tell(&marks), 7u);
+    EXPECT_EQ(ends_to_tell(&marks), 7u) << "until it is answered";
+    ends_unanswered(&marks);
+    EXPECT_EQ(ends_to_tell(&marks), 0u)
+        << "another incarnation may answer next: its ends are not ours";
+    ends_answered(&marks, 0, 300);
+    EXPECT_EQ(ends_to_tell(&marks), 7u) << "the same one lives";
+    ends_answered(&marks, 7, 400);
+    EXPECT_EQ(ends_to_tell(&marks), 0u) << "a restart may come unnoticed";
+    ends_stored(&marks, 5);
+    EXPECT_EQ(ends_to_tell(&marks), 0u) << "stored late, known before";
+    ends_stored(&marks, 9);
+    EXPECT_EQ(ends_to_tell(&marks), 9u);
+}
+
 TEST(Members, AnEmptyDiskJoinsInPlaceOfTheOneItsHostHad)
 {
     member_view views[] = {{1, "a", true, true, 5000},
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -83,6 +83,12 @@
 core/fleet.c	if (fleet_find_job(fleet, submit->id) != NULL) {	if (false) {	Fleet.AJobSent*
 core/members.c	return voters > 1 && alive > (voters - 1) / 2 ? silent : NULL;	return silent;	Members.*
 node/store.c	cut_entries(loading->entries, 0);\n        }\n    }\n    g_array_append_val	return false;\n        }\n    }\n    g_array_append_val	Store.AnOlder*
+core/planrun.c	size_unplanned(plan, run);	(void)size_unplanned;	Plan.RunsOfAnEnded*
+core/planrun.c	run->size = run->target->size;	run->size.cpu_milli = 0;	Plan.ARunOfAnUnknown*
+core/planorder.c	if (!target->told) {	if (false) {	Plan.ACapHolds*
+core/ends.c	marks->asked_ms != 0 &&		Ends.*
+core/ends.c	marks->stored > marks->told ?	marks->stored != 0 ?	Ends.*
+node/fetch.c	if (transfer->opened_before_ms != 0 &&	if (false &&	Fetch.ARequest*
 LIST
 echo "$CAUGHT passed, $MISSED failed"
 [ "$MISSED" = 0 ]
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -146,6 +146,7 @@
         self.highest = {}
         self.ended = []
         self.next_end = 1
+        self.listed = 0  # the highest end that an answer has held
         self.changed = asyncio.Event()
 
     def clock(self):
@@ -206,6 +207,9 @@
         return 200, {"clock_ms": self.clock()}
 
     async def hold(self, body):
+        if body["last_seen"] > self.listed:
+            self.fleet.breach("%s has not listed end %d yet" % (
+                self.id, body["last_seen"]))
         for end in self.ended:
             if end[0] <= body["last_seen"] and end[3] == "done":
                 self.fleet.noted.add(end[1])
@@ -217,6 +221,7 @@
                 await asyncio.wait_for(self.changed.wait(), 0.05)
             except asyncio.TimeoutError:
                 pass
+        self.listed = self.next_end - 1
         return 200, {
             "clock_ms": self.clock(), "born": self.born,
             "running": [[t, r[0], "", 50, 0] for t, r in self.runs.items()],
