Occurrences are late by their own time; dark targets do not hold up a team; few askers

(2) While a target had not told what runs there its whole room counted against every capped team; now at most the team's own inherited work that nobody has found.

Tests: Plan.AnOccurrence*, ADarkTarget* (both failed before), AFewAskers*.

--- a/bench/simlead.c
+++ b/bench/simlead.c
@@ -14,8 +14,6 @@
 #define LATE_MOST_MS 12000u /* and at most */
 #define SAVE_MS 1000u       /* work between two checkpoints */
 #define RUN_BASE 1024u /* run numbers of a term begin above its multiple */
-#define SPARE_SHARE 4u /* one asker in so many is for short questions */
-#define SPARE_LEAST 2u
 
 /* ---- the leader's link -------------------------------------------------- */
 
@@ -217,7 +215,7 @@
 {
     struct sim *sim = ctx;
     const struct sim_job *job = g_hash_table_lookup(sim->jobs, &step->job_id);
-    uint32_t spare = MAX(SPARE_LEAST, sim->load->askers / SPARE_SHARE);
+    uint32_t spare = plan_askers_spared(sim->load->askers);
     struct sim_event *event;
 
     (void)expected_ms;
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -27,6 +27,8 @@
     bool present;
     struct fleet_size used; /* by runs, starting and stopping ones included;
                              * kept by the planner */
+    struct fleet_size unfound; /* by inherited tasks that may run where nobody
+                                * has told yet; kept by the planner */
 };
 
 struct fleet_task {
--- a/core/plan.h
+++ b/core/plan.h
@@ -207,6 +207,10 @@
  * wall_ms: milliseconds since 1970, for occurrences. */
 void plan_pass(struct plan *plan, uint64_t now_ms, uint64_t wall_ms);
 
+/* Of so many hosts that can ask the policy, how many are kept for short
+ * questions: with a single one, none. */
+uint32_t plan_askers_spared(uint32_t askers);
+
 /* Whether to take another job now. */
 struct plan_verdict plan_admit(struct plan *plan);
 
--- a/core/planfit.c
+++ b/core/planfit.c
@@ -105,8 +105,8 @@
     return limit == 0 || used + untold + size <= limit;
 }
 
-/* Targets that have not told what runs there may be full of this team's work:
- * the first moments of a leader's term. */
+/* Targets that have not told what runs there may be full of this team's work,
+ * as far as it had any: the first moments of a leader's term. */
 static bool
 within_limit(const struct plan *plan, const struct fleet_team *team,
              const struct fleet_size *size)
@@ -117,11 +117,13 @@
         return true;
     }
     return is_within(team->limit.cpu_milli, team->used.cpu_milli,
-                     untold->cpu_milli, size->cpu_milli) &&
+                     MIN(untold->cpu_milli, team->unfound.cpu_milli),
+                     size->cpu_milli) &&
            is_within(team->limit.memory_mb, team->used.memory_mb,
-                     untold->memory_mb, size->memory_mb) &&
-           is_within(team->limit.accel, team->used.accel, untold->accel,
-                     size->accel);
+                     MIN(untold->memory_mb, team->unfound.memory_mb),
+                     size->memory_mb) &&
+           is_within(team->limit.accel, team->used.accel,
+                     MIN(untold->accel, team->unfound.accel), size->accel);
 }
 
 /* Smaller is better: data near, not slow, then the tightest fit, so that large
--- a/core/planorder.c
+++ b/core/planorder.c
@@ -63,18 +63,30 @@
     return rest;
 }
 
+/* When the time of a step's objective began: an occurrence is not late because
+ * its job came long ago. */
+static uint64_t
+counts_from_ms(const struct plan *plan, const struct plan_step *step)
+{
+    int64_t due_ms = (int64_t)step->due_ms - plan->wall_offset_ms;
+
+    return step->due_ms == 0 || due_ms < 0 ? step->job->taken_ms
+                                           : (uint64_t)due_ms;
+}
+
 /* Load pattern: bursts, when more is wanted than there is room for. What lasts
  * comes first, for its users are waiting; then what can still be on time, by
  * the queue's priority and then by when it must start; then what is late; last
  * what is too late to be worth anything, which still ends. */
 static void
-set_key(struct plan_step *step, uint64_t now_ms)
+set_key(const struct plan *plan, struct plan_step *step, uint64_t now_ms)
 {
     const struct plan_job *job = step->job;
     uint64_t rest = rest_ms(step);
-    uint64_t due_ms = job->taken_ms + job->objective_ms;
+    uint64_t from_ms = counts_from_ms(plan, step);
+    uint64_t due_ms = from_ms + job->objective_ms;
     uint64_t worthless_ms =
-        job->taken_ms + (uint64_t)LATE_FACTOR * job->objective_ms;
+        from_ms + (uint64_t)LATE_FACTOR * job->objective_ms;
 
     if (step->def->lasting) {
         step->order_key[0] = 0;
@@ -117,7 +129,7 @@
 plan_sort_open(struct plan *plan, uint64_t now_ms)
 {
     for (guint i = 0; i < plan->open->len; i++) {
-        set_key(plan->open->pdata[i], now_ms);
+        set_key(plan, plan->open->pdata[i], now_ms);
         if (!plan->params.policy->by_slack) {
             set_fifo_key(plan->open->pdata[i]);
         }
@@ -151,6 +163,34 @@
     }
 }
 
+/* What each team's inherited work may still have running unseen. */
+static void
+count_unfound(struct plan *plan)
+{
+    GHashTableIter iter;
+    struct fleet_team *team;
+    const struct fleet_job *job;
+
+    g_hash_table_iter_init(&iter, plan->fleet->teams);
+    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&team)) {
+        memset(&team->unfound, 0, sizeof(team->unfound));
+    }
+    g_hash_table_iter_init(&iter, plan->fleet->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&job)) {
+        const struct plan_job *pjob = job->plan;
+
+        for (uint32_t i = 0; pjob != NULL && pjob->inherited &&
+                             job->team != NULL && i < pjob->step_count;
+             i++) {
+            const struct fleet_size size = plan_task_size(pjob->steps[i].def);
+
+            for (uint32_t k = 0; k < pjob->steps[i].idle; k++) {
+                plan_add_size(&job->team->unfound, &size);
+            }
+        }
+    }
+}
+
 /* Sums up each service's room over its usable targets. */
 void
 plan_count_pools(struct plan *plan, uint64_t now_ms)
@@ -178,6 +218,9 @@
             target->pool->used.accel += target->used.accel;
         }
     }
+    if (plan->untold.cpu_milli > 0) {
+        count_unfound(plan);
+    }
 }
 
 /* Load pattern: a burst of work with a fraction of a second of slack, on a
--- a/core/planticket.c
+++ b/core/planticket.c
@@ -19,9 +19,17 @@
 #define ASK_AGAIN_MS 50u     /* after a question that failed */
 #define ASK_DOUBLINGS_MAX 6u /* of the patience with a slow policy */
 #define ASK_ROUND_TRIP_MS 60u
+#define SPARED_SHARE 4u /* one asker in so many is for short questions, */
+#define SPARED_LEAST 2u /* these at least, but never more than half */
 /* Off a ticket's time, for the way and for clocks. */
 #define TICKET_MARGIN_MS 250u
 
+uint32_t
+plan_askers_spared(uint32_t askers)
+{
+    return MIN(MAX(askers / SPARED_SHARE, SPARED_LEAST), askers / 2);
+}
+
 bool
 plan_needs_ticket(const struct plan_step *step)
 {
--- a/node/dispatchask.c
+++ b/node/dispatchask.c
@@ -9,9 +9,7 @@
 #include "node/dispatchpriv.h"
 
 #define HELPER_SILENT_MS 1500u /* a helper not heard of is not asked */
-#define SHORT_SHARE 4u         /* one helper in so many is for short ones */
-#define SHORT_LEAST 2u
-#define ANSWER_SLACK_MS 200u /* beyond the expected time and a half */
+#define ANSWER_SLACK_MS 200u   /* beyond the expected time and a half */
 
 struct asking {
     struct pending *pending;
@@ -105,7 +103,7 @@
             found = helper;
         }
     }
-    if (!short_call && idle <= MAX(SHORT_LEAST, live / SHORT_SHARE)) {
+    if (!short_call && idle <= plan_askers_spared(live)) {
         return NULL;
     }
     return found;
--- a/tests/plan_test.cc
+++ b/tests/plan_test.cc
@@ -205,7 +205,7 @@
     w.use("t2", false);
     w.submit(2, {{.count = 2, .cpu = 1000}});
     w.pass(5);
-    EXPECT_EQ(w.starts.size(), 1u) << "t2 may run 8 cores of the team";
+    ASSERT_EQ(w.starts.size(), 1u) << "t2 may run 8 cores of the team";
     w.rows("t2", {w.row({"t2", {1, 0, 0, 0}, 3, "", ""})}, true, w.now);
     w.use("t2");
     plan_settled(w.p);
@@ -279,6 +279,48 @@
     EXPECT_EQ(w.starts.size(), 2u);
 }
 
+TEST(Plan, ADarkTargetDoesNotHoldUpATeamThatHadNothingRunning)
+{
+    World w;
+    w.configure({"q"}, false, 9000);
+    w.target("t1", 8000);
+    w.target("t2", 8000);
+    w.lead();
+    ((plan_target *)w.find("t2")->plan)->told = false;
+    w.use("t2", false);
+    w.submit(1, {{.count = 2, .cpu = 3000}});
+    w.pass(5);
+    EXPECT_EQ(w.starts.size(), 2u);
+}
+
+TEST(Plan, AnOccurrenceIsOnTimeByItsOwnDueTime)
+{
+    World w;
+    w.configure({"q"});
+    w.target("t1", 1000);
+    w.lead();
+    w.submit(1, {{.count = 1}}); // keeps the target busy
+    w.pass();
+    ASSERT_EQ(w.starts.size(), 1u);
+    w.submit_timed(2, w.now + 1000000 + 60000, 1000, 1);
+    w.pass(59000);
+    w.submit(3, {{.count = 1}}); // late by the time there is room
+    w.pass(61000 - 59000);
+    w.submit(4, {{.count = 1}}); // later due than the occurrence
+    w.end(w.starts[0], RUN_DONE);
+    w.pass(5);
+    ASSERT_EQ(w.starts.size(), 2u);
+    EXPECT_EQ(w.starts[1].task.job_id, 2u);
+}
+
+TEST(Plan, AFewAskersDoLongQuestionsToo)
+{
+    EXPECT_EQ(plan_askers_spared(1), 0u);
+    EXPECT_EQ(plan_askers_spared(2), 1u);
+    EXPECT_EQ(plan_askers_spared(4), 2u);
+    EXPECT_EQ(plan_askers_spared(40), 10u);
+}
+
 TEST(Plan, AtMostSpreadTasksOfAStepOnOneTarget)
 {
     World w;
@@ -807,18 +849,7 @@
     w.configure({"q"});
     w.target("t1", 9000);
     w.lead();
-    fleet_submit job;
-    memset(&job, 0, sizeof(job));
-    job.id = 5;
-    g_strlcpy(job.host, "h", FLEET_NAME_BYTES);
-    g_strlcpy(job.prefix, "/q/", FLEET_PATH_BYTES);
-    auto *step = (fleet_step *)fp_list_add(&job.steps, sizeof(fleet_step));
-    step->count = 1;
-    job.occurrences = 3;
-    job.first_due_ms = w.now + 1000000 + 500;
-    job.interval_ms = 1000;
-    EXPECT_EQ(w.apply(&FLEET_SUBMIT_SCHEMA, &job).err, FP_OK);
-    fp_record_free(&FLEET_SUBMIT_SCHEMA, &job);
+    w.submit_timed(5, w.now + 1000000 + 500, 1000, 3);
     w.pass();
     EXPECT_EQ(w.starts.size(), 0u);
     w.pass(510);
--- a/tests/plan_world.h
+++ b/tests/plan_world.h
@@ -194,6 +194,26 @@
         return answer;
     }
 
+    // A job of one task that is due at first_due_ms (wall clock), and again.
+    void submit_timed(uint64_t id, uint64_t first_due_ms, uint32_t interval_ms,
+                      uint32_t occurrences)
+    {
+        fleet_submit job;
+        memset(&job, 0, sizeof(job));
+        job.id = id;
+        g_strlcpy(job.host, "h", FLEET_NAME_BYTES);
+        g_strlcpy(job.prefix, "/q/", FLEET_PATH_BYTES);
+        auto *step = (fleet_step *)fp_list_add(&job.steps, sizeof(fleet_step));
+        step->count = 1;
+        step->cpu_milli = 1000;
+        step->estimate_ms = 1000;
+        job.occurrences = occurrences;
+        job.first_due_ms = first_due_ms;
+        job.interval_ms = interval_ms;
+        EXPECT_EQ(apply(&FLEET_SUBMIT_SCHEMA, &job).err, FP_OK);
+        fp_record_free(&FLEET_SUBMIT_SCHEMA, &job);
+    }
+
     void cancel(uint64_t id)
     {
         fleet_cancel cancel;
