Work with checkpoints leaves targets that will be gone; fractions in settings

Cause, by reading: a target that is taken away at short notice says how long it stays; that was not read, and its work was lost and waited for the lease. What has a checkpoint and would not be over by then, and what lasts, is now stopped just in time to be listed before the target goes (bounds.stop_ms), and goes on elsewhere. Work without checkpoints stays: a stop would lose all of it.

--- a/bench/replay.h
+++ b/bench/replay.h
@@ -69,6 +69,8 @@
     REPLAY_BURST,   /* more jobs of a queue, by factor */
     REPLAY_CRASH,   /* targets are gone for a while */
     REPLAY_REMOVED, /* targets are gone for good */
+    REPLAY_LEAVING, /* targets say that they leave, and are gone for_ms later
+                     */
     REPLAY_SLOW,    /* work on targets takes factor times as long */
     REPLAY_FAILING, /* targets fail what they run */
     REPLAY_LOSSY,   /* orders are not answered and carried out late */
--- a/bench/replayload.c
+++ b/bench/replayload.c
@@ -69,10 +69,10 @@
     CYAML_FIELD_END};
 
 static const cyaml_strval_t TROUBLES[] = {
-    {"burst", REPLAY_BURST},        {"crash", REPLAY_CRASH},
-    {"removed", REPLAY_REMOVED},    {"slow", REPLAY_SLOW},
-    {"failing", REPLAY_FAILING},    {"lossy", REPLAY_LOSSY},
-    {"no_leader", REPLAY_NO_LEADER}};
+    {"burst", REPLAY_BURST},     {"crash", REPLAY_CRASH},
+    {"removed", REPLAY_REMOVED}, {"leaving", REPLAY_LEAVING},
+    {"slow", REPLAY_SLOW},       {"failing", REPLAY_FAILING},
+    {"lossy", REPLAY_LOSSY},     {"no_leader", REPLAY_NO_LEADER}};
 
 static const cyaml_schema_field_t EVENT_FIELDS[] = {
     CYAML_FIELD_ENUM("kind", CYAML_FLAG_DEFAULT, struct replay_event, kind,
--- a/bench/sim.c
+++ b/bench/sim.c
@@ -184,6 +184,12 @@
         else if (trouble->kind == REPLAY_FAILING) {
             target->fails_until_ms = until_ms;
         }
+        else if (trouble->kind == REPLAY_LEAVING) {
+            target->rec.leaving = true;
+            target->rec.stays_ms = trouble->for_ms;
+            sim_apply(sim, &FLEET_TARGET_SCHEMA, &target->rec);
+            sim_add_target_event(sim, SIM_GONE, until_ms, target);
+        }
         else {
             sim_crash(sim, target);
             if (trouble->kind == REPLAY_CRASH) {
@@ -279,6 +285,9 @@
     case SIM_STOPPED:
         sim_on_over(sim, event);
         return;
+    case SIM_GONE:
+        sim_crash(sim, event->target);
+        return;
     case SIM_REVIVES:
         sim_revive(sim, event->target);
         return;
--- a/bench/simlead.c
+++ b/bench/simlead.c
@@ -340,6 +340,7 @@
 sim_begin_term(struct sim *sim)
 {
     const struct plan_params params = {.policy = sim->policy,
+                                       .stop_ms = sim->load->stop_ms,
                                        .far_permille = 1500,
                                        .run_base = sim->term * RUN_BASE};
     const struct plan_ops ops = {.start = on_start,
--- a/bench/simpriv.h
+++ b/bench/simpriv.h
@@ -29,6 +29,7 @@
     SIM_ADVISED,   /* the policy answers */
     SIM_SILENT,    /* a target is noticed to be gone */
     SIM_LOST,      /* its lease is over */
+    SIM_GONE,      /* a target is gone that had said it leaves */
     SIM_REVIVES,
     SIM_TROUBLE, /* a trouble of the load begins */
     SIM_LEADS,   /* a new leader begins its term */
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -25,8 +25,8 @@
     uint32_t weight;
     struct fleet_size limit; /* 0 in a field: no limit */
     bool present;
-    struct fleet_size used; /* by runs, starting and stopping ones included;
-                             * kept by the planner */
+    struct fleet_size used;    /* by runs, starting and stopping ones included;
+                                * kept by the planner */
     struct fleet_size unfound; /* by inherited tasks that may run where nobody
                                 * has told yet; kept by the planner */
 };
--- a/core/fleetrec.c
+++ b/core/fleetrec.c
@@ -179,6 +179,7 @@
     STR(fleet_target_rec, rack, FLEET_NAME_BYTES),
     STR(fleet_target_rec, labels, FLEET_LABELS_BYTES),
     BOOL(fleet_target_rec, leaving),
+    U32(fleet_target_rec, stays_ms),
 };
 const struct fp_schema FLEET_TARGET_SCHEMA =
     TABLE("fleet-target-rec", FLEET_TARGET, fleet_target_rec,
@@ -287,6 +288,7 @@
     STR(call_announce, target.rack, FLEET_NAME_BYTES),
     STR(call_announce, target.labels, FLEET_LABELS_BYTES),
     BOOL(call_announce, target.leaving),
+    U32(call_announce, target.stays_ms),
     U64(call_announce, sequence),
 };
 const struct fp_schema CALL_ANNOUNCE_SCHEMA =
--- a/core/fleetrec.h
+++ b/core/fleetrec.h
@@ -188,6 +188,7 @@
     char rack[FLEET_NAME_BYTES];     /* where it stands */
     char labels[FLEET_LABELS_BYTES]; /* joined by commas */
     bool leaving;
+    uint32_t stays_ms; /* at least, from its first word that it leaves */
 };
 
 struct fleet_target_gone {
--- a/core/plan.c
+++ b/core/plan.c
@@ -124,6 +124,8 @@
     struct plan_target *on = target->plan;
 
     reset_health(on);
+    on->leaves_ms = 0;
+    on->evacuated = false;
     for (guint i = on->runs->len; i > 0; i--) {
         struct plan_run *run = on->runs->pdata[i - 1];
 
@@ -462,6 +464,18 @@
     plan->ops.waits(plan->ops.ctx, &wait);
 }
 
+static void
+evacuate(struct plan *plan, uint64_t now_ms)
+{
+    for (guint i = 0; i < plan->targets->len; i++) {
+        struct plan_target *target = plan->targets->pdata[i];
+
+        if (target->target->rec.leaving) {
+            plan_evacuate(plan, target, now_ms);
+        }
+    }
+}
+
 void
 plan_pass(struct plan *plan, uint64_t now_ms, uint64_t wall_ms)
 {
@@ -480,6 +494,7 @@
     drop_closed_steps(plan);
     plan_sort_open(plan, now_ms);
     plan_count_pools(plan, now_ms);
+    evacuate(plan, now_ms);
     for (guint i = 0; i < plan->open->len; i++) {
         struct plan_step *step = plan->open->pdata[i];
 
--- a/core/plan.h
+++ b/core/plan.h
@@ -125,6 +125,7 @@
 
 struct plan_params {
     const struct plan_policy *policy; /* NULL: PLAN_POLICY */
+    uint32_t stop_ms;      /* a target takes this long at most for a stop */
     uint32_t far_permille; /* run time away from the data or over racks */
     uint32_t run_base;     /* run numbers of inherited tasks begin above */
 };
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -54,9 +54,11 @@
     uint64_t held_from_ms;  /* when its tasks should start */
     uint64_t held_until_ms; /* when the hold is given up */
     bool usable;
-    bool told;              /* has listed its runs, or surely has none */
-    uint64_t shunned_ms;    /* no starts before this */
-    uint32_t failed_row;    /* failures in a row */
+    bool told;           /* has listed its runs, or surely has none */
+    uint64_t leaves_ms;  /* may be gone from then on; 0: it is not leaving */
+    bool evacuated;      /* what would be lost there was stopped */
+    uint64_t shunned_ms; /* no starts before this */
+    uint32_t failed_row; /* failures in a row */
     uint32_t slow_permille; /* smoothed run time against the estimate */
     uint32_t serving;       /* runs that bound their tail */
     GPtrArray *runs;        /* struct plan_run, owned */
@@ -171,6 +173,7 @@
 bool plan_start_run(struct plan *plan, struct plan_step *step, uint32_t index,
                     uint32_t run, struct plan_target *target,
                     const char *ticket, uint64_t now_ms);
+void plan_evacuate(struct plan *plan, struct plan_target *on, uint64_t now_ms);
 void plan_order_stop(struct plan *plan, struct plan_run *run, const char *why,
                      uint64_t now_ms);
 struct fleet_size plan_task_size(const struct fleet_step *def);
--- a/core/planrun.c
+++ b/core/planrun.c
@@ -11,10 +11,12 @@
 #define SHUN_FAILING_MS 1500u  /* for each failure in a row past these: */
 #define FAILED_ROW_MAX 1u      /* failures in a row that are borne */
 #define SHUN_MAX_MS 8000u      /* longest time without a trial */
-#define STOP_AGAIN_MS 700u     /* an unanswered stop is ordered again */
-#define SLOW_KEEP 7u           /* of 8 parts of the smoothed run time */
-#define PACE_STEPS 2u          /* a pace is cut by this factor */
-#define PACE_LEAST 10u         /* percent; below it: 0 */
+/* Beyond the time of a stop: for the order, and the end that is listed. */
+#define EVACUATE_SLACK_MS 300u
+#define STOP_AGAIN_MS 700u /* an unanswered stop is ordered again */
+#define SLOW_KEEP 7u       /* of 8 parts of the smoothed run time */
+#define PACE_STEPS 2u      /* a pace is cut by this factor */
+#define PACE_LEAST 10u     /* percent; below it: 0 */
 
 struct fleet_size
 plan_task_size(const struct fleet_step *def)
@@ -555,6 +557,42 @@
     }
 }
 
+/* ---- targets that leave ------------------------------------------------- */
+
+/* Load pattern: targets that are taken away at short notice. What has a
+ * checkpoint and would be lost there is stopped just in time, so that it goes
+ * on elsewhere from where it was; so is what lasts. Work that can be over by
+ * then, or would lose all by a stop, stays. */
+void
+plan_evacuate(struct plan *plan, struct plan_target *on, uint64_t now_ms)
+{
+    if (on->leaves_ms == 0) {
+        on->leaves_ms = now_ms + MAX(on->target->rec.stays_ms, 1);
+    }
+    if (on->evacuated || !on->told ||
+        now_ms + plan->params.stop_ms + EVACUATE_SLACK_MS < on->leaves_ms) {
+        return;
+    }
+    on->evacuated = true;
+    for (guint i = 0; i < on->runs->len; i++) {
+        struct plan_run *run = on->runs->pdata[i];
+        const struct fleet_step *def =
+            run->step != NULL ? run->step->def : NULL;
+
+        if (def == NULL || run->state != RUN_ACTIVE ||
+            (!def->lasting &&
+             (!def->checkpoints || run->expected_ms <= on->leaves_ms))) {
+            continue;
+        }
+        if (def->gang) {
+            plan_stop_gang(plan, run->step, run->run, now_ms);
+        }
+        else {
+            plan_order_stop(plan, run, "its target leaves", now_ms);
+        }
+    }
+}
+
 /* ---- a target's list ---------------------------------------------------- */
 
 /* A run that this plan has not ordered: taken over from an earlier leader, or
--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -571,6 +571,7 @@
     const struct settings_fleet *fleet = parts->settings->fleet;
     const struct plan_params params = {
         .far_permille = fleet->far_permille,
+        .stop_ms = fleet->stop_ms,
         .run_base =
             (uint32_t)raft_term(replica_raft(parts->replica)) * RUNS_A_TERM};
     const struct plan_ops ops = {.start = dispatch_start,
--- a/node/settings.c
+++ b/node/settings.c
@@ -67,6 +67,9 @@
 #define FLEET_NUMBER(name)                                                    \
     CYAML_FIELD_UINT(#name, CYAML_FLAG_DEFAULT, struct settings_fleet, name)
 
+#define FLEET_FRACTION(name)                                                  \
+    CYAML_FIELD_FLOAT(#name, CYAML_FLAG_DEFAULT, struct settings_fleet, name)
+
 static const cyaml_schema_field_t FLEET_FIELDS[] = {
     FLEET_ADDRESS(clients),
     FLEET_ADDRESS(control),
@@ -81,9 +84,10 @@
                      first_start),
     FLEET_NUMBER(bus_port),
     FLEET_NUMBER(lease_ms),
-    FLEET_NUMBER(grace_ms),
-    FLEET_NUMBER(keep_ms),
-    FLEET_NUMBER(far_permille),
+    FLEET_NUMBER(stop_ms),
+    FLEET_FRACTION(grace_s),
+    FLEET_FRACTION(keep_s),
+    FLEET_FRACTION(far_times),
     CYAML_FIELD_END};
 
 static const cyaml_schema_field_t FIELDS[] = {
@@ -377,12 +381,46 @@
 static const struct fleet_range FLEET_RANGES[] = {
     {"bus_port", offsetof(struct settings_fleet, bus_port), 1, 65535},
     {"lease_ms", offsetof(struct settings_fleet, lease_ms), 500, 600000},
-    {"grace_ms", offsetof(struct settings_fleet, grace_ms), 500, 600000},
-    {"keep_ms", offsetof(struct settings_fleet, keep_ms), 1000, 86400000},
-    {"far_permille", offsetof(struct settings_fleet, far_permille), 1000,
-     100000},
+    {"stop_ms", offsetof(struct settings_fleet, stop_ms), 0, 600000},
+};
+
+/* Fractions, and the whole numbers that they stand for. */
+struct fleet_fraction {
+    const char *name;
+    size_t from;
+    size_t to;
+    double least;
+    double most;
 };
 
+static const struct fleet_fraction FLEET_FRACTIONS[] = {
+    {"grace_s", offsetof(struct settings_fleet, grace_s),
+     offsetof(struct settings_fleet, grace_ms), 0.5, 600},
+    {"keep_s", offsetof(struct settings_fleet, keep_s),
+     offsetof(struct settings_fleet, keep_ms), 1, 86400},
+    {"far_times", offsetof(struct settings_fleet, far_times),
+     offsetof(struct settings_fleet, far_permille), 1, 100},
+};
+
+static bool
+check_fractions(struct settings_fleet *fleet, char *why, unsigned why_bytes)
+{
+    for (size_t i = 0;
+         i < sizeof(FLEET_FRACTIONS) / sizeof(FLEET_FRACTIONS[0]); i++) {
+        const struct fleet_fraction *row = &FLEET_FRACTIONS[i];
+        double value = *(double *)((char *)fleet + row->from);
+
+        if (!(value >= row->least && value <= row->most)) {
+            snprintf(why, why_bytes, "fleet.%s: %g is outside %g to %g",
+                     row->name, value, row->least, row->most);
+            return false;
+        }
+        *(uint32_t *)((char *)fleet + row->to) =
+            (uint32_t)(value * 1000 + 0.5);
+    }
+    return true;
+}
+
 static bool
 check_fleet(struct settings *settings, char *why, unsigned why_bytes)
 {
@@ -409,6 +447,9 @@
             return false;
         }
     }
+    if (!check_fractions(fleet, why, why_bytes)) {
+        return false;
+    }
     for (unsigned i = 0; i < fleet->seeds_count; i++) {
         if (!check_address("seeds", fleet->seeds[i], why, why_bytes)) {
             return false;
--- a/node/settings.h
+++ b/node/settings.h
@@ -56,13 +56,18 @@
     char *advice;    /* IP:port of the placement policy; absent: none */
     char **seeds;    /* IP:port of some hosts with a data folder */
     unsigned seeds_count;
-    char *data_centre;     /* of this host */
-    bool first_start;      /* the cell may be founded now */
-    uint32_t bus_port;     /* port of the bus on every host */
-    uint32_t lease_ms;     /* longest lease that a target grants */
-    uint32_t grace_ms;     /* from SIGTERM to SIGKILL */
-    uint32_t keep_ms;      /* an ended job's state can be asked this long */
-    uint32_t far_permille; /* run time away from the data, per 1000 */
+    char *data_centre; /* of this host */
+    bool first_start;  /* the cell may be founded now */
+    uint32_t bus_port; /* port of the bus on every host */
+    uint32_t lease_ms; /* longest lease that a target grants */
+    uint32_t stop_ms;  /* a target takes this long at most to stop a run */
+    double grace_s;    /* from SIGTERM to SIGKILL */
+    double keep_s;     /* an ended job's state can be asked this long */
+    double far_times;  /* run time away from the data, of the one near it */
+    /* The same three as settings_load() leaves them: */
+    uint32_t grace_ms;
+    uint32_t keep_ms;
+    uint32_t far_permille;
 };
 
 struct settings {
--- a/tests/plan_test.cc
+++ b/tests/plan_test.cc
@@ -268,6 +268,47 @@
     EXPECT_EQ(w.starts[3].target, "t2");
 }
 
+// Load: targets that are taken away two seconds after they said so.
+TEST(Plan, WorkWithACheckpointLeavesATargetThatWillBeGone)
+{
+    World w;
+    w.configure({"q"});
+    w.target("t1", 8000);
+    w.lead();
+    w.submit(1, {{.count = 1, .estimate_ms = 9000, .checkpoints = true}});
+    w.submit(2, {{.count = 1, .estimate_ms = 9000}});
+    w.submit(3, {{.count = 1, .estimate_ms = 1000, .checkpoints = true}});
+    w.submit(4, {{.count = 1, .lasting = true}});
+    w.submit(5, {{.count = 1, .estimate_ms = 9000, .gang = true,
+                  .checkpoints = true}});
+    w.pass();
+    ASSERT_EQ(w.starts.size(), 5u);
+    w.confirm_all();
+    w.target("t2", 8000);
+    w.use("t2");
+    w.target("t1", 8000, 0, "r1", true, 1, 2000);
+    w.pass(5);
+    EXPECT_EQ(w.stops.size(), 0u) << "it works on as long as it can";
+    w.pass(850);
+    std::vector<uint64_t> stopped;
+    for (const auto &stop : w.stops) {
+        stopped.push_back(stop.task.job_id);
+    }
+    std::sort(stopped.begin(), stopped.end());
+    EXPECT_EQ(stopped, (std::vector<uint64_t>{1, 4, 5}));
+    Order first = w.starts[0];
+    for (const auto &start : w.starts) {
+        first = start.task.job_id == 1 ? start : first;
+    }
+    w.end(first, RUN_STOPPED, "saved");
+    w.pass(5);
+    ASSERT_EQ(w.starts.size(), 6u);
+    EXPECT_EQ(w.starts[5].target, "t2");
+    EXPECT_EQ(w.starts[5].checkpoint, "saved");
+    w.pass(5000);
+    EXPECT_EQ(w.stops.size(), 3u) << "once";
+}
+
 TEST(Plan, ACapOfATeamIsNeverPassed)
 {
     World w;
--- a/tests/plan_world.h
+++ b/tests/plan_world.h
@@ -119,7 +119,7 @@
 
     void target(const std::string &id, uint32_t cpu = 8000, uint32_t accel = 0,
                 const std::string &rack = "r1", bool leaving = false,
-                uint64_t born = 1)
+                uint64_t born = 1, uint32_t stays_ms = 0)
     {
         fleet_target_rec rec;
         memset(&rec, 0, sizeof(rec));
@@ -133,13 +133,14 @@
         rec.memory_mb = 100000;
         rec.accel = accel;
         rec.leaving = leaving;
+        rec.stays_ms = stays_ms;
         ASSERT_EQ(apply(&FLEET_TARGET_SCHEMA, &rec).err, FP_OK);
     }
 
     // Begins to lead: everything known so far is inherited.
     void lead(uint32_t run_base = 1024)
     {
-        plan_params params = {nullptr, 1500, run_base};
+        plan_params params = {nullptr, 900, 1500, run_base};
         plan_ops ops = {on_start, on_stop, on_pace, on_advise,
                         nullptr,  nullptr, nullptr, this};
         p = plan_new(f, &params, &ops, now);
--- a/tests/platform/lib.sh
+++ b/tests/platform/lib.sh
@@ -28,9 +28,10 @@
   first_start: $2
   bus_port: $((BASE_PORT + 6))
   lease_ms: 6000
-  grace_ms: 6000
-  keep_ms: 120000
-  far_permille: 1500
+  stop_ms: 900
+  grace_s: 6
+  keep_s: 120
+  far_times: 1.5
   seeds: [$(echo "\"$SEEDS\"" | sed 's/,/", "/g')]
 YAML
 }
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -43,9 +43,10 @@
   first_start: {first}
   bus_port: {bus}
   lease_ms: 6000
-  grace_ms: 6000
-  keep_ms: 120000
-  far_permille: 1500
+  stop_ms: 900
+  grace_s: 6
+  keep_s: 120
+  far_times: 1.5
   seeds: [{seeds}]
 """
 
