Latency histograms: calls by kind, commits, first starts, orders, policy, completion

One histogram a kind of call on every host, five on the leader; their number does not grow with teams or requests. Test: Histogram.*.

--- a/core/plan.h
+++ b/core/plan.h
@@ -44,6 +44,7 @@
     const struct fleet_target *target;
     struct fleet_task_name task;
     uint32_t run;
+    bool first;         /* of its job */
     uint64_t waited_ms; /* since the job was taken */
     uint32_t estimate_ms;
     const struct fp_blob *spec;
--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -66,6 +66,10 @@
         g_hash_table_remove(waiting->pending->dispatch->taking,
                             &waiting->job_id);
     }
+    if (waiting->pending->dispatch != NULL) {
+        histogram_add(&waiting->pending->dispatch->times.commit,
+                      clock_mono_ms() - waiting->pending->asked_ms);
+    }
     relay_answer(waiting->relay, &waiting->caller, FP_OK, &answer);
     dispatch_drop_pending(waiting->pending);
     g_free(waiting);
@@ -81,6 +85,7 @@
     waiting->relay = dispatch->parts.relay;
     waiting->caller = *caller;
     waiting->job_id = job_id;
+    waiting->pending->asked_ms = clock_mono_ms();
     replica_propose(dispatch->parts.replica, schema, change, on_change,
                     waiting);
 }
@@ -495,15 +500,19 @@
     char text[32];
     uint32_t chain_ms;
     uint32_t objective_ms;
+    uint64_t took_ms =
+        job->ended_ms - MIN(job->submit.head.at_ms, job->ended_ms);
 
     plan_job_times(job, &chain_ms, &objective_ms);
+    if (job->state == JOB_COMPLETED && objective_ms > 0) {
+        histogram_add(&dispatch->times.completion,
+                      took_ms * 1000 / objective_ms);
+    }
     g_snprintf(text, sizeof(text), "%016llx",
                (unsigned long long)job->submit.id);
     EVENT(EVENT_JOB_ENDED, EVENT_S("id", text),
           EVENT_S("state", JOB_STATE_NAMES[job->state]),
-          EVENT_N("took_ms",
-                  job->ended_ms - MIN(job->submit.head.at_ms, job->ended_ms)),
-          EVENT_N("objective_ms", objective_ms));
+          EVENT_N("took_ms", took_ms), EVENT_N("objective_ms", objective_ms));
     plan_job_ended(dispatch->plan, job, clock_mono_ms());
 }
 
@@ -629,6 +638,12 @@
     return plan_counters(dispatch->plan);
 }
 
+const struct dispatch_times *
+dispatch_times(const struct dispatch *dispatch)
+{
+    return &dispatch->times;
+}
+
 json_t *
 dispatch_dump(const struct dispatch *dispatch)
 {
--- a/node/dispatch.h
+++ b/node/dispatch.h
@@ -8,6 +8,7 @@
 #ifndef FP_DISPATCH_H
 #define FP_DISPATCH_H
 
+#include "base/histogram.h"
 #include "core/plan.h"
 #include "node/orders.h"
 #include "node/relay.h"
@@ -15,6 +16,16 @@
 
 struct dispatch;
 
+/* Times of the leader's work, in ms, since its term began. */
+struct dispatch_times {
+    struct histogram commit; /* of a change, from proposal to answer */
+    struct histogram
+        first_start;             /* from a job's acceptance to its first run */
+    struct histogram order;      /* from a start order to its answer */
+    struct histogram advice;     /* of a question to the placement policy */
+    struct histogram completion; /* of jobs, in thousandths of the objective */
+};
+
 /* What a dispatch works with; all outlive it. */
 struct dispatch_parts {
     struct replica *replica;
@@ -50,6 +61,7 @@
 void dispatch_job_ended(struct dispatch *dispatch, struct fleet_job *job);
 void dispatch_job_removed(struct dispatch *dispatch, struct fleet_job *job);
 
+const struct dispatch_times *dispatch_times(const struct dispatch *dispatch);
 json_t *dispatch_dump(const struct dispatch *dispatch);
 const struct plan_counters *dispatch_counters(const struct dispatch *dispatch);
 
--- a/node/dispatchask.c
+++ b/node/dispatchask.c
@@ -39,6 +39,8 @@
     char id[FLEET_TASK_TEXT_BYTES];
 
     if (dispatch != NULL) {
+        histogram_add(&dispatch->times.advice,
+                      clock_mono_ms() - pending->asked_ms);
         fleet_step_text(&pending->task, id, sizeof(id));
         EVENT(EVENT_POLICY_ANSWERED, EVENT_S("id", id),
               EVENT_N("granted", count),
--- a/node/dispatchlane.c
+++ b/node/dispatchlane.c
@@ -139,6 +139,7 @@
     dispatch->answer_us = (uint32_t)((dispatch->answer_us * ANSWER_KEEP +
                                       MIN(took_us, ORDER_TIMEOUT_MS * 1000)) /
                                      (ANSWER_KEEP + 1));
+    histogram_add(&dispatch->times.order, took_us / 1000);
 }
 
 static void send_start(struct lane *lane, const struct fleet_target *target,
@@ -244,6 +245,9 @@
     pending->start.checkpoint = pending->checkpoint;
     pending->start.ticket = pending->ticket;
     pending->start.spec = &pending->spec;
+    if (start->first) {
+        histogram_add(&dispatch->times.first_start, start->waited_ms);
+    }
     tell_start(start);
     send_start(lane, start->target, pending);
 }
--- a/node/dispatchpriv.h
+++ b/node/dispatchpriv.h
@@ -70,6 +70,7 @@
     uint64_t orders_failed;
     uint64_t holds;
     uint64_t ends_committed;
+    struct dispatch_times times;
 };
 
 /* dispatch.c */
--- a/node/fleetmetrics.c
+++ b/node/fleetmetrics.c
@@ -61,6 +61,37 @@
     }
 }
 
+static void
+add_call_times(GString *out, const struct relay_counters *counts)
+{
+    static const struct {
+        enum call_kind kind;
+        const char *label;
+    } rows[] = {{CALL_SUBMIT, "kind=\"submit\""},
+                {CALL_STATE, "kind=\"state\""},
+                {CALL_CANCEL, "kind=\"cancel\""},
+                {CALL_WAITING, "kind=\"waiting\""},
+                {CALL_CONFIGURE, "kind=\"configure\""},
+                {CALL_READ_CONFIG, "kind=\"read_config\""},
+                {CALL_ANNOUNCE, "kind=\"announce\""}};
+
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        histogram_text(&counts->took_ms[rows[i].kind], "call_ms",
+                       rows[i].label, out);
+    }
+}
+
+static void
+add_leader_times(GString *out, const struct dispatch_times *times)
+{
+    histogram_text(&times->commit, "commit_ms", "", out);
+    histogram_text(&times->first_start, "first_start_ms", "", out);
+    histogram_text(&times->order, "start_order_ms", "", out);
+    histogram_text(&times->advice, "policy_ms", "", out);
+    histogram_text(&times->completion, "completion_permille_of_objective", "",
+                   out);
+}
+
 static void
 reply_metrics(const struct fleetmetrics_parts *parts,
               struct http_request *request)
@@ -71,6 +102,7 @@
     add(out, "reloads_total", parts->reloads);
     add(out, "log_lines_dropped_total", event_dropped());
     add_relay(out, parts->relay);
+    add_call_times(out, relay_counters(parts->relay));
     add_bus(out, parts->bus);
     if (parts->replica != NULL) {
         const struct raft *raft = replica_raft(parts->replica);
@@ -81,6 +113,7 @@
     }
     if (parts->dispatch != NULL) {
         add_plan(out, dispatch_counters(parts->dispatch));
+        add_leader_times(out, dispatch_times(parts->dispatch));
     }
     http_reply(request, 200, "text/plain", out->str, out->len, 0);
     g_string_free(out, TRUE);
--- a/node/relay.c
+++ b/node/relay.c
@@ -23,6 +23,7 @@
     char host[MSG_HOST_BYTES]; /* where the last copy went */
     uint32_t open;             /* copies that may still be looked at */
     uint32_t copies;
+    uint64_t began_ms;
     uint64_t next_ms; /* the next copy */
     uint64_t end_ms;
     relay_done done;
@@ -58,6 +59,10 @@
 {
     static const struct call_answer none;
 
+    if (err == FP_OK && call->kind <= CALL_ADVISE) {
+        histogram_add(&relay->counters.took_ms[call->kind],
+                      clock_mono_ms() - call->began_ms);
+    }
     g_hash_table_steal(relay->calls, &call->request_id);
     call->done(call->ctx, err, answer != NULL ? answer : &none);
     free_call(call);
@@ -134,6 +139,7 @@
         call->open++;
     }
     else if (call->fixed) {
+        call->began_ms = clock_mono_ms();
         call->end_ms = now_ms; /* ends with the next tick, not in here */
     }
     else {
--- a/node/relay.h
+++ b/node/relay.h
@@ -10,6 +10,7 @@
 #ifndef FP_RELAY_H
 #define FP_RELAY_H
 
+#include "base/histogram.h"
 #include "core/fleetrec.h"
 #include "node/bus.h"
 #include "node/clock.h"
@@ -38,6 +39,8 @@
     uint64_t retried;   /* copies after the first */
     uint64_t timed_out; /* calls that ended without an answer */
     uint64_t answered;  /* calls of other hosts */
+    /* Time of each call that was answered, by kind, in ms. */
+    struct histogram took_ms[CALL_ADVISE + 1];
 };
 
 /* The end of a call. err: FP_OK and the leader's answer; FP_ERR_NO_LEADER: no
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -4,6 +4,7 @@
 #include "tests/plan_world.h"
 
 extern "C" {
+#include "base/histogram.h"
 #include "core/ends.h"
 #include "core/members.h"
 }
@@ -207,6 +208,29 @@
 
 // ---- members ---------------------------------------------------------------
 
+TEST(Histogram, BucketsAddUpAndNamesCarryTheUnit)
+{
+    histogram times = {};
+    histogram_add(&times, 0);
+    histogram_add(&times, 5);
+    histogram_add(&times, 6);
+    histogram_add(&times, 90000);
+    GString *out = g_string_new(nullptr);
+    histogram_text(&times, "call_ms", "kind=\"submit\"", out);
+    std::string text = out->str;
+    g_string_free(out, TRUE);
+    EXPECT_NE(text.find("call_ms_bucket{kind=\"submit\",le=\"1\"} 1\n"),
+              std::string::npos);
+    EXPECT_NE(text.find("{kind=\"submit\",le=\"5\"} 2\n"),
+              std::string::npos);
+    EXPECT_NE(text.find("{kind=\"submit\",le=\"+Inf\"} 4\n"),
+              std::string::npos);
+    EXPECT_NE(text.find("call_ms_sum{kind=\"submit\"} 90011\n"),
+              std::string::npos);
+    EXPECT_NE(text.find("call_ms_count{kind=\"submit\"} 4\n"),
+              std::string::npos);
+}
+
 TEST(Ends, ANumberIsToldOnceAndOnlyToWhoJustAnswered)
 {
     end_marks marks = {0, 0, 0};
