--- a/cli/explain.c
+++ b/cli/explain.c
@@ -24,6 +24,7 @@
     const struct line *accepted;
     const struct line *rejected;
     const struct line *ended;
+    const struct line *new_leader;  /* while the job was under way, the last */
     const struct line *failed_call; /* the last one */
     const struct line *run_lost;
     const struct line *unanswered;
@@ -108,6 +109,12 @@
     return x->at_s < y->at_s ? -1 : x->at_s > y->at_s;
 }
 
+static bool
+is_under_way(const struct story *story)
+{
+    return story->accepted != NULL && story->ended == NULL;
+}
+
 static void
 note(struct story *story, const struct line *line)
 {
@@ -148,6 +155,12 @@
                   number_of(story->slow_word, "took_ms"))) {
         story->slow_word = line;
     }
+    else if (!is_under_way(story)) {
+        return; /* what is not about the job matters only meanwhile */
+    }
+    else if (strcmp(event, "cell.leads") == 0) {
+        story->new_leader = line;
+    }
     else if (strcmp(event, "lines.left_out") == 0) {
         story->lines_left_out += (uint32_t)number_of(line, "count");
     }
@@ -188,6 +201,11 @@
         printf("because target %s was lost while it ran there.\n",
                text_of(story->run_lost, "target"));
     }
+    else if (story->new_leader != NULL) {
+        printf("because the leader was lost; %s led %.0f ms after it came.\n",
+               text_of(story->new_leader, "host"),
+               (story->new_leader->at_s - story->accepted->at_s) * 1000);
+    }
     else if (story->waits != NULL) {
         printf("because step %s waited %lld ms or more: %s.\n",
                text_of(story->waits, "id"),
--- a/core/plan.c
+++ b/core/plan.c
@@ -529,6 +529,7 @@
 
     plan->fleet = fleet;
     plan->params = *params;
+    plan->now_ms = now_ms;
     if (plan->params.policy == NULL) {
         plan->params.policy = &PLAN_POLICY;
     }
--- a/tests/plan_test.cc
+++ b/tests/plan_test.cc
@@ -126,6 +126,18 @@
     EXPECT_GT(w.starts[1].run, 2048u) << "above all runs of earlier terms";
 }
 
+// Found by "explain" on a day with a lost leader: waits of hours.
+TEST(Plan, AnInheritedStepWaitsSinceTheTermBegan)
+{
+    World w;
+    w.configure({"q"});
+    w.submit(1, {{.count = 1}});
+    w.now = 5000000;
+    w.lead();
+    ASSERT_EQ(w.p->open->len, 1u);
+    EXPECT_EQ(((plan_step *)w.p->open->pdata[0])->open_ms, 5000000u);
+}
+
 TEST(Plan, ARunThatNobodyOrderedIsStopped)
 {
     World w;
--- /dev/null
+++ b/tests/sessions/explain.sh
@@ -0,0 +1,27 @@
+# From a job's ID to its cause, out of the logs of two hosts: a lost leader, a
+# lost target, a wait, a queue's bound on attempts, a call that was turned away.
+LOGS=$(mktemp -d)
+cat >"$LOGS/one" <<'LINES'
+{"at":100.000,"event":"job.accepted","id":"00000000000000a1","queue":"q","team":"t","tasks":1,"chain_ms":700,"objective_ms":1300,"config":3}
+{"at":100.020,"event":"run.ordered","id":"00000000000000a1.0.0.0","run":1,"target":"t-1","waited_ms":20,"estimate_ms":700,"resumes":0}
+{"at":100.100,"event":"job.accepted","id":"00000000000000a2","queue":"q","team":"t","tasks":1,"chain_ms":700,"objective_ms":1300,"config":3}
+{"at":100.120,"event":"run.ordered","id":"00000000000000a2.0.0.0","run":1,"target":"t-2","waited_ms":20,"estimate_ms":700,"resumes":0}
+{"at":100.900,"event":"job.ended","id":"00000000000000a2","state":"completed","took_ms":800,"objective_ms":1300}
+{"at":101.000,"event":"job.rejected","id":"00000000000000a3","error":"busy","wait_ms":12000}
+{"at":101.100,"event":"cell.leads","host":"10.0.0.9","term":2,"config":3}
+LINES
+cat >"$LOGS/two" <<'LINES'
+{"at":103.000,"event":"cell.leads","host":"10.0.0.2","term":4,"config":3}
+{"at":103.400,"event":"job.ended","id":"00000000000000a1","state":"completed","took_ms":3400,"objective_ms":1300}
+{"at":104.000,"event":"job.accepted","id":"00000000000000a4","queue":"q","team":"t","tasks":1,"chain_ms":700,"objective_ms":1300,"config":3}
+{"at":104.100,"event":"run.lost","id":"00000000000000a4.0.0.0","run":1,"target":"t-3","why":"its target is lost"}
+{"at":107.000,"event":"job.ended","id":"00000000000000a4","state":"completed","took_ms":3000,"objective_ms":1300}
+{"at":108.000,"event":"job.accepted","id":"00000000000000a5","queue":"q","team":"t","tasks":1,"chain_ms":700,"objective_ms":1300,"config":3}
+{"at":109.200,"event":"step.waits","id":"00000000000000a5.0.0","why":"its team is at its limit","idle":1,"granted":0,"waited_ms":1200,"free_cpu_milli":9000,"free_accel":0}
+{"at":110.000,"event":"lines.left_out","kind":"run.ended","count":7}
+{"at":111.000,"event":"job.ended","id":"00000000000000a5","state":"completed","took_ms":3000,"objective_ms":1300}
+LINES
+for id in 00000000000000a1 00000000000000a2 00000000000000a3 00000000000000a4 00000000000000a5 00000000000000ff; do
+    "$FP" explain $id "$LOGS/two" "$LOGS/one" | sed "s|$LOGS/||"
+done
+rm -rf "$LOGS"
