Inherited work waits for its own service; starts of a moment without the lease are taken back

(1) After a takeover all inherited work waited until every target had told or its lease was over; now only until those of its service have.

--- a/core/plan.c
+++ b/core/plan.c
@@ -426,12 +426,20 @@
            (int64_t)now_ms + plan->wall_offset_ms >= (int64_t)step->due_ms;
 }
 
+/* Load pattern: a leader is lost while some targets are cut off. Inherited
+ * work may still run on a target of its service that has not told; the other
+ * services need not wait for that. */
+static bool
+is_settled(const struct plan *plan, const struct plan_job *job)
+{
+    return plan->settled || !job->inherited || job->pool->untold == 0;
+}
+
 static bool
 may_start(const struct plan *plan, const struct plan_step *step,
           uint64_t now_ms)
 {
-    return (plan->settled || !step->job->inherited) &&
-           is_due(plan, step, now_ms);
+    return is_settled(plan, step->job) && is_due(plan, step, now_ms);
 }
 
 static void
--- a/core/planorder.c
+++ b/core/planorder.c
@@ -202,6 +202,7 @@
     while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&pool)) {
         memset(&pool->size, 0, sizeof(pool->size));
         memset(&pool->used, 0, sizeof(pool->used));
+        pool->untold = 0;
         decay_peak(pool, now_ms);
     }
     memset(&plan->untold, 0, sizeof(plan->untold));
@@ -210,6 +211,7 @@
 
         if (!target->told) {
             plan_add_size(&plan->untold, &target->size);
+            target->pool->untold++;
         }
         if (target->usable && !target->target->rec.leaving) {
             target->pool->size.cpu_milli += target->size.cpu_milli;
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -39,6 +39,7 @@
     char service[FLEET_NAME_BYTES];
     struct fleet_size size;  /* of usable targets; set by each pass */
     struct fleet_size used;  /* the same */
+    uint32_t untold;         /* targets that have not told what runs there */
     struct fleet_size tight; /* by runs of work with little slack */
     struct fleet_size peak;  /* of tight, decaying */
     uint64_t decayed_ms;     /* when peak last decayed */
--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -601,6 +601,7 @@
     dispatch->helpers =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     dispatch->pending = g_hash_table_new(g_direct_hash, g_direct_equal);
+    dispatch->unsent = g_ptr_array_new();
     dispatch->taking =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     dispatch->plan = plan_new(parts->fleet, &params, &ops, dispatch->since_ms);
@@ -624,6 +625,10 @@
     while (g_hash_table_iter_next(&iter, (gpointer *)&pending, NULL)) {
         pending->dispatch = NULL;
     }
+    for (guint i = 0; i < dispatch->unsent->len; i++) {
+        dispatch_drop_pending(dispatch->unsent->pdata[i]);
+    }
+    g_ptr_array_free(dispatch->unsent, TRUE);
     plan_free(dispatch->plan);
     g_hash_table_destroy(dispatch->pending);
     g_hash_table_destroy(dispatch->lanes);
--- a/node/dispatchask.c
+++ b/node/dispatchask.c
@@ -9,7 +9,10 @@
 #include "node/dispatchpriv.h"
 
 #define HELPER_SILENT_MS 1500u /* a helper not heard of is not asked */
-#define ANSWER_SLACK_MS 200u   /* beyond the expected time and a half */
+#define ANSWER_SLACK_MS 200u   /* beyond twice the expected time */
+/* However slow the policy has been: the asker may be gone, and its step waits
+ * meanwhile. Twice the longest question, 100 targets at 8 ms and 560 ms. */
+#define ANSWER_MOST_MS 3000u
 
 struct asking {
     struct pending *pending;
@@ -118,11 +121,11 @@
 {
     struct dispatch *dispatch = ctx;
     struct helper *helper = find_helper(dispatch, short_call, clock_mono_ms());
-    struct call_advise question = {.job_id = step->job_id,
-                                   .occurrence = step->occurrence,
-                                   .step = step->step,
-                                   .timeout_ms =
-                                       expected_ms * 2 + ANSWER_SLACK_MS};
+    struct call_advise question = {
+        .job_id = step->job_id,
+        .occurrence = step->occurrence,
+        .step = step->step,
+        .timeout_ms = MIN(expected_ms * 2 + ANSWER_SLACK_MS, ANSWER_MOST_MS)};
     struct asking *asking;
     char id[FLEET_TASK_TEXT_BYTES];
 
--- a/node/dispatchlane.c
+++ b/node/dispatchlane.c
@@ -232,12 +232,13 @@
     struct lane *lane = lane_of(dispatch, start->target);
     struct pending *pending;
 
-    if (!leads(dispatch)) {
-        return; /* the plan ends with the lease */
-    }
     pending = dispatch_add_pending(dispatch, lane);
     pending->task = start->task;
     pending->run = start->run;
+    if (!leads(dispatch)) { /* the lease ended within this pass */
+        g_ptr_array_add(dispatch->unsent, pending);
+        return;
+    }
     pending->start = *start;
     pending->checkpoint = g_strdup(start->checkpoint);
     pending->ticket = g_strdup(start->ticket);
@@ -397,6 +398,10 @@
         EVENT(EVENT_TARGET_BACK, EVENT_S("id", lane->id),
               EVENT_N("runs", reply->row_count));
     }
+    if (lane->lost) {
+        /* Nothing runs under a lease; the next hold grants one. */
+        lane->gone_by_ms = now_ms + dispatch->parts.settings->fleet->lease_ms;
+    }
     lane->silent = false;
     lane->lost = false;
     for (uint32_t i = 0; i < reply->end_count; i++) {
@@ -562,8 +567,8 @@
 {
     struct lane *lane = lane_of(dispatch, target);
 
+    lane->born_ms = target->rec.born_ms; /* of the stops that follow, too */
     plan_target_reborn(dispatch->plan, target, now_ms);
-    lane->born_ms = target->rec.born_ms;
     lane->holding = false;
     lane->committing = false;
     lane->has_clock = false;
@@ -638,12 +643,33 @@
     plan_settled(dispatch->plan);
 }
 
+/* Starts that were ordered while this host did not lead for a moment: they
+ * were not sent. The plan cannot be told within its own pass. */
+static void
+settle_unsent(struct dispatch *dispatch, uint64_t now_ms)
+{
+    while (dispatch->unsent->len > 0) {
+        struct pending *pending = g_ptr_array_steal_index(
+            dispatch->unsent, dispatch->unsent->len - 1);
+        struct fleet_target *target = target_of(pending);
+
+        if (target != NULL) {
+            tell_run(EVENT_RUN_REFUSED, &pending->task, pending->run,
+                     pending->id, "answer", answer_name(ORDER_NOT_SENT));
+            plan_start_answered(dispatch->plan, target, &pending->task,
+                                pending->run, ORDER_NOT_SENT, now_ms);
+        }
+        dispatch_drop_pending(pending);
+    }
+}
+
 void
 dispatch_tick_lanes(struct dispatch *dispatch, uint64_t now_ms)
 {
     GHashTableIter iter;
     struct lane *lane;
 
+    settle_unsent(dispatch, now_ms);
     if (!leads(dispatch)) {
         return;
     }
--- a/node/dispatchpriv.h
+++ b/node/dispatchpriv.h
@@ -62,6 +62,7 @@
     GHashTable *lanes;      /* ID to struct lane */
     GHashTable *helpers;    /* host to struct helper */
     GHashTable *pending;    /* the set of struct pending */
+    GPtrArray *unsent;      /* struct pending: starts to be taken back */
     GHashTable *taking;     /* job IDs whose submission is on its way */
     bool local_busy;        /* this host asks the policy itself */
     uint32_t answer_us;     /* smoothed time of an answer to a start */
--- a/tests/plan_test.cc
+++ b/tests/plan_test.cc
@@ -112,6 +112,7 @@
     w.target("t1");
     w.submit(1, {{.count = 2}});
     w.lead(2048);
+    ((plan_target *)w.find("t1")->plan)->told = false;
     w.submit(2, {{.count = 1}});
     w.pass();
     ASSERT_EQ(w.starts.size(), 1u) << "only what came in this term";
@@ -126,6 +127,25 @@
     EXPECT_GT(w.starts[1].run, 2048u) << "above all runs of earlier terms";
 }
 
+TEST(Plan, ADarkTargetHoldsUpInheritedWorkOfItsOwnServiceOnly)
+{
+    World w;
+    w.configure({"q", "alt"});
+    w.target("t1");
+    w.target("t2", 8000, 0, "r1", false, 1, 0, "alt");
+    w.submit(1, {{.count = 1}});
+    w.submit(2, {{.count = 1}}, "alt");
+    w.lead();
+    ((plan_target *)w.find("t2")->plan)->told = false;
+    w.pass();
+    ASSERT_EQ(w.starts.size(), 1u);
+    EXPECT_EQ(w.starts[0].task.job_id, 1u);
+    plan_target_lost(w.p, w.find("t2"), w.now);
+    w.use("t2");
+    w.pass(5);
+    EXPECT_EQ(w.starts.size(), 2u);
+}
+
 // Found by "explain" on a day with a lost leader: waits of hours.
 TEST(Plan, AnInheritedStepWaitsSinceTheTermBegan)
 {
