Numbers of ends wait for two answered calls; replay: cut links, copies, lost questions

The call after a failure opens the connection, so that the number found only a newer one, closed it, and the next call opened another one. Ends stayed unacknowledged meanwhile, and a target that leaves then takes them along: for the platform its task has to run again.

--- a/bench/replay.h
+++ b/bench/replay.h
@@ -56,6 +56,8 @@
     uint32_t spread_percent; /* of tasks, cpu, memory and work around it */
     uint32_t estimate_off_percent;
     uint32_t failures_permille; /* runs that fail by their own fault */
+    uint32_t copies_permille;   /* steps whose tasks may have copies */
+    uint32_t apart_permille;    /* steps with few tasks a target */
     bool gang;
     bool lasting;
     bool checkpoints;
@@ -74,6 +76,8 @@
     REPLAY_SLOW,    /* work on targets takes factor times as long */
     REPLAY_FAILING, /* targets fail what they run */
     REPLAY_LOSSY,   /* orders are not answered and carried out late */
+    REPLAY_CUT,     /* targets run on without a link; factor 100: only their
+                     * answers are lost */
     REPLAY_NO_LEADER,
     REPLAY_TROUBLES
 };
--- a/bench/replayjobs.c
+++ b/bench/replayjobs.c
@@ -7,8 +7,9 @@
 #define LATE_FACTOR 3u               /* past so many objectives: nothing */
 #define LATE_PERMILLE 200u           /* earned when late */
 #define OBJECTIVE_ADVICE_TARGETS 30u /* named in the question that counts */
-#define WIDEST 5.0             /* a draw is at most this times its mean */
-#define UNEVEN_PERCENT 30u     /* run times of tasks around their job's */
+#define WIDEST 5.0         /* a draw is at most this times its mean */
+#define UNEVEN_PERCENT 30u /* run times of tasks around their job's */
+#define APART_TARGETS 8u   /* that tasks kept apart are at least spread over */
 #define LASTING_STAY_MS 45000u /* mean time until a caller cancels */
 
 uint32_t
@@ -79,6 +80,11 @@
     step->estimate_ms =
         (uint32_t)(work_ms * exp((g_rand_double(rand) * 2 - 1) * off / 100.0));
     step->gang = queue->gang;
+    step->duplicates =
+        (uint32_t)g_rand_int_range(rand, 0, 1000) < queue->copies_permille;
+    if ((uint32_t)g_rand_int_range(rand, 0, 1000) < queue->apart_permille) {
+        step->spread = 1 + step->count / APART_TARGETS;
+    }
     step->lasting = queue->lasting;
     step->checkpoints = queue->checkpoints;
     if (at > 0) {
--- a/bench/replayload.c
+++ b/bench/replayload.c
@@ -59,6 +59,8 @@
     NEEDED(replay_queue, spread_percent),
     NEEDED(replay_queue, estimate_off_percent),
     NUMBER(replay_queue, failures_permille),
+    NUMBER(replay_queue, copies_permille),
+    NUMBER(replay_queue, apart_permille),
     FLAG(replay_queue, gang),
     FLAG(replay_queue, lasting),
     FLAG(replay_queue, checkpoints),
@@ -69,10 +71,11 @@
     CYAML_FIELD_END};
 
 static const cyaml_strval_t TROUBLES[] = {
-    {"burst", REPLAY_BURST},     {"crash", REPLAY_CRASH},
-    {"removed", REPLAY_REMOVED}, {"leaving", REPLAY_LEAVING},
-    {"slow", REPLAY_SLOW},       {"failing", REPLAY_FAILING},
-    {"lossy", REPLAY_LOSSY},     {"no_leader", REPLAY_NO_LEADER}};
+    {"burst", REPLAY_BURST},        {"crash", REPLAY_CRASH},
+    {"removed", REPLAY_REMOVED},    {"leaving", REPLAY_LEAVING},
+    {"slow", REPLAY_SLOW},          {"failing", REPLAY_FAILING},
+    {"lossy", REPLAY_LOSSY},        {"cut", REPLAY_CUT},
+    {"no_leader", REPLAY_NO_LEADER}};
 
 static const cyaml_schema_field_t EVENT_FIELDS[] = {
     CYAML_FIELD_ENUM("kind", CYAML_FLAG_DEFAULT, struct replay_event, kind,
--- a/bench/sim.c
+++ b/bench/sim.c
@@ -184,6 +184,11 @@
         else if (trouble->kind == REPLAY_FAILING) {
             target->fails_until_ms = until_ms;
         }
+        else if (trouble->kind == REPLAY_CUT) {
+            target->cut_until_ms = until_ms;
+            target->cut_answers_only = trouble->factor_percent >= 100;
+            sim_cut(sim, target);
+        }
         else if (trouble->kind == REPLAY_LEAVING) {
             target->rec.leaving = true;
             target->rec.stays_ms = trouble->for_ms;
@@ -285,6 +290,16 @@
     case SIM_STOPPED:
         sim_on_over(sim, event);
         return;
+    case SIM_LAPSES:
+        if (event->target->up && event->target->rec.born_ms == event->born) {
+            sim_on_lapse(sim, event->target);
+        }
+        return;
+    case SIM_ANNOUNCES:
+        if (event->target->up && event->target->removed) {
+            sim_apply(sim, &FLEET_TARGET_SCHEMA, &event->target->rec);
+        }
+        return;
     case SIM_GONE:
         sim_crash(sim, event->target);
         return;
--- a/bench/simpriv.h
+++ b/bench/simpriv.h
@@ -29,6 +29,10 @@
     SIM_ADVISED,   /* the policy answers */
     SIM_SILENT,    /* a target is noticed to be gone */
     SIM_LOST,      /* its lease is over */
+    SIM_ASKS,      /* a hold is sent after one that failed */
+    SIM_LAPSES,    /* a target looks whether its lease is over */
+    SIM_REMOVES,   /* a lost target is forgotten */
+    SIM_ANNOUNCES, /* it tells of itself again */
     SIM_GONE,      /* a target is gone that had said it leaves */
     SIM_REVIVES,
     SIM_TROUBLE, /* a trouble of the load begins */
@@ -48,7 +52,7 @@
     uint32_t run;
     char checkpoint[FLEET_CHECKPOINT_BYTES];
     enum order_answer answer;
-    bool silent;   /* an order that is never answered */
+    bool silent;   /* an order or a question that is not answered */
     uint64_t upto; /* ends that are stored */
     const struct replay_event *trouble;
     GArray *tickets;     /* struct call_ticket, owned */
@@ -85,8 +89,14 @@
     uint64_t next_number;
     uint64_t slow_until_ms, fails_until_ms;
     uint32_t slow_percent;
+    uint64_t cut_until_ms;
+    bool cut_answers_only; /* orders still arrive */
+    uint64_t lease_until_ms;
+    bool removed; /* the fleet has forgotten it */
     /* The leader's side: */
-    uint64_t stored; /* ends up to this are in the log */
+    bool silent;               /* its last hold was not answered */
+    uint64_t granted_until_ms; /* every lease is over by then */
+    uint64_t stored;           /* ends up to this are in the log */
     bool listed;
     bool lost;
     bool committing;
@@ -140,6 +150,10 @@
 void sim_on_order(struct sim *sim, struct sim_event *order);
 /* A run is over: SIM_ENDS or SIM_STOPPED. */
 void sim_on_over(struct sim *sim, struct sim_event *event);
+/* Its link is cut until its cut_until_ms. */
+void sim_cut(struct sim *sim, struct sim_target *target);
+/* Ends what runs when the lease is over: SIM_LAPSES. */
+void sim_on_lapse(struct sim *sim, struct sim_target *target);
 void sim_crash(struct sim *sim, struct sim_target *target);
 void sim_revive(struct sim *sim, struct sim_target *target);
 void sim_free_target(void *target);
--- a/core/ends.c
+++ b/core/ends.c
@@ -4,8 +4,8 @@
 uint64_t
 ends_to_tell(const struct end_marks *marks)
 {
-    return marks->asked_ms != 0 && marks->stored > marks->told ? marks->stored
-                                                               : 0;
+    return marks->before_ms != 0 && marks->stored > marks->told ? marks->stored
+                                                                : 0;
 }
 
 void
@@ -19,6 +19,7 @@
 void
 ends_answered(struct end_marks *marks, uint64_t number, uint64_t asked_ms)
 {
+    marks->before_ms = marks->asked_ms;
     marks->asked_ms = asked_ms;
     if (number > marks->told) {
         marks->told = number;
@@ -29,4 +30,5 @@
 ends_unanswered(struct end_marks *marks)
 {
     marks->asked_ms = 0;
+    marks->before_ms = 0;
 }
--- a/core/ends.h
+++ b/core/ends.h
@@ -5,7 +5,8 @@
  * that an old number would make it forget ends that nobody has seen. Hence a
  * number is sent only until it was answered once, and only over a connection
  * that is older than the last call that was answered: it leads to the same
- * incarnation or nowhere.
+ * incarnation or nowhere. Two calls in a row must have been answered, so that
+ * there is such a connection: the first one may have opened it.
  */
 #ifndef FP_ENDS_H
 #define FP_ENDS_H
@@ -14,10 +15,11 @@
 
 /* All zero for a new incarnation. */
 struct end_marks {
-    uint64_t stored;   /* ends up to this number are stored */
-    uint64_t told;     /* and the target has answered that it knows */
-    uint64_t asked_ms; /* when the last call was made, if it was answered by
-                        * this incarnation; else 0 */
+    uint64_t stored;    /* ends up to this number are stored */
+    uint64_t told;      /* and the target has answered that it knows */
+    uint64_t asked_ms;  /* when the last call was made, if it was answered by
+                         * this incarnation; else 0 */
+    uint64_t before_ms; /* the same of the call before it */
 };
 
 /* The number to send with the next hold; 0: none. */
--- a/tests/replay_test.cc
+++ b/tests/replay_test.cc
@@ -79,6 +79,22 @@
     EXPECT_GT(now, load.earned(&PLAN_FIFO, "scan", 1));
 }
 
+// Load: targets that run on unseen while leaders are lost.
+TEST(Replay, NothingRunsTwiceWhileTargetsAreCutOffAndLeadersAreLost)
+{
+    Load cuts("cut-targets.yaml");
+    ASSERT_NE(cuts.load, nullptr);
+    for (uint32_t seed = 1; seed <= 6; seed++) {
+        sim_result *result = sim_play(cuts.load, &PLAN_POLICY, seed);
+        const sim_breaches &breaches = result->breaches;
+        EXPECT_EQ(breaches.over_size + breaches.doubled + breaches.over_cap +
+                      breaches.stuck,
+                  0u)
+            << "seed " << seed << ": " << breaches.first;
+        sim_result_free(result);
+    }
+}
+
 // Load: targets are taken away two seconds after they said that they leave.
 TEST(Replay, NothingIsLostOrDoubledWhenTargetsLeaveAtShortNotice)
 {
