Ends that are stored already are not stored again

With numbers told only after two answered calls, a target lists its ends once more after a failure; storing them again held its acknowledgement up for the time of a commit, seconds on a stalled disk. Found by reading.

--- a/node/dispatchlane.c
+++ b/node/dispatchlane.c
@@ -367,12 +367,16 @@
 
     commit->pending = dispatch_add_pending(dispatch, lane);
     for (uint32_t i = 0; i < reply->end_count; i++) {
-        struct fleet_end *end = fp_list_add(&ends.items, sizeof(*end));
+        struct fleet_end *end;
 
+        if (reply->ends[i].number <= lane->ends.stored) {
+            continue; /* the target was not told of it yet */
+        }
+        end = fp_list_add(&ends.items, sizeof(*end));
         *end = reply->ends[i].end;
         commit->number = MAX(commit->number, reply->ends[i].number);
     }
-    dispatch->ends_committed += reply->end_count;
+    dispatch->ends_committed += ends.items.count;
     lane->committing = true;
     replica_propose(dispatch->parts.replica, &FLEET_ENDS_SCHEMA, &ends,
                     on_ends_committed, commit);
@@ -393,6 +397,7 @@
            const struct order_reply *reply, uint64_t asked_ms, uint64_t now_ms)
 {
     struct dispatch *dispatch = lane->dispatch;
+    bool fresh = false;
 
     if (lane->silent || lane->lost) {
         EVENT(EVENT_TARGET_BACK, EVENT_S("id", lane->id),
@@ -406,6 +411,7 @@
     lane->lost = false;
     for (uint32_t i = 0; i < reply->end_count; i++) {
         if (reply->ends[i].number > lane->ends.stored) {
+            fresh = true;
             tell_end(lane, &reply->ends[i].end);
             plan_run_ended(dispatch->plan, target, &reply->ends[i].end,
                            now_ms);
@@ -416,7 +422,7 @@
     lane->listed = true;
     plan_target_usable(dispatch->plan, target, lane->has_clock);
     lane->next_hold_ms = now_ms;
-    if (reply->end_count > 0) {
+    if (fresh) {
         commit_ends(lane, reply);
     }
 }
