Lost runs are told apart: suspects and neighbours, on every path

target.crashed tells how many runs a lost target had and how many of them are suspects (started so shortly before its last sign of life that their start may have crashed it); run.lost has both kinds, on all paths; metrics by queue; explain sums them up. An order's reply tells a connection that the target ended from one without an answer in time. No decision is changed, but one: the stops of a gang whose member's target was removed were stamped with time 0 and so were never repeated.

--- a/base/event.c
+++ b/base/event.c
@@ -65,6 +65,9 @@
     [EVENT_TARGET_LOST] =
         {"target.lost", 100, "id why",
          "a target is lost; no run is active there any more"},
+    [EVENT_TARGET_CRASHED] = {"target.crashed", 200,
+                              "id how runs suspects silent_ms",
+                              "a target was lost with so many runs"},
     [EVENT_TARGET_REMOVED] = {"target.removed", 100, "id",
                               "a target was removed from the state"},
     [EVENT_TARGET_BACKOFF] =
@@ -106,8 +109,10 @@
          "the pace of a run on spare processors was changed"},
     [EVENT_RUN_ENDED] = {"run.ended", 500, "id run target how ran_ms",
                          "a target reported the end of a run"},
-    [EVENT_RUN_LOST] = {"run.lost", 200, "id run target why",
-                        "a run was lost with its target"},
+    [EVENT_RUN_LOST] =
+        {"run.lost", 500, "id run target ran_ms suspect",
+         "a run was lost with its target; suspect: its start may have crashed "
+         "the target"},
     [EVENT_RUN_FOUND] = {"run.found", 300, "id run target wanted",
                          "a target listed a run that this leader did not "
                          "order; it is adopted or stopped"},
--- a/bench/simlead.c
+++ b/bench/simlead.c
@@ -55,7 +55,7 @@
     target->answer_unread = false;
     if (!target->silent) {
         target->silent = true;
-        plan_set_target_usable(sim->plan, fleet_target, false);
+        plan_target_silent(sim->plan, fleet_target, false, sim->now_ms);
         sim_add_target_event(sim, SIM_TARGET_LOSS, target->leases_over_ms,
                              target);
     }
@@ -554,7 +554,7 @@
         return;
     case SIM_CRASH_DETECTION:
         if (!target->up) {
-            plan_set_target_usable(sim->plan, fleet_target, false);
+            plan_target_silent(sim->plan, fleet_target, true, sim->now_ms);
         }
         return;
     default: /* SIM_TARGET_LOSS */
@@ -564,7 +564,7 @@
             target->lost = true;
             sim_add_target_event(sim, SIM_TARGET_REMOVAL,
                                  sim->now_ms + REMOVAL_DELAY_MS, target);
-            plan_target_lost(sim->plan, fleet_target, sim->now_ms);
+            plan_target_lost(sim->plan, fleet_target, LOSS_LEASE, sim->now_ms);
             check_reconciled(sim);
         }
     }
--- a/cli/explain.c
+++ b/cli/explain.c
@@ -34,7 +34,9 @@
     const struct log_line *longest_wait;
     const struct log_line *slowest_answer; /* of the placement policy */
     uint32_t failed_run_count;
-    uint32_t lines_left_out; /* while the job was live */
+    uint32_t lost_suspect_count; /* lost runs that may have crashed a target */
+    uint32_t lost_neighbour_count; /* other lost runs */
+    uint32_t lines_left_out;       /* while the job was live */
 };
 
 static const char *
@@ -137,6 +139,12 @@
     }
     else if (strcmp(event, "run.lost") == 0) {
         history->run_lost = line;
+        if (integer_field(line, "suspect") != 0) {
+            history->lost_suspect_count++;
+        }
+        else {
+            history->lost_neighbour_count++;
+        }
     }
     else if (strcmp(event, "run.unanswered") == 0) {
         history->run_unanswered = line;
@@ -275,6 +283,11 @@
         printf("%u lines were dropped from these logs.\n",
                history->lines_left_out);
     }
+    if (history->run_lost != NULL) {
+        printf("Runs lost with their targets: %u whose start may have crashed "
+               "the target, %u others.\n",
+               history->lost_suspect_count, history->lost_neighbour_count);
+    }
     if (history->ended != NULL) {
         print_ended_cause(history);
     }
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -21,6 +21,10 @@
     bool configured;       /* part of the current configuration */
     uint32_t waiting_jobs; /* jobs that have had no run yet; maintained by
                             * the scheduler */
+    /* Runs lost with a target, counted by this host while it led; maintained
+     * by the scheduler. */
+    uint64_t lost_suspects;   /* their start may have crashed the target */
+    uint64_t lost_neighbours; /* the others */
 };
 
 /* A team. It is kept after a configuration drops it, since its jobs refer to
--- a/core/plan.c
+++ b/core/plan.c
@@ -102,6 +102,10 @@
 {
     struct plan_target *ptarget = target->plan;
 
+    if (usable) {
+        ptarget->silent_ms = 0;
+        ptarget->closed = false;
+    }
     if (ptarget->usable != usable) {
         ptarget->usable = usable;
         plan->dirty = true;
@@ -131,14 +135,17 @@
     target->failures_in_row = 0;
     target->backoff_until_ms = 0;
     target->slowdown_permille = 1000;
+    target->silent_ms = 0;
+    target->closed = false;
 }
 
 void
 plan_target_lost(struct plan *plan, struct fleet_target *target,
-                 uint64_t now_ms)
+                 enum plan_loss loss, uint64_t now_ms)
 {
     struct plan_target *ptarget = target->plan;
 
+    plan_report_crash(plan, ptarget, loss, now_ms);
     reset_health(ptarget);
     ptarget->runs_known = true;
     while (ptarget->runs->len > 0) {
@@ -153,6 +160,7 @@
 {
     struct plan_target *ptarget = target->plan;
 
+    plan_report_crash(plan, ptarget, LOSS_CRASHED, now_ms);
     reset_health(ptarget);
     ptarget->leaves_ms = 0;
     ptarget->evacuated = false;
@@ -179,7 +187,11 @@
     if (ptarget == NULL) {
         return;
     }
-    plan_target_lost(plan, target, 0);
+    if (ptarget->runs->len > 0) {
+        plan_target_lost(plan, target,
+                         target->rec.leaving ? LOSS_LEFT : LOSS_CRASHED,
+                         plan->now_ms);
+    }
     plan_clear_reservation(ptarget);
     g_ptr_array_remove_fast(ptarget->pool->targets, ptarget);
     g_ptr_array_remove(plan->targets, ptarget);
@@ -606,21 +618,6 @@
     g_free(plan);
 }
 
-void
-plan_for_each_run(const struct fleet_target *target,
-                  void (*fn)(void *ctx, const struct fleet_task_id *task,
-                             uint32_t run_number),
-                  void *ctx)
-{
-    const struct plan_target *ptarget = target->plan;
-
-    for (guint i = 0; ptarget != NULL && i < ptarget->runs->len; i++) {
-        const struct plan_run *run = ptarget->runs->pdata[i];
-
-        fn(ctx, &run->task, run->run_number);
-    }
-}
-
 bool
 plan_awaits_start(const struct fleet_target *target,
                   const struct fleet_task_id *task, uint32_t run_number)
--- a/core/plan.h
+++ b/core/plan.h
@@ -17,6 +17,7 @@
  *   planorder.c  order of the waiting steps, and admission of jobs
  *   planfit.c    placement of a step's tasks
  *   planhold.c   capacity reserved for large tasks
+ *   plancrash.c  crashes of targets, and the runs that may have caused them
  *   planticket.c queries to the placement policy
  */
 #ifndef FP_PLAN_H
@@ -41,8 +42,35 @@
     ORDER_INVALID,           /* not understood; nothing was done */
     ORDER_NOT_SENT,          /* no byte was sent */
     ORDER_WRONG_INCARNATION, /* another incarnation has this address */
-    ORDER_UNKNOWN            /* no clear answer: it may be carried out now or
-                              * later */
+    ORDER_UNKNOWN, /* no clear answer: it may be carried out now or later */
+    ORDER_CLOSED   /* the same, because the target ended the connection: it
+                    * may have crashed */
+};
+
+/* How a target was lost. */
+enum plan_loss {
+    LOSS_CRASHED, /* its process has ended: another incarnation is known */
+    LOSS_LEASE,   /* it does not answer, and its lease is over */
+    LOSS_LEFT     /* it left as announced */
+};
+
+/* A run that was lost with its target. */
+struct plan_lost_run {
+    const struct fleet_target *target;
+    struct fleet_task_id task;
+    uint32_t run_number;
+    uint64_t ran_ms; /* from the order to start it to the last sign of life of
+                      * the target */
+    bool is_suspect; /* its start may have crashed the target */
+};
+
+/* A target was lost; the counts are of its runs. */
+struct plan_crash {
+    const struct fleet_target *target;
+    enum plan_loss loss;
+    uint32_t runs;
+    uint32_t suspects;  /* runs whose start may have crashed it */
+    uint64_t silent_ms; /* how long it had not answered; 0: it did */
 };
 
 /* An order to start a run. What it points to is valid during the call only. */
@@ -107,6 +135,8 @@
                          bool adopted);
     /* A step has waited for over a second; repeated once a second. */
     void (*on_step_waiting)(void *ctx, const struct plan_wait *wait);
+    void (*on_run_lost)(void *ctx, const struct plan_lost_run *lost);
+    void (*on_target_crashed)(void *ctx, const struct plan_crash *crash);
     /* A target gets no starts for for_ms, after so many failures in a row. */
     void (*on_target_backoff)(void *ctx, const struct fleet_target *target,
                               uint64_t for_ms, uint32_t failures);
@@ -198,9 +228,14 @@
 void plan_set_target_usable(struct plan *plan, struct fleet_target *target,
                             bool usable);
 
+/* The target did not answer a hold call, and gets no starts until it is usable
+ * again. closed: it ended the connection instead of answering. */
+void plan_target_silent(struct plan *plan, struct fleet_target *target,
+                        bool closed, uint64_t now_ms);
+
 /* None of the runs ordered on the target runs any more, nor ever will. */
 void plan_target_lost(struct plan *plan, struct fleet_target *target,
-                      uint64_t now_ms);
+                      enum plan_loss loss, uint64_t now_ms);
 
 /* The target restarted under its ID: the runs that it had listed are gone, but
  * a run whose start was not answered, or that was not listed yet, may belong
@@ -244,12 +279,6 @@
 /* Whether to accept another job now: FP_ERR_BUSY when too many tasks wait. */
 struct plan_admission plan_admit(struct plan *plan);
 
-/* Calls fn for each run that occupies capacity on a target. */
-void plan_for_each_run(const struct fleet_target *target,
-                       void (*fn)(void *ctx, const struct fleet_task_id *task,
-                                  uint32_t run_number),
-                       void *ctx);
-
 /* Queries. */
 
 /* Whether the start of a run is unanswered, and the run was neither listed nor
--- a/core/planlist.c
+++ b/core/planlist.c
@@ -166,6 +166,7 @@
     struct plan_target *ptarget = target->plan;
 
     ptarget->runs_known = true;
+    plan_target_answers(ptarget, now_ms);
     for (uint32_t i = 0; i < count; i++) {
         struct plan_run *run =
             plan_find_run(ptarget, &listed[i].task, listed[i].run_number);
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -62,6 +62,9 @@
     uint64_t reserved_from_ms;  /* when the step should start */
     uint64_t reserved_until_ms; /* when the reservation expires */
     bool usable;                /* see plan_set_target_usable() */
+    uint64_t alive_ms;  /* when it last answered an order; 0: not yet */
+    uint64_t silent_ms; /* when it first did not answer; 0: it answers */
+    bool closed;        /* it then ended the connection */
     bool runs_known;    /* has listed its runs, or certainly has none */
     uint64_t leaves_ms; /* may be gone from then on; 0: it is not leaving */
     bool evacuated;     /* the runs that would be lost there were stopped */
@@ -254,6 +257,16 @@
 /* Ends all reservations of a step. */
 void plan_release_reservation(struct plan *plan, const struct plan_step *step);
 
+/* plancrash.c */
+
+/* Records that the target answers orders. */
+void plan_target_answers(struct plan_target *target, uint64_t now_ms);
+/* Whether the start of a run may have crashed its target, which is silent. */
+bool plan_is_suspect(const struct plan_run *run);
+/* Reports a lost target with its runs, before they are removed. */
+void plan_report_crash(struct plan *plan, struct plan_target *target,
+                       enum plan_loss loss, uint64_t now_ms);
+
 /* planfit.c */
 
 /* How many tasks of one size a target has capacity for beside what is used. */
--- a/core/planrun.c
+++ b/core/planrun.c
@@ -520,6 +520,10 @@
     plan->dirty = true;
     run->start_in_flight = false;
     step = run->step;
+    if (answer != ORDER_UNKNOWN && answer != ORDER_CLOSED &&
+        answer != ORDER_NOT_SENT) {
+        plan_target_answers(ptarget, now_ms);
+    }
     if (answer == ORDER_DONE) {
         if (run->active_since_ms == 0) {
             run->active_since_ms = now_ms;
@@ -529,7 +533,7 @@
         }
         return;
     }
-    if (answer == ORDER_UNKNOWN) {
+    if (answer == ORDER_UNKNOWN || answer == ORDER_CLOSED) {
         plan->counters.starts_unknown++;
         if (run->state == RUN_STARTING) {
             plan_order_stop(plan, run, "its start has no answer", now_ms);
--- a/node/dispatchlane.c
+++ b/node/dispatchlane.c
@@ -126,7 +126,7 @@
 {
     static const char *const names[] = {
         "done",      "fenced",  "old",      "late",  "no room", "bad ticket",
-        "unhealthy", "invalid", "not sent", "other", "unknown"};
+        "unhealthy", "invalid", "not sent", "other", "unknown", "closed"};
 
     return names[answer];
 }
@@ -200,9 +200,13 @@
     if (pending->resent && answer != ORDER_DONE) {
         answer = ORDER_UNKNOWN;
     }
+    if (answer == ORDER_UNKNOWN && reply->closed) {
+        answer = ORDER_CLOSED;
+    }
     if (answer != ORDER_DONE) {
-        log_run_event(answer == ORDER_UNKNOWN ? EVENT_RUN_START_UNANSWERED
-                                              : EVENT_RUN_START_REFUSED,
+        log_run_event(answer == ORDER_UNKNOWN || answer == ORDER_CLOSED
+                          ? EVENT_RUN_START_UNANSWERED
+                          : EVENT_RUN_START_REFUSED,
                       &pending->task, pending->run_number, pending->target_id,
                       "answer", answer_name(answer));
     }
@@ -453,26 +457,16 @@
     }
 }
 
-static void
-log_run_lost(void *ctx, const struct fleet_task_id *task, uint32_t run_number)
-{
-    const struct target_session *session = ctx;
-
-    log_run_event(EVENT_RUN_LOST, task, run_number, session->id, "why",
-                  "its target is lost");
-}
-
 static void
 declare_lost(struct target_session *session, struct fleet_target *target,
-             const char *reason, uint64_t now_ms)
+             enum plan_loss loss, const char *reason, uint64_t now_ms)
 {
     if (!session->lost) {
         EVENT(EVENT_TARGET_LOST, EVENT_STR("id", session->id),
               EVENT_STR("why", reason));
-        plan_for_each_run(target, log_run_lost, session);
         session->lost = true;
         session->lost_ms = now_ms;
-        plan_target_lost(session->dispatch->plan, target, now_ms);
+        plan_target_lost(session->dispatch->plan, target, loss, now_ms);
     }
 }
 
@@ -486,15 +480,16 @@
     }
     if (!session->silent && !session->lost) {
         EVENT(EVENT_TARGET_UNRESPONSIVE, EVENT_STR("id", session->id),
-              EVENT_STR("answer", answer_name(reply->answer)));
+              EVENT_STR("answer", answer_name(reply->closed ? ORDER_CLOSED
+                                                            : reply->answer)));
     }
     session->silent = true;
     ends_call_unanswered(&session->ends_ack);
     session->next_hold_ms = now_ms + HOLD_RETRY_MS;
-    plan_set_target_usable(session->dispatch->plan, target, false);
+    plan_target_silent(session->dispatch->plan, target, reply->closed, now_ms);
     if (reply->answer == ORDER_WRONG_INCARNATION) {
-        declare_lost(session, target, "another incarnation has its address",
-                     now_ms);
+        declare_lost(session, target, LOSS_CRASHED,
+                     "another incarnation has its address", now_ms);
         return;
     }
     /* A refused connection does not prove that the target is gone: a network
@@ -530,7 +525,7 @@
         session->has_clock = false;
         ends_call_unanswered(&session->ends_ack);
         session->next_hold_ms = now_ms + HOLD_RETRY_MS;
-        plan_set_target_usable(session->dispatch->plan, target, false);
+        plan_target_silent(session->dispatch->plan, target, false, now_ms);
     }
     else {
         ends_call_answered(&session->ends_ack, pending->ack_number,
@@ -665,8 +660,8 @@
     }
     target = fleet_find_target(session->dispatch->deps.fleet, session->id);
     if (lapses) {
-        plan_set_target_usable(session->dispatch->plan, target, false);
-        declare_lost(session, target, "its lease is over", now_ms);
+        plan_target_silent(session->dispatch->plan, target, false, now_ms);
+        declare_lost(session, target, LOSS_LEASE, "its lease is over", now_ms);
     }
     if (calls) {
         send_hold(session, target, now_ms);
--- a/node/fetch.c
+++ b/node/fetch.c
@@ -196,6 +196,7 @@
     curl_easy_getinfo(transfer->easy, CURLINFO_CONTENT_TYPE, &content_type);
     response.err = result_error(transfer, code, status);
     response.status = (uint32_t)status;
+    response.closed = code != CURLE_OK && code != CURLE_OPERATION_TIMEDOUT;
     response.content_type = content_type == NULL ? "" : content_type;
     response.duration_ms = (uint32_t)(clock_mono_ms() - transfer->started_ms);
     g_hash_table_steal(transfer->fetcher->transfers, transfer);
--- a/node/fetch.h
+++ b/node/fetch.h
@@ -53,6 +53,9 @@
     const void *body;
     size_t body_bytes;
     uint32_t duration_ms;
+    /* With FP_ERR_MAY_HAVE_RUN or FP_ERR_TRUNCATED: the peer ended the
+     * connection; otherwise the time was over or the response is invalid. */
+    bool closed;
 };
 
 /* Reports the end of a request. response is valid during the call. */
--- a/node/fetchplain.c
+++ b/node/fetchplain.c
@@ -39,6 +39,7 @@
     bool is_sent; /* at least in part */
     bool response_too_large;
     bool request_id_differs; /* the response has another X-Request-Id */
+    bool closed;             /* the peer ended the connection */
     uint64_t started_ms;
     uint64_t deadline_ms; /* end of the time for the whole exchange */
     fetch_done done;
@@ -192,7 +193,8 @@
             exchange->content_type != NULL ? exchange->content_type : "",
         .body = exchange->body->data,
         .body_bytes = exchange->body->len,
-        .duration_ms = (uint32_t)(clock_mono_ms() - exchange->started_ms)};
+        .duration_ms = (uint32_t)(clock_mono_ms() - exchange->started_ms),
+        .closed = exchange->closed};
 
     connection->exchange = NULL;
     client->in_flight--;
@@ -215,9 +217,10 @@
 static void
 fail_exchange(struct connection *connection, bool timed_out)
 {
-    const struct exchange *exchange = connection->exchange;
+    struct exchange *exchange = connection->exchange;
     enum fp_err err = FP_ERR_MAY_HAVE_RUN;
 
+    exchange->closed = !timed_out;
     if (!exchange->is_sent) {
         err = timed_out ? FP_ERR_DEADLINE_EXCEEDED : FP_ERR_NOT_CONNECTED;
     }
--- a/node/fleetmetrics.c
+++ b/node/fleetmetrics.c
@@ -61,6 +61,31 @@
     }
 }
 
+/* Runs lost with their targets. suspect: the start of the run may have crashed
+ * the target; neighbour: it was beside such a run, or the target was lost for
+ * another cause. */
+static void
+add_lost_runs(GString *out, const struct fleet *fleet)
+{
+    for (guint i = 0; i < fleet->queues->len; i++) {
+        const struct fleet_queue *queue = fleet->queues->pdata[i];
+        const struct {
+            const char *label;
+            uint64_t runs;
+        } counts[] = {{"suspect", queue->lost_suspects},
+                      {"neighbour", queue->lost_neighbours}};
+
+        for (size_t k = 0; k < sizeof(counts) / sizeof(counts[0]); k++) {
+            g_string_append_printf(
+                out,
+                "filbertpath_queue_runs_lost_total{queue=\"%s\",as=\"%s\"} "
+                "%llu\n",
+                queue->conf.name, counts[k].label,
+                (unsigned long long)counts[k].runs);
+        }
+    }
+}
+
 static void
 add_call_latencies(GString *out, const struct relay_counters *counters)
 {
@@ -113,6 +138,7 @@
     }
     if (sources->dispatch != NULL) {
         add_plan_counters(out, dispatch_counters(sources->dispatch));
+        add_lost_runs(out, sources->fleet);
         add_dispatch_histograms(out, dispatch_times(sources->dispatch));
     }
     http_reply(request, 200, "text/plain", out->str, out->len, 0);
--- a/node/fleetmetrics.h
+++ b/node/fleetmetrics.h
@@ -12,6 +12,7 @@
     const struct bus *bus;
     const struct replica *replica;   /* NULL on a front host */
     const struct dispatch *dispatch; /* NULL unless this host leads */
+    const struct fleet *fleet;       /* not used unless this host leads */
     bool ready;
     uint64_t reloads; /* of the settings, since the start */
 };
--- a/node/fleetnode.c
+++ b/node/fleetnode.c
@@ -442,6 +442,7 @@
         .bus = node->replica != NULL ? replica_bus(node->replica) : node->bus,
         .replica = node->replica,
         .dispatch = node->dispatch,
+        .fleet = node->fleet,
         .ready = is_ready(node),
         .reloads = node->reloads};
 
--- a/node/orders.h
+++ b/node/orders.h
@@ -33,6 +33,7 @@
 /* The answer to an order. */
 struct order_reply {
     enum order_answer answer;
+    bool closed; /* with ORDER_UNKNOWN: the target ended the connection */
     bool has_clock;
     uint64_t clock_ms; /* of the target */
     /* Only for a hold call with ORDER_DONE: */
--- a/tests/plan_test.cc
+++ b/tests/plan_test.cc
@@ -147,7 +147,8 @@
     sim.run_pass();
     ASSERT_EQ(sim.start_orders.size(), 1u);
     EXPECT_EQ(sim.start_orders[0].task.job_id, 1u);
-    plan_target_lost(sim.planner, sim.find_target("t2"), sim.now_ms);
+    plan_target_lost(sim.planner, sim.find_target("t2"), LOSS_LEASE,
+                     sim.now_ms);
     sim.set_usable("t2");
     sim.run_pass(5);
     EXPECT_EQ(sim.start_orders.size(), 2u);
@@ -336,7 +337,8 @@
     sim.set_usable("t2");
     sim.put_target("t3", 8000, 0, "r1", true);
     sim.set_usable("t3");
-    plan_target_lost(sim.planner, sim.find_target("t1"), sim.now_ms);
+    plan_target_lost(sim.planner, sim.find_target("t1"), LOSS_LEASE,
+                     sim.now_ms);
     sim.run_pass(100);
     ASSERT_EQ(sim.start_orders.size(), 4u);
     EXPECT_EQ(sim.start_orders[2].target, "t2");
--- a/tests/plan_world.h
+++ b/tests/plan_world.h
@@ -50,6 +50,8 @@
     std::vector<RunOrder> start_orders, stop_orders;
     std::vector<std::pair<RunOrder, uint32_t>> pace_orders;
     std::vector<PolicyQuery> queries;
+    std::vector<plan_lost_run> lost_runs;
+    std::vector<plan_crash> crashes;
     bool policy_client_free = true; // false: queries cannot be sent
     uint64_t config_version = 0;
 
@@ -158,8 +160,14 @@
     void become_leader(uint32_t run_base = 1024)
     {
         plan_params params = {nullptr, 900, 1500, run_base};
-        plan_ops ops = {on_start, on_stop, on_pace, on_advise,
-                        nullptr,  nullptr, nullptr, this};
+        plan_ops ops = {};
+        ops.start_run = on_start;
+        ops.stop_run = on_stop;
+        ops.set_pace = on_pace;
+        ops.query_policy = on_advise;
+        ops.on_run_lost = on_run_lost;
+        ops.on_target_crashed = on_target_crashed;
+        ops.ctx = this;
         planner = plan_new(fleet_state, &params, &ops, now_ms);
         for (guint i = 0; i < planner->targets->len; i++) {
             ((plan_target *)planner->targets->pdata[i])->usable = true;
@@ -384,6 +392,14 @@
     {
         self(ctx)->stop_orders.push_back({target->rec.id, *task, run, "", ""});
     }
+    static void on_run_lost(void *ctx, const plan_lost_run *lost)
+    {
+        self(ctx)->lost_runs.push_back(*lost);
+    }
+    static void on_target_crashed(void *ctx, const plan_crash *crash)
+    {
+        self(ctx)->crashes.push_back(*crash);
+    }
     static void on_pace(void *ctx, const fleet_target *target,
                         const fleet_task_id *task, uint32_t run,
                         uint32_t percent)
--- a/tests/sessions/explain.sh
+++ b/tests/sessions/explain.sh
@@ -15,7 +15,7 @@
 {"at":103.000,"event":"cell.leads","host":"10.0.0.2","term":4,"config":3}
 {"at":103.400,"event":"job.ended","id":"00000000000000a1","state":"completed","took_ms":3400,"objective_ms":1300}
 {"at":104.000,"event":"job.accepted","id":"00000000000000a4","queue":"q","team":"t","tasks":1,"chain_ms":700,"objective_ms":1300,"config":3}
-{"at":104.100,"event":"run.lost","id":"00000000000000a4.0.0.0","run":1,"target":"t-3","why":"its target is lost"}
+{"at":104.100,"event":"run.lost","id":"00000000000000a4.0.0.0","run":1,"target":"t-3","ran_ms":41,"suspect":0}
 {"at":107.000,"event":"job.ended","id":"00000000000000a4","state":"completed","took_ms":3000,"objective_ms":1300}
 {"at":108.000,"event":"job.accepted","id":"00000000000000a5","queue":"q","team":"t","tasks":1,"chain_ms":700,"objective_ms":1300,"config":3}
 {"at":109.200,"event":"step.waits","id":"00000000000000a5.0.0","why":"its team is at its limit","idle":1,"granted":0,"waited_ms":1200,"free_cpu_milli":9000,"free_accel":0}
