--- a/bench/replay.h
+++ b/bench/replay.h
@@ -64,6 +64,9 @@
     uint32_t estimate_off_percent; /* largest error of run time estimates, as
                                     * the logarithm of the ratio */
     uint32_t failures_permille; /* part of the runs that fail by themselves */
+    uint32_t crashing_permille; /* part of the jobs with a task that crashes
+                                 * every target that starts it */
+    uint32_t crash_after_ms;    /* from its start to the crash; 0: 10 ms */
     uint32_t copies_permille;   /* part of the steps that allow duplicates */
     uint32_t apart_permille;    /* part of the steps that limit their tasks on
                                  * one target */
@@ -91,6 +94,8 @@
     REPLAY_NO_LEADER, /* the leader fails; a new one follows after for_ms */
     REPLAY_SLOW_LEADER, /* the leader handles each answer late, by
                          * factor_percent of 1 ms, and passes are rare */
+    REPLAY_CAPACITY,    /* the capacity of targets is multiplied by the factor,
+                         * below what runs there as well */
     REPLAY_EVENT_KIND_COUNT
 };
 
@@ -142,9 +147,14 @@
     uint32_t team; /* index in the load's teams */
     uint64_t id;
     uint64_t arrived_ms;
-    uint64_t objective_ms;   /* after arrival, computed from true run times */
-    uint64_t cancel_ms;      /* when the client cancels it; 0: never */
-    uint32_t mean_run_ms;    /* true mean run time of its tasks */
+    uint64_t objective_ms;  /* after arrival, computed from true run times */
+    uint64_t cancel_ms;     /* when the client cancels it; 0: never */
+    uint32_t mean_run_ms;   /* true mean run time of its tasks */
+    bool crashes;           /* one of its tasks crashes its targets */
+    uint32_t crashing_step; /* the task: its step and index */
+    uint32_t crashing_index;
+    GArray *crash_times;     /* uint64_t: when its task crashed a target */
+    uint32_t late_starts;    /* of its task after three crashes */
     uint64_t first_start_ms; /* of its first run; 0: none yet */
     uint64_t ended_ms;       /* 0: not yet */
     enum fleet_job_state state;
@@ -162,7 +172,9 @@
     uint32_t over_cap;  /* a team exceeds its processor limit by over 10 %
                          * and one task */
     uint32_t stuck;     /* jobs that did not end although capacity sufficed */
-    char first[160];    /* description of the first breach; "": none */
+    uint32_t over_crashes; /* tasks started three times more after three
+                            * targets had crashed under them */
+    char first[160];       /* description of the first breach; "": none */
 };
 
 struct sim_result {
@@ -173,8 +185,10 @@
     /* Processor time of runs that did not end as done; stops with a checkpoint
      * and lasting jobs do not count. */
     uint64_t wasted_cpu_milli_s;
-    GArray *decision_us; /* double, wall clock time of each scheduling
-                          * pass that was not skipped */
+    uint32_t crashed_targets;  /* by tasks */
+    uint32_t crash_neighbours; /* runs lost with them, of other jobs */
+    GArray *decision_us;       /* double, wall clock time of each scheduling
+                                * pass that was not skipped */
 };
 
 /* Simulates a load under one policy. The same seed generates the same jobs for
--- a/bench/replayjobs.c
+++ b/bench/replayjobs.c
@@ -130,6 +130,21 @@
     return sum_ms;
 }
 
+/* Drawn by hash, so that the other draws do not depend on it. */
+static void
+choose_crashing_task(struct sim_job *job, uint32_t seed)
+{
+    const struct fleet_step *steps = job->submit.steps.items;
+
+    job->crash_times = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    job->crashes = replay_hash(seed + 2, job->id, 0) % 1000 <
+                   job->queue->crashing_permille;
+    job->crashing_step =
+        replay_hash(seed + 2, job->id, 1) % job->submit.steps.count;
+    job->crashing_index =
+        replay_hash(seed + 2, job->id, 2) % steps[job->crashing_step].count;
+}
+
 static struct sim_job *
 make_job(const struct replay_load *load, uint32_t queue_index, uint64_t at_ms,
          GRand *rand, uint32_t seed)
@@ -162,6 +177,7 @@
     for (uint32_t i = 0; i < steps; i++) {
         add_step(job, rand, mean_run_ms, accel);
     }
+    choose_crashing_task(job, seed);
     job->objective_ms =
         ideal_duration_ms(job, seed) * queue->stretch_permille / 1000 +
         queue->objective_ms;
@@ -264,5 +280,6 @@
     struct sim_job *job = item;
 
     fp_record_free(&FLEET_SUBMIT_SCHEMA, &job->submit);
+    g_array_free(job->crash_times, TRUE);
     g_free(job);
 }
--- a/bench/replayload.c
+++ b/bench/replayload.c
@@ -63,6 +63,8 @@
     REQUIRED_UINT(replay_queue, spread_percent),
     REQUIRED_UINT(replay_queue, estimate_off_percent),
     OPTIONAL_UINT(replay_queue, failures_permille),
+    OPTIONAL_UINT(replay_queue, crashing_permille),
+    OPTIONAL_UINT(replay_queue, crash_after_ms),
     OPTIONAL_UINT(replay_queue, copies_permille),
     OPTIONAL_UINT(replay_queue, apart_permille),
     OPTIONAL_BOOL(replay_queue, gang),
@@ -82,6 +84,7 @@
     {"slow", REPLAY_SLOW},
     {"failing", REPLAY_FAILING},
     {"slow_leader", REPLAY_SLOW_LEADER},
+    {"capacity", REPLAY_CAPACITY},
     {"lossy", REPLAY_LOSSY},
     {"cut", REPLAY_CUT},
     {"no_leader", REPLAY_NO_LEADER}};
--- a/bench/simpriv.h
+++ b/bench/simpriv.h
@@ -17,6 +17,9 @@
 /* Time until a crashed target is noticed, and until a client that found no
  * leader tries again. */
 #define SIM_DETECTION_MS 300u
+/* Until the leader notices that a process that crashed has ended its
+ * connections. */
+#define SIM_CLOSE_DETECTION_MS 11u
 #define SIM_WALL_START_MS 1800000000000u /* wall clock at virtual time 0 */
 #define SIM_HOST "replay"                /* host of every queue */
 
@@ -43,6 +46,8 @@
     SIM_TARGET_ANNOUNCEMENT, /* a removed target announces itself again */
     SIM_TARGET_DEPARTURE,    /* a leaving target goes down */
     SIM_TARGET_RESTART,      /* a crashed target restarts */
+    SIM_TASK_CRASH,          /* a task crashes its target */
+    SIM_CAPACITY_CHANGE,     /* a target announces another capacity */
     SIM_LOAD_EVENT,          /* an event of the load begins */
     SIM_TERM_START,          /* a new leader starts its term */
     SIM_SAMPLE               /* running tasks of lasting jobs are counted */
@@ -108,6 +113,11 @@
     uint64_t last_end_number;      /* of this incarnation; 0: no end yet */
     uint64_t slow_until_ms, failing_until_ms;
     uint32_t slow_percent;
+    /* Until checked_until_ms starts are checked against the larger of the old
+     * and the new capacity, after that against the new one. */
+    struct fleet_resources checked_capacity;
+    uint64_t checked_until_ms;
+    struct fleet_resources nominal;
     uint64_t cut_until_ms;
     bool cut_answers_only;   /* orders still arrive */
     uint64_t lease_until_ms; /* as the target knows it */
@@ -189,6 +199,13 @@
 void sim_on_lease_check(struct sim *sim, struct sim_target *target);
 /* All runs are lost. No effect if the target is down. */
 void sim_crash_target(struct sim *sim, struct sim_target *target);
+/* Changes the capacity of a target, in percent of its nominal one. */
+void sim_set_capacity(struct sim *sim, struct sim_target *target,
+                      uint32_t percent);
+/* Handles SIM_TASK_CRASH. */
+void sim_on_task_crash(struct sim *sim, struct sim_event *event);
+/* Handles SIM_CAPACITY_CHANGE. */
+void sim_announce_capacity(struct sim *sim, struct sim_event *event);
 /* Starts a new incarnation of a target. */
 void sim_boot_target(struct sim *sim, struct sim_target *target);
 /* target: struct sim_target. */
--- /dev/null
+++ b/tests/crash_test.cc
@@ -0,0 +1,280 @@
+// Tests of tasks that crash their targets, and of crashes with other causes:
+// which task is suspected, tried apart, given up; and what is not.
+
+#include <functional>
+#include <set>
+
+#include "tests/plan_world.h"
+
+using namespace plan_sim;
+
+namespace {
+
+// A fleet whose targets crash when a test's predicate says so. A crashed target
+// ends its connections, and comes back after down_ms: under its ID, or at its
+// address under a new one.
+struct CrashSim : FleetSim {
+    struct Host {
+        std::string address, id;
+        uint32_t cpu_milli;
+        std::string rack;
+        bool up = true;
+        uint64_t back_ms = 0, crash_ms = 0;
+        uint64_t last_call_ms = 0;
+        std::map<std::string, RunOrder> runs; // task to its run
+        std::map<std::string, uint64_t> ends; // task to the end of its run
+    };
+    std::map<std::string, Host> hosts; // by address
+    std::function<bool(const fleet_task_id &)> crashes_target =
+        [](const fleet_task_id &) { return false; };
+    std::map<std::string, int> starts;
+    std::map<uint64_t, uint64_t> run_ms; // of the tasks of a job
+    uint64_t down_ms = 3000, crash_after_ms = 10, call_ms = 200;
+    bool keeps_id = false;
+    bool ends_connections = true; // a crashed target; else calls time out
+    size_t handled = 0, crashed_targets = 0, next_id = 0;
+
+    static std::string name_of(const fleet_task_id &task)
+    {
+        char text[FLEET_TASK_ID_TEXT_BYTES];
+        fleet_task_id_text(&task, text, sizeof(text));
+        return text;
+    }
+    void announce(Host &host)
+    {
+        fleet_target_rec rec;
+        memset(&rec, 0, sizeof(rec));
+        g_strlcpy(rec.id, host.id.c_str(), FLEET_NAME_BYTES);
+        g_strlcpy(rec.address, host.address.c_str(), FLEET_NAME_BYTES);
+        g_strlcpy(rec.service, "svc", FLEET_NAME_BYTES);
+        g_strlcpy(rec.rack, host.rack.c_str(), FLEET_NAME_BYTES);
+        g_strlcpy(rec.labels, host.rack.c_str(), FLEET_LABELS_BYTES);
+        rec.born_ms = now_ms;
+        rec.cpu_milli = host.cpu_milli;
+        rec.memory_mb = 100000;
+        ASSERT_EQ(apply_change(&FLEET_TARGET_SCHEMA, &rec).err, FP_OK);
+        if (planner != nullptr) {
+            set_usable(host.id);
+            report_runs(host.id, {}, true, now_ms);
+        }
+    }
+    void add_hosts(size_t count, uint32_t cpu_milli = 8000, size_t per_rack = 4)
+    {
+        for (size_t i = 0; i < count; i++) {
+            std::string address = "10.0.0." + std::to_string(hosts.size());
+            Host &host = hosts[address];
+            host.address = address;
+            host.id = "t" + std::to_string(next_id++);
+            host.cpu_milli = cpu_milli;
+            host.rack = "r" + std::to_string(i / per_rack);
+            announce(host);
+        }
+    }
+    Host *host_of(const std::string &id)
+    {
+        for (auto &entry : hosts) {
+            if (entry.second.id == id) {
+                return &entry.second;
+            }
+        }
+        return nullptr;
+    }
+    void crash(Host &host)
+    {
+        std::map<std::string, RunOrder> lost = host.runs;
+        crashed_targets++;
+        host.up = false;
+        host.runs.clear();
+        host.ends.clear();
+        host.crash_ms = 0;
+        host.back_ms = now_ms + down_ms;
+        if (planner != nullptr) {
+            plan_target_silent(planner, find_target(host.id), ends_connections,
+                               now_ms);
+        }
+        for (const auto &run : lost) {
+            const fleet_job *job = find_job(run.second.task.job_id);
+            if (job->steps[run.second.task.step].gang) {
+                break_gang(run.second);
+            }
+        }
+    }
+    // The other members of a gang end when one is gone.
+    void break_gang(const RunOrder &member)
+    {
+        for (auto &entry : hosts) {
+            Host &host = entry.second;
+            for (auto it = host.runs.begin(); it != host.runs.end();) {
+                RunOrder order = it->second;
+                if (order.task.job_id == member.task.job_id &&
+                    order.task.step == member.task.step &&
+                    order.run == member.run) {
+                    host.ends.erase(it->first);
+                    it = host.runs.erase(it);
+                    end_run(order, RUN_BROKEN);
+                }
+                else {
+                    ++it;
+                }
+            }
+        }
+    }
+    void take_starts()
+    {
+        while (handled < start_orders.size()) {
+            RunOrder order = start_orders[handled++];
+            Host *host = host_of(order.target);
+            starts[name_of(order.task)]++;
+            if (host == nullptr || !host->up) {
+                answer_start(order, ORDER_NOT_SENT);
+                continue;
+            }
+            host->runs[name_of(order.task)] = order;
+            uint64_t ms = run_ms.count(order.task.job_id) != 0
+                              ? run_ms[order.task.job_id]
+                              : 1000;
+            host->ends[name_of(order.task)] = now_ms + ms;
+            if (crashes_target(order.task)) {
+                host->crash_ms = host->crash_ms != 0
+                                     ? host->crash_ms
+                                     : now_ms + crash_after_ms;
+            }
+            confirm_start(order);
+        }
+    }
+    void serve_calls(Host &host)
+    {
+        std::vector<plan_listed_run> rows;
+        for (auto it = host.ends.begin(); it != host.ends.end();) {
+            if (it->second <= now_ms) {
+                RunOrder order = host.runs[it->first];
+                host.runs.erase(it->first);
+                it = host.ends.erase(it);
+                end_run(order, RUN_DONE);
+            }
+            else {
+                ++it;
+            }
+        }
+        if (now_ms < host.last_call_ms + call_ms) {
+            return;
+        }
+        for (auto &run : host.runs) {
+            rows.push_back(make_row(run.second));
+        }
+        report_runs(host.id, rows, false, now_ms);
+        host.last_call_ms = now_ms;
+        set_usable(host.id);
+    }
+    void handle_stops()
+    {
+        for (const auto &stop : stop_orders) {
+            Host *host = host_of(stop.target);
+            std::string name = name_of(stop.task);
+            if (host != nullptr && host->up) {
+                if (host->runs.count(name) != 0 &&
+                    host->runs[name].run == stop.run) {
+                    RunOrder order = host->runs[name];
+                    host->runs.erase(name);
+                    host->ends.erase(name);
+                    end_run(order, RUN_STOPPED);
+                }
+                plan_stop_answered(planner, find_target(stop.target),
+                                   &stop.task, stop.run, ORDER_DONE, now_ms);
+            }
+        }
+        stop_orders.clear();
+    }
+    // Advances the clock by ms in steps of 5 ms.
+    void run_for(uint64_t ms)
+    {
+        for (uint64_t end_ms = now_ms + ms; now_ms < end_ms;) {
+            run_pass(5);
+            take_starts();
+            handle_stops();
+            for (auto &entry : hosts) {
+                Host &host = entry.second;
+                if (host.up && host.crash_ms != 0 && now_ms >= host.crash_ms) {
+                    crash(host);
+                }
+                else if (host.up) {
+                    serve_calls(host);
+                }
+                else if (now_ms >= host.back_ms) {
+                    host.up = true;
+                    if (!keeps_id) {
+                        host.id = "t" + std::to_string(next_id++);
+                    }
+                    announce(host);
+                }
+            }
+        }
+    }
+    fleet_job_state state_of(uint64_t id)
+    {
+        return plan_job_state(find_job(id));
+    }
+};
+
+// Runs a job with one task that crashes its targets among its others and among
+// other jobs, and expects it to be given up in time, and nothing else.
+void expect_given_up(CrashSim &sim, const StepSpec &step, int starts_max)
+{
+    sim.configure({"q"});
+    sim.add_hosts(12);
+    sim.become_leader();
+    sim.crashes_target = [](const fleet_task_id &task) {
+        return task.job_id == 1 && task.index == 1;
+    };
+    sim.run_ms[2] = 4000;
+    sim.submit(2, {{.count = 20, .cpu_milli = 2000, .estimate_ms = 4000}});
+    sim.run_for(1000);
+    sim.submit(1, {step});
+    sim.submit(3, {{.count = 3, .duplicates = true}});
+    sim.run_for(40000);
+    EXPECT_LE(sim.starts["0000000000000001.0.0.1"], starts_max)
+        << "starts of the task that crashes its targets";
+    EXPECT_EQ(sim.state_of(1), JOB_FAILED);
+    EXPECT_EQ(sim.state_of(2), JOB_COMPLETED);
+    EXPECT_EQ(sim.state_of(3), JOB_COMPLETED);
+}
+
+// Three targets that crash and two starts more are the most that the callers
+// allow.
+constexpr int STARTS_MAX = 5;
+
+TEST(Crash, ATaskWithCopiesDoesNotCrashServerAfterServer)
+{
+    CrashSim sim;
+    expect_given_up(sim, {.count = 3, .duplicates = true}, STARTS_MAX);
+}
+
+TEST(Crash, ATaskWithoutCopiesDoesNotCrashServerAfterServer)
+{
+    CrashSim sim;
+    expect_given_up(sim, {.count = 3}, STARTS_MAX);
+}
+
+TEST(Crash, ATaskIsGivenUpWhenItsTargetsComeBackUnderTheirIds)
+{
+    CrashSim sim;
+    sim.keeps_id = true;
+    expect_given_up(sim, {.count = 3, .duplicates = true}, STARTS_MAX);
+}
+
+TEST(Crash, AGangWhoseMemberCrashesItsTargetIsGivenUp)
+{
+    CrashSim sim;
+    expect_given_up(sim, {.count = 3, .cpu_milli = 6000, .gang = true},
+                    STARTS_MAX);
+}
+
+TEST(Crash, ATaskThatCrashesItsTargetsLateIsGivenUp)
+{
+    CrashSim sim;
+    sim.crash_after_ms = 1500;
+    sim.run_ms[1] = 5000;
+    expect_given_up(sim, {.count = 3, .estimate_ms = 5000}, STARTS_MAX);
+}
+
+} // namespace
--- a/tests/replay_test.cc
+++ b/tests/replay_test.cc
@@ -150,6 +150,41 @@
     }
 }
 
+// Each breach of the simulation but those that a test allows.
+void expect_no_breach(const sim_result *result, uint32_t seed)
+{
+    const sim_breaches &breaches = result->breaches;
+    EXPECT_EQ(breaches.over_size + breaches.doubled + breaches.over_cap +
+                  breaches.stuck + breaches.over_crashes,
+              0u)
+        << "seed " << seed << ": " << breaches.first;
+}
+
+// A task that crashed its targets was started on one after the other, without
+// end, by each leader.
+TEST(Replay, ATaskThatCrashesItsTargetsIsNotStartedWithoutEnd)
+{
+    Load load("crashing-tasks.yaml");
+    ASSERT_NE(load.load, nullptr);
+    for (uint32_t seed = 1; seed <= 6; seed++) {
+        sim_result *result = sim_replay(load.load, &PLAN_POLICY_DEFAULT, seed);
+        expect_no_breach(result, seed);
+        sim_result_free(result);
+    }
+}
+
+// The capacity of targets shrinks below what runs there, and grows again.
+TEST(Replay, NoTargetIsOverAChangingCapacity)
+{
+    Load load("changing-capacity.yaml");
+    ASSERT_NE(load.load, nullptr);
+    for (uint32_t seed = 1; seed <= 6; seed++) {
+        sim_result *result = sim_replay(load.load, &PLAN_POLICY_DEFAULT, seed);
+        expect_no_breach(result, seed);
+        sim_result_free(result);
+    }
+}
+
 TEST(Replay, SameSeedGeneratesSameJobsForEveryPolicy)
 {
     Load load("troubles.yaml", 5);
