Crashing tasks: a crash is evidence against the tasks whose start it followed

Cause: only ends that targets list counted against a task, and a target that crashed lists none. Where copies are allowed a task left a target that fell silent at once.

Now core/plancrash.c judges each lost target. Suspected tasks start apart: where nothing else was just started, and nothing else starts meanwhile. A run that outlives that clears its task; a second crash at its start ends the job as failed. The evidence is stored as open as soon as the target ends its connections, so that a leader lost before the crash is certain does not make the next begin anew; while it is open the task does not start a third time. Targets lost together, in a rack or a service, without starts that explain it, have a common cause: no task is suspected. A task that is present at three crashes within ten seconds of its start, without another explanation, is suspected too.

--- a/base/event.c
+++ b/base/event.c
@@ -65,9 +65,14 @@
     [EVENT_TARGET_LOST] =
         {"target.lost", 100, "id why",
          "a target is lost; no run is active there any more"},
-    [EVENT_TARGET_CRASHED] = {"target.crashed", 200,
-                              "id how runs suspects silent_ms",
-                              "a target was lost with so many runs"},
+    [EVENT_TARGET_CRASHED] =
+        {"target.crashed", 200, "id how runs suspects common silent_ms",
+         "a target was lost with its runs; common: for a cause that it shares "
+         "with other targets"},
+    [EVENT_TASK_SUSPECTED] =
+        {"task.suspected", 200, "id run evidence verdict ran_ms",
+         "evidence on a task whose target crashed, or that cleared it; with "
+         "the verdict proven its job fails"},
     [EVENT_TARGET_REMOVED] = {"target.removed", 100, "id",
                               "a target was removed from the state"},
     [EVENT_TARGET_BACKOFF] =
--- a/base/event.h
+++ b/base/event.h
@@ -42,6 +42,7 @@
     EVENT_TARGET_RECOVERED,
     EVENT_TARGET_LOST,
     EVENT_TARGET_CRASHED,
+    EVENT_TASK_SUSPECTED,
     EVENT_TARGET_REMOVED,
     EVENT_TARGET_BACKOFF,
     /* calls, jobs and runs */
--- a/bench/replay.c
+++ b/bench/replay.c
@@ -103,7 +103,7 @@
     }
     return json_pack(
         "{s:s,s:s,s:o,s:o,s:o,s:f,s:f,s:f,s:I,s:I,s:I,s:i,s:i,s:i,s:i,s:i,s:i,"
-        "s:i,s:s}",
+        "s:i,s:i,s:s}",
         "load", load->name, "policy", policy->name, "all", all, "queues",
         queues, "teams", teams, "wasted_core_s",
         (double)result->wasted_cpu_milli_s / MILLI, "decision_p50_us",
@@ -113,7 +113,8 @@
         (json_int_t)result->counters.policy_queries, "over_size",
         (int)breaches->over_size, "doubled", (int)breaches->doubled,
         "over_cap", (int)breaches->over_cap, "stuck", (int)breaches->stuck,
-        "over_crashes", (int)breaches->over_crashes, "crashed_targets",
+        "over_crashes", (int)breaches->over_crashes, "wrongly_given_up",
+        (int)breaches->wrongly_given_up, "crashed_targets",
         (int)result->crashed_targets, "crash_neighbours",
         (int)result->crash_neighbours, "first_breach", breaches->first);
 }
@@ -167,7 +168,8 @@
         print_row(policy, json_object_get(report, "all"));
         printf("%-14s wasted %.0f core-s, %d starts, %d questions; decision "
                "p50 %.0f us, p99 %.0f us; breaches: %d over size, %d doubled, "
-               "%d over cap, %d stuck, %d over crashes; %d targets crashed by "
+               "%d over cap, %d stuck, %d over crashes, %d wrongly given up; "
+               "%d targets crashed by "
                "tasks, with %d runs of other jobs\n",
                policy, get_number(report, "wasted_core_s"),
                (int)get_number(report, "starts"),
@@ -179,6 +181,7 @@
                (int)get_number(report, "over_cap"),
                (int)get_number(report, "stuck"),
                (int)get_number(report, "over_crashes"),
+               (int)get_number(report, "wrongly_given_up"),
                (int)get_number(report, "crashed_targets"),
                (int)get_number(report, "crash_neighbours"));
     }
--- a/bench/replay.h
+++ b/bench/replay.h
@@ -172,9 +172,11 @@
     uint32_t over_cap;  /* a team exceeds its processor limit by over 10 %
                          * and one task */
     uint32_t stuck;     /* jobs that did not end although capacity sufficed */
-    uint32_t over_crashes; /* tasks started three times more after three
-                            * targets had crashed under them */
-    char first[160];       /* description of the first breach; "": none */
+    uint32_t over_crashes;     /* tasks started three times more after three
+                                * targets had crashed under them */
+    uint32_t wrongly_given_up; /* jobs without a task that crashes its targets,
+                                * failed for one */
+    char first[160];           /* description of the first breach; "": none */
 };
 
 struct sim_result {
--- a/bench/sim.c
+++ b/bench/sim.c
@@ -326,7 +326,10 @@
         sim_crash_target(sim, event->target);
         return;
     case SIM_TARGET_RESTART:
-        sim_boot_target(sim, event->target);
+        /* Two crashes may overlap. */
+        if (!event->target->up) {
+            sim_boot_target(sim, event->target);
+        }
         return;
     case SIM_TASK_CRASH:
         sim_on_task_crash(sim, event);
--- a/bench/simlead.c
+++ b/bench/simlead.c
@@ -257,6 +257,14 @@
     send_order(ctx, SIM_STOP_ARRIVAL, target, task, run_number, "");
 }
 
+static void
+store_evidence(void *ctx, const struct fp_list *items)
+{
+    struct fleet_crashes crashes = {.items = *items};
+
+    sim_apply(ctx, &FLEET_CRASHES_SCHEMA, &crashes);
+}
+
 /* Has no effect: simulated runs have no pace. */
 static void
 set_pace(void *ctx, const struct fleet_target *target,
@@ -384,12 +392,29 @@
     }
 }
 
+static void
+check_given_up(struct sim *sim, const struct fleet_job *job,
+               const struct sim_job *sim_job)
+{
+    char id_text[32];
+
+    for (uint32_t i = 0; !sim_job->crashes && i < job->task_count; i++) {
+        if (crashes_verdict(job->tasks[i].crashes) == CRASH_PROVEN) {
+            g_snprintf(id_text, sizeof(id_text), "%016" PRIx64, sim_job->id);
+            sim_count_breach(sim, &sim->result->breaches.wrongly_given_up,
+                             "is given up and crashes no target", id_text,
+                             sim_job->queue->name);
+        }
+    }
+}
+
 static void
 on_job_ended(void *ctx, struct fleet_job *job)
 {
     struct sim *sim = ctx;
     struct sim_job *sim_job = g_hash_table_lookup(sim->jobs, &job->submit.id);
 
+    check_given_up(sim, job, sim_job);
     sim_job->ended_ms = sim->now_ms;
     sim_job->state = job->state;
     sim->unfinished_jobs--;
@@ -434,6 +459,7 @@
                                  .stop_run = stop_run,
                                  .set_pace = set_pace,
                                  .query_policy = query_policy,
+                                 .store_evidence = store_evidence,
                                  .ctx = sim};
 
     sim->reconciled = false;
--- a/cli/explain.c
+++ b/cli/explain.c
@@ -30,6 +30,7 @@
     const struct log_line *failed_call;
     const struct log_line *run_lost;
     const struct log_line *run_unanswered;
+    const struct log_line *proven; /* a task crashes its targets */
     const struct log_line *run_failed;
     const struct log_line *longest_wait;
     const struct log_line *slowest_answer; /* of the placement policy */
@@ -146,6 +147,11 @@
             history->lost_neighbour_count++;
         }
     }
+    else if (strcmp(event, "task.suspected") == 0) {
+        if (strcmp(string_field(line, "verdict"), "proven") == 0) {
+            history->proven = line;
+        }
+    }
     else if (strcmp(event, "run.unanswered") == 0) {
         history->run_unanswered = line;
     }
@@ -258,6 +264,12 @@
     if (strcmp(state, "cancelled") == 0) {
         printf("Cause: the job was cancelled by its caller.\n");
     }
+    else if (strcmp(state, "failed") == 0 && history->proven != NULL) {
+        printf("Cause: task %s was given up, since targets crash when they "
+               "start it; the last time as run %lld.\n",
+               string_field(history->proven, "id"),
+               integer_field(history->proven, "run"));
+    }
     else if (strcmp(state, "failed") == 0) {
         printf("Cause: a task reached its queue's limit of attempts; %u runs "
                "failed, the last one on target %s.\n",
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -12,6 +12,7 @@
     for (uint32_t i = 0; i < job->task_count; i++) {
         g_free(job->tasks[i].checkpoint);
         failures_clear(&job->tasks[i].failures);
+        g_free(job->tasks[i].crashes);
     }
     g_free(job->tasks);
     g_free(job->first_task);
@@ -424,6 +425,43 @@
     }
 }
 
+/* Adds evidence to a task; a task that is proven to crash its targets fails
+ * its job. */
+static void
+apply_crash(struct fleet *fleet, const struct fleet_task_crash *crash)
+{
+    struct fleet_job *job = fleet_find_job(fleet, crash->task.job_id);
+    struct fleet_task *task;
+    uint32_t number;
+
+    if (job == NULL || !fleet_job_is_live(job) ||
+        crash->evidence >= CRASH_EVIDENCE_COUNT) {
+        return;
+    }
+    number = fleet_task_number(job, &crash->task);
+    if (number == UINT32_MAX || job->tasks[number].done) {
+        return;
+    }
+    task = &job->tasks[number];
+    if (task->crashes == NULL) {
+        task->crashes = g_new0(struct crashes, 1);
+    }
+    crashes_add(task->crashes, crash->run, crash->evidence, crash->ran_ms);
+    if (crashes_verdict(task->crashes) == CRASH_PROVEN) {
+        end_job(fleet, job, JOB_FAILED, fleet->now_ms);
+    }
+}
+
+static void
+apply_crashes(struct fleet *fleet, const struct fleet_crashes *crashes)
+{
+    const struct fleet_task_crash *crash = crashes->items.items;
+
+    for (uint32_t i = 0; i < crashes->items.count; i++) {
+        apply_crash(fleet, &crash[i]);
+    }
+}
+
 static void
 remove_expired_jobs(struct fleet *fleet)
 {
@@ -458,6 +496,8 @@
         return &FLEET_CANCEL_SCHEMA;
     case FLEET_RUN_ENDS:
         return &FLEET_RUN_ENDS_SCHEMA;
+    case FLEET_CRASHES:
+        return &FLEET_CRASHES_SCHEMA;
     default:
         return NULL;
     }
@@ -483,6 +523,9 @@
     case FLEET_CANCEL:
         apply_cancel(fleet, &change->cancel, answer);
         break;
+    case FLEET_CRASHES:
+        apply_crashes(fleet, &change->crashes);
+        break;
     default:
         apply_ends(fleet, &change->ends);
         break;
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -44,6 +44,7 @@
 struct fleet_task {
     bool done;
     struct failures failures; /* failed runs */
+    struct crashes *crashes;  /* of targets that ran it; NULL: none */
     char *checkpoint;         /* latest reported; NULL: none */
 };
 
--- a/core/fleetpriv.h
+++ b/core/fleetpriv.h
@@ -18,6 +18,7 @@
     struct fleet_submit submit;
     struct fleet_cancel cancel;
     struct fleet_run_ends ends;
+    struct fleet_crashes crashes;
 };
 
 /* fleetconf.c */
--- a/core/fleetrec.c
+++ b/core/fleetrec.c
@@ -115,6 +115,23 @@
 const struct fp_schema FLEET_RUN_ENDS_SCHEMA = SCHEMA(
     "fleet-ends", FLEET_RUN_ENDS, fleet_run_ends, FLEET_RUN_ENDS_FIELDS);
 
+static const struct fp_field FLEET_TASK_CRASH_FIELDS[] = {
+    U64(fleet_task_crash, task.job_id), U32(fleet_task_crash, task.occurrence),
+    U32(fleet_task_crash, task.step),   U32(fleet_task_crash, task.index),
+    U32(fleet_task_crash, run),         U32(fleet_task_crash, evidence),
+    U32(fleet_task_crash, ran_ms),
+};
+static const struct fp_schema FLEET_TASK_CRASH_SCHEMA =
+    SCHEMA("fleet-task-crash", 139, fleet_task_crash, FLEET_TASK_CRASH_FIELDS);
+
+static const struct fp_field FLEET_CRASHES_FIELDS[] = {
+    STR(fleet_crashes, head.change_id, NAME_BYTES),
+    U64(fleet_crashes, head.at_ms),
+    LIST(fleet_crashes, items, 8192, FLEET_TASK_CRASH_SCHEMA),
+};
+const struct fp_schema FLEET_CRASHES_SCHEMA = SCHEMA(
+    "fleet-crashes", FLEET_CRASHES, fleet_crashes, FLEET_CRASHES_FIELDS);
+
 static const struct fp_field FLEET_QUEUE_CONF_FIELDS[] = {
     STR(fleet_queue_conf, name, FLEET_NAME_BYTES),
     STR(fleet_queue_conf, host, FLEET_NAME_BYTES),
@@ -206,6 +223,13 @@
 static const struct fp_schema FLEET_FAILED_RUN_SCHEMA =
     SCHEMA("fleet-failed-run", 138, fleet_failed_run, FLEET_FAILED_RUN_FIELDS);
 
+static const struct fp_field FLEET_CRASH_SAVED_FIELDS[] = {
+    U32(fleet_crash_saved, run),
+    U32(fleet_crash_saved, evidence),
+};
+static const struct fp_schema FLEET_CRASH_SAVED_SCHEMA = SCHEMA(
+    "fleet-crash-saved", 140, fleet_crash_saved, FLEET_CRASH_SAVED_FIELDS);
+
 static const struct fp_field FLEET_TASK_SAVED_FIELDS[] = {
     U32(fleet_task_saved, number),
     BOOL(fleet_task_saved, done),
@@ -213,6 +237,9 @@
     U32(fleet_task_saved, failed_run),
     STR(fleet_task_saved, checkpoint, FLEET_CHECKPOINT_BYTES),
     LIST(fleet_task_saved, failed_runs, FAILURES_MAX, FLEET_FAILED_RUN_SCHEMA),
+    LIST(fleet_task_saved, crashes, CRASHES_MAX, FLEET_CRASH_SAVED_SCHEMA),
+    U32(fleet_task_saved, crash_cleared_run),
+    U32(fleet_task_saved, crash_ran_ms),
 };
 static const struct fp_schema FLEET_TASK_SAVED_SCHEMA =
     SCHEMA("fleet-task-saved", 127, fleet_task_saved, FLEET_TASK_SAVED_FIELDS);
--- a/core/fleetrec.h
+++ b/core/fleetrec.h
@@ -9,6 +9,7 @@
 #define FP_FLEETREC_H
 
 #include "core/change.h"
+#include "core/crashes.h"
 
 /* Sizes of texts include the terminating NUL. */
 #define FLEET_NAME_BYTES 64u
@@ -33,7 +34,8 @@
     FLEET_CANCEL,
     FLEET_RUN_ENDS,
     FLEET_JOB_SAVED, /* only in snapshots */
-    FLEET_SNAPSHOT
+    FLEET_SNAPSHOT,
+    FLEET_CRASHES
 };
 
 /* How a run ended. */
@@ -133,6 +135,20 @@
     struct fp_list items; /* struct fleet_run_end */
 };
 
+/* Evidence of a crash of a target on one of the tasks that ran there. */
+struct fleet_task_crash {
+    struct fleet_task_id task;
+    uint32_t run;
+    uint32_t evidence; /* enum crash_evidence */
+    uint32_t ran_ms;
+};
+
+/* Evidence that the leader has gathered; see core/crashes.h. */
+struct fleet_crashes {
+    struct change_head head;
+    struct fp_list items; /* struct fleet_task_crash */
+};
+
 /* A queue: the host and path prefix that jobs are submitted to, and the rules
  * for scheduling them. */
 struct fleet_queue_conf {
@@ -215,6 +231,12 @@
     uint32_t run;
 };
 
+/* An entry of struct crashes. */
+struct fleet_crash_saved {
+    uint32_t run;
+    uint32_t evidence;
+};
+
 /* Progress of a task, in snapshots; see struct fleet_task. */
 struct fleet_task_saved {
     uint32_t number; /* see fleet_task_number() */
@@ -224,6 +246,9 @@
     char checkpoint[FLEET_CHECKPOINT_BYTES];
     struct fp_list failed_runs; /* struct fleet_failed_run; empty in a snapshot
                                  * by a version without it */
+    struct fp_list crashes;     /* struct fleet_crash_saved */
+    uint32_t crash_cleared_run;
+    uint32_t crash_ran_ms;
 };
 
 /* A job with its progress, in snapshots. Only tasks that are done or have a
@@ -322,6 +347,7 @@
 extern const struct fp_schema FLEET_SUBMIT_SCHEMA;
 extern const struct fp_schema FLEET_CANCEL_SCHEMA;
 extern const struct fp_schema FLEET_RUN_ENDS_SCHEMA;
+extern const struct fp_schema FLEET_CRASHES_SCHEMA;
 extern const struct fp_schema FLEET_CONFIG_SCHEMA;
 extern const struct fp_schema FLEET_TARGET_SCHEMA;
 extern const struct fp_schema FLEET_TARGET_REMOVAL_SCHEMA;
--- a/core/fleetsave.c
+++ b/core/fleetsave.c
@@ -41,6 +41,38 @@
     failures->count = MIN(saved->failures, FAILURES_MAX);
 }
 
+static void
+save_crashes(struct fleet_task_saved *saved, const struct crashes *crashes)
+{
+    for (uint32_t i = 0; i < crashes->count; i++) {
+        struct fleet_crash_saved *entry =
+            fp_list_add(&saved->crashes, sizeof(*entry));
+
+        entry->run = crashes->entries[i].run;
+        entry->evidence = crashes->entries[i].evidence;
+    }
+    saved->crash_cleared_run = crashes->cleared_run;
+    saved->crash_ran_ms = crashes->ran_ms;
+}
+
+static struct crashes *
+load_crashes(const struct fleet_task_saved *saved)
+{
+    const struct fleet_crash_saved *entry = saved->crashes.items;
+    struct crashes *crashes;
+
+    if (saved->crashes.count == 0 && saved->crash_cleared_run == 0) {
+        return NULL;
+    }
+    crashes = g_new0(struct crashes, 1);
+    crashes->cleared_run = saved->crash_cleared_run;
+    for (uint32_t i = 0; i < saved->crashes.count; i++) {
+        crashes_add(crashes, entry[i].run, entry[i].evidence,
+                    saved->crash_ran_ms);
+    }
+    return crashes;
+}
+
 static void
 save_job(struct fleet_snapshot *snap, const struct fleet_job *job)
 {
@@ -52,13 +84,16 @@
         struct fleet_task_saved *saved_task;
 
         if (!task->done && task->failures.count == 0 &&
-            task->checkpoint == NULL) {
+            task->crashes == NULL && task->checkpoint == NULL) {
             continue;
         }
         saved_task = fp_list_add(&saved.tasks, sizeof(*saved_task));
         saved_task->number = i;
         saved_task->done = task->done;
         save_failures(saved_task, &task->failures);
+        if (task->crashes != NULL) {
+            save_crashes(saved_task, task->crashes);
+        }
         if (task->checkpoint != NULL) {
             g_strlcpy(saved_task->checkpoint, task->checkpoint,
                       sizeof(saved_task->checkpoint));
@@ -69,6 +104,7 @@
         struct fleet_task_saved *saved_task = saved.tasks.items;
 
         g_free(saved_task[i].failed_runs.items);
+        g_free(saved_task[i].crashes.items);
     }
     g_free(saved.tasks.items);
 }
@@ -114,6 +150,7 @@
         }
         task = &job->tasks[saved_task[i].number];
         load_failures(&task->failures, &saved_task[i]);
+        task->crashes = load_crashes(&saved_task[i]);
         if (saved_task[i].checkpoint[0] != '\0') {
             task->checkpoint = g_strdup(saved_task[i].checkpoint);
         }
--- a/core/plan.c
+++ b/core/plan.c
@@ -103,8 +103,7 @@
     struct plan_target *ptarget = target->plan;
 
     if (usable) {
-        ptarget->silent_ms = 0;
-        ptarget->closed = false;
+        plan_end_silence(plan, ptarget);
     }
     if (ptarget->usable != usable) {
         ptarget->usable = usable;
@@ -145,7 +144,7 @@
 {
     struct plan_target *ptarget = target->plan;
 
-    plan_report_crash(plan, ptarget, loss, now_ms);
+    plan_judge_crash(plan, ptarget, loss, now_ms);
     reset_health(ptarget);
     ptarget->runs_known = true;
     while (ptarget->runs->len > 0) {
@@ -160,7 +159,7 @@
 {
     struct plan_target *ptarget = target->plan;
 
-    plan_report_crash(plan, ptarget, LOSS_CRASHED, now_ms);
+    plan_judge_crash(plan, ptarget, LOSS_CRASHED, now_ms);
     reset_health(ptarget);
     ptarget->leaves_ms = 0;
     ptarget->evacuated = false;
@@ -237,6 +236,9 @@
 
         task->done = job->tasks[i].done;
         failures_copy(&task->failures, &job->tasks[i].failures);
+        task->crashes =
+            g_memdup2(job->tasks[i].crashes, sizeof(*task->crashes));
+        pjob->has_crashes = pjob->has_crashes || task->crashes != NULL;
         task->checkpoint = g_strdup(job->tasks[i].checkpoint);
         task->next_run_number =
             pjob->inherited ? plan->params.run_base + 1 : 1;
@@ -310,6 +312,7 @@
     for (uint32_t i = 0; i < job->job->task_count; i++) {
         g_free(job->tasks[i].checkpoint);
         failures_clear(&job->tasks[i].failures);
+        g_free(job->tasks[i].crashes);
     }
     for (uint32_t i = 0; i < job->step_count; i++) {
         plan_free_tickets(&job->steps[i]);
@@ -348,6 +351,7 @@
     for (uint32_t i = 0; i < pjob->step_count; i++) {
         plan_release_reservation(plan, &pjob->steps[i]);
     }
+    plan_end_trials(plan, pjob);
     while (pjob->runs.head != NULL) {
         struct plan_run *run = pjob->runs.head->data;
 
@@ -509,6 +513,7 @@
 {
     plan->wall_offset_ms = (int64_t)wall_ms - (int64_t)now_ms;
     plan->now_ms = now_ms;
+    plan_store_evidence(plan);
     if (now_ms < (plan->dirty ? plan->last_pass_ms + MIN_PASS_INTERVAL_MS
                               : plan->next_pass_ms)) {
         return;
@@ -565,6 +570,7 @@
     plan->open_steps = g_ptr_array_new();
     plan->upcoming_steps = g_ptr_array_new();
     plan->targets = g_ptr_array_new();
+    plan->silences = g_array_new(FALSE, FALSE, sizeof(struct plan_silence));
     plan->pools =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_pool);
     g_hash_table_iter_init(&iter, fleet->teams);
@@ -614,6 +620,8 @@
     g_ptr_array_free(plan->open_steps, TRUE);
     g_ptr_array_free(plan->upcoming_steps, TRUE);
     g_ptr_array_free(plan->targets, TRUE);
+    g_array_free(plan->silences, TRUE);
+    g_free(plan->evidence.items);
     g_hash_table_destroy(plan->pools);
     g_free(plan);
 }
--- a/core/plan.h
+++ b/core/plan.h
@@ -71,6 +71,8 @@
     uint32_t runs;
     uint32_t suspects;  /* runs whose start may have crashed it */
     uint64_t silent_ms; /* how long it had not answered; 0: it did */
+    bool is_common;     /* other targets were lost with it, whose starts do not
+                         * explain it: no task is suspected */
 };
 
 /* An order to start a run. What it points to is valid during the call only. */
@@ -136,6 +138,9 @@
     /* A step has waited for over a second; repeated once a second. */
     void (*on_step_waiting)(void *ctx, const struct plan_wait *wait);
     void (*on_run_lost)(void *ctx, const struct plan_lost_run *lost);
+    /* Stores evidence in the fleet's state: proposes items, a list of struct
+     * fleet_task_crash that is valid during the call, as FLEET_CRASHES. */
+    void (*store_evidence)(void *ctx, const struct fp_list *items);
     void (*on_target_crashed)(void *ctx, const struct plan_crash *crash);
     /* A target gets no starts for for_ms, after so many failures in a row. */
     void (*on_target_backoff)(void *ctx, const struct fleet_target *target,
@@ -190,6 +195,10 @@
     uint64_t preempted; /* always 0 */
     uint64_t ends[RUN_OUTCOME_COUNT];
     uint64_t runs_lost; /* on targets that were lost or restarted */
+    uint64_t targets_lost;
+    uint64_t common_losses; /* of them, with a common cause */
+    uint64_t trials; /* starts of suspected tasks, apart from other starts */
+    uint64_t tasks_given_up; /* since they crash their targets */
     uint64_t policy_queries;
     uint64_t jobs_rejected;
     uint64_t passes;
@@ -281,6 +290,10 @@
 
 /* Queries. */
 
+/* The verdict on a task by the evidence of crashes, stored or not. */
+enum crash_verdict plan_crash_verdict(const struct fleet_job *job,
+                                      const struct fleet_task_id *task);
+
 /* Whether the start of a run is unanswered, and the run was neither listed nor
  * stopped, and has not ended. */
 bool plan_awaits_start(const struct fleet_target *target,
--- a/core/planfit.c
+++ b/core/planfit.c
@@ -8,6 +8,8 @@
 #define SLOW_TARGET_PERMILLE 2200u
 /* Cost of the target where the task failed last: above all other costs. */
 #define FAILED_HERE_COST (1ull << 52)
+/* How long targets are kept free of other starts before a trial. */
+#define TRIAL_WAIT_MS 600u
 /* A ticket must be valid for longer than this when a start is ordered. */
 #define TICKET_MIN_REMAINING_MS 60u
 
@@ -95,6 +97,7 @@
     }
     return target->usable && !target->target->rec.leaving &&
            now_ms >= target->backoff_until_ms &&
+           plan_is_apart(target, step, now_ms) &&
            size->cpu_milli <= free_capacity(target->capacity.cpu_milli,
                                             target->used.cpu_milli,
                                             reserved.cpu_milli) &&
@@ -142,7 +145,8 @@
  * of the task's data, then targets that are not slow, then the tightest fit
  * (best fit), which keeps large blocks of capacity free. Filler work prefers
  * targets without tasks that bound their tail latency, then those with the
- * most idle CPU. Such latency-bound tasks avoid targets with filler work. */
+ * most idle CPU. Such latency-bound tasks avoid targets with filler work. A
+ * task that may crash its target prefers targets with few runs. */
 static uint64_t
 placement_cost(const struct plan_target *target, const struct plan_step *step)
 {
@@ -155,6 +159,9 @@
         strcmp(def->rack, target->target->rec.rack) != 0) {
         cost += 1ull << 50;
     }
+    if (step->is_trial) {
+        cost += (uint64_t)target->runs->len << 42;
+    }
     if (target->slowdown_permille > SLOW_TARGET_PERMILLE) {
         cost += (uint64_t)target->slowdown_permille << 38;
     }
@@ -257,6 +264,7 @@
     uint32_t max_attempts = step->job->job->queue->conf.max_attempts;
 
     return !task->done && task->runs == 0 && now_ms >= task->not_before_ms &&
+           plan_may_crash_again(task) &&
            (step->def->lasting || max_attempts == 0 ||
             task->failures.count < max_attempts);
 }
@@ -273,6 +281,57 @@
                                    : "no room";
 }
 
+/* Whether a target keeps itself free for a trial of the step. */
+static bool
+awaits_trial(const struct plan *plan, const struct plan_step *step,
+             uint64_t now_ms)
+{
+    for (guint i = 0; i < plan->targets->len; i++) {
+        const struct plan_target *target = plan->targets->pdata[i];
+
+        if (target->trial_job == step->job &&
+            now_ms < target->trial_until_ms && target->usable) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool fit_gang_prefer_rack(struct plan *plan, struct plan_step *step,
+                                 const struct fleet_resources *size,
+                                 struct plan_target **chosen, uint64_t now_ms);
+
+/* Workload: a cell so busy that on each target something was just started. The
+ * targets that would take the step, but for that, get no other starts until it
+ * can be tried there. */
+static void
+prepare_trial(struct plan *plan, struct plan_step *step, uint64_t now_ms)
+{
+    const struct fleet_resources size = plan_task_size(step->def);
+    const uint32_t count = step->def->gang ? step->def->count : 1;
+    struct plan_target **chosen;
+    bool fits;
+
+    if (!step->is_trial || awaits_trial(plan, step, now_ms)) {
+        return;
+    }
+    chosen = g_new0(struct plan_target *, count);
+    step->is_trial = false;
+    if (step->def->gang) {
+        fits = fit_gang_prefer_rack(plan, step, &size, chosen, now_ms);
+    }
+    else {
+        chosen[0] = find_best_target(plan, step, &size, NULL, NULL, now_ms);
+        fits = chosen[0] != NULL;
+    }
+    step->is_trial = true;
+    for (uint32_t i = 0; fits && i < count; i++) {
+        plan_begin_trial(chosen[i], step, now_ms);
+        chosen[i]->trial_until_ms += TRIAL_WAIT_MS;
+    }
+    g_free(chosen);
+}
+
 /* Starts as many tasks as fit; for the first that does not, tries to reserve
  * capacity. */
 static void
@@ -296,6 +355,7 @@
         if (target == NULL) {
             step->wait_reason = no_target_reason(plan, step, &size);
             plan_reserve_capacity(plan, step, &size, now_ms);
+            prepare_trial(plan, step, now_ms);
             return;
         }
         start_on_target(plan, step, i,
@@ -405,6 +465,7 @@
     else {
         step->wait_reason = no_target_reason(plan, step, &size);
         plan_reserve_capacity(plan, step, &size, now_ms);
+        prepare_trial(plan, step, now_ms);
     }
     g_free(chosen);
 }
@@ -412,6 +473,7 @@
 void
 plan_place_step(struct plan *plan, struct plan_step *step, uint64_t now_ms)
 {
+    step->is_trial = plan_is_step_suspected(step);
     if (step->def->gang) {
         place_gang(plan, step, now_ms);
     }
--- a/core/planlist.c
+++ b/core/planlist.c
@@ -68,7 +68,8 @@
 }
 
 static void
-update_run(struct plan_run *run, const struct plan_listed_run *listed,
+update_run(struct plan *plan, struct plan_run *run,
+           const struct plan_listed_run *listed, uint64_t requested_ms,
            uint64_t now_ms)
 {
     if (run->active_since_ms == 0) {
@@ -78,6 +79,7 @@
         run->state = RUN_ACTIVE;
     }
     run->last_listed_ms = now_ms;
+    plan_clear_survivor(plan, run, requested_ms);
     run->percent = listed->percent;
     run->load = listed->load;
     if (run->step != NULL && listed->checkpoint[0] != '\0') {
@@ -172,7 +174,7 @@
             plan_find_run(ptarget, &listed[i].task, listed[i].run_number);
 
         if (run != NULL) {
-            update_run(run, &listed[i], now_ms);
+            update_run(plan, run, &listed[i], requested_ms, now_ms);
         }
         else {
             add_listed_run(plan, ptarget, &listed[i], first, now_ms);
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -33,7 +33,9 @@
     uint32_t pace; /* ordered speed, percent of the full speed; 100: full */
     uint64_t last_listed_ms; /* when its target last listed it; 0: never */
     bool start_in_flight;    /* a copy of its start order may still arrive */
-    bool detached; /* its task may have another run (def->duplicates) */
+    bool detached;      /* its task may have another run (def->duplicates) */
+    bool is_open_crash; /* counted in its task's open_crashes */
+    bool is_judged;     /* the crash of its target was counted */
 };
 
 /* All targets of one service. */
@@ -65,6 +67,10 @@
     uint64_t alive_ms;  /* when it last answered an order; 0: not yet */
     uint64_t silent_ms; /* when it first did not answer; 0: it answers */
     bool closed;        /* it then ended the connection */
+    uint64_t silence;   /* number of its entry in plan->silences */
+    struct plan_job *trial_job; /* its suspected tasks start here, apart from
+                                 * other starts; NULL: none */
+    uint64_t trial_until_ms;
     bool runs_known;    /* has listed its runs, or certainly has none */
     uint64_t leaves_ms; /* may be gone from then on; 0: it is not leaving */
     bool evacuated;     /* the runs that would be lost there were stopped */
@@ -107,13 +113,13 @@
     uint64_t partial_since_ms; /* of a gang: only some members have a run;
                                 * 0: all or none have */
     bool query_in_flight;
-    uint64_t expected_end_ms;  /* when its last run should end */
-    bool advised;              /* unused */
-    uint64_t next_query_ms;    /* no policy query before this */
-    uint32_t query_failures;   /* in a row; each doubles the timeout */
-    GArray *tickets;           /* struct plan_ticket; NULL: none */
-    GHashTable *ticket_index;  /* struct plan_target to its index in tickets,
-                                * plus 1 */
+    uint64_t expected_end_ms; /* when its last run should end */
+    bool is_trial;            /* its starts are trials; set before placement */
+    uint64_t next_query_ms;   /* no policy query before this */
+    uint32_t query_failures;  /* in a row; each doubles the timeout */
+    GArray *tickets;          /* struct plan_ticket; NULL: none */
+    GHashTable *ticket_index; /* struct plan_target to its index in tickets,
+                               * plus 1 */
     uint32_t reserved_targets; /* targets with capacity reserved for it */
     uint64_t remaining_ms;     /* see remaining_run_ms() in planorder.c */
     uint64_t sort_key[3];      /* set by planorder.c, smallest first */
@@ -128,8 +134,11 @@
     uint32_t runs;   /* runs not ended, without detached ones */
     uint32_t copies; /* runs not ended, detached ones included */
     uint32_t next_run_number;
-    uint64_t not_before_ms; /* no start before this */
-    char *checkpoint;       /* latest known; NULL: none */
+    struct crashes *crashes; /* committed to the log or not; NULL: none */
+    uint32_t open_crashes;   /* runs that may have crashed targets that do not
+                              * answer now */
+    uint64_t not_before_ms;  /* no start before this */
+    char *checkpoint;        /* latest known; NULL: none */
 };
 
 struct plan_job {
@@ -144,11 +153,23 @@
                                 * or, if set, from the due_ms of a step */
     bool tight;                /* little slack: it must start at once */
     struct plan_step *steps;   /* by occurrence, then step */
+    bool has_crashes;          /* a task has or had crashes or open_crashes */
     uint32_t step_count;
     struct plan_task *tasks;
     GQueue runs; /* struct plan_run of its steps, by their job_link */
 };
 
+/* A target that stopped answering. */
+struct plan_silence {
+    uint64_t number;
+    uint64_t at_ms;
+    const struct plan_pool *pool;
+    char rack[FLEET_NAME_BYTES];
+    bool closed;            /* it ended its connections */
+    uint32_t common_weight; /* see common_weight() in plancrash.c */
+    bool answered;          /* the same incarnation answered again */
+};
+
 struct plan {
     struct fleet *fleet;
     struct plan_params params;
@@ -161,6 +182,9 @@
                                 * ahead */
     GPtrArray *targets;        /* struct plan_target */
     GHashTable *pools;         /* service to struct plan_pool */
+    GArray *silences; /* struct plan_silence of the last seconds, by time */
+    uint64_t last_silence;   /* number of the last one */
+    struct fp_list evidence; /* struct fleet_task_crash to be stored */
     struct fleet_resources unlisted_capacity; /* of targets whose runs are not
                                                * known yet; set by each pass */
     int64_t wall_offset_ms;    /* wall clock less monotonic clock */
@@ -259,13 +283,39 @@
 
 /* plancrash.c */
 
-/* Records that the target answers orders. */
+/* Records that the target answered an order. */
 void plan_target_answers(struct plan_target *target, uint64_t now_ms);
-/* Whether the start of a run may have crashed its target, which is silent. */
-bool plan_is_suspect(const struct plan_run *run);
-/* Reports a lost target with its runs, before they are removed. */
-void plan_report_crash(struct plan *plan, struct plan_target *target,
-                       enum plan_loss loss, uint64_t now_ms);
+/* The silent target answers again, as the same incarnation. */
+void plan_end_silence(struct plan *plan, struct plan_target *target);
+/* A start of the run broke the connection. */
+void plan_suspect_run(struct plan *plan, struct plan_run *run);
+/* The run is removed or its target answers again. */
+void plan_unsuspect_run(struct plan *plan, struct plan_run *run);
+/* Judges the runs of a lost target and reports them, before they are removed.
+ */
+void plan_judge_crash(struct plan *plan, struct plan_target *target,
+                      enum plan_loss loss, uint64_t now_ms);
+/* The run was listed in an answer to a request of requested_ms, or has ended:
+ * clears its task if that shows that it did not crash its target. */
+void plan_clear_survivor(struct plan *plan, const struct plan_run *run,
+                         uint64_t requested_ms);
+void plan_clear_task(struct plan *plan, struct plan_step *step,
+                     const struct fleet_task_id *id, uint32_t run_number);
+/* Whether a start of the task would not be one too many. */
+bool plan_may_crash_again(const struct plan_task *task);
+/* Whether a task of the step that is not done is suspected. */
+bool plan_is_step_suspected(const struct plan_step *step);
+/* Whether the target takes starts of the step as far as trials go: others keep
+ * away from a trial, and a trial from runs that were just started. */
+bool plan_is_apart(const struct plan_target *target,
+                   const struct plan_step *step, uint64_t now_ms);
+/* A suspected task of the step starts, or will start, on the target. */
+void plan_begin_trial(struct plan_target *target, struct plan_step *step,
+                      uint64_t now_ms);
+/* Ends the trials of a job that is removed. */
+void plan_end_trials(struct plan *plan, const struct plan_job *job);
+/* Passes new evidence on to be stored. */
+void plan_store_evidence(struct plan *plan);
 
 /* planfit.c */
 
--- a/core/planrun.c
+++ b/core/planrun.c
@@ -268,6 +268,7 @@
             plan_release_task(plan, step, task);
         }
     }
+    plan_unsuspect_run(plan, run);
     plan_unlink_run(run);
     g_ptr_array_remove_fast(run->target->runs, run);
     plan->dirty = true;
@@ -312,6 +313,10 @@
         .ticket = ticket};
     uint64_t run_ms = step->def->estimate_ms;
 
+    if (step->is_trial) {
+        plan_begin_trial(target, step, now_ms);
+        plan->counters.trials++;
+    }
     step->pending--;
     task->next_run_number = run_number + 1;
     run->run_number = run_number;
@@ -489,6 +494,9 @@
 
         plan_mark_started(pjob);
         task->next_run_number = MAX(task->next_run_number, end->run + 1);
+        if (end->outcome == RUN_DONE || end->outcome == RUN_FAILED) {
+            plan_clear_task(plan, step, &end->task, end->run);
+        }
         if (end->checkpoint[0] != '\0') {
             plan_set_checkpoint(step, task_number, end->checkpoint);
         }
@@ -536,6 +544,9 @@
     if (answer == ORDER_UNKNOWN || answer == ORDER_CLOSED) {
         plan->counters.starts_unknown++;
         if (run->state == RUN_STARTING) {
+            if (answer == ORDER_CLOSED) {
+                plan_suspect_run(plan, run);
+            }
             plan_order_stop(plan, run, "its start has no answer", now_ms);
             plan_detach_run(plan, run);
         }
--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -577,32 +577,6 @@
           EVENT_INT("free_accel", wait->free_accel));
 }
 
-static void
-log_run_lost(void *ctx, const struct plan_lost_run *lost)
-{
-    char id[FLEET_TASK_ID_TEXT_BYTES];
-
-    (void)ctx;
-    fleet_task_id_text(&lost->task, id, sizeof(id));
-    EVENT(EVENT_RUN_LOST, EVENT_STR("id", id),
-          EVENT_INT("run", lost->run_number),
-          EVENT_STR("target", lost->target->rec.id),
-          EVENT_INT("ran_ms", lost->ran_ms),
-          EVENT_INT("suspect", lost->is_suspect));
-}
-
-static void
-log_target_crashed(void *ctx, const struct plan_crash *crash)
-{
-    (void)ctx;
-    EVENT(EVENT_TARGET_CRASHED, EVENT_STR("id", crash->target->rec.id),
-          EVENT_STR("how",
-                    crash->loss == LOSS_CRASHED ? "crashed" : "lease over"),
-          EVENT_INT("runs", crash->runs),
-          EVENT_INT("suspects", crash->suspects),
-          EVENT_INT("silent_ms", crash->silent_ms));
-}
-
 static void
 log_target_backoff(void *ctx, const struct fleet_target *target,
                    uint64_t for_ms, uint32_t failures)
@@ -628,8 +602,10 @@
                                  .query_policy = dispatch_query_policy,
                                  .on_run_found = log_run_found,
                                  .on_step_waiting = log_step_waiting,
-                                 .on_run_lost = log_run_lost,
-                                 .on_target_crashed = log_target_crashed,
+                                 .on_run_lost = dispatch_log_run_lost,
+                                 .on_target_crashed =
+                                     dispatch_log_target_crashed,
+                                 .store_evidence = dispatch_store_evidence,
                                  .on_target_backoff = log_target_backoff,
                                  .ctx = dispatch};
     GHashTableIter iter;
@@ -643,6 +619,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     dispatch->pending = g_hash_table_new(g_direct_hash, g_direct_equal);
     dispatch->unsent_starts = g_ptr_array_new();
+    dispatch->unstored_evidence = g_ptr_array_new();
     dispatch->submitting =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     dispatch->plan =
@@ -671,6 +648,7 @@
         dispatch_drop_pending(dispatch->unsent_starts->pdata[i]);
     }
     g_ptr_array_free(dispatch->unsent_starts, TRUE);
+    dispatch_free_evidence(dispatch);
     plan_free(dispatch->plan);
     g_hash_table_destroy(dispatch->pending);
     g_hash_table_destroy(dispatch->sessions);
--- a/node/dispatchlane.c
+++ b/node/dispatchlane.c
@@ -721,6 +721,7 @@
     if (!is_leader(dispatch)) {
         return;
     }
+    dispatch_retry_evidence(dispatch);
     g_hash_table_iter_init(&iter, dispatch->sessions);
     while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&session)) {
         tick_session(session, now_ms);
--- a/node/dispatchpriv.h
+++ b/node/dispatchpriv.h
@@ -3,6 +3,7 @@
  *   dispatch.c     calls of clients, operators and targets; lifecycle
  *   dispatchlane.c orders to targets, leases, ends of runs
  *   dispatchask.c  queries to the placement policy
+ *   dispatchcrash.c crashes of targets: events, evidence in the log
  */
 #ifndef FP_DISPATCHPRIV_H
 #define FP_DISPATCHPRIV_H
@@ -64,14 +65,16 @@
 struct dispatch {
     struct dispatch_deps deps;
     struct plan *plan;
-    uint64_t term_start_ms;   /* when this host became leader */
-    bool reconciled;          /* plan_reconciled() was called */
-    GHashTable *sessions;     /* target ID to struct target_session */
-    GHashTable *helpers;      /* host to struct policy_helper */
-    GHashTable *pending;      /* set of struct pending_request */
-    GPtrArray *unsent_starts; /* struct pending_request: start orders that
-                               * were not sent, to be reported to the plan */
-    GHashTable *submitting;   /* IDs of jobs that are proposed */
+    uint64_t term_start_ms;       /* when this host became leader */
+    bool reconciled;              /* plan_reconciled() was called */
+    GHashTable *sessions;         /* target ID to struct target_session */
+    GHashTable *helpers;          /* host to struct policy_helper */
+    GHashTable *pending;          /* set of struct pending_request */
+    GPtrArray *unsent_starts;     /* struct pending_request: start orders that
+                                   * were not sent, to be reported to the plan */
+    GPtrArray *unstored_evidence; /* struct evidence_commit: not stored, to be
+                                   * proposed again */
+    GHashTable *submitting;       /* IDs of jobs that are proposed */
     bool local_query_pending; /* a query sent by this host has no answer yet */
     uint32_t start_answer_us; /* moving average of the answer time of start
                                * orders */
@@ -110,6 +113,17 @@
                        const struct fleet_task_id *task, uint32_t run_number,
                        uint32_t percent);
 
+/* dispatchcrash.c */
+
+/* Proposes again what could not be stored. */
+void dispatch_retry_evidence(struct dispatch *dispatch);
+void dispatch_free_evidence(struct dispatch *dispatch);
+
+/* Callbacks of struct plan_ops; ctx is a struct dispatch. */
+void dispatch_store_evidence(void *ctx, const struct fp_list *items);
+void dispatch_log_run_lost(void *ctx, const struct plan_lost_run *lost);
+void dispatch_log_target_crashed(void *ctx, const struct plan_crash *crash);
+
 /* dispatchask.c */
 
 /* Records a ping from a host that offers to query the policy. */
--- a/node/fleetmetrics.c
+++ b/node/fleetmetrics.c
@@ -49,6 +49,10 @@
     add_value(out, "stops_total", counters->stops);
     add_value(out, "preempted_total", counters->preempted);
     add_value(out, "runs_lost_total", counters->runs_lost);
+    add_value(out, "targets_lost_total", counters->targets_lost);
+    add_value(out, "targets_lost_common_total", counters->common_losses);
+    add_value(out, "crash_trials_total", counters->trials);
+    add_value(out, "tasks_given_up_total", counters->tasks_given_up);
     add_value(out, "policy_questions_total", counters->policy_queries);
     add_value(out, "jobs_rejected_total", counters->jobs_rejected);
     add_value(out, "plan_passes_total", counters->passes);
--- a/tests/plan_world.h
+++ b/tests/plan_world.h
@@ -167,6 +167,7 @@
         ops.query_policy = on_advise;
         ops.on_run_lost = on_run_lost;
         ops.on_target_crashed = on_target_crashed;
+        ops.store_evidence = on_evidence;
         ops.ctx = this;
         planner = plan_new(fleet_state, &params, &ops, now_ms);
         for (guint i = 0; i < planner->targets->len; i++) {
@@ -400,6 +401,13 @@
     {
         self(ctx)->crashes.push_back(*crash);
     }
+    static void on_evidence(void *ctx, const fp_list *items)
+    {
+        fleet_crashes crashes;
+        memset(&crashes, 0, sizeof(crashes));
+        crashes.items = *items;
+        self(ctx)->apply_change(&FLEET_CRASHES_SCHEMA, &crashes);
+    }
     static void on_pace(void *ctx, const fleet_target *target,
                         const fleet_task_id *task, uint32_t run,
                         uint32_t percent)
--- a/tests/replay_test.cc
+++ b/tests/replay_test.cc
@@ -155,7 +155,8 @@
 {
     const sim_breaches &breaches = result->breaches;
     EXPECT_EQ(breaches.over_size + breaches.doubled + breaches.over_cap +
-                  breaches.stuck + breaches.over_crashes,
+                  breaches.stuck + breaches.over_crashes +
+                  breaches.wrongly_given_up,
               0u)
         << "seed " << seed << ": " << breaches.first;
 }
