--- a/core/plancrash.c
+++ b/core/plancrash.c
@@ -268,6 +268,8 @@
 static bool
 has_common_cause(const struct plan *plan, const struct plan_target *target)
 {
+    const uint64_t within_ms =
+        target->closed ? COMMON_CAUSE_MS : COMMON_CAUSE_SILENT_MS;
     uint32_t in_rack = 0;
     uint32_t in_service = 0;
 
@@ -275,11 +277,8 @@
         const struct plan_silence *other =
             &g_array_index(plan->silences, struct plan_silence, i);
 
-        const uint64_t within_ms = other->closed && target->closed
-                                       ? COMMON_CAUSE_MS
-                                       : COMMON_CAUSE_SILENT_MS;
-
         if (other->number == target->silence || other->answered ||
+            other->closed != target->closed ||
             other->at_ms + within_ms < target->silent_ms ||
             target->silent_ms + within_ms < other->at_ms) {
             continue;
