--- a/core/fleet.h
+++ b/core/fleet.h
@@ -25,9 +25,6 @@
      * by the scheduler. */
     uint64_t lost_suspects;   /* their start may have crashed the target */
     uint64_t lost_neighbours; /* the others */
-    uint64_t risky_until_ms;  /* some of its tasks have just crashed targets;
-                               * monotonic clock, maintained by the
-                               * scheduler */
 };
 
 /* A team. It is kept after a configuration drops it, since its jobs refer to
--- a/core/plancrash.c
+++ b/core/plancrash.c
@@ -38,9 +38,6 @@
 #define COMMON_IN_RACK 3u
 #define COMMON_IN_SERVICE 4u
 #define COMMON_PERCENT 4u
-/* For how long the tasks of a queue are kept away from the work of others
- * after one of them has crashed its target. */
-#define RISKY_MS 10000u
 #define SILENCES_KEPT_MS 60000u
 
 static struct plan_task *
@@ -114,9 +111,6 @@
                      (uint32_t)MIN(run_ms, UINT32_MAX))) {
         return;
     }
-    if (evidence == CRASH_ALONE) {
-        step->job->job->queue->risky_until_ms = plan->now_ms + RISKY_MS;
-    }
     step->job->has_crashes = true;
     plan->dirty = true;
     if (before != CRASH_PROVEN &&
@@ -466,23 +460,6 @@
                : CRASH_NOT_SUSPECTED;
 }
 
-uint32_t
-plan_runs_at_stake(const struct plan_target *target,
-                   const struct plan_step *step)
-{
-    const struct fleet_queue *queue = step->job->job->queue;
-    uint32_t runs = 0;
-
-    for (guint i = 0; i < target->runs->len; i++) {
-        const struct plan_run *run = target->runs->pdata[i];
-
-        if (run->step != NULL && run->step->job->job->queue != queue) {
-            runs += run->step->def->gang ? run->step->def->count : 1;
-        }
-    }
-    return runs;
-}
-
 /* ---- trials ------------------------------------------------------------- */
 
 bool
--- a/core/planfit.c
+++ b/core/planfit.c
@@ -146,8 +146,7 @@
  * (best fit), which keeps large blocks of capacity free. Filler work prefers
  * targets without tasks that bound their tail latency, then those with the
  * most idle CPU. Such latency-bound tasks avoid targets with filler work. A
- * task that may crash its target prefers targets where little work of others
- * would be lost with it. */
+ * task that may crash its target prefers targets with few runs. */
 static uint64_t
 placement_cost(const struct plan_target *target, const struct plan_step *step)
 {
@@ -160,8 +159,8 @@
         strcmp(def->rack, target->target->rec.rack) != 0) {
         cost += 1ull << 50;
     }
-    if (step->is_trial || step->is_risky) {
-        cost += (uint64_t)MIN(plan_runs_at_stake(target, step), 255u) << 42;
+    if (step->is_trial) {
+        cost += (uint64_t)target->runs->len << 42;
     }
     if (target->slowdown_permille > SLOW_TARGET_PERMILLE) {
         cost += (uint64_t)target->slowdown_permille << 38;
@@ -475,7 +474,6 @@
 plan_place_step(struct plan *plan, struct plan_step *step, uint64_t now_ms)
 {
     step->is_trial = plan_is_step_suspected(step);
-    step->is_risky = now_ms < step->job->job->queue->risky_until_ms;
     if (step->def->gang) {
         place_gang(plan, step, now_ms);
     }
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -115,13 +115,11 @@
     bool query_in_flight;
     uint64_t expected_end_ms; /* when its last run should end */
     bool is_trial;            /* its starts are trials; set before placement */
-    bool is_risky;           /* its starts keep away from work of other queues;
-                              * set before placement */
-    uint64_t next_query_ms;  /* no policy query before this */
-    uint32_t query_failures; /* in a row; each doubles the timeout */
-    GArray *tickets;         /* struct plan_ticket; NULL: none */
-    GHashTable *ticket_index;  /* struct plan_target to its index in tickets,
-                                * plus 1 */
+    uint64_t next_query_ms;   /* no policy query before this */
+    uint32_t query_failures;  /* in a row; each doubles the timeout */
+    GArray *tickets;          /* struct plan_ticket; NULL: none */
+    GHashTable *ticket_index; /* struct plan_target to its index in tickets,
+                               * plus 1 */
     uint32_t reserved_targets; /* targets with capacity reserved for it */
     uint64_t remaining_ms;     /* see remaining_run_ms() in planorder.c */
     uint64_t sort_key[3];      /* set by planorder.c, smallest first */
@@ -311,10 +309,6 @@
  * away from a trial, and a trial from runs that were just started. */
 bool plan_is_apart(const struct plan_target *target,
                    const struct plan_step *step, uint64_t now_ms);
-/* Number of runs of other queues that would be lost or broken with a target.
- */
-uint32_t plan_runs_at_stake(const struct plan_target *target,
-                            const struct plan_step *step);
 /* A suspected task of the step starts, or will start, on the target. */
 void plan_begin_trial(struct plan_target *target, struct plan_step *step,
                       uint64_t now_ms);
