Crashes: a start that its target may not have carried out doesn't count in full

The first crash came while the start order was under way: it had no answer, and another task had crashed the target before. Such a run is now unsure evidence: the task is tried apart, and two crashes that are sure are still needed. In a trial nothing else was just started, so there an unanswered start counts, for tasks that crash a target before it can answer.

--- a/core/crashes.c
+++ b/core/crashes.c
@@ -4,7 +4,7 @@
 #include <glib.h>
 
 const char *const CRASH_EVIDENCE_NAMES[CRASH_EVIDENCE_COUNT] = {
-    "present", "open", "shared", "alone", "withdrawn", "cleared"};
+    "present", "open", "unsure", "shared", "alone", "withdrawn", "cleared"};
 
 static void
 clear_entries(struct crashes *crashes, uint32_t run)
@@ -26,13 +26,16 @@
     return index;
 }
 
-/* Replaces an open entry by what is now known of it, or removes it. */
+/* Replaces an open or unsure entry by what is now known of it, or removes it.
+ */
 static bool
 settle_entry(struct crashes *crashes, uint32_t index,
              enum crash_evidence evidence)
 {
-    if (crashes->entries[index].evidence != CRASH_OPEN ||
-        evidence == CRASH_OPEN) {
+    const enum crash_evidence old = crashes->entries[index].evidence;
+
+    if ((old != CRASH_OPEN && old != CRASH_UNSURE) || evidence == CRASH_OPEN ||
+        evidence == old) {
         return false;
     }
     crashes->entries[index].evidence = evidence;
@@ -92,6 +95,7 @@
 {
     uint32_t alone;
     uint32_t at_start;
+    uint32_t started; /* of them, those that the target had started */
     uint32_t confirmed;
 
     if (crashes == NULL || crashes->count == 0) {
@@ -99,9 +103,10 @@
     }
     alone = crashes_count(crashes, CRASH_ALONE);
     at_start = crashes_at_start(crashes);
-    confirmed = at_start - crashes_count(crashes, CRASH_OPEN);
+    started = at_start - crashes_count(crashes, CRASH_UNSURE);
+    confirmed = started - crashes_count(crashes, CRASH_OPEN);
     if (alone > 0 &&
-        (confirmed >= CRASHES_PROVEN_MIN || at_start >= CRASHES_OPEN_MAX)) {
+        (confirmed >= CRASHES_PROVEN_MIN || started >= CRASHES_OPEN_MAX)) {
         return CRASH_PROVEN;
     }
     if (confirmed >= CRASHES_PROVEN_MIN &&
--- a/core/crashes.h
+++ b/core/crashes.h
@@ -18,6 +18,8 @@
                     * explains the crash */
     CRASH_OPEN,    /* its start may have broken the connections of the target,
                     * of which it is not known whether it has crashed */
+    CRASH_UNSURE,  /* the target has crashed, but it is not known whether it
+                    * had started the run */
     CRASH_SHARED,  /* its start may have crashed the target, as may that of a
                     * run of another job */
     CRASH_ALONE, /* its start, or that of another run of its job, and no other
--- a/core/plancrash.c
+++ b/core/plancrash.c
@@ -133,7 +133,9 @@
     if (task != NULL && !run->is_open_crash && !run->is_judged) {
         run->is_open_crash = true;
         task->open_crashes++;
-        add_evidence(plan, run->step, &run->task, run->run_number, CRASH_OPEN,
+        add_evidence(plan, run->step, &run->task, run->run_number,
+                     run->active_since_ms == 0 && !run->is_trial ? CRASH_UNSURE
+                                                                 : CRASH_OPEN,
                      0);
     }
 }
@@ -376,6 +378,9 @@
     if (is_suspect(run) &&
         (is_crash || crashes_verdict(task->crashes) != CRASH_NOT_SUSPECTED)) {
         evidence = found->several_jobs ? CRASH_SHARED : CRASH_ALONE;
+        if (run->active_since_ms == 0 && !run->is_trial) {
+            evidence = CRASH_UNSURE;
+        }
     }
     else if (!is_suspect(run) &&
              (found->runs > 0 || ran_ms(run) > LATE_CRASH_MAX_MS)) {
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -34,6 +34,7 @@
     uint64_t last_listed_ms; /* when its target last listed it; 0: never */
     bool start_in_flight;    /* a copy of its start order may still arrive */
     bool detached;      /* its task may have another run (def->duplicates) */
+    bool is_trial;      /* nothing else had just started on its target */
     bool is_open_crash; /* counted in its task's open_crashes */
     bool is_judged;     /* the crash of its target was counted */
 };
--- a/core/planrun.c
+++ b/core/planrun.c
@@ -315,6 +315,7 @@
 
     if (step->is_trial) {
         plan_begin_trial(target, step, now_ms);
+        run->is_trial = true;
         plan->counters.trials++;
     }
     step->pending--;
--- a/tests/crash_test.cc
+++ b/tests/crash_test.cc
@@ -277,4 +277,28 @@
     expect_given_up(sim, {.count = 3, .estimate_ms = 5000}, STARTS_MAX);
 }
 
+// A target that another task crashes while a start order is under way to it has
+// not crashed under that start.
+TEST(Crash, ACrashBeforeAStartArrivesIsNotCountedAsUnderIt)
+{
+    CrashSim sim;
+    sim.configure({"q"});
+    sim.add_hosts(6);
+    sim.become_leader();
+    sim.submit(1, {{.count = 1}});
+    sim.run_pass(5);
+    RunOrder first = sim.start_orders[0];
+    sim.handled = 1;
+    sim.crash(*sim.host_of(first.target));
+    sim.answer_start(first, ORDER_CLOSED);
+    sim.crashes_target = [](const fleet_task_id &) { return true; };
+    sim.run_for(3500); // the first target is back, the second one crashes
+    ASSERT_EQ(sim.starts["0000000000000001.0.0.0"], 1) << "beside the first";
+    sim.run_for(3000);
+    EXPECT_NE(sim.state_of(1), JOB_FAILED) << "one target has crashed under it";
+    sim.run_for(5000);
+    EXPECT_EQ(sim.state_of(1), JOB_FAILED);
+    EXPECT_EQ(sim.starts["0000000000000001.0.0.0"], 2);
+}
+
 } // namespace
