Changing capacity: a late announcement brings no old capacity back

A target's announcement carries a number that rises; it was decoded and not used. One held up by a partition, arriving after a newer one, brought the old, larger capacity back until the next: starts brought the target over its room (LIMIT). Announcements of an incarnation older than the last one are now ignored, by the stored record and, since unchanged announcements are not stored, by the leader's session.

Beside it, with tests that failed before: idle processors of a target over its capacity counted as 2^64 less a few (filler work chose the fullest target), and a reservation stayed on a target that had shrunk below it, which held others off and kept the gang waiting.

--- a/bench/sim.c
+++ b/bench/sim.c
@@ -57,6 +57,7 @@
         g_array_free(event->tickets, TRUE);
     }
     g_free(event->ends.items);
+    g_free(event->late_rec);
     g_free(event);
 }
 
@@ -335,6 +336,7 @@
         sim_on_task_crash(sim, event);
         return;
     case SIM_CAPACITY_CHANGE:
+    case SIM_LATE_ANNOUNCEMENT:
         sim_announce_capacity(sim, event);
         return;
     case SIM_LOAD_EVENT:
--- a/bench/simpriv.h
+++ b/bench/simpriv.h
@@ -48,6 +48,7 @@
     SIM_TARGET_RESTART,      /* a crashed target restarts */
     SIM_TASK_CRASH,          /* a task crashes its target */
     SIM_CAPACITY_CHANGE,     /* a target announces another capacity */
+    SIM_LATE_ANNOUNCEMENT,   /* an older announcement arrives late */
     SIM_LOAD_EVENT,          /* an event of the load begins */
     SIM_TERM_START,          /* a new leader starts its term */
     SIM_SAMPLE               /* running tasks of lasting jobs are counted */
@@ -72,6 +73,7 @@
                                 * when it was sent; else 0 */
     };
     const struct replay_event *load_event; /* SIM_LOAD_EVENT */
+    struct fleet_target_rec *late_rec;     /* SIM_LATE_ANNOUNCEMENT, owned */
     GArray *tickets;     /* SIM_POLICY_ANSWER: struct call_ticket, owned */
     struct fp_list ends; /* SIM_ENDS_COMMIT: struct fleet_run_end, owned */
     /* Of an answer that the leader handles late: */
@@ -204,7 +206,7 @@
                       uint32_t percent);
 /* Handles SIM_TASK_CRASH. */
 void sim_on_task_crash(struct sim *sim, struct sim_event *event);
-/* Handles SIM_CAPACITY_CHANGE. */
+/* Handles SIM_CAPACITY_CHANGE and SIM_LATE_ANNOUNCEMENT. */
 void sim_announce_capacity(struct sim *sim, struct sim_event *event);
 /* Starts a new incarnation of a target. */
 void sim_boot_target(struct sim *sim, struct sim_target *target);
--- a/bench/simtarget.c
+++ b/bench/simtarget.c
@@ -11,6 +11,7 @@
  * against a smaller one CAPACITY_GRACE_MS later. */
 #define ANNOUNCEMENT_INTERVAL_MS 500u
 #define CAPACITY_GRACE_MS 3500u
+#define LATE_ANNOUNCEMENT_MAX_MS 6000u
 #define CRASH_AFTER_MS 10u /* from the start of a task that crashes */
 #define CRASH_DOWN_MS 3000u
 /* A task that crashes its targets may be started this often after
@@ -449,12 +450,29 @@
                          target);
 }
 
+/* A copy of the last announcement was held up, and arrives after the next. */
+static void
+hold_up_announcement(struct sim *sim, struct sim_target *target)
+{
+    const uint32_t delay_ms =
+        replay_hash(sim->seed + 3, sim->now_ms, g_str_hash(target->id)) %
+        LATE_ANNOUNCEMENT_MAX_MS;
+
+    sim_add_target_event(sim, SIM_LATE_ANNOUNCEMENT,
+                         sim->now_ms + ANNOUNCEMENT_INTERVAL_MS + delay_ms,
+                         target)
+        ->late_rec = g_memdup2(&target->rec, sizeof(target->rec));
+    target->rec.sequence++;
+}
+
 void
 sim_set_capacity(struct sim *sim, struct sim_target *target, uint32_t percent)
 {
     struct fleet_target_rec *rec = &target->rec;
     const struct fleet_resources old = enforced_capacity(sim, target);
 
+    hold_up_announcement(sim, target);
+
     rec->cpu_milli = (uint32_t)(target->nominal.cpu_milli * percent / 100);
     rec->memory_mb = (uint32_t)(target->nominal.memory_mb * percent / 100);
     rec->accel = (uint32_t)(target->nominal.accel * percent / 100);
@@ -480,18 +498,21 @@
         target->rec.born_ms != event->born_ms) {
         return;
     }
-    if (sim->plan == NULL || sim->now_ms < target->cut_until_ms) {
+    if (event->late_rec == NULL &&
+        (sim->plan == NULL || sim->now_ms < target->cut_until_ms)) {
         sim_add_target_event(sim, SIM_CAPACITY_CHANGE,
                              sim->now_ms + ANNOUNCEMENT_INTERVAL_MS, target);
         return;
     }
-    if (!event->is_late && sim->now_ms < sim->slow_leader_until_ms) {
+    if (event->late_rec == NULL && !event->is_late &&
+        sim->now_ms < sim->slow_leader_until_ms) {
         sim_add_target_event(sim, SIM_CAPACITY_CHANGE,
                              sim->now_ms + sim->leader_delay_ms, target)
             ->is_late = true;
         return;
     }
-    sim_apply(sim, &FLEET_TARGET_SCHEMA, &target->rec);
+    sim_apply(sim, &FLEET_TARGET_SCHEMA,
+              event->late_rec != NULL ? event->late_rec : &target->rec);
 }
 
 void
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -145,7 +145,9 @@
     struct fleet_target *target = fleet_find_target(fleet, rec->id);
     bool restarted = target != NULL && target->rec.born_ms != rec->born_ms;
 
-    if ((target != NULL && target->rec.born_ms > rec->born_ms) ||
+    if ((target != NULL &&
+         (target->rec.born_ms > rec->born_ms ||
+          (!restarted && target->rec.sequence > rec->sequence))) ||
         !claim_address(fleet, rec)) {
         answer->err = FP_ERR_STALE;
         return;
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -107,8 +107,8 @@
 /* Applies a committed, encoded change and fills in answer. answer->err is
  * FP_OK or:
  *   FP_ERR_CORRUPT      the change cannot be decoded
- *   FP_ERR_STALE        a newer incarnation of the target, or a newer target
- *                       at its address, is known
+ *   FP_ERR_STALE        a newer incarnation or announcement of the target, or
+ *                       a newer target at its address, is known
  *   FP_ERR_BAD_REQUEST  invalid job; answer->detail says why
  *   FP_ERR_GONE         the job to cancel is unknown
  * A job that is submitted again and a configuration whose version is not
--- a/core/fleetrec.c
+++ b/core/fleetrec.c
@@ -202,6 +202,7 @@
     STR(fleet_target_rec, labels, FLEET_LABELS_BYTES),
     BOOL(fleet_target_rec, leaving),
     U32(fleet_target_rec, stays_ms),
+    U64(fleet_target_rec, sequence),
 };
 const struct fp_schema FLEET_TARGET_SCHEMA =
     SCHEMA("fleet-target-rec", FLEET_TARGET, fleet_target_rec,
--- a/core/fleetrec.h
+++ b/core/fleetrec.h
@@ -217,6 +217,8 @@
     bool leaving;                    /* draining: takes no new tasks */
     uint32_t stays_ms; /* it stays at least this long after it first
                         * announced that it is leaving */
+    uint64_t sequence; /* of the announcement, within its incarnation; 0:
+                        * not known */
 };
 
 /* Removes a target. */
--- a/core/plan.c
+++ b/core/plan.c
@@ -93,6 +93,7 @@
     set_pool(ptarget, get_or_add_pool(plan, target->rec.service));
     ptarget->capacity = (struct fleet_resources){
         target->rec.cpu_milli, target->rec.memory_mb, target->rec.accel};
+    plan_check_reservation(plan, ptarget);
     plan->dirty = true;
 }
 
--- a/core/planfit.c
+++ b/core/planfit.c
@@ -151,8 +151,11 @@
 placement_cost(const struct plan_target *target, const struct plan_step *step)
 {
     const struct fleet_step *def = step->def;
-    uint64_t free_cpu = target->capacity.cpu_milli - target->used.cpu_milli;
-    uint64_t free_accel = target->capacity.accel - target->used.accel;
+    /* The capacity may have fallen below what runs. */
+    uint64_t free_cpu =
+        free_capacity(target->capacity.cpu_milli, target->used.cpu_milli, 0);
+    uint64_t free_accel =
+        free_capacity(target->capacity.accel, target->used.accel, 0);
     uint64_t cost = 0;
 
     if (def->rack[0] != '\0' &&
--- a/core/planhold.c
+++ b/core/planhold.c
@@ -295,6 +295,20 @@
     }
 }
 
+void
+plan_check_reservation(struct plan *plan, struct plan_target *target)
+{
+    const struct fleet_resources *reserved = &target->reserved;
+
+    if (target->reserved_for != NULL &&
+        (!plan_could_fit(target, target->reserved_for) ||
+         reserved->cpu_milli > target->capacity.cpu_milli ||
+         reserved->memory_mb > target->capacity.memory_mb ||
+         reserved->accel > target->capacity.accel)) {
+        plan_release_reservation(plan, target->reserved_for);
+    }
+}
+
 bool
 plan_is_reserved_for_other(const struct plan_target *target,
                            const struct plan_step *step, uint64_t now_ms)
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -279,6 +279,10 @@
                            uint64_t now_ms);
 /* Ends the reservation of one target, if there is one. */
 void plan_clear_reservation(struct plan_target *target);
+/* The capacity or the labels of a target have changed: ends a reservation that
+ * is not kept by it, on all of its targets, so that the step may reserve
+ * elsewhere. */
+void plan_check_reservation(struct plan *plan, struct plan_target *target);
 /* Ends all reservations of a step. */
 void plan_release_reservation(struct plan *plan, const struct plan_step *step);
 
--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -316,6 +316,14 @@
         answer_err(dispatch, caller, FP_ERR_STALE);
         return;
     }
+    call->target.sequence = call->sequence;
+    if (known != NULL &&
+        dispatch_is_old_announcement(dispatch, known, &call->target)) {
+        log_info(LOG_SCHED, "announcement %llu of target %s came late",
+                 (unsigned long long)call->sequence, call->target.id);
+        answer_err(dispatch, caller, FP_OK);
+        return;
+    }
     if (fleet_target_is_recorded(fleet, &call->target)) {
         answer_err(dispatch, caller, FP_OK);
         return;
--- a/node/dispatchlane.c
+++ b/node/dispatchlane.c
@@ -596,6 +596,23 @@
     g_hash_table_insert(dispatch->sessions, session->id, session);
 }
 
+bool
+dispatch_is_old_announcement(struct dispatch *dispatch,
+                             const struct fleet_target *known,
+                             const struct fleet_target_rec *rec)
+{
+    struct target_session *session = session_of(dispatch, known);
+
+    if (known->rec.born_ms != rec->born_ms) {
+        return false;
+    }
+    if (rec->sequence < MAX(session->announced, known->rec.sequence)) {
+        return true;
+    }
+    session->announced = rec->sequence;
+    return false;
+}
+
 void
 dispatch_reset_session(struct dispatch *dispatch, struct fleet_target *target,
                        uint64_t now_ms)
@@ -606,6 +623,7 @@
      * new incarnation. */
     session->born_ms = target->rec.born_ms;
     plan_target_restarted(dispatch->plan, target, now_ms);
+    session->announced = 0;
     session->hold_in_flight = false;
     session->ends_in_flight = false;
     session->has_clock = false;
--- a/node/dispatchpriv.h
+++ b/node/dispatchpriv.h
@@ -18,6 +18,7 @@
     struct dispatch *dispatch;
     char id[FLEET_NAME_BYTES];
     uint64_t born_ms;      /* start time of the target's incarnation */
+    uint64_t announced;    /* highest sequence of its announcements */
     bool hold_in_flight;   /* a hold call is not answered yet */
     bool ends_in_flight;   /* a proposal of ends is not committed yet */
     bool runs_listed;      /* the target has listed its runs in this term */
@@ -100,6 +101,12 @@
                           struct fleet_target *target);
 void dispatch_tick_sessions(struct dispatch *dispatch, uint64_t now_ms);
 
+/* Whether a newer announcement of the same incarnation has been received: what
+ * an old one says, such as a capacity, does not hold any more. */
+bool dispatch_is_old_announcement(struct dispatch *dispatch,
+                                  const struct fleet_target *known,
+                                  const struct fleet_target_rec *rec);
+
 /* Resets the session of a target that has restarted as a new incarnation. */
 void dispatch_reset_session(struct dispatch *dispatch,
                             struct fleet_target *target, uint64_t now_ms);
--- a/tests/plan_world.h
+++ b/tests/plan_world.h
@@ -137,7 +137,8 @@
     void put_target(const std::string &id, uint32_t cpu_milli = 8000,
                     uint32_t accel = 0, const std::string &rack = "r1",
                     bool leaving = false, uint64_t born_ms = 1,
-                    uint32_t stays_ms = 0, const char *service = "svc")
+                    uint32_t stays_ms = 0, const char *service = "svc",
+                    uint64_t sequence = 0, fp_err expected = FP_OK)
     {
         fleet_target_rec rec;
         memset(&rec, 0, sizeof(rec));
@@ -152,7 +153,8 @@
         rec.accel = accel;
         rec.leaving = leaving;
         rec.stays_ms = stays_ms;
-        ASSERT_EQ(apply_change(&FLEET_TARGET_SCHEMA, &rec).err, FP_OK);
+        rec.sequence = sequence;
+        ASSERT_EQ(apply_change(&FLEET_TARGET_SCHEMA, &rec).err, expected);
     }
 
     // Starts a term: jobs known so far are inherited. All targets are usable
