--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -3,13 +3,15 @@
 operator and callers, which use the platform's protocol on loopback.
 
   standin.py targets --count N --control HOST:PORT,... [--late SHARE]
-                     [--lost SHARE] [--restart SECONDS] [--seed N]
+                     [--lost SHARE] [--restart SECONDS] [--resize SECONDS]
+                     [--seed N]
   standin.py configure --control HOST:PORT,... --version N
-  standin.py jobs --front HOST:PORT,... --count N [--seed N]
+  standin.py jobs --front HOST:PORT,... --count N [--deadly SHARE] [--seed N]
 
 "targets" checks the invariants of all targets and prints each violation: no
-task runs twice at once or starts again after its end was acknowledged, and no
-target runs more than its capacity.
+task runs twice at once or starts again after its end was acknowledged, no target
+runs more than its capacity, and no task that crashes its targets is started three
+times more after three crashes.
 """
 import argparse
 import asyncio
@@ -111,10 +113,19 @@
         self.running_tasks = {}  # task -> (target, run)
         self.acknowledged_tasks = set()  # tasks with an acknowledged "done"
         self.started_jobs = set()  # jobs with at least one started task
+        self.crash_counts = {}  # task -> targets that it has crashed
+        self.late_starts = {}  # task -> starts after three crashes
         self.violations = 0
         self.start_count = 0
         self.end_counts = {}
 
+    def count_deadly_start(self, task, where):
+        if self.crash_counts.get(task, 0) >= 3:
+            self.late_starts[task] = self.late_starts.get(task, 0) + 1
+            if self.late_starts[task] == 3:
+                self.report_violation("%s crashes its targets and is started "
+                                      "again: %s" % (task, where))
+
     def report_violation(self, text):
         self.violations += 1
         print("VIOLATION: " + text, flush=True)
@@ -130,6 +141,9 @@
         self.checker = checker
         self.rng = rng
         self.capacity = {"cpu": 16000, "mem_mb": 32768, "gpu": 0}
+        self.allowed_cpu = []  # (until, cpu) of earlier capacities
+        self.old_announcement = None
+        self.down_until = 0
         self.sequence = 0
         self.writers = set()
         self.restart()
@@ -153,6 +167,24 @@
         self.last_listed_end = 0  # highest end number sent in a response
         self.run_ended = asyncio.Event()
 
+    def crash(self, task, born_ms):
+        if self.born_ms == born_ms and task in self.runs:
+            self.checker.crash_counts[task] = (
+                self.checker.crash_counts.get(task, 0) + 1)
+            self.restart()
+            self.down_until = time.monotonic() + 1.5
+
+    def resize(self):
+        self.allowed_cpu.append((time.monotonic() + 4, self.capacity["cpu"]))
+        self.capacity = dict(self.capacity,
+                             cpu=self.rng.choice([2000, 4000, 8000, 16000]))
+
+    def enforced_cpu(self):
+        """A smaller capacity counts some seconds after it was announced."""
+        return max([self.capacity["cpu"]] + [
+            cpu for until, cpu in self.allowed_cpu
+            if time.monotonic() < until])
+
     def clock_ms(self):
         return int((time.monotonic() - self.start_time) * 1000)
 
@@ -196,12 +228,16 @@
                 "%s starts after its end was acknowledged: %s" % (task, where))
         spec = json.loads(body["spec"])
         used = sum(self.cpu_of(entry[2]) for entry in self.runs.values())
-        if used + spec["cpu"] > self.capacity["cpu"]:
+        if used + spec["cpu"] > self.enforced_cpu():
             self.checker.report_violation(
                 "%s runs more than its capacity" % self.id)
         self.runs[task] = [run, self.clock_ms() + spec["ms"], body["spec"]]
         self.checker.running_tasks[task] = (self.id, run)
         self.checker.start_count += 1
+        if spec.get("deadly") and task.endswith(".0.0.0"):
+            self.checker.count_deadly_start(task, where)
+            asyncio.get_running_loop().call_later(0.01, self.crash, task,
+                                                  self.born_ms)
         self.checker.started_jobs.add(task[:16])
         return 200, {"clock_ms": self.clock_ms()}
 
@@ -252,6 +288,8 @@
 
     async def handle_request(self, path, fields, body):
         born_ms = self.born_ms
+        if time.monotonic() < self.down_until:
+            raise ConnectionError
         if fields.get("x-expect-instance") != self.id:
             return 421, {}
         if not path.endswith("hold"):
@@ -270,6 +308,9 @@
     async def keep_announcing(self):
         controls = self.options.control.split(",")
         while True:
+            if time.monotonic() < self.down_until:
+                await asyncio.sleep(0.1)
+                continue
             self.sequence += 1
             body = {"service": "store", "address": self.announced_address,
                     "zone": "z1", "version": "v1", "slots": 8,
@@ -284,6 +325,12 @@
                     "/filbertpath/instances/" + self.id, body, timeout=1)
                 if 200 <= status < 300:
                     break
+            if self.old_announcement and self.rng.random() < 0.3:
+                await request(self.rng.choice(controls), "PUT",
+                              "/filbertpath/instances/" + self.id,
+                              self.old_announcement, timeout=1)
+            if self.options.resize:
+                self.old_announcement = body
             await asyncio.sleep(0.5)
 
     async def run(self):
@@ -316,11 +363,15 @@
         asyncio.ensure_future(target.run())
     deadline = time.monotonic() + options.seconds
     next_restart = time.monotonic() + (options.restart or 1e9)
+    next_resize = time.monotonic() + (options.resize or 1e9)
     while time.monotonic() < deadline:
         await asyncio.sleep(0.1)
         if time.monotonic() >= next_restart:
             rng.choice(targets).restart()
             next_restart += options.restart
+        if time.monotonic() >= next_resize:
+            rng.choice(targets).resize()
+            next_resize += options.resize
     print("violations: %d" % checker.violations)
     print("starts: %d, ends: %s" % (checker.start_count, checker.end_counts),
           file=sys.stderr)
@@ -350,8 +401,10 @@
              for _ in range(1 + rng.randrange(2))]
     for i in range(1, len(steps)):
         steps[i]["after"] = [i - 1]
-    body = {"spec": json.dumps({"cpu": 2000, "ms": 50 + rng.randrange(200)}),
-            "steps": steps}
+    spec = {"cpu": 2000, "ms": 50 + rng.randrange(200)}
+    if options.deadly and rng.random() < options.deadly:
+        spec["deadly"] = True
+    body = {"spec": json.dumps(spec), "steps": steps}
     headers = {"Host": "shop.example", "Authorization": "Bearer key-shops"}
     await asyncio.sleep(number * options.gap)
     status = 0
@@ -396,6 +449,8 @@
     parser.add_argument("--lost", type=float, default=0)
     parser.add_argument("--failures", type=float, default=0)
     parser.add_argument("--restart", type=float, default=0)
+    parser.add_argument("--resize", type=float, default=0)
+    parser.add_argument("--deadly", type=float, default=0)
     parser.add_argument("--gap", type=float, default=0.02)
     parser.add_argument("--patience", type=float, default=20)
     parser.add_argument("--version", type=int, default=1)
