Cell: a task under which each target restarts is not started without end

Five attempts in a row that are lost to a restart of their target within 60 s of their start now fail the task, services included; any other end breaks the row. Five, since the cell has neither trials nor common causes to tell innocent work apart. Stored with the task. Requests are no case of it: a call has four tries at most and a retry budget.

Cell.ATaskUnderWhich* failed before: 20 attempts, the bound of the test.

--- a/core/cell.c
+++ b/core/cell.c
@@ -312,6 +312,7 @@
             .state = task->state,
             .attempt = task->attempt,
             .failures = task->failures,
+            .restarts = task->restarts,
             .exit_code = task->exit_code,
             .last_outcome = task->last_outcome,
             .started_ms = task->started_ms,
--- a/core/cell.h
+++ b/core/cell.h
@@ -103,6 +103,8 @@
     enum task_state state;
     uint32_t attempt;  /* number of the latest attempt; 0: none yet */
     uint32_t failures; /* attempts that ended with END_FAILED */
+    uint32_t restarts; /* latest attempts in a row that were lost shortly after
+                        * their start, by a restart of the target */
     uint32_t exit_code;
     enum end_outcome last_outcome;
     bool cancelling;             /* running; to be stopped and cancelled */
--- a/core/cellwork.c
+++ b/core/cellwork.c
@@ -4,6 +4,11 @@
 
 #include "core/cellpriv.h"
 
+/* A task is given up after so many attempts in a row that were lost with a
+ * restart of their target, known within RESTART_WITHIN_MS of their start. */
+#define RESTARTS_MAX 5u
+#define RESTART_WITHIN_MS 60000u
+
 static void
 add_size(struct resources *to, const struct change_submit *size)
 {
@@ -297,6 +302,7 @@
     set_task_state(cell, task, record->state);
     task->attempt = record->attempt;
     task->failures = record->failures;
+    task->restarts = record->restarts;
     task->exit_code = record->exit_code;
     task->last_outcome = record->last_outcome;
     task->started_ms = record->started_ms;
@@ -488,7 +494,8 @@
 }
 
 /* Returns the state of a task after an attempt with this outcome. A failed
- * service is always started again, whatever its number of attempts.
+ * service is always started again, whatever its number of attempts, unless it
+ * seems to crash its targets.
  */
 static enum task_state
 state_after_attempt(const struct task *task, enum end_outcome outcome)
@@ -499,6 +506,9 @@
     if (outcome == END_DONE) {
         return TASK_DONE;
     }
+    if (outcome == END_LOST && task->restarts >= RESTARTS_MAX) {
+        return TASK_FAILED;
+    }
     if (outcome == END_FAILED && task->job->rec.kind != WORK_SERVICE &&
         task->failures >= max_attempts(task->job)) {
         return TASK_FAILED;
@@ -520,6 +530,9 @@
     if (outcome == END_FAILED) {
         task->failures++;
     }
+    if (outcome != END_LOST) {
+        task->restarts = 0;
+    }
     state = state_after_attempt(task, outcome);
     set_task_state(cell, task, state);
     if (state != TASK_WAITING) {
@@ -669,7 +682,15 @@
 end_lost_attempts(struct cell *cell, struct target *target)
 {
     while (target->first_task != NULL) {
-        end_attempt(cell, target->first_task, END_LOST, 0, 0);
+        struct task *task = target->first_task;
+
+        if (cell->now_ms < task->started_ms + RESTART_WITHIN_MS) {
+            task->restarts++;
+        }
+        else {
+            task->restarts = 0;
+        }
+        end_attempt(cell, task, END_LOST, 0, 0);
     }
 }
 
--- a/core/change.c
+++ b/core/change.c
@@ -441,6 +441,8 @@
      NULL, NULL},
     {"cancelling", FP_BOOL, offsetof(struct record_task, cancelling), 0, NULL,
      NULL, NULL},
+    {"restarts", FP_U32, offsetof(struct record_task, restarts), 0, NULL, NULL,
+     NULL},
 };
 const struct fp_schema RECORD_TASK_SCHEMA = {
     "task", RECORD_TASK, sizeof(struct record_task), RECORD_TASK_FIELDS,
--- a/core/change.h
+++ b/core/change.h
@@ -296,6 +296,7 @@
     uint32_t state;
     uint32_t attempt;
     uint32_t failures;
+    uint32_t restarts;
     uint32_t exit_code;
     uint32_t last_outcome;
     char target[NAME_BYTES];
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -332,6 +332,36 @@
     cell_free(c);
 }
 
+// A task under which each target restarts shortly after its start was started
+// without end, since an attempt that is lost with its target is no failure.
+TEST(Cell, ATaskUnderWhichEachTargetRestartsIsNotStartedWithoutEnd)
+{
+    cell *c = cell_new(nullptr);
+    uint64_t index = 0;
+    add_team(c, &index, "kapnos");
+    add_queue(c, &index, "rolling", WORK_BATCH);
+    uint64_t job = submit(c, &index, "rolling", "kapnos", 2, 1000);
+    uint64_t crashing = job * TASK_IDS_PER_JOB, beside = crashing + 1;
+    uint64_t run = 1;
+    uint32_t attempts = 0;
+    ASSERT_EQ(add_target(c, &index, "t1", 9000, 100, 0, run), FP_OK);
+    while (cell_task(c, crashing)->state == TASK_WAITING && attempts < 20) {
+        attempts++;
+        ASSERT_EQ(place_task(c, &index, crashing, attempts, "t1"), FP_OK);
+        // The other task ends on some of the targets.
+        ASSERT_EQ(place_task(c, &index, beside, attempts, "t1"), FP_OK);
+        if (attempts == 3) {
+            ASSERT_EQ(end_task(c, &index, beside, attempts, END_STOPPED),
+                      FP_OK);
+        }
+        ASSERT_EQ(add_target(c, &index, "t1", 9000, 100, 0, ++run), FP_OK);
+    }
+    EXPECT_EQ(attempts, 5u);
+    EXPECT_EQ(cell_task(c, crashing)->state, TASK_FAILED);
+    EXPECT_EQ(cell_task(c, beside)->state, TASK_WAITING);
+    cell_free(c);
+}
+
 // A target that is leaving stays so when the same run announces itself again;
 // a new run of it is up.
 TEST(Cell, LeavingTargetStaysLeavingWhenAnnouncedAgain)
