Retries after a refused connection prefer owners that were not tried

An owner whose instance accepted no connection was forgotten as tried, since it may have another; but until it avoids that instance a retry is likely to meet it again, and the caller's own host is preferred at equal delay: all four tries could go to the owner of the dead one. Such owners now come last.

--- a/core/pick.c
+++ b/core/pick.c
@@ -206,6 +206,20 @@
     return best == NULL ? NULL : best->host;
 }
 
+const char *
+picker_choose_again(struct picker *picker, const char *service,
+                    const char *const *tried, uint32_t count,
+                    uint32_t refused_count, uint64_t random, uint64_t now_ms)
+{
+    const char *host =
+        picker_choose(picker, service, tried, count, random, now_ms);
+
+    return host != NULL || refused_count == 0
+               ? host
+               : picker_choose(picker, service, tried, count - refused_count,
+                               random, now_ms);
+}
+
 void
 picker_request_sent(struct picker *picker, const char *host,
                     const char *service)
--- a/core/pick.h
+++ b/core/pick.h
@@ -38,6 +38,14 @@
                           const char *const *tried, uint32_t count,
                           uint64_t random, uint64_t now_ms);
 
+/* The same for a retry: the last refused_count hosts of tried have an instance
+ * that did not accept the connection. They may have another, so one of them is
+ * chosen if no other owner is left. */
+const char *picker_choose_again(struct picker *picker, const char *service,
+                                const char *const *tried, uint32_t count,
+                                uint32_t refused_count, uint64_t random,
+                                uint64_t now_ms);
+
 /* Counts a request as sent to a host, or as ended there with any result. */
 void picker_request_sent(struct picker *picker, const char *host,
                          const char *service);
--- a/node/gateway.c
+++ b/node/gateway.c
@@ -176,19 +176,38 @@
             exchange->err == FP_ERR_ANSWER_MISMATCH);
 }
 
+/* Chooses the owner for the next try; NULL: none is left. Owners that are
+ * known to have an instance that accepts no connections come last: until they
+ * avoid it, a retry there may meet the same instance. */
+static const char *
+choose_owner(struct exchange *exchange, uint64_t random, uint64_t now_ms)
+{
+    const char *tried[TRIES_MAX];
+    uint32_t count = 0;
+    uint32_t refused_count = 0;
+
+    for (uint32_t i = 0; i < exchange->tries; i++) {
+        if (!exchange->refused[i]) {
+            tried[count++] = exchange->tried[i];
+        }
+    }
+    for (uint32_t i = 0; i < exchange->tries; i++) {
+        if (exchange->refused[i]) {
+            tried[count++] = exchange->tried[i];
+            refused_count++;
+        }
+    }
+    return picker_choose_again(exchange->gateway->picker, exchange->service,
+                               tried, count, refused_count, random, now_ms);
+}
+
 /* Returns whether an owner is left to try. A refusal for lack of capacity is
  * final once every owner has refused.
  */
 static bool
 has_untried_owner(struct exchange *exchange, uint64_t now_ms)
 {
-    const char *tried[TRIES_MAX];
-
-    for (uint32_t i = 0; i < exchange->tries; i++) {
-        tried[i] = exchange->tried[i];
-    }
-    return picker_choose(exchange->gateway->picker, exchange->service, tried,
-                         exchange->tries, 0, now_ms) != NULL;
+    return choose_owner(exchange, 0, now_ms) != NULL;
 }
 
 static void
@@ -200,9 +219,7 @@
         backoff_ms / 2 + randombytes_uniform(backoff_ms / 2 + 1);
 
     if (exchange->err == FP_ERR_NOT_CONNECTED) {
-        /* One instance of the owner did not accept the connection. The owner
-         * avoids it from now on and may have another, so it is tried again. */
-        exchange->tried[exchange->tries - 1][0] = '\0';
+        exchange->refused[exchange->tries - 1] = true;
     }
     if (!may_retry(exchange) || now_ms + wait_ms >= exchange->deadline_ms ||
         !has_untried_owner(exchange, now_ms)) {
@@ -301,7 +318,6 @@
     struct gateway *gateway = exchange->gateway;
     uint64_t now_ms = clock_mono_ms();
     uint64_t random;
-    const char *tried[TRIES_MAX];
     const char *host;
 
     if (now_ms >= exchange->deadline_ms) {
@@ -314,12 +330,8 @@
         complete_exchange(exchange);
         return;
     }
-    for (uint32_t i = 0; i < exchange->tries; i++) {
-        tried[i] = exchange->tried[i];
-    }
     randombytes_buf(&random, sizeof(random));
-    host = picker_choose(gateway->picker, exchange->service, tried,
-                         exchange->tries, random, now_ms);
+    host = choose_owner(exchange, random, now_ms);
     if (host == NULL && owner_is_expected(exchange, now_ms)) {
         exchange->step = STEP_BACKOFF;
         exchange->resume_ms = now_ms + OWNER_POLL_MS;
--- a/node/gatewaypriv.h
+++ b/node/gatewaypriv.h
@@ -32,6 +32,8 @@
     uint64_t received_ms;
     uint64_t resume_ms; /* end of STEP_BACKOFF and STEP_AWAIT_FIRST */
     char tried[TRIES_MAX][MSG_HOST_BYTES]; /* owners that it was sent to */
+    bool refused[TRIES_MAX]; /* an instance of the owner did not accept the
+                              * connection */
     uint32_t tries;
     bool intent_recorded; /* the intent is or may be in the log */
     /* Result of the last try. */
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -865,6 +865,18 @@
     for (int i = 0; i < 50; i++) {
         EXPECT_STRNE(picker_choose(p, "s", tried, 1, rng(), 1100), "h2");
     }
+    // An instance of h1, then of h2, did not accept the connection: each may
+    // have another, but the owners left come first.
+    const char *refused[] = {"h1", "h2"};
+    for (int i = 0; i < 50; i++) {
+        EXPECT_STREQ(picker_choose_again(p, "s", refused, 2, 2, rng(), 1100),
+                     "h3");
+        const char *all[] = {"h3", "h1", "h2"};
+        EXPECT_STRNE(picker_choose_again(p, "s", all, 3, 2, rng(), 1100),
+                     "h3");
+        EXPECT_EQ(picker_choose_again(p, "s", all, 3, 0, rng(), 1100),
+                  nullptr);
+    }
     EXPECT_EQ(picker_choose(p, "s", nullptr, 0, 1, 9000), nullptr);
     EXPECT_EQ(picker_choose(p, "other", nullptr, 0, 1, 1100), nullptr);
     picker_free(p);
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -50,6 +50,7 @@
         MISSED=$((MISSED + 1))
     fi
 done <<'LIST'
+core/pick.c	return host != NULL || refused_count == 0	return false	Pick.*
 core/cellwork.c	task->restarts >= RESTARTS_MAX	false	Cell.ATaskUnder*
 core/plancrash.c	            evidence = CRASH_UNSURE;	            ;	Crash.ACrashBeforeAStart*
 core/plancrash.c	crash.is_common = loss != LOSS_LEFT && has_common_cause(plan, target);	crash.is_common = false; (void)has_common_cause;	Crash.TargetsLostWithTheirRack*
