--- a/core/planfit.c
+++ b/core/planfit.c
@@ -328,7 +328,7 @@
         fits = chosen[0] != NULL;
     }
     step->is_trial = true;
-    for (uint32_t i = 0; fits && i < count; i++) {
+    for (uint32_t i = 0; fits && i < count && chosen[i] != NULL; i++) {
         plan_begin_trial(chosen[i], step, now_ms);
         chosen[i]->trial_until_ms += TRIAL_WAIT_MS;
     }
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -16,6 +16,7 @@
 import argparse
 import asyncio
 import json
+import os
 import random
 import sys
 import time
@@ -457,7 +458,12 @@
     options = parser.parse_args()
     run = {"targets": run_targets, "configure": run_configure,
            "jobs": run_jobs}[options.mode]
-    sys.exit(asyncio.run(run(options)))
+    code = asyncio.new_event_loop().run_until_complete(run(options))
+    # asyncio.run() would cancel what still runs, and wait for ever for a task
+    # whose cancellation was lost in asyncio.wait_for().
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(code)
 
 
 if __name__ == "__main__":
