--- a/tests/fleet-demo.sh
+++ b/tests/fleet-demo.sh
@@ -15,8 +15,7 @@
 PIDS[jobs]=$!
 sleep 0.5
 HOST=$(leader)
-kill -9 "${PIDS[$HOST]}"
-wait "${PIDS[$HOST]}" 2>/dev/null
+kill_node "$HOST"
 expect_state "another host leads" 10 has_leader
 wait_for_exit jobs
 cat "$WORK/jobs"
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -86,9 +86,16 @@
 
 signal_process() { # NAME [SIGNAL]: sends SIGNAL; KILL, the default, also waits
     local pid=${PIDS[$1]}
-    kill "-${2:-KILL}" "$pid"
-    if [ "${2:-KILL}" = KILL ]; then
-        wait "$pid" 2>/dev/null
+    if [ "${2:-KILL}" != KILL ]; then
+        kill "-$2" "$pid"
+    else
+        # Bash reports a killed child between two commands, before or after
+        # the wait.
+        {
+            kill -KILL "$pid"
+            wait "$pid"
+            true
+        } 2>/dev/null
         unset "PIDS[$1]"
     fi
 }
--- a/tests/platform/lib.sh
+++ b/tests/platform/lib.sh
@@ -94,6 +94,16 @@
     unset "PIDS[$1]"
 }
 
+# Bash reports a killed child on its own standard error between two commands, before
+# or after the wait.
+kill_node() { # HOST
+    {
+        kill -9 "${PIDS[$1]}"
+        wait "${PIDS[$1]}"
+        true
+    } 2>/dev/null
+}
+
 clean_up() {
     for name in "${!PIDS[@]}"; do
         kill -CONT "${PIDS[$name]}" 2>/dev/null
--- a/tests/sessions/fleet-crashes.sh
+++ b/tests/sessions/fleet-crashes.sh
@@ -10,8 +10,7 @@
 PIDS[jobs]=$!
 sleep 4
 HOST=$(leader)
-kill -9 "${PIDS[$HOST]}"
-wait "${PIDS[$HOST]}" 2>/dev/null
+kill_node "$HOST"
 expect_state "another host leads after a kill" 10 has_leader
 wait_for_exit jobs
 cat "$WORK/jobs"
--- a/tests/sessions/fleet-faults.sh
+++ b/tests/sessions/fleet-faults.sh
@@ -10,8 +10,7 @@
 PIDS[jobs]=$!
 sleep 2
 HOST=$(leader)
-kill -9 "${PIDS[$HOST]}"
-wait "${PIDS[$HOST]}" 2>/dev/null
+kill_node "$HOST"
 expect_state "another host leads after a kill" 10 has_leader
 start_node "$HOST" false "$WORK/$HOST"
 sleep 3
@@ -22,8 +21,7 @@
 kill -CONT "${PIDS[$HOST]}"
 sleep 2
 for HOST in $CORES; do [ "$HOST" != "$(leader)" ] && break; done
-kill -9 "${PIDS[$HOST]}"
-wait "${PIDS[$HOST]}" 2>/dev/null
+kill_node "$HOST"
 rm -rf "$WORK/$HOST"
 mkdir "$WORK/$HOST"
 start_node "$HOST" false "$WORK/$HOST"
