--- a/core/planfit.c
+++ b/core/planfit.c
@@ -284,6 +284,69 @@
                                    : "no room";
 }
 
+/* Finds a target for each task of a gang, on the given rack only unless it is
+ * NULL. Members already placed count in target->used during the search; this
+ * is undone before it returns. */
+static bool
+fit_gang(struct plan *plan, struct plan_step *step, const char *rack,
+         struct plan_target **chosen, uint64_t now_ms)
+{
+    const struct fleet_resources size = plan_task_size(step->def);
+    uint32_t found = 0;
+
+    while (found < step->def->count) {
+        struct plan_target *target =
+            find_best_target(plan, step, &size, rack, NULL, now_ms);
+        uint32_t members_here = 0;
+
+        for (uint32_t i = 0; target != NULL && i < found; i++) {
+            members_here += chosen[i] == target;
+        }
+        if (target == NULL ||
+            (step->def->spread != 0 && members_here >= step->def->spread)) {
+            break;
+        }
+        target->used.cpu_milli += size.cpu_milli;
+        target->used.memory_mb += size.memory_mb;
+        target->used.accel += size.accel;
+        chosen[found++] = target;
+    }
+    for (uint32_t i = 0; i < found; i++) {
+        chosen[i]->used.cpu_milli -= size.cpu_milli;
+        chosen[i]->used.memory_mb -= size.memory_mb;
+        chosen[i]->used.accel -= size.accel;
+    }
+    return found == step->def->count;
+}
+
+/* Places a same_rack gang on a single rack if one has the capacity, otherwise
+ * on any racks. */
+static bool
+fit_gang_prefer_rack(struct plan *plan, struct plan_step *step,
+                     const struct fleet_resources *size,
+                     struct plan_target **chosen, uint64_t now_ms)
+{
+    const GPtrArray *targets = step->job->pool->targets;
+    GHashTable *tried_racks;
+    bool found = false;
+
+    if (!step->def->same_rack) {
+        return fit_gang(plan, step, NULL, chosen, now_ms);
+    }
+    tried_racks = g_hash_table_new(g_str_hash, g_str_equal);
+    for (guint i = 0; !found && i < targets->len; i++) {
+        const struct plan_target *target = targets->pdata[i];
+        char *rack = target->target->rec.rack;
+
+        if (plan_fits(target, size, step, now_ms) &&
+            g_hash_table_add(tried_racks, rack)) {
+            found = fit_gang(plan, step, rack, chosen, now_ms);
+        }
+    }
+    g_hash_table_destroy(tried_racks);
+    return found || fit_gang(plan, step, NULL, chosen, now_ms);
+}
+
 /* Whether a target keeps itself free for a trial of the step. */
 static bool
 awaits_trial(const struct plan *plan, const struct plan_step *step,
@@ -300,10 +363,6 @@
     return false;
 }
 
-static bool fit_gang_prefer_rack(struct plan *plan, struct plan_step *step,
-                                 const struct fleet_resources *size,
-                                 struct plan_target **chosen, uint64_t now_ms);
-
 /* Workload: a cell so busy that on each target something was just started. The
  * targets that would take the step, but for that, get no other starts until it
  * can be tried there. */
@@ -368,69 +427,6 @@
     plan_release_reservation(plan, step);
 }
 
-/* Finds a target for each task of a gang, on the given rack only unless it is
- * NULL. Members already placed count in target->used during the search; this
- * is undone before it returns. */
-static bool
-fit_gang(struct plan *plan, struct plan_step *step, const char *rack,
-         struct plan_target **chosen, uint64_t now_ms)
-{
-    const struct fleet_resources size = plan_task_size(step->def);
-    uint32_t found = 0;
-
-    while (found < step->def->count) {
-        struct plan_target *target =
-            find_best_target(plan, step, &size, rack, NULL, now_ms);
-        uint32_t members_here = 0;
-
-        for (uint32_t i = 0; target != NULL && i < found; i++) {
-            members_here += chosen[i] == target;
-        }
-        if (target == NULL ||
-            (step->def->spread != 0 && members_here >= step->def->spread)) {
-            break;
-        }
-        target->used.cpu_milli += size.cpu_milli;
-        target->used.memory_mb += size.memory_mb;
-        target->used.accel += size.accel;
-        chosen[found++] = target;
-    }
-    for (uint32_t i = 0; i < found; i++) {
-        chosen[i]->used.cpu_milli -= size.cpu_milli;
-        chosen[i]->used.memory_mb -= size.memory_mb;
-        chosen[i]->used.accel -= size.accel;
-    }
-    return found == step->def->count;
-}
-
-/* Places a same_rack gang on a single rack if one has the capacity, otherwise
- * on any racks. */
-static bool
-fit_gang_prefer_rack(struct plan *plan, struct plan_step *step,
-                     const struct fleet_resources *size,
-                     struct plan_target **chosen, uint64_t now_ms)
-{
-    const GPtrArray *targets = step->job->pool->targets;
-    GHashTable *tried_racks;
-    bool found = false;
-
-    if (!step->def->same_rack) {
-        return fit_gang(plan, step, NULL, chosen, now_ms);
-    }
-    tried_racks = g_hash_table_new(g_str_hash, g_str_equal);
-    for (guint i = 0; !found && i < targets->len; i++) {
-        const struct plan_target *target = targets->pdata[i];
-        char *rack = target->target->rec.rack;
-
-        if (plan_fits(target, size, step, now_ms) &&
-            g_hash_table_add(tried_racks, rack)) {
-            found = fit_gang(plan, step, rack, chosen, now_ms);
-        }
-    }
-    g_hash_table_destroy(tried_racks);
-    return found || fit_gang(plan, step, NULL, chosen, now_ms);
-}
-
 /* Starts all tasks of the gang, under one run number, or none. */
 static void
 place_gang(struct plan *plan, struct plan_step *step, uint64_t now_ms)
