Gangs whose members are spread over targets start

Now a target with as many members as the step allows is left out of the search. Plan.AGangThatIsSpread* failed before: no start.

--- a/core/planfit.c
+++ b/core/planfit.c
@@ -107,7 +107,8 @@
            size->accel <= free_capacity(target->capacity.accel,
                                         target->used.accel, reserved.accel) &&
            (step->def->spread == 0 ||
-            count_step_runs(target, step) < step->def->spread);
+            count_step_runs(target, step) + target->members <
+                step->def->spread);
 }
 
 static bool
@@ -285,8 +286,8 @@
 }
 
 /* Finds a target for each task of a gang, on the given rack only unless it is
- * NULL. Members already placed count in target->used during the search; this
- * is undone before it returns. */
+ * NULL. Members already placed count in target->used and target->members
+ * during the search; this is undone before it returns. */
 static bool
 fit_gang(struct plan *plan, struct plan_step *step, const char *rack,
          struct plan_target **chosen, uint64_t now_ms)
@@ -297,21 +298,18 @@
     while (found < step->def->count) {
         struct plan_target *target =
             find_best_target(plan, step, &size, rack, NULL, now_ms);
-        uint32_t members_here = 0;
 
-        for (uint32_t i = 0; target != NULL && i < found; i++) {
-            members_here += chosen[i] == target;
-        }
-        if (target == NULL ||
-            (step->def->spread != 0 && members_here >= step->def->spread)) {
+        if (target == NULL) {
             break;
         }
+        target->members++;
         target->used.cpu_milli += size.cpu_milli;
         target->used.memory_mb += size.memory_mb;
         target->used.accel += size.accel;
         chosen[found++] = target;
     }
     for (uint32_t i = 0; i < found; i++) {
+        chosen[i]->members--;
         chosen[i]->used.cpu_milli -= size.cpu_milli;
         chosen[i]->used.memory_mb -= size.memory_mb;
         chosen[i]->used.accel -= size.accel;
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -79,6 +79,7 @@
     uint32_t failures_in_row;   /* failed runs since the last success */
     uint32_t slowdown_permille; /* smoothed run time, of the estimate */
     uint32_t serving_runs;      /* runs with a bound on their tail latency */
+    uint32_t members;           /* of the gang that is being placed */
     GPtrArray *runs;            /* struct plan_run, owned */
 };
 
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -104,7 +104,8 @@
 core/plan.c	if (!run->start_in_flight && run->last_listed_ms != 0) {	if (run->last_listed_ms != 0) {	Plan.AnUnansweredStartIsStopped*
 core/planlist.c	else if (run->stop_confirmed_ms != 0 &&\n                 run->stop_confirmed_ms < requested_ms) {	else if (run->stop_confirmed_ms != 0) {	Plan.AnUnanswered*
 core/planfit.c	task->failures.count < max_attempts);	true);	Plan.NoStart*
-core/planfit.c	count_step_runs(target, step) < step->def->spread);	true);	Plan.AtMost*
+core/planfit.c	count_step_runs(target, step) + target->members <\n                step->def->spread);	true);	Plan.AtMost*
+core/planfit.c	count_step_runs(target, step) + target->members <\n                step->def->spread);	count_step_runs(target, step) < step->def->spread);	Plan.AGangThatIsSpread*
 core/planfit.c	step->wait_reason = "its team is at its limit";\n            return;	step->wait_reason = "its team is at its limit";	Plan.ATeamLimit*
 core/planfit.c	now_ms + TICKET_MIN_REMAINING_MS < ticket->valid_until_ms	true	Plan.TicketsAre*
 core/planticket.c	target->mark != plan->mark &&	true &&	Plan.AQueryAfterARefusal*
--- a/tests/plan_test.cc
+++ b/tests/plan_test.cc
@@ -600,6 +600,24 @@
         << "the end of one member counts for all";
 }
 
+// Each member was offered the target that fits best. Once that had as many
+// members as the step allows, the whole gang was taken for one that fits nowhere.
+TEST(Plan, AGangThatIsSpreadOverTargetsStarts)
+{
+    FleetSim sim;
+    sim.configure({"q"});
+    sim.put_target("t1", 4000);
+    sim.put_target("t2", 8000);
+    sim.put_target("t3", 8000);
+    sim.become_leader();
+    sim.submit(1, {{.count = 3, .cpu_milli = 2000, .gang = true, .spread = 1}});
+    sim.run_pass();
+    ASSERT_EQ(sim.start_orders.size(), 3u);
+    EXPECT_NE(sim.start_orders[0].target, sim.start_orders[1].target);
+    EXPECT_NE(sim.start_orders[1].target, sim.start_orders[2].target);
+    EXPECT_NE(sim.start_orders[0].target, sim.start_orders[2].target);
+}
+
 TEST(Plan, AGangIsStoppedAtOnceWhenAMemberCannotStart)
 {
     FleetSim sim;
