--- a/node/store.c
+++ b/node/store.c
@@ -313,8 +313,25 @@
     return at == size;
 }
 
+static enum fp_err
+truncate_file(const struct store *store, const char *path, size_t size_bytes)
+{
+    enum fp_err err = FP_ERR_DISK;
+    int fd = open(path, O_WRONLY | O_CLOEXEC);
+
+    if (fd >= 0 && ftruncate(fd, (off_t)size_bytes) == 0) {
+        err = sync_fd(store, fd);
+    }
+    if (fd >= 0 && close(fd) != 0) {
+        err = FP_ERR_DISK;
+    }
+    return err;
+}
+
 /* Reads one log file. An incomplete frame at the end of the newest file is
- * truncated.
+ * truncated. An older file has one if a loss of power has undone both its
+ * truncation and its removal; entries that are missing then, and that no
+ * snapshot covers, are noticed by recover_entry().
  */
 static enum fp_err
 read_log(struct store *store, struct recovery *recovery, const char *path,
@@ -335,12 +352,12 @@
         uint64_t number;
 
         if (!valid_frame_at(bytes, size, at, &length, &number)) {
-            if (!newest || valid_frame_follows(bytes, size, at)) {
+            if (valid_frame_follows(bytes, size, at)) {
                 snprintf(why, why_bytes,
                          "%s: synced data is damaged at offset %zu", path, at);
                 goto done;
             }
-            if (truncate(path, (off_t)at) != 0) {
+            if (newest && truncate_file(store, path, at) != FP_OK) {
                 err = FP_ERR_DISK;
                 goto done;
             }
--- a/tests/store_test.cc
+++ b/tests/store_test.cc
@@ -307,6 +307,38 @@
     EXPECT_EQ(o.text(0), "after");
 }
 
+// A log with an incomplete last frame is truncated when it is opened; if its
+// removal and that truncation are undone by a loss of power, it comes back with
+// the incomplete frame.
+TEST(Store, OlderLogThatReappearsWithAnIncompleteFrameIsIgnored)
+{
+    Folder f;
+    fill(f, 5);
+    std::string old_path = f.log();
+    std::string old_log = read_file(old_path) + "FPL1 and some bytes";
+    write_file(old_path, old_log);
+    {
+        Opened o(f);
+        ASSERT_EQ(o.err, FP_OK) << o.why;
+        raft_snapshot snap;
+        fp_list vote = {nullptr, 0};
+        memset(&snap, 0, sizeof(snap));
+        snap.last_index = 20;
+        snap.last_term = 2;
+        store_pack_vote(&vote, 2, 7);
+        ASSERT_EQ(store_write_snapshot(o.s, &snap, vote.items, vote.count),
+                  FP_OK);
+        g_free(vote.items);
+        ASSERT_EQ(o.append(21, 2, "after"), FP_OK);
+    }
+    write_file(old_path, old_log);
+    Opened o(f);
+    ASSERT_EQ(o.err, FP_OK) << o.why;
+    EXPECT_EQ(o.init.snapshot.last_index, 20u);
+    ASSERT_EQ(o.init.entries.count, 1u);
+    EXPECT_EQ(o.text(0), "after");
+}
+
 // Missing entries that no snapshot covers are damage.
 TEST(Store, GapInTheLogIsRefused)
 {
