--- a/tests/replay_test.cc
+++ b/tests/replay_test.cc
@@ -150,40 +150,33 @@
     }
 }
 
-// Each breach of the simulation but those that a test allows.
-void expect_no_breach(const sim_result *result, uint32_t seed)
+void expect_no_breach(const char *name, uint32_t seeds)
 {
-    const sim_breaches &breaches = result->breaches;
-    EXPECT_EQ(breaches.over_size + breaches.doubled + breaches.over_cap +
-                  breaches.stuck + breaches.over_crashes +
-                  breaches.wrongly_given_up,
-              0u)
-        << "seed " << seed << ": " << breaches.first;
+    Load load(name);
+    ASSERT_NE(load.load, nullptr);
+    for (uint32_t seed = 1; seed <= seeds; seed++) {
+        sim_result *result = sim_replay(load.load, &PLAN_POLICY_DEFAULT, seed);
+        const sim_breaches &breaches = result->breaches;
+        EXPECT_EQ(breaches.over_size + breaches.doubled + breaches.over_cap +
+                      breaches.stuck + breaches.over_crashes +
+                      breaches.wrongly_given_up,
+                  0u)
+            << "seed " << seed << ": " << breaches.first;
+        sim_result_free(result);
+    }
 }
 
 // A task that crashed its targets was started on one after the other, without
 // end, by each leader.
 TEST(Replay, ATaskThatCrashesItsTargetsIsNotStartedWithoutEnd)
 {
-    Load load("crashing-tasks.yaml");
-    ASSERT_NE(load.load, nullptr);
-    for (uint32_t seed = 1; seed <= 6; seed++) {
-        sim_result *result = sim_replay(load.load, &PLAN_POLICY_DEFAULT, seed);
-        expect_no_breach(result, seed);
-        sim_result_free(result);
-    }
+    expect_no_breach("crashing-tasks.yaml", 6);
 }
 
 // The capacity of targets shrinks below what runs there, and grows again.
 TEST(Replay, NoTargetIsOverAChangingCapacity)
 {
-    Load load("changing-capacity.yaml");
-    ASSERT_NE(load.load, nullptr);
-    for (uint32_t seed = 1; seed <= 6; seed++) {
-        sim_result *result = sim_replay(load.load, &PLAN_POLICY_DEFAULT, seed);
-        expect_no_breach(result, seed);
-        sim_result_free(result);
-    }
+    expect_no_breach("changing-capacity.yaml", 6);
 }
 
 TEST(Replay, SameSeedGeneratesSameJobsForEveryPolicy)
--- a/tests/store_test.cc
+++ b/tests/store_test.cc
@@ -276,6 +276,20 @@
     }
 }
 
+// Writes a snapshot up to an index, and a new log with a vote.
+fp_err write_snapshot(Opened &o, uint64_t last_index)
+{
+    raft_snapshot snap;
+    fp_list vote = {nullptr, 0};
+    memset(&snap, 0, sizeof(snap));
+    snap.last_index = last_index;
+    snap.last_term = 2;
+    store_pack_vote(&vote, 2, 7);
+    fp_err err = store_write_snapshot(o.s, &snap, vote.items, vote.count);
+    g_free(vote.items);
+    return err;
+}
+
 // A snapshot received from the leader covers more than the log that it
 // replaces. A power failure may undo the removal of that log file; its entries
 // must be ignored, and the gap after them must not count as damage.
@@ -287,15 +301,7 @@
     std::string old_log = read_file(old_path);
     {
         Opened o(f);
-        raft_snapshot snap;
-        fp_list vote = {nullptr, 0};
-        memset(&snap, 0, sizeof(snap));
-        snap.last_index = 20;
-        snap.last_term = 2;
-        store_pack_vote(&vote, 2, 7);
-        ASSERT_EQ(store_write_snapshot(o.s, &snap, vote.items, vote.count),
-                  FP_OK);
-        g_free(vote.items);
+        ASSERT_EQ(write_snapshot(o, 20), FP_OK);
         ASSERT_EQ(o.append(21, 2, "after"), FP_OK);
         ASSERT_EQ(o.append(22, 2, "later"), FP_OK);
     }
@@ -320,15 +326,7 @@
     {
         Opened o(f);
         ASSERT_EQ(o.err, FP_OK) << o.why;
-        raft_snapshot snap;
-        fp_list vote = {nullptr, 0};
-        memset(&snap, 0, sizeof(snap));
-        snap.last_index = 20;
-        snap.last_term = 2;
-        store_pack_vote(&vote, 2, 7);
-        ASSERT_EQ(store_write_snapshot(o.s, &snap, vote.items, vote.count),
-                  FP_OK);
-        g_free(vote.items);
+        ASSERT_EQ(write_snapshot(o, 20), FP_OK);
         ASSERT_EQ(o.append(21, 2, "after"), FP_OK);
     }
     write_file(old_path, old_log);
