--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -410,7 +410,7 @@
         "FP", "build/filbertpath"))
     options = parser.parse_args()
     options.late = options.lost = 0.01
-    options.failures = 0
+    options.failures = options.resize = 0
     soak = Soak(options)
     # Targets listen on a port of their own, next to that of their proxies.
     options.port = options.port + 7
