--- a/core/plan.c
+++ b/core/plan.c
@@ -12,14 +12,38 @@
 #define WAIT_LOG_INTERVAL_MS 1000u /* for each waiting step */
 #define TIGHT_SLACK_MS 1500u       /* jobs with less slack are tight */
 
-const struct plan_policy PLAN_POLICY_DEFAULT = {
-    "filbertpath", true, RESERVE_WHEN_URGENT, true, true, true};
+const struct plan_policy PLAN_POLICY_DEFAULT = {.name = "filbertpath",
+                                                .by_slack = true,
+                                                .reserve_mode =
+                                                    RESERVE_WHEN_URGENT,
+                                                .wide_gang_queries = true,
+                                                .keeps_headroom = true,
+                                                .reserves_for_gangs = true};
+const struct plan_policy PLAN_POLICY_CONTENDED = {.name = "contended",
+                                                  .by_slack = true,
+                                                  .reserve_mode =
+                                                      RESERVE_WHEN_URGENT,
+                                                  .wide_gang_queries = true,
+                                                  .keeps_headroom = true,
+                                                  .reserves_for_gangs = true,
+                                                  .by_share = true,
+                                                  .finishes_started = true,
+                                                  .packs_all = true,
+                                                  .forecasts = true,
+                                                  .copies = true};
 const struct plan_policy PLAN_POLICY_RESERVE_AT_ONCE = {
-    "holds-at-once", true, RESERVE_AT_ONCE, false, true, false};
+    .name = "holds-at-once",
+    .by_slack = true,
+    .reserve_mode = RESERVE_AT_ONCE,
+    .keeps_headroom = true};
 const struct plan_policy PLAN_POLICY_RESERVE_ACCEL = {
-    "holds-accel", true, RESERVE_WHEN_URGENT, true, true, false};
-const struct plan_policy PLAN_POLICY_FIFO = {"fifo", false, RESERVE_NEVER,
-                                             false,  false, false};
+    .name = "holds-accel",
+    .by_slack = true,
+    .reserve_mode = RESERVE_WHEN_URGENT,
+    .wide_gang_queries = true,
+    .keeps_headroom = true};
+const struct plan_policy PLAN_POLICY_FIFO = {.name = "fifo",
+                                             .reserve_mode = RESERVE_NEVER};
 
 /* ---- targets ------------------------------------------------------------ */
 
--- a/core/plan.h
+++ b/core/plan.h
@@ -159,7 +159,8 @@
     RESERVE_WHEN_URGENT /* once its latest start is one run time away */
 };
 
-/* A scheduling policy. PLAN_POLICY_DEFAULT is in service; the others are
+/* A scheduling policy. PLAN_POLICY_DEFAULT is in service, or
+ * PLAN_POLICY_CONTENDED where the settings ask for it; the others are
  * baselines for the replay bench. */
 struct plan_policy {
     const char *name;
@@ -169,9 +170,17 @@
     bool keeps_headroom; /* capacity is kept free for work with little slack */
     bool reserves_for_gangs; /* of any tasks; else only for tasks with several
                               * accelerators */
+    bool by_share; /* work within a team's rate first (core/shares.h) */
+    bool finishes_started; /* steps with runs before those without */
+    bool packs_all;        /* placement by all resources (core/planpack.h) */
+    bool forecasts;        /* refuses what cannot end in time
+                            * (core/planforecast.h) */
+    bool copies;           /* second runs of stragglers (core/plancopy.h) */
 };
 
 extern const struct plan_policy PLAN_POLICY_DEFAULT;
+/* Decisions for services that are full at times; by settings. */
+extern const struct plan_policy PLAN_POLICY_CONTENDED;
 /* Reserves at once, and queries for gangs name few targets. */
 extern const struct plan_policy PLAN_POLICY_RESERVE_AT_ONCE;
 /* Reserves only for tasks with several accelerators. */
--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -600,6 +600,8 @@
     struct dispatch *dispatch = g_new0(struct dispatch, 1);
     const struct settings_fleet *fleet = deps->settings->fleet;
     const struct plan_params params = {
+        .policy = fleet->is_contended ? &PLAN_POLICY_CONTENDED
+                                      : &PLAN_POLICY_DEFAULT,
         .remote_run_permille = fleet->remote_run_permille,
         .stop_ms = fleet->stop_ms,
         .run_base = (uint32_t)raft_term(replica_raft(deps->replica)) *
--- a/node/settings.c
+++ b/node/settings.c
@@ -86,6 +86,10 @@
                            struct settings_fleet, data_centre, 1, 63),
     CYAML_FIELD_BOOL("first_start", CYAML_FLAG_OPTIONAL, struct settings_fleet,
                      may_bootstrap),
+    CYAML_FIELD_BOOL("contended", CYAML_FLAG_OPTIONAL, struct settings_fleet,
+                     is_contended),
+    CYAML_FIELD_UINT("share_window_ms", CYAML_FLAG_OPTIONAL,
+                     struct settings_fleet, share_window_ms),
     FLEET_NUMBER(bus_port),
     FLEET_NUMBER(lease_ms),
     FLEET_NUMBER(stop_ms),
@@ -395,6 +399,8 @@
     {"bus_port", offsetof(struct settings_fleet, bus_port), 1, 65535},
     {"lease_ms", offsetof(struct settings_fleet, lease_ms), 500, 600000},
     {"stop_ms", offsetof(struct settings_fleet, stop_ms), 0, 600000},
+    {"share_window_ms", offsetof(struct settings_fleet, share_window_ms), 0,
+     600000},
 };
 
 /* A decimal value with its accepted range, and the field that receives it as
--- a/node/settings.h
+++ b/node/settings.h
@@ -63,13 +63,16 @@
     char **seeds; /* IP:port of some hosts that have a data folder; the ports
                    * are not used */
     unsigned seeds_count;
-    char *data_centre;      /* of this host */
-    bool may_bootstrap;     /* first_start: the seeds may create a new cell */
-    uint32_t bus_port;      /* port of the bus, the same on every host */
-    uint32_t lease_ms;      /* length of targets' leases, the most they take */
-    uint32_t stop_ms;       /* longest time a target takes to stop a run */
-    double grace_s;         /* time from SIGTERM to SIGKILL */
-    double job_retention_s; /* keep_s: ended jobs can be queried this long */
+    char *data_centre;  /* of this host */
+    bool may_bootstrap; /* first_start: the seeds may create a new cell */
+    uint32_t bus_port;  /* port of the bus, the same on every host */
+    uint32_t lease_ms;  /* length of targets' leases, the most they take */
+    uint32_t stop_ms;   /* longest time a target takes to stop a run */
+    bool is_contended;  /* contended: services are full at times; see
+                         * PLAN_POLICY_CONTENDED */
+    uint32_t share_window_ms; /* over which a team's rate is averaged */
+    double grace_s;           /* time from SIGTERM to SIGKILL */
+    double job_retention_s;   /* keep_s: ended jobs can be queried this long */
     double remote_run_factor; /* far_times: run time of a task away from its
                                * data's rack, as a multiple of its run time in
                                * it */
