Interface: shares of teams, and the sort key of a job that is offered

Cause: work that is offered must be compared with work that waits (core/planforecast.h), and both by the team's share. No job is beyond a share yet: fleet->share_window_ms is 0. The default policy's keys are as before.

--- a/core/fleet.c
+++ b/core/fleet.c
@@ -225,6 +225,23 @@
     return g_hash_table_lookup(fleet->jobs, &id);
 }
 
+bool
+fleet_is_beyond_share(const struct fleet *fleet, const struct fleet_team *team,
+                      uint64_t at_ms)
+{
+    struct share share;
+
+    if (fleet->share_window_ms == 0 || team == NULL) {
+        return false;
+    }
+    share = team->share;
+    for (uint32_t i = 0; i < team->offered_jobs; i++) {
+        share_take(&share, team->weight, fleet->share_window_ms, at_ms);
+    }
+    return !share_has_room(&share, team->weight, fleet->share_window_ms,
+                           at_ms);
+}
+
 bool
 fleet_job_is_live(const struct fleet_job *job)
 {
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -13,6 +13,7 @@
 
 #include "core/failures.h"
 #include "core/fleetrec.h"
+#include "core/shares.h"
 
 /* A queue. It is kept after a configuration drops it, since its jobs refer to
  * it. */
@@ -34,6 +35,9 @@
     uint32_t weight;
     struct fleet_resources limit; /* 0 in a field: no limit */
     bool configured;
+    struct share share;    /* of its rate; see core/shares.h */
+    uint32_t offered_jobs; /* proposed by this host as the leader, within the
+                            * rate and not applied yet */
     struct fleet_resources used; /* by runs, including those that are starting
                                   * or stopping; maintained by the scheduler */
     /* Needed by inherited tasks that may be running on targets that have not
@@ -52,6 +56,8 @@
     struct fleet_submit submit;
     struct fleet_queue *queue;
     struct fleet_team *team;    /* NULL: submitted without a key */
+    uint64_t accepted_ms;       /* wall clock, since 1970 */
+    bool beyond_share;          /* its team was beyond its rate */
     enum fleet_job_state state; /* JOB_QUEUED for every live job */
     uint64_t ended_ms;          /* wall clock, since 1970; 0: live */
     uint32_t step_count;
@@ -86,8 +92,10 @@
 
 struct fleet {
     struct fleet_ops ops;
-    uint64_t retention_ms; /* how long ended jobs are kept */
-    uint64_t now_ms;       /* latest timestamp of a change, since 1970 */
+    uint64_t retention_ms;    /* how long ended jobs are kept */
+    uint64_t now_ms;          /* latest timestamp of a change, since 1970 */
+    uint32_t share_window_ms; /* see core/shares.h, for the jobs that this host
+                               * proposes; 0: no job is beyond its share */
     struct fleet_config config;
     GPtrArray *queues; /* struct fleet_queue; entries are never removed */
     GHashTable *queues_by_host; /* host to GPtrArray of configured queues,
@@ -151,6 +159,11 @@
 const struct fleet_service_conf *fleet_find_service(const struct fleet *fleet,
                                                     const char *name);
 
+/* Whether a job that is proposed at at_ms, on the wall clock, would be beyond
+ * its team's rate. team NULL: it has none. */
+bool fleet_is_beyond_share(const struct fleet *fleet,
+                           const struct fleet_team *team, uint64_t at_ms);
+
 /* Whether the state already holds what a target announces, so that no change
  * is needed. data_centre and stays_ms are not compared, and a leaving target
  * that announces itself as not leaving is no difference. */
--- a/core/planhold.c
+++ b/core/planhold.c
@@ -21,11 +21,6 @@
 /* Time that a backfill task must have before the reservation starts, per mille
  * of its estimated run time: estimates may be too short. */
 #define BACKFILL_TIME_PERMILLE 1500u
-/* sort_key[0] of steps that are too late to have any value (set_sort_key() in
- * planorder.c): no capacity is reserved for them. */
-#define EXPIRED_CLASS 3u
-/* The highest sort_key[0] of steps that can still meet their objective. */
-#define IN_TIME_CLASS 1u
 
 /* Capacity on a target for one member of a gang, or for a single task. */
 struct slot {
@@ -257,7 +252,8 @@
 {
     return size->accel >= RESERVATION_ACCEL_MIN ||
            (plan->params.policy->reserves_for_gangs && step->def->gang &&
-            step->def->count > 1 && step->sort_key[0] <= IN_TIME_CLASS);
+            step->def->count > 1 &&
+            plan_class_of(step->sort_key) <= CLASS_IN_TIME);
 }
 
 void
@@ -268,7 +264,7 @@
 
     if (!is_hard_to_place(plan, step, size) ||
         !is_reservation_due(plan, step, now_ms) ||
-        step->sort_key[0] >= EXPIRED_CLASS ||
+        plan_class_of(step->sort_key) >= CLASS_EXPIRED ||
         has_reservation(plan, step, now_ms)) {
         return;
     }
--- a/core/planorder.c
+++ b/core/planorder.c
@@ -74,72 +74,150 @@
     return remaining_ms;
 }
 
+/* What the place of a step in the order depends on. */
+struct order_input {
+    bool lasting;
+    bool beyond_share;
+    bool begun;            /* its job has runs or done tasks */
+    uint32_t priority;     /* of the queue; 0 is the highest */
+    uint64_t remaining_ms; /* see remaining_run_ms() */
+    uint64_t start_ms;     /* when the time allowed by the objective begins */
+    uint64_t objective_ms;
+};
+
 /* When the time allowed by the objective begins: at the due time of an
  * occurrence, so that it is not late because its job was submitted long ago;
- * for other jobs when the job was accepted. */
+ * for other jobs when the job was accepted. due_ms: wall clock. */
 static uint64_t
-objective_start_ms(const struct plan *plan, const struct plan_step *step)
+objective_start_ms(const struct plan *plan, uint64_t due_ms,
+                   uint64_t accepted_ms)
 {
-    int64_t due_ms = (int64_t)step->due_ms - plan->wall_offset_ms;
+    int64_t due_mono_ms = (int64_t)due_ms - plan->wall_offset_ms;
 
-    return step->due_ms == 0 || due_ms < 0 ? step->job->accepted_ms
-                                           : (uint64_t)due_ms;
+    return due_ms == 0 || due_mono_ms < 0 ? accepted_ms
+                                          : (uint64_t)due_mono_ms;
 }
 
-/* Workload: bursts that exceed the capacity. sort_key[0] is the class of the
- * step: 0 for long-running services, whose users are waiting; 1 for work that
- * can still meet its objective; 2 for work that will be late; 3 for work that
- * is too late to have any value, which still runs to its end (EXPIRED_CLASS in
- * planhold.c). Within a class steps are sorted by the queue's priority, then
- * by their latest start time.
+static uint64_t
+latest_start_ms(const struct order_input *in)
+{
+    uint64_t due_ms = in->start_ms + in->objective_ms;
+
+    return due_ms > in->remaining_ms ? due_ms - in->remaining_ms : 0;
+}
+
+/* Workload: bursts that exceed the capacity. key[0] is one of CLASS_* in
+ * planpriv.h, plus CLASS_BEYOND_SHARE for work beyond its team's rate, which
+ * takes what the other work leaves (core/shares.h). Late work still runs to
+ * its end. Within a class steps are sorted by the queue's priority, then by
+ * their latest start time. A job is of use to its caller only once its last
+ * task ends: work that was begun goes before work of the same class and
+ * priority that was not, as long as it can be in time.
  */
 static void
-set_sort_key(const struct plan *plan, struct plan_step *step, uint64_t now_ms)
+set_order_key(const struct plan_policy *policy, const struct order_input *in,
+              uint64_t now_ms, uint64_t key[3])
 {
-    const struct plan_job *job = step->job;
-    uint64_t remaining_ms = remaining_run_ms(step);
-    uint64_t start_ms = objective_start_ms(plan, step);
-    uint64_t due_ms = start_ms + job->objective_ms;
-    uint64_t expiry_ms =
-        start_ms + (uint64_t)EXPIRY_FACTOR * job->objective_ms;
-
-    if (step->def->lasting) {
-        step->sort_key[0] = 0;
+    uint64_t end_ms = now_ms + in->remaining_ms;
+
+    if (!policy->by_slack) {
+        /* Order of arrival, for PLAN_POLICY_FIFO. */
+        key[0] = 0;
+        key[1] = 0;
+        key[2] = in->start_ms;
+        return;
+    }
+    if (in->lasting) {
+        key[0] = CLASS_LASTING;
     }
-    else if (now_ms + remaining_ms <= due_ms) {
-        step->sort_key[0] = 1;
+    else if (end_ms <= in->start_ms + in->objective_ms) {
+        key[0] = CLASS_IN_TIME;
     }
     else {
-        step->sort_key[0] = now_ms + remaining_ms <= expiry_ms ? 2 : 3;
+        key[0] = end_ms <= in->start_ms + EXPIRY_FACTOR * in->objective_ms
+                     ? CLASS_LATE
+                     : CLASS_EXPIRED;
     }
-    step->sort_key[1] = job->job->queue->conf.priority;
-    step->latest_start_ms = due_ms > remaining_ms ? due_ms - remaining_ms : 0;
-    step->sort_key[2] = step->latest_start_ms;
+    key[1] = in->priority;
+    if (policy->finishes_started) {
+        key[1] = (uint64_t)in->priority * 2 +
+                 (key[0] != CLASS_IN_TIME || in->begun ? 0 : 1);
+    }
+    if (policy->by_share && in->beyond_share && !in->lasting) {
+        key[0] += CLASS_BEYOND_SHARE;
+    }
+    key[2] = latest_start_ms(in);
 }
 
-/* Order of arrival, for PLAN_POLICY_FIFO. */
 static void
-set_fifo_sort_key(struct plan_step *step)
+set_sort_key(const struct plan *plan, struct plan_step *step, uint64_t now_ms)
 {
-    step->sort_key[0] = 0;
-    step->sort_key[1] = 0;
-    step->sort_key[2] = step->job->accepted_ms;
+    const struct plan_job *job = step->job;
+    const struct order_input in = {
+        .lasting = step->def->lasting,
+        .beyond_share = job->job->beyond_share,
+        .begun = job->started,
+        .priority = job->job->queue->conf.priority,
+        .remaining_ms = remaining_run_ms(step),
+        .start_ms =
+            plan->params.policy->by_slack
+                ? objective_start_ms(plan, step->due_ms, job->accepted_ms)
+                : job->accepted_ms,
+        .objective_ms = job->objective_ms,
+    };
+
+    set_order_key(plan->params.policy, &in, now_ms, step->sort_key);
+    step->latest_start_ms = latest_start_ms(&in);
 }
 
-static gint
-compare_sort_keys(gconstpointer a, gconstpointer b)
+void
+plan_offer_sort_key(const struct plan *plan, const struct fleet_submit *submit,
+                    const struct fleet_queue *queue, bool beyond_share,
+                    uint64_t now_ms, uint64_t key[3])
 {
-    const struct plan_step *x = *(struct plan_step *const *)a;
-    const struct plan_step *y = *(struct plan_step *const *)b;
+    const struct fleet_step *steps = submit->steps.items;
+    struct order_input in = {
+        .lasting = submit->steps.count > 0 && steps[0].lasting,
+        .beyond_share = beyond_share,
+        .priority = queue->conf.priority,
+        .start_ms = objective_start_ms(
+            plan, submit->occurrences > 0 ? submit->first_due_ms : 0, now_ms),
+        .objective_ms = plan_objective_ms(
+            plan_critical_path_ms(submit, &queue->conf), &queue->conf),
+    };
 
+    for (uint32_t i = 0; i < submit->steps.count; i++) {
+        in.remaining_ms += steps[i].estimate_ms;
+    }
+    set_order_key(plan->params.policy, &in, now_ms, key);
+}
+
+int
+plan_compare_keys(const uint64_t a[3], const uint64_t b[3])
+{
     for (int i = 0; i < 3; i++) {
-        if (x->sort_key[i] != y->sort_key[i]) {
-            return x->sort_key[i] < y->sort_key[i] ? -1 : 1;
+        if (a[i] != b[i]) {
+            return a[i] < b[i] ? -1 : 1;
         }
     }
     return 0;
 }
 
+enum plan_class
+plan_class_of(const uint64_t key[3])
+{
+    return (enum plan_class)(key[0] % CLASS_BEYOND_SHARE);
+}
+
+static gint
+compare_sort_keys(gconstpointer a, gconstpointer b)
+{
+    const struct plan_step *x = *(struct plan_step *const *)a;
+    const struct plan_step *y = *(struct plan_step *const *)b;
+
+    return plan_compare_keys(x->sort_key, y->sort_key);
+}
+
 /* Updates the sort key of a step. Returns whether the step keeps its place
  * among those that keep theirs. */
 static bool
@@ -152,9 +230,6 @@
     bool keeps_place;
 
     set_sort_key(plan, step, now_ms);
-    if (!plan->params.policy->by_slack) {
-        set_fifo_sort_key(step);
-    }
     keeps_place = step->is_sorted && step->sort_key[0] == old_class &&
                   step->sort_key[1] == old_priority &&
                   step->sort_key[2] == old_latest_ms;
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -97,6 +97,16 @@
     uint64_t valid_until_ms; /* 0: no valid ticket */
 };
 
+/* Classes of steps in scheduling order; by PLAN_POLICY_FIFO all steps are in
+ * the first one. */
+enum plan_class {
+    CLASS_LASTING, /* long-running services, whose users are waiting */
+    CLASS_IN_TIME, /* can still meet its objective */
+    CLASS_LATE,
+    CLASS_EXPIRED,     /* too late to have any value */
+    CLASS_BEYOND_SHARE /* added to the class of work beyond its team's rate */
+};
+
 /* A step of one occurrence of a job. */
 struct plan_step {
     struct plan_job *job;
@@ -124,7 +134,8 @@
                                * plus 1 */
     uint32_t reserved_targets; /* targets with capacity reserved for it */
     uint64_t remaining_ms;     /* see remaining_run_ms() in planorder.c */
-    uint64_t sort_key[3];      /* set by planorder.c, smallest first */
+    uint64_t sort_key[3];      /* set by planorder.c, smallest first; [0] is
+                                * an enum plan_class */
     bool is_sorted;            /* in its place in plan->open_steps */
     uint64_t latest_start_ms;  /* to meet the objective; set with sort_key */
 };
@@ -262,6 +273,15 @@
 uint32_t plan_objective_ms(uint32_t critical_path_ms,
                            const struct fleet_queue_conf *queue);
 void plan_sort_open_steps(struct plan *plan, uint64_t now_ms);
+/* The sort key of the first step of a job that would be accepted now. */
+void plan_offer_sort_key(const struct plan *plan,
+                         const struct fleet_submit *submit,
+                         const struct fleet_queue *queue, bool beyond_share,
+                         uint64_t now_ms, uint64_t key[3]);
+/* Returns less than 0 if a goes before b, 0 if they are equal. */
+int plan_compare_keys(const uint64_t a[3], const uint64_t b[3]);
+/* The class of a sort key, without CLASS_BEYOND_SHARE. */
+enum plan_class plan_class_of(const uint64_t key[3]);
 /* Sums up the capacity of each pool, and decays its peak of tight work. */
 void plan_update_pools(struct plan *plan, uint64_t now_ms);
 /* Whether the pool keeps its headroom for tight work if size is used. */
