Evacuations of data centres: state, call, decision

Starts, policy queries, reservations, trials and the capacity of a service leave the targets there out (core/planevac.c); lasting runs and long ones with checkpoints are moved a few at a time when there is room elsewhere; the rest is finished. Cold targets are used last and get starts one by one.

--- a/base/event.c
+++ b/base/event.c
@@ -78,6 +78,11 @@
     [EVENT_TARGET_BACKOFF] =
         {"target.shunned", 100, "id for_ms failures",
          "a target gets no starts for a while after failures"},
+    [EVENT_EVACUATION_ORDERED] = {"evacuation.ordered", 20, "id",
+                                  "no run starts in this data centre any "
+                                  "more"},
+    [EVENT_EVACUATION_WITHDRAWN] = {"evacuation.withdrawn", 20, "id",
+                                    "runs start in this data centre again"},
     [EVENT_CALL_ENDED] = {"call.ended", 100, "id call took_ms",
                           "a submission or cancellation succeeded"},
     [EVENT_CALL_FAILED] = {"call.failed", 200, "id call path error took_ms",
--- a/bench/simlead.c
+++ b/bench/simlead.c
@@ -433,6 +433,17 @@
     }
 }
 
+static void
+on_evacuation_changed(void *ctx, const struct fleet_data_centre *data_centre)
+{
+    struct sim *sim = ctx;
+
+    (void)data_centre;
+    if (sim->plan != NULL) {
+        plan_evacuation_changed(sim->plan);
+    }
+}
+
 struct fleet_ops
 sim_fleet_ops(struct sim *sim)
 {
@@ -442,6 +453,7 @@
                               .job_added = on_job_added,
                               .job_ended = on_job_ended,
                               .job_removed = on_job_removed,
+                              .evacuation_changed = on_evacuation_changed,
                               .ctx = sim};
 }
 
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -4,6 +4,9 @@
 
 #include "core/fleetpriv.h"
 
+/* Announcements of the same cold target may differ by this. */
+#define COLD_TOLERANCE_MS 2000u
+
 static void
 free_job(void *item)
 {
@@ -50,6 +53,8 @@
     fleet->teams_by_key = g_hash_table_new(g_str_hash, g_str_equal);
     fleet->targets =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_target);
+    fleet->data_centres = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                                fleet_free_data_centre);
     fleet->jobs =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_job);
     g_queue_init(&fleet->ended_jobs);
@@ -65,6 +70,7 @@
     g_queue_clear(&fleet->ended_jobs);
     g_hash_table_destroy(fleet->jobs);
     g_hash_table_destroy(fleet->targets);
+    g_hash_table_destroy(fleet->data_centres);
     g_hash_table_destroy(fleet->teams_by_key);
     g_hash_table_destroy(fleet->teams);
     g_hash_table_destroy(fleet->services);
@@ -82,6 +88,22 @@
     return g_hash_table_lookup(fleet->targets, id);
 }
 
+uint64_t
+fleet_target_cold_until_ms(const struct fleet_target_rec *rec)
+{
+    return rec->cold_ms == 0 ? 0 : rec->head.at_ms + rec->cold_ms;
+}
+
+/* Whether a target announces that it is cold for longer than is known. */
+static bool
+is_colder(const struct fleet *fleet, const struct fleet_target_rec *known,
+          const struct fleet_target_rec *announced)
+{
+    return announced->cold_ms > 0 &&
+           fleet->now_ms + announced->cold_ms >
+               fleet_target_cold_until_ms(known) + COLD_TOLERANCE_MS;
+}
+
 bool
 fleet_target_is_recorded(const struct fleet *fleet,
                          const struct fleet_target_rec *rec)
@@ -98,9 +120,10 @@
            strcmp(known->service, rec->service) == 0 &&
            known->cpu_milli == rec->cpu_milli &&
            known->memory_mb == rec->memory_mb && known->accel == rec->accel &&
+           strcmp(known->data_centre, rec->data_centre) == 0 &&
            strcmp(known->rack, rec->rack) == 0 &&
            strcmp(known->labels, rec->labels) == 0 &&
-           rec->leaving <= known->leaving;
+           rec->leaving <= known->leaving && !is_colder(fleet, known, rec);
 }
 
 static void
@@ -164,6 +187,7 @@
         target->rec = *rec;
         target->rec.leaving = leaving;
     }
+    fleet_remember_data_centre(fleet, rec->data_centre);
     if (fleet->ops.target_changed != NULL) {
         fleet->ops.target_changed(fleet->ops.ctx, target, restarted);
     }
@@ -517,6 +541,8 @@
         return &FLEET_RUN_ENDS_SCHEMA;
     case FLEET_CRASHES:
         return &FLEET_CRASHES_SCHEMA;
+    case FLEET_EVACUATION:
+        return &FLEET_EVACUATION_SCHEMA;
     default:
         return NULL;
     }
@@ -545,6 +571,9 @@
     case FLEET_CRASHES:
         apply_crashes(fleet, &change->crashes);
         break;
+    case FLEET_EVACUATION:
+        fleet_apply_evacuation(fleet, &change->evacuation);
+        break;
     default:
         apply_ends(fleet, &change->ends);
         break;
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -76,6 +76,16 @@
     void *plan; /* the scheduler's struct plan_target; NULL: none */
 };
 
+/* A data centre that has or had targets, or that an order named. Entries are
+ * never removed. */
+struct fleet_data_centre {
+    char name[FLEET_NAME_BYTES];
+    bool evacuated;      /* no run starts there */
+    uint64_t ordered_ms; /* wall clock, of the last order or withdrawal that
+                          * changed evacuated; 0: never */
+    GQueue orders; /* change IDs of the last orders on it, oldest first */
+};
+
 /* Callbacks on changes of the state; each may be NULL. target_removed and
  * job_removed are called before the object is freed. restarted: a known target
  * has a new incarnation. */
@@ -87,6 +97,8 @@
     void (*job_added)(void *ctx, struct fleet_job *job);
     void (*job_ended)(void *ctx, struct fleet_job *job);
     void (*job_removed)(void *ctx, struct fleet_job *job);
+    void (*evacuation_changed)(void *ctx,
+                               const struct fleet_data_centre *data_centre);
     void *ctx;
 };
 
@@ -104,6 +116,7 @@
     GHashTable *teams;        /* name to struct fleet_team */
     GHashTable *teams_by_key; /* key to struct fleet_team, borrowed */
     GHashTable *targets;      /* ID to struct fleet_target */
+    GHashTable *data_centres; /* name to struct fleet_data_centre */
     GHashTable *jobs;         /* ID to struct fleet_job */
     GQueue ended_jobs; /* struct fleet_job, in the order of their ends */
 };
@@ -165,11 +178,24 @@
                            const struct fleet_team *team, uint64_t at_ms);
 
 /* Whether the state already holds what a target announces, so that no change
- * is needed. data_centre and stays_ms are not compared, and a leaving target
- * that announces itself as not leaving is no difference. */
+ * is needed. stays_ms is not compared, and a leaving target that announces
+ * itself as not leaving is no difference. How long it is still cold is one
+ * only if that has grown. */
 bool fleet_target_is_recorded(const struct fleet *fleet,
                               const struct fleet_target_rec *rec);
 
+/* Whether an evacuation of the data centre is in force. */
+bool fleet_is_evacuated(const struct fleet *fleet, const char *data_centre);
+
+/* Whether a target ever announced this data centre, or an order on it was
+ * accepted. */
+bool fleet_knows_data_centre(const struct fleet *fleet,
+                             const char *data_centre);
+
+/* When a target stops being slow after its start, by its announcement, on the
+ * wall clock; 0: it is not. */
+uint64_t fleet_target_cold_until_ms(const struct fleet_target_rec *rec);
+
 /* Number of a task within its job, counted over all steps and occurrences;
  * UINT32_MAX when the ID is out of range.
  */
--- a/core/fleetpriv.h
+++ b/core/fleetpriv.h
@@ -2,6 +2,7 @@
  *
  *   fleet.c      targets, jobs, applying changes
  *   fleetconf.c  configurations: checks, queues, services, teams, keys
+ *   fleetevac.c  data centres and their evacuation
  *   fleetsave.c  snapshots
  */
 #ifndef FP_FLEETPRIV_H
@@ -19,6 +20,7 @@
     struct fleet_cancel cancel;
     struct fleet_run_ends ends;
     struct fleet_crashes crashes;
+    struct fleet_evacuation evacuation;
 };
 
 /* fleetconf.c */
@@ -34,6 +36,24 @@
 /* Finds the team of this name, or adds it. */
 struct fleet_team *fleet_ensure_team(struct fleet *fleet, const char *name);
 
+/* fleetevac.c */
+/* Frees a struct fleet_data_centre. */
+void fleet_free_data_centre(void *item);
+/* Remembers the data centre of a target. */
+void fleet_remember_data_centre(struct fleet *fleet, const char *name);
+void fleet_apply_evacuation(struct fleet *fleet,
+                            const struct fleet_evacuation *order);
+/* Appends each data centre to a snapshot's items. */
+void fleet_save_data_centres(const struct fleet *fleet,
+                             struct fleet_snapshot *snap);
+void fleet_load_data_centre(struct fleet *fleet,
+                            const struct fleet_data_centre_saved *saved);
+
+/* fleetsave.c */
+void fleet_add_snapshot_item(struct fleet_snapshot *snap,
+                             const struct fp_schema *schema,
+                             const void *record);
+
 /* fleet.c */
 /* Returns the schema of a change type, or NULL for an unknown type. */
 const struct fp_schema *fleet_schema_of(uint32_t type);
--- a/core/fleetrec.c
+++ b/core/fleetrec.c
@@ -203,6 +203,7 @@
     BOOL(fleet_target_rec, leaving),
     U32(fleet_target_rec, stays_ms),
     U64(fleet_target_rec, sequence),
+    U32(fleet_target_rec, cold_ms),
 };
 const struct fp_schema FLEET_TARGET_SCHEMA =
     SCHEMA("fleet-target-rec", FLEET_TARGET, fleet_target_rec,
@@ -218,6 +219,34 @@
     SCHEMA("fleet-target-gone", FLEET_TARGET_REMOVAL, fleet_target_removal,
            FLEET_TARGET_REMOVAL_FIELDS);
 
+static const struct fp_field FLEET_EVACUATION_FIELDS[] = {
+    STR(fleet_evacuation, head.change_id, NAME_BYTES),
+    U64(fleet_evacuation, head.at_ms),
+    STR(fleet_evacuation, data_centre, FLEET_NAME_BYTES),
+    BOOL(fleet_evacuation, withdrawn),
+};
+const struct fp_schema FLEET_EVACUATION_SCHEMA =
+    SCHEMA("fleet-evacuation", FLEET_EVACUATION, fleet_evacuation,
+           FLEET_EVACUATION_FIELDS);
+
+static const struct fp_field FLEET_EVACUATION_ORDER_FIELDS[] = {
+    STR(fleet_evacuation_order, change_id, NAME_BYTES),
+};
+static const struct fp_schema FLEET_EVACUATION_ORDER_SCHEMA =
+    SCHEMA("fleet-evacuation-order", 141, fleet_evacuation_order,
+           FLEET_EVACUATION_ORDER_FIELDS);
+
+static const struct fp_field FLEET_DATA_CENTRE_SAVED_FIELDS[] = {
+    STR(fleet_data_centre_saved, name, FLEET_NAME_BYTES),
+    BOOL(fleet_data_centre_saved, evacuated),
+    U64(fleet_data_centre_saved, ordered_ms),
+    LIST(fleet_data_centre_saved, orders, FLEET_EVACUATION_ORDERS_MAX,
+         FLEET_EVACUATION_ORDER_SCHEMA),
+};
+const struct fp_schema FLEET_DATA_CENTRE_SAVED_SCHEMA =
+    SCHEMA("fleet-data-centre-saved", FLEET_DATA_CENTRE_SAVED,
+           fleet_data_centre_saved, FLEET_DATA_CENTRE_SAVED_FIELDS);
+
 static const struct fp_field FLEET_FAILED_RUN_FIELDS[] = {
     U32(fleet_failed_run, run),
 };
@@ -310,6 +339,7 @@
 
 static const struct fp_field CALL_PING_FIELDS[] = {
     U32(call_ping, helper),
+    STR(call_ping, data_centre, FLEET_NAME_BYTES),
 };
 const struct fp_schema CALL_PING_SCHEMA =
     SCHEMA("call-ping", 131, call_ping, CALL_PING_FIELDS);
@@ -330,6 +360,7 @@
     BOOL(call_announce, target.leaving),
     U32(call_announce, target.stays_ms),
     U64(call_announce, sequence),
+    U32(call_announce, target.cold_ms),
 };
 const struct fp_schema CALL_ANNOUNCE_SCHEMA =
     SCHEMA("call-announce", 132, call_announce, CALL_ANNOUNCE_FIELDS);
@@ -363,6 +394,16 @@
 static const struct fp_schema CALL_HOST_SCHEMA =
     SCHEMA("call-host", 136, call_host, CALL_HOST_FIELDS);
 
+static const struct fp_field CALL_EVACUATION_FIELDS[] = {
+    STR(call_evacuation, data_centre, FLEET_NAME_BYTES),
+    U64(call_evacuation, ordered_ms),
+    U32(call_evacuation, targets),
+    U32(call_evacuation, runs),
+    U32(call_evacuation, lasting),
+};
+static const struct fp_schema CALL_EVACUATION_SCHEMA =
+    SCHEMA("call-evacuation", 142, call_evacuation, CALL_EVACUATION_FIELDS);
+
 static const struct fp_field CALL_ANSWER_FIELDS[] = {
     U32(call_answer, err),
     U32(call_answer, state),
@@ -371,6 +412,8 @@
     BLOB(call_answer, text, FLEET_CONFIG_MAX_BYTES),
     LIST(call_answer, hosts, 64, CALL_HOST_SCHEMA),
     LIST(call_answer, tickets, FLEET_QUERY_TARGETS_MAX, CALL_TICKET_SCHEMA),
+    LIST(call_answer, evacuations, FLEET_DATA_CENTRES_MAX,
+         CALL_EVACUATION_SCHEMA),
 };
 const struct fp_schema CALL_ANSWER_SCHEMA =
     SCHEMA("call-answer", 137, call_answer, CALL_ANSWER_FIELDS);
--- a/core/fleetrec.h
+++ b/core/fleetrec.h
@@ -24,6 +24,9 @@
 #define FLEET_JOB_TASKS_MAX 32768u   /* over all steps and occurrences */
 #define FLEET_QUERY_TARGETS_MAX 100u /* targets in one policy query */
 #define FLEET_CONFIG_MAX_BYTES (1024u * 1024)
+#define FLEET_DATA_CENTRES_MAX 1024u
+/* Orders on a data centre whose copies are recognised. */
+#define FLEET_EVACUATION_ORDERS_MAX 16u
 
 /* Types of changes and of records in snapshots; stored in both. */
 enum fleet_change_type {
@@ -35,7 +38,9 @@
     FLEET_RUN_ENDS,
     FLEET_JOB_SAVED, /* only in snapshots */
     FLEET_SNAPSHOT,
-    FLEET_CRASHES
+    FLEET_CRASHES,
+    FLEET_EVACUATION,
+    FLEET_DATA_CENTRE_SAVED /* only in snapshots */
 };
 
 /* How a run ended. */
@@ -219,6 +224,15 @@
                         * announced that it is leaving */
     uint64_t sequence; /* of the announcement, within its incarnation; 0:
                         * not known */
+    uint32_t cold_ms;  /* how much longer it is slow after its start */
+};
+
+/* Evacuates a data centre: no run starts there any more. Or withdraws that
+ * order. head.change_id identifies the order: copies of it change nothing. */
+struct fleet_evacuation {
+    struct change_head head;
+    char data_centre[FLEET_NAME_BYTES];
+    bool withdrawn;
 };
 
 /* Removes a target. */
@@ -262,7 +276,21 @@
     struct fp_list tasks; /* struct fleet_task_saved */
 };
 
-/* The record of a configuration, a target or a job, in snapshots. */
+/* An order on a data centre that was applied. */
+struct fleet_evacuation_order {
+    char change_id[NAME_BYTES];
+};
+
+/* A data centre, in snapshots; see struct fleet_data_centre. */
+struct fleet_data_centre_saved {
+    char name[FLEET_NAME_BYTES];
+    bool evacuated;
+    uint64_t ordered_ms;
+    struct fp_list orders; /* struct fleet_evacuation_order, oldest first */
+};
+
+/* The record of a configuration, a target, a data centre or a job, in
+ * snapshots. */
 struct fleet_snapshot_item {
     struct fp_blob record; /* encoded */
 };
@@ -275,16 +303,19 @@
 /* Calls from a host to the leader, and from the leader to hosts that query the
  * placement policy for it (helpers). */
 enum call_kind {
-    CALL_SUBMIT = 1,  /* struct call_submit */
-    CALL_STATE,       /* struct call_job */
-    CALL_CANCEL,      /* struct call_job */
-    CALL_WAITING,     /* struct call_job; path has no ID */
-    CALL_CONFIGURE,   /* struct fleet_config */
-    CALL_READ_CONFIG, /* struct call_ping */
-    CALL_ANNOUNCE,    /* struct call_announce */
-    CALL_LEAVE,       /* struct fleet_target_removal */
-    CALL_PING,        /* struct call_ping */
-    CALL_ADVISE       /* struct call_advise, to a helper */
+    CALL_SUBMIT = 1,       /* struct call_submit */
+    CALL_STATE,            /* struct call_job */
+    CALL_CANCEL,           /* struct call_job */
+    CALL_WAITING,          /* struct call_job; path has no ID */
+    CALL_CONFIGURE,        /* struct fleet_config */
+    CALL_READ_CONFIG,      /* struct call_ping */
+    CALL_ANNOUNCE,         /* struct call_announce */
+    CALL_LEAVE,            /* struct fleet_target_removal */
+    CALL_PING,             /* struct call_ping */
+    CALL_ADVISE,           /* struct call_advise, to a helper */
+    CALL_EVACUATE,         /* struct fleet_evacuation */
+    CALL_READ_EVACUATIONS, /* struct call_ping */
+    CALL_KIND_COUNT
 };
 
 /* The queue or job that a call is about, and the caller's key. */
@@ -303,6 +334,7 @@
 
 struct call_ping {
     uint32_t helper; /* 1: the sender can query the placement policy */
+    char data_centre[FLEET_NAME_BYTES]; /* of the sender */
 };
 
 /* A target's announcement of itself. */
@@ -332,13 +364,24 @@
 
 /* The answer to a call of any kind; each kind sets the fields it needs. */
 struct call_answer {
-    uint32_t err;            /* enum fp_err */
-    uint32_t state;          /* enum fleet_job_state */
-    uint64_t count;          /* waiting jobs */
-    uint32_t retry_after_ms; /* 0: the default of the error */
-    struct fp_blob text;     /* CALL_READ_CONFIG: the configuration */
-    struct fp_list hosts;    /* struct call_host; CALL_PING: cell members */
-    struct fp_list tickets;  /* struct call_ticket; CALL_ADVISE */
+    uint32_t err;               /* enum fp_err */
+    uint32_t state;             /* enum fleet_job_state */
+    uint64_t count;             /* waiting jobs */
+    uint32_t retry_after_ms;    /* 0: the default of the error */
+    struct fp_blob text;        /* CALL_READ_CONFIG: the configuration */
+    struct fp_list hosts;       /* struct call_host; CALL_PING: cell members */
+    struct fp_list tickets;     /* struct call_ticket; CALL_ADVISE */
+    struct fp_list evacuations; /* struct call_evacuation;
+                                 * CALL_READ_EVACUATIONS */
+};
+
+/* An evacuation in force. */
+struct call_evacuation {
+    char data_centre[FLEET_NAME_BYTES];
+    uint64_t ordered_ms; /* since 1970 */
+    uint32_t targets;    /* in that data centre */
+    uint32_t runs;       /* that have not ended there */
+    uint32_t lasting;    /* of them, runs that do not end by themselves */
 };
 
 struct call_host {
@@ -353,6 +396,8 @@
 extern const struct fp_schema FLEET_CONFIG_SCHEMA;
 extern const struct fp_schema FLEET_TARGET_SCHEMA;
 extern const struct fp_schema FLEET_TARGET_REMOVAL_SCHEMA;
+extern const struct fp_schema FLEET_EVACUATION_SCHEMA;
+extern const struct fp_schema FLEET_DATA_CENTRE_SAVED_SCHEMA;
 extern const struct fp_schema FLEET_JOB_SAVED_SCHEMA;
 extern const struct fp_schema FLEET_SNAPSHOT_SCHEMA;
 extern const struct fp_schema CALL_JOB_SCHEMA;
--- a/core/fleetsave.c
+++ b/core/fleetsave.c
@@ -3,9 +3,9 @@
 
 #include "core/fleetpriv.h"
 
-static void
-add_item(struct fleet_snapshot *snap, const struct fp_schema *schema,
-         const void *record)
+void
+fleet_add_snapshot_item(struct fleet_snapshot *snap,
+                        const struct fp_schema *schema, const void *record)
 {
     struct fleet_snapshot_item *item =
         fp_list_add(&snap->items, sizeof(*item));
@@ -99,7 +99,7 @@
                       sizeof(saved_task->checkpoint));
         }
     }
-    add_item(snap, &FLEET_JOB_SAVED_SCHEMA, &saved);
+    fleet_add_snapshot_item(snap, &FLEET_JOB_SAVED_SCHEMA, &saved);
     for (uint32_t i = 0; i < saved.tasks.count; i++) {
         struct fleet_task_saved *saved_task = saved.tasks.items;
 
@@ -117,11 +117,12 @@
     struct fleet_target *target;
     struct fleet_job *job;
 
-    add_item(&snap, &FLEET_CONFIG_SCHEMA, &fleet->config);
+    fleet_add_snapshot_item(&snap, &FLEET_CONFIG_SCHEMA, &fleet->config);
     g_hash_table_iter_init(&iter, fleet->targets);
     while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&target)) {
-        add_item(&snap, &FLEET_TARGET_SCHEMA, &target->rec);
+        fleet_add_snapshot_item(&snap, &FLEET_TARGET_SCHEMA, &target->rec);
     }
+    fleet_save_data_centres(fleet, &snap);
     g_hash_table_iter_init(&iter, fleet->jobs);
     while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&job)) {
         if (fleet_job_is_live(job)) {
@@ -170,6 +171,7 @@
 load_item(struct fleet *fleet, const struct fp_blob *blob)
 {
     struct fleet_job_saved saved;
+    struct fleet_data_centre_saved data_centre;
     union fleet_change change;
     uint32_t type = 0;
     enum fp_err err = fp_peek_type(blob->data, blob->size_bytes, &type);
@@ -187,6 +189,14 @@
             fp_record_free(&FLEET_JOB_SAVED_SCHEMA, &saved);
         }
     }
+    else if (type == FLEET_DATA_CENTRE_SAVED) {
+        err = fp_decode(&FLEET_DATA_CENTRE_SAVED_SCHEMA, blob->data,
+                        blob->size_bytes, &data_centre);
+        if (err == FP_OK) {
+            fleet_load_data_centre(fleet, &data_centre);
+            fp_record_free(&FLEET_DATA_CENTRE_SAVED_SCHEMA, &data_centre);
+        }
+    }
     else if (type == FLEET_CONFIG || type == FLEET_TARGET) {
         struct change_answer answer = {.err = FP_OK};
 
--- a/core/plan.c
+++ b/core/plan.c
@@ -117,6 +117,7 @@
     set_pool(ptarget, get_or_add_pool(plan, target->rec.service));
     ptarget->capacity = (struct fleet_resources){
         target->rec.cpu_milli, target->rec.memory_mb, target->rec.accel};
+    plan_update_place(plan, ptarget);
     plan_check_reservation(plan, ptarget);
     plan->dirty = true;
 }
@@ -551,8 +552,10 @@
     plan->counters.passes++;
     remove_closed_steps(plan);
     plan_sort_open_steps(plan, now_ms);
+    plan_update_cold(plan, now_ms);
     plan_update_pools(plan, now_ms);
     evacuate_leaving_targets(plan, now_ms);
+    plan_move_evacuated_runs(plan, now_ms);
     for (guint i = 0; i < plan->open_steps->len; i++) {
         struct plan_step *step = plan->open_steps->pdata[i];
 
--- a/core/plan.h
+++ b/core/plan.h
@@ -17,6 +17,7 @@
  *   planorder.c  order of the waiting steps, and admission of jobs
  *   planfit.c    placement of a step's tasks
  *   planhold.c   capacity reserved for large tasks
+ *   planevac.c   evacuated data centres, and cold targets
  *   plancrash.c  crashes of targets, and the runs that may have caused them
  *   planticket.c queries to the placement policy
  */
@@ -208,6 +209,7 @@
     uint64_t common_losses; /* of them, with a common cause */
     uint64_t trials; /* starts of suspected tasks, apart from other starts */
     uint64_t tasks_given_up; /* since they crash their targets */
+    uint64_t evacuated_runs; /* stopped to go on in another data centre */
     uint64_t policy_queries;
     uint64_t jobs_rejected;
     uint64_t passes;
@@ -236,6 +238,8 @@
 void plan_target_changed(struct plan *plan, struct fleet_target *target);
 void plan_target_removed(struct plan *plan, struct fleet_target *target);
 void plan_config_changed(struct plan *plan);
+/* An evacuation was ordered or withdrawn. */
+void plan_evacuation_changed(struct plan *plan);
 
 /* Every target has listed its runs, or can no longer run any of an earlier
  * term. */
@@ -308,6 +312,14 @@
 bool plan_awaits_start(const struct fleet_target *target,
                        const struct fleet_task_id *task, uint32_t run_number);
 
+/* Whether the target gets starts at all: it is usable, not leaving, and its
+ * data centre is not evacuated. Also asked before an order is sent again. */
+bool plan_target_takes_starts(const struct fleet_target *target);
+
+/* What runs in a data centre; sets targets, runs and lasting. */
+void plan_count_in_data_centre(const struct plan *plan,
+                               struct call_evacuation *out);
+
 /* When the next run on a target should end, by estimate; UINT64_MAX: none
  * will. */
 uint64_t plan_next_end_ms(const struct fleet_target *target);
--- a/core/planfit.c
+++ b/core/planfit.c
@@ -95,7 +95,7 @@
     if (plan_is_reserved_for_other(target, step, now_ms)) {
         reserved = target->reserved;
     }
-    return target->usable && !target->target->rec.leaving &&
+    return plan_takes_starts(target) && !plan_is_too_cold(target, now_ms) &&
            now_ms >= target->backoff_until_ms &&
            plan_is_apart(target, step, now_ms) &&
            size->cpu_milli <= free_capacity(target->capacity.cpu_milli,
@@ -209,6 +209,7 @@
         return;
     }
     cost = placement_cost(target, search->step) +
+           plan_cold_cost(target, search->now_ms) +
            (target == search->failed_on ? FAILED_HERE_COST : 0);
     if (cost < search->best_cost) {
         search->best = target;
@@ -278,6 +279,9 @@
 no_target_reason(const struct plan *plan, const struct plan_step *step,
                  const struct fleet_resources *size)
 {
+    if (plan_is_all_evacuated(step)) {
+        return "its data centres are evacuated";
+    }
     if (!plan_leaves_headroom(plan, step, size)) {
         return "the room left is kept for tighter work";
     }
@@ -354,7 +358,7 @@
         const struct plan_target *target = plan->targets->pdata[i];
 
         if (target->trial_job == step->job &&
-            now_ms < target->trial_until_ms && target->usable) {
+            now_ms < target->trial_until_ms && plan_takes_starts(target)) {
             return true;
         }
     }
--- a/core/planhold.c
+++ b/core/planhold.c
@@ -85,8 +85,7 @@
 {
     return (target->reserved_for == NULL ||
             now_ms >= target->reserved_until_ms) &&
-           target->usable && !target->target->rec.leaving &&
-           plan_could_fit(target, step);
+           plan_takes_starts(target) && plan_could_fit(target, step);
 }
 
 /* Number of tasks that must start together. */
@@ -218,7 +217,7 @@
         const struct plan_target *target = plan->targets->pdata[i];
 
         if (target->reserved_for == step &&
-            now_ms < target->reserved_until_ms && target->usable) {
+            now_ms < target->reserved_until_ms && plan_takes_starts(target)) {
             return true;
         }
     }
--- a/core/planorder.c
+++ b/core/planorder.c
@@ -362,7 +362,7 @@
             plan_add_size(&plan->unlisted_capacity, &target->capacity);
             target->pool->unlisted_targets++;
         }
-        if (target->usable && !target->target->rec.leaving) {
+        if (plan_takes_starts(target)) {
             target->pool->capacity.cpu_milli += target->capacity.cpu_milli;
             target->pool->capacity.accel += target->capacity.accel;
             target->pool->used.cpu_milli += target->used.cpu_milli;
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -75,6 +75,9 @@
     bool runs_known;    /* has listed its runs, or certainly has none */
     uint64_t leaves_ms; /* may be gone from then on; 0: it is not leaving */
     bool evacuated;     /* the runs that would be lost there were stopped */
+    bool in_evacuation; /* its data centre is evacuated */
+    uint64_t cold_until_ms;     /* slow after its start; 0: it is not */
+    uint64_t last_start_ms;     /* when a start was last ordered; 0: never */
     uint64_t backoff_until_ms;  /* no starts before this */
     uint32_t failures_in_row;   /* failed runs since the last success */
     uint32_t slowdown_permille; /* smoothed run time, of the estimate */
@@ -206,6 +209,8 @@
                                 * long queries */
     bool queries_blocked;      /* in this pass: no policy client is free
                                 * at all */
+    bool has_cold;             /* a target may be cold */
+    uint64_t next_move_ms;     /* see planevac.c */
     bool reconciled;
     uint64_t mark; /* of the last set of marked targets; see
                     * mark_named_targets() in planticket.c */
@@ -343,6 +348,31 @@
 /* Passes new evidence on to be stored. */
 void plan_store_evidence(struct plan *plan);
 
+/* planevac.c */
+
+/* Whether the target may get starts, queries and reservations. */
+static inline bool
+plan_takes_starts(const struct plan_target *target)
+{
+    return target->usable && !target->target->rec.leaving &&
+           !target->in_evacuation;
+}
+
+/* Takes over what a target's announcement says of its data centre, and whether
+ * it is cold. */
+void plan_update_place(struct plan *plan, struct plan_target *target);
+/* Updates until when targets are cold. */
+void plan_update_cold(struct plan *plan, uint64_t now_ms);
+/* Moves runs that would go on for long out of evacuated data centres. */
+void plan_move_evacuated_runs(struct plan *plan, uint64_t now_ms);
+/* Whether the step's service has targets, and all of them are in evacuated
+ * data centres. */
+bool plan_is_all_evacuated(const struct plan_step *step);
+/* Whether a target that is still cold has had its share of starts. */
+bool plan_is_too_cold(const struct plan_target *target, uint64_t now_ms);
+/* Added to the cost of a placement. */
+uint64_t plan_cold_cost(const struct plan_target *target, uint64_t now_ms);
+
 /* planfit.c */
 
 /* How many tasks of one size a target has capacity for beside what is used. */
--- a/core/planrun.c
+++ b/core/planrun.c
@@ -324,6 +324,7 @@
     run->state = RUN_STARTING;
     run->start_in_flight = true;
     run->ordered_ms = now_ms;
+    target->last_start_ms = now_ms;
     if (step->def->rack[0] != '\0' &&
         strcmp(step->def->rack, target->target->rec.rack) != 0) {
         run_ms = run_ms * plan->params.remote_run_permille / 1000;
--- a/core/planticket.c
+++ b/core/planticket.c
@@ -240,8 +240,8 @@
         struct plan_target *target = targets->pdata[i];
         struct candidate candidate = {target, 0};
 
-        if (target->mark != plan->mark && target->usable &&
-            !target->target->rec.leaving && plan_could_fit(target, step)) {
+        if (target->mark != plan->mark && plan_takes_starts(target) &&
+            plan_could_fit(target, step)) {
             candidate.rank = free_resource(target, &size);
             if (step->def->rack[0] != '\0' &&
                 strcmp(step->def->rack, target->target->rec.rack) == 0) {
@@ -265,8 +265,8 @@
         struct candidate candidate = {ticket->target, 0};
 
         if (!ticket->target->removed && ticket->state == TICKET_GRANTED &&
-            ticket->valid_until_ms < until_ms && ticket->target->usable &&
-            !ticket->target->target->rec.leaving) {
+            ticket->valid_until_ms < until_ms &&
+            plan_takes_starts(ticket->target)) {
             g_array_append_val(list, candidate);
         }
     }
--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -10,6 +10,7 @@
 /* Run numbers for the runs of inherited tasks in each term. */
 #define RUN_NUMBERS_PER_TERM 1024u
 #define ID_DIGITS 16u
+#define HOSTS_PING_MS 3000u /* all hosts have called a new leader by then */
 #define SEEDS_WAIT_MS 5000u /* wait for all seeds of a new cell to join */
 
 struct pending_request *
@@ -331,6 +332,62 @@
     propose(dispatch, caller, &FLEET_TARGET_SCHEMA, &call->target, 0);
 }
 
+/* Whether a data centre exists: one of its targets announced itself at any
+ * time, an order on it was accepted, or one of this system's hosts is there.
+ */
+static bool
+is_data_centre(const struct dispatch *dispatch, const char *name)
+{
+    return fleet_knows_data_centre(dispatch->deps.fleet, name) ||
+           strcmp(dispatch->deps.settings->fleet->data_centre, name) == 0 ||
+           g_hash_table_contains(dispatch->host_data_centres, name);
+}
+
+/* A new leader does not know yet where the other hosts are. */
+static void
+on_evacuate(struct dispatch *dispatch, const struct relay_caller *caller,
+            struct fleet_evacuation *order)
+{
+    bool is_new = clock_mono_ms() < dispatch->term_start_ms + HOSTS_PING_MS;
+
+    if (!is_data_centre(dispatch, order->data_centre)) {
+        log_notice(
+            LOG_SCHED, "an evacuation of '%.63s': %s", order->data_centre,
+            is_new ? "not a known data centre so far" : "no such data centre");
+        answer_err(dispatch, caller,
+                   is_new ? FP_ERR_CONFIG_STALE : FP_ERR_NOT_FOUND);
+        return;
+    }
+    /* Proposed even if it changes nothing now: an earlier order may not be
+     * committed yet. */
+    propose(dispatch, caller, &FLEET_EVACUATION_SCHEMA, order, 0);
+}
+
+static void
+on_read_evacuations(struct dispatch *dispatch,
+                    const struct relay_caller *caller)
+{
+    struct call_answer answer = {.err = FP_OK};
+    GHashTableIter iter;
+    const struct fleet_data_centre *data_centre;
+
+    g_hash_table_iter_init(&iter, dispatch->deps.fleet->data_centres);
+    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&data_centre)) {
+        struct call_evacuation *row;
+
+        if (!data_centre->evacuated) {
+            continue;
+        }
+        row = fp_list_add(&answer.evacuations, sizeof(*row));
+        g_strlcpy(row->data_centre, data_centre->name,
+                  sizeof(row->data_centre));
+        row->ordered_ms = data_centre->ordered_ms;
+        plan_count_in_data_centre(dispatch->plan, row);
+    }
+    relay_answer(dispatch->deps.relay, caller, FP_OK, &answer);
+    g_free(answer.evacuations.items);
+}
+
 static void
 on_ping(struct dispatch *dispatch, const struct relay_caller *caller,
         const struct call_ping *ping)
@@ -343,6 +400,12 @@
     if (ping->helper != 0) {
         dispatch_on_helper_ping(dispatch, caller->host, clock_mono_ms());
     }
+    if (ping->data_centre[0] != '\0' &&
+        !g_hash_table_contains(dispatch->host_data_centres,
+                               ping->data_centre)) {
+        g_hash_table_add(dispatch->host_data_centres,
+                         g_strdup(ping->data_centre));
+    }
     for (uint32_t i = 0; i < list->count; i++) {
         struct call_host *host = fp_list_add(&answer.hosts, sizeof(*host));
 
@@ -390,6 +453,8 @@
         [CALL_ANNOUNCE] = &CALL_ANNOUNCE_SCHEMA,
         [CALL_LEAVE] = &FLEET_TARGET_REMOVAL_SCHEMA,
         [CALL_PING] = &CALL_PING_SCHEMA,
+        [CALL_EVACUATE] = &FLEET_EVACUATION_SCHEMA,
+        [CALL_READ_EVACUATIONS] = &CALL_PING_SCHEMA,
     };
 
     return kind < sizeof(table) / sizeof(table[0]) ? table[kind] : NULL;
@@ -402,6 +467,7 @@
     struct call_announce announce;
     struct fleet_target_removal removal;
     struct call_ping ping;
+    struct fleet_evacuation evacuation;
 };
 
 static void
@@ -424,6 +490,12 @@
     case CALL_CONFIGURE:
         on_configure(dispatch, caller, &record->config);
         break;
+    case CALL_EVACUATE:
+        on_evacuate(dispatch, caller, &record->evacuation);
+        break;
+    case CALL_READ_EVACUATIONS:
+        on_read_evacuations(dispatch, caller);
+        break;
     case CALL_READ_CONFIG:
         on_read_config(dispatch, caller);
         break;
@@ -473,6 +545,12 @@
     plan_config_changed(dispatch->plan);
 }
 
+void
+dispatch_evacuation_changed(struct dispatch *dispatch)
+{
+    plan_evacuation_changed(dispatch->plan);
+}
+
 void
 dispatch_target_changed(struct dispatch *dispatch, struct fleet_target *target,
                         bool restarted)
@@ -627,6 +705,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     dispatch->helpers =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    dispatch->host_data_centres =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     dispatch->pending = g_hash_table_new(g_direct_hash, g_direct_equal);
     dispatch->unsent_starts = g_ptr_array_new();
     dispatch->unstored_evidence = g_ptr_array_new();
@@ -663,6 +743,7 @@
     g_hash_table_destroy(dispatch->pending);
     g_hash_table_destroy(dispatch->sessions);
     g_hash_table_destroy(dispatch->helpers);
+    g_hash_table_destroy(dispatch->host_data_centres);
     g_hash_table_destroy(dispatch->submitting);
     g_free(dispatch);
 }
--- a/node/dispatch.h
+++ b/node/dispatch.h
@@ -63,6 +63,7 @@
 
 /* Changes of the fleet's state; see struct fleet_ops. */
 void dispatch_config_changed(struct dispatch *dispatch);
+void dispatch_evacuation_changed(struct dispatch *dispatch);
 void dispatch_target_changed(struct dispatch *dispatch,
                              struct fleet_target *target, bool restarted);
 void dispatch_target_removed(struct dispatch *dispatch,
--- a/node/dispatchlane.c
+++ b/node/dispatchlane.c
@@ -192,6 +192,7 @@
         dispatch->last_unanswered_ms = now_ms;
     }
     if (answer == ORDER_UNKNOWN && !pending->resent && is_leader(dispatch) &&
+        plan_target_takes_starts(target) &&
         plan_awaits_start(target, &pending->task, pending->run_number)) {
         pending->resent = true;
         send_start(session, target, pending);
--- a/node/dispatchpriv.h
+++ b/node/dispatchpriv.h
@@ -66,16 +66,18 @@
 struct dispatch {
     struct dispatch_deps deps;
     struct plan *plan;
-    uint64_t term_start_ms;       /* when this host became leader */
-    bool reconciled;              /* plan_reconciled() was called */
-    GHashTable *sessions;         /* target ID to struct target_session */
-    GHashTable *helpers;          /* host to struct policy_helper */
-    GHashTable *pending;          /* set of struct pending_request */
-    GPtrArray *unsent_starts;     /* struct pending_request: start orders that
-                                   * were not sent, to be reported to the plan */
-    GPtrArray *unstored_evidence; /* struct evidence_commit: not stored, to be
-                                   * proposed again */
-    GHashTable *submitting;       /* IDs of jobs that are proposed */
+    uint64_t term_start_ms;        /* when this host became leader */
+    bool reconciled;               /* plan_reconciled() was called */
+    GHashTable *sessions;          /* target ID to struct target_session */
+    GHashTable *helpers;           /* host to struct policy_helper */
+    GHashTable *host_data_centres; /* set of the names of those that have
+                                    * hosts of this system */
+    GHashTable *pending;           /* set of struct pending_request */
+    GPtrArray *unsent_starts;      /* struct pending_request: start orders that
+                                    * were not sent, to be reported to the plan */
+    GPtrArray *unstored_evidence;  /* struct evidence_commit: not stored, to be
+                                    * proposed again */
+    GHashTable *submitting;        /* IDs of jobs that are proposed */
     bool local_query_pending; /* a query sent by this host has no answer yet */
     uint32_t start_answer_us; /* moving average of the answer time of start
                                * orders */
--- a/node/fleetmetrics.c
+++ b/node/fleetmetrics.c
@@ -53,6 +53,7 @@
     add_value(out, "targets_lost_common_total", counters->common_losses);
     add_value(out, "crash_trials_total", counters->trials);
     add_value(out, "tasks_given_up_total", counters->tasks_given_up);
+    add_value(out, "evacuated_runs_total", counters->evacuated_runs);
     add_value(out, "policy_questions_total", counters->policy_queries);
     add_value(out, "jobs_rejected_total", counters->jobs_rejected);
     add_value(out, "plan_passes_total", counters->passes);
@@ -121,6 +122,20 @@
                           "completion_permille_of_objective", "", out);
 }
 
+static void
+add_evacuations(GString *out, const struct fleet *fleet)
+{
+    GHashTableIter iter;
+    const struct fleet_data_centre *data_centre;
+
+    g_hash_table_iter_init(&iter, fleet->data_centres);
+    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&data_centre)) {
+        g_string_append_printf(
+            out, "filbertpath_evacuated{data_centre=\"%s\"} %d\n",
+            data_centre->name, data_centre->evacuated);
+    }
+}
+
 static void
 reply_metrics(const struct fleetmetrics_sources *sources,
               struct http_request *request)
@@ -143,6 +158,7 @@
     if (sources->dispatch != NULL) {
         add_plan_counters(out, dispatch_counters(sources->dispatch));
         add_lost_runs(out, sources->fleet);
+        add_evacuations(out, sources->fleet);
         add_dispatch_histograms(out, dispatch_times(sources->dispatch));
     }
     http_reply(request, 200, "text/plain", out->str, out->len, 0);
--- a/node/fleetnode.c
+++ b/node/fleetnode.c
@@ -169,6 +169,19 @@
     }
 }
 
+static void
+on_evacuation_changed(void *ctx, const struct fleet_data_centre *data_centre)
+{
+    struct fleetnode *node = ctx;
+
+    EVENT(data_centre->evacuated ? EVENT_EVACUATION_ORDERED
+                                 : EVENT_EVACUATION_WITHDRAWN,
+          EVENT_STR("id", data_centre->name));
+    if (node->dispatch != NULL) {
+        dispatch_evacuation_changed(node->dispatch);
+    }
+}
+
 static void
 apply_change(void *ctx, uint64_t index, const uint8_t *data,
              uint32_t size_bytes, struct change_answer *answer)
@@ -379,6 +392,9 @@
     struct fleetnode *node = ctx;
     struct call_ping ping = {.helper = 1};
 
+    g_strlcpy(ping.data_centre, node->settings->fleet->data_centre,
+              sizeof(ping.data_centre));
+
     (void)now_ms;
     if (node->stage != STAGE_SERVING) {
         ping.helper = 0;
@@ -632,13 +648,11 @@
                                     .on_state_replaced = on_state_replaced,
                                     .on_message = on_bus_message,
                                     .ctx = node};
-    const struct fleet_ops fleet_ops = {on_config_changed,
-                                        on_target_changed,
-                                        on_target_removed,
-                                        on_job_added,
-                                        on_job_ended,
-                                        on_job_removed,
-                                        node};
+    const struct fleet_ops fleet_ops = {
+        on_config_changed,     on_target_changed,
+        on_target_removed,     on_job_added,
+        on_job_ended,          on_job_removed,
+        on_evacuation_changed, node};
     enum fp_err err;
 
     node->fleet = fleet_new(node->settings->fleet->job_retention_ms);
--- a/node/relay.c
+++ b/node/relay.c
@@ -60,7 +60,7 @@
 {
     static const struct call_answer none;
 
-    if (err == FP_OK && call->kind <= CALL_ADVISE) {
+    if (err == FP_OK && call->kind < CALL_KIND_COUNT) {
         histogram_add(&relay->counters.latency_ms[call->kind],
                       clock_mono_ms() - call->start_ms);
     }
--- a/node/relay.h
+++ b/node/relay.h
@@ -41,7 +41,7 @@
     uint64_t timed_out; /* calls that ended without an answer */
     uint64_t answered;  /* calls of other hosts */
     /* Time from a call to its answer, by kind; answered calls only. */
-    struct histogram latency_ms[CALL_ADVISE + 1];
+    struct histogram latency_ms[CALL_KIND_COUNT];
 };
 
 /* Reports the end of a call, exactly once; possibly before relay_call()
--- a/tests/plan_world.h
+++ b/tests/plan_world.h
@@ -64,6 +64,7 @@
                             on_job_added,
                             on_job_ended,
                             on_job_removed,
+                            on_evacuation_changed,
                             this};
     }
     ~FleetSim()
@@ -383,6 +384,12 @@
             plan_job_removed(self(ctx)->planner, job);
         }
     }
+    static void on_evacuation_changed(void *ctx, const fleet_data_centre *)
+    {
+        if (self(ctx)->planner) {
+            plan_evacuation_changed(self(ctx)->planner);
+        }
+    }
     static void on_start(void *ctx, const plan_start *start)
     {
         self(ctx)->start_orders.push_back({start->target->rec.id, start->task,
