--- a/cli/cli.c
+++ b/cli/cli.c
@@ -260,6 +260,9 @@
         curl_easy_setopt(curl, CURLOPT_POSTFIELDS,
                          request_body ? request_body : "");
     }
+    else if (strcmp(method, "GET") != 0) {
+        curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, method);
+    }
     if (curl_easy_perform(curl) == CURLE_OK) {
         curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
         answer->status = (int)status;
--- a/cli/cmd.c
+++ b/cli/cmd.c
@@ -8,6 +8,7 @@
 #include "core/change.h"
 #include "node/clock.h"
 #include "node/keys.h"
+#include "platform/platform.h"
 
 /* The longest freshness lease, 2500 ms (see fresh_ms in node/settings.h), plus
  * a margin.
@@ -428,6 +429,46 @@
                        record_body(&CHANGE_CANCEL_SCHEMA, &change), false);
 }
 
+/* Orders on data centres of a fleet, at the control addresses of its hosts. */
+static int
+run_evacuation(struct cli *cli, int argc, char **argv)
+{
+    const char *args[2] = {NULL, NULL};
+    struct cli_answer answer;
+    const char *method = "GET";
+    char path[256] = PLATFORM_EVACUATIONS_PATH;
+    int count = cli_parse_args(
+        cli, "order|withdraw NAME, or list",
+        "Evacuates a data centre of a fleet, withdraws that, or lists the "
+        "evacuations in force. No run starts in an evacuated data centre; "
+        "what runs there is finished, or moved if it would go on for long. "
+        "--hosts are the control addresses of the fleet's hosts.",
+        args, 2, argc, argv);
+    bool lists = count == 1 && strcmp(args[0], "list") == 0;
+    int exit_code = 0;
+
+    if (!lists && (count != 2 || (strcmp(args[0], "order") != 0 &&
+                                  strcmp(args[0], "withdraw") != 0))) {
+        return cli_error(
+            FP_ERR_BAD_REQUEST,
+            "expected arguments: order NAME, withdraw NAME, or list");
+    }
+    if (!lists) {
+        method = args[0][0] == 'o' ? "POST" : "DELETE";
+        snprintf(path, sizeof(path), "%s/%.128s", PLATFORM_EVACUATIONS_PATH,
+                 args[1]);
+    }
+    cli_request(cli, method, path, NULL, true, &answer);
+    if (answer.err != FP_OK) {
+        exit_code = cli_answer_error(cli, &answer);
+    }
+    else if (lists) {
+        cli_print(cli, json_object_get(answer.body, "evacuations"));
+    }
+    cli_answer_free(&answer);
+    return exit_code;
+}
+
 static int
 run_init(struct cli *cli, int argc, char **argv)
 {
@@ -562,6 +603,8 @@
     {"labels", "TARGET", "labels of a target", run_labels},
     {"target", "leave|return NAME", "take a target out of service",
      run_target},
+    {"evacuation", "order|withdraw NAME, list",
+     "evacuate a data centre of a fleet", run_evacuation},
     {"submit", "QUEUE [PAYLOAD]", "submit a job", run_submit},
     {"cancel", "ID", "cancel a job or a task", run_cancel},
     {"fault", "cut|mend HOST", "cut or restore a link, for tests", run_fault},
--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -10,7 +10,6 @@
 /* Run numbers for the runs of inherited tasks in each term. */
 #define RUN_NUMBERS_PER_TERM 1024u
 #define ID_DIGITS 16u
-#define HOSTS_PING_MS 3000u /* all hosts have called a new leader by then */
 #define SEEDS_WAIT_MS 5000u /* wait for all seeds of a new cell to join */
 
 struct pending_request *
@@ -50,9 +49,9 @@
     uint64_t job_id; /* ID of a submitted job; else 0 */
 };
 
-static void
-answer_err(struct dispatch *dispatch, const struct relay_caller *caller,
-           enum fp_err err)
+void
+dispatch_answer_err(struct dispatch *dispatch,
+                    const struct relay_caller *caller, enum fp_err err)
 {
     struct call_answer answer = {.err = err};
 
@@ -79,9 +78,9 @@
     g_free(proposal);
 }
 
-static void
-propose(struct dispatch *dispatch, const struct relay_caller *caller,
-        const struct fp_schema *schema, void *change, uint64_t job_id)
+void
+dispatch_propose(struct dispatch *dispatch, const struct relay_caller *caller,
+                 const struct fp_schema *schema, void *change, uint64_t job_id)
 {
     struct pending_proposal *proposal = g_new0(struct pending_proposal, 1);
 
@@ -212,7 +211,7 @@
               sizeof(call->job.team));
     submitting_id = g_memdup2(&id, sizeof(id));
     g_hash_table_add(dispatch->submitting, submitting_id);
-    propose(dispatch, caller, &FLEET_SUBMIT_SCHEMA, &call->job, id);
+    dispatch_propose(dispatch, caller, &FLEET_SUBMIT_SCHEMA, &call->job, id);
 }
 
 static void
@@ -238,11 +237,11 @@
     enum fp_err err = find_job(dispatch, call, &job);
 
     if (err != FP_OK || !fleet_job_is_live(job)) {
-        answer_err(dispatch, caller, err);
+        dispatch_answer_err(dispatch, caller, err);
         return;
     }
     cancel.id = job->submit.id;
-    propose(dispatch, caller, &FLEET_CANCEL_SCHEMA, &cancel, 0);
+    dispatch_propose(dispatch, caller, &FLEET_CANCEL_SCHEMA, &cancel, 0);
 }
 
 static void
@@ -278,10 +277,10 @@
     }
     if (err != FP_OK ||
         config->version <= dispatch->deps.fleet->config.version) {
-        answer_err(dispatch, caller, err);
+        dispatch_answer_err(dispatch, caller, err);
         return;
     }
-    propose(dispatch, caller, &FLEET_CONFIG_SCHEMA, config, 0);
+    dispatch_propose(dispatch, caller, &FLEET_CONFIG_SCHEMA, config, 0);
 }
 
 static void
@@ -304,17 +303,17 @@
     struct fleet_target *known = fleet_find_target(fleet, call->target.id);
 
     if (fleet->config.version == 0) {
-        answer_err(dispatch, caller, FP_ERR_CONFIG_STALE);
+        dispatch_answer_err(dispatch, caller, FP_ERR_CONFIG_STALE);
         return;
     }
     if (fleet_find_service(fleet, call->target.service) == NULL) {
         log_info(LOG_SCHED, "target %s announces an unknown service '%s'",
                  call->target.id, call->target.service);
-        answer_err(dispatch, caller, FP_ERR_NOT_FOUND);
+        dispatch_answer_err(dispatch, caller, FP_ERR_NOT_FOUND);
         return;
     }
     if (known != NULL && known->rec.born_ms > call->target.born_ms) {
-        answer_err(dispatch, caller, FP_ERR_STALE);
+        dispatch_answer_err(dispatch, caller, FP_ERR_STALE);
         return;
     }
     call->target.sequence = call->sequence;
@@ -322,70 +321,14 @@
         dispatch_is_old_announcement(dispatch, known, &call->target)) {
         log_info(LOG_SCHED, "announcement %llu of target %s came late",
                  (unsigned long long)call->sequence, call->target.id);
-        answer_err(dispatch, caller, FP_OK);
+        dispatch_answer_err(dispatch, caller, FP_OK);
         return;
     }
     if (fleet_target_is_recorded(fleet, &call->target)) {
-        answer_err(dispatch, caller, FP_OK);
-        return;
-    }
-    propose(dispatch, caller, &FLEET_TARGET_SCHEMA, &call->target, 0);
-}
-
-/* Whether a data centre exists: one of its targets announced itself at any
- * time, an order on it was accepted, or one of this system's hosts is there.
- */
-static bool
-is_data_centre(const struct dispatch *dispatch, const char *name)
-{
-    return fleet_knows_data_centre(dispatch->deps.fleet, name) ||
-           strcmp(dispatch->deps.settings->fleet->data_centre, name) == 0 ||
-           g_hash_table_contains(dispatch->host_data_centres, name);
-}
-
-/* A new leader does not know yet where the other hosts are. */
-static void
-on_evacuate(struct dispatch *dispatch, const struct relay_caller *caller,
-            struct fleet_evacuation *order)
-{
-    bool is_new = clock_mono_ms() < dispatch->term_start_ms + HOSTS_PING_MS;
-
-    if (!is_data_centre(dispatch, order->data_centre)) {
-        log_notice(
-            LOG_SCHED, "an evacuation of '%.63s': %s", order->data_centre,
-            is_new ? "not a known data centre so far" : "no such data centre");
-        answer_err(dispatch, caller,
-                   is_new ? FP_ERR_CONFIG_STALE : FP_ERR_NOT_FOUND);
+        dispatch_answer_err(dispatch, caller, FP_OK);
         return;
     }
-    /* Proposed even if it changes nothing now: an earlier order may not be
-     * committed yet. */
-    propose(dispatch, caller, &FLEET_EVACUATION_SCHEMA, order, 0);
-}
-
-static void
-on_read_evacuations(struct dispatch *dispatch,
-                    const struct relay_caller *caller)
-{
-    struct call_answer answer = {.err = FP_OK};
-    GHashTableIter iter;
-    const struct fleet_data_centre *data_centre;
-
-    g_hash_table_iter_init(&iter, dispatch->deps.fleet->data_centres);
-    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&data_centre)) {
-        struct call_evacuation *row;
-
-        if (!data_centre->evacuated) {
-            continue;
-        }
-        row = fp_list_add(&answer.evacuations, sizeof(*row));
-        g_strlcpy(row->data_centre, data_centre->name,
-                  sizeof(row->data_centre));
-        row->ordered_ms = data_centre->ordered_ms;
-        plan_count_in_data_centre(dispatch->plan, row);
-    }
-    relay_answer(dispatch->deps.relay, caller, FP_OK, &answer);
-    g_free(answer.evacuations.items);
+    dispatch_propose(dispatch, caller, &FLEET_TARGET_SCHEMA, &call->target, 0);
 }
 
 static void
@@ -400,12 +343,7 @@
     if (ping->helper != 0) {
         dispatch_on_helper_ping(dispatch, caller->host, clock_mono_ms());
     }
-    if (ping->data_centre[0] != '\0' &&
-        !g_hash_table_contains(dispatch->host_data_centres,
-                               ping->data_centre)) {
-        g_hash_table_add(dispatch->host_data_centres,
-                         g_strdup(ping->data_centre));
-    }
+    dispatch_note_data_centre(dispatch, ping->data_centre);
     for (uint32_t i = 0; i < list->count; i++) {
         struct call_host *host = fp_list_add(&answer.hosts, sizeof(*host));
 
@@ -491,10 +429,10 @@
         on_configure(dispatch, caller, &record->config);
         break;
     case CALL_EVACUATE:
-        on_evacuate(dispatch, caller, &record->evacuation);
+        dispatch_on_evacuate(dispatch, caller, &record->evacuation);
         break;
     case CALL_READ_EVACUATIONS:
-        on_read_evacuations(dispatch, caller);
+        dispatch_on_read_evacuations(dispatch, caller);
         break;
     case CALL_READ_CONFIG:
         on_read_config(dispatch, caller);
@@ -503,8 +441,8 @@
         on_announce(dispatch, caller, &record->announce);
         break;
     case CALL_LEAVE:
-        propose(dispatch, caller, &FLEET_TARGET_REMOVAL_SCHEMA,
-                &record->removal, 0);
+        dispatch_propose(dispatch, caller, &FLEET_TARGET_REMOVAL_SCHEMA,
+                         &record->removal, 0);
         break;
     default:
         on_ping(dispatch, caller, &record->ping);
@@ -528,7 +466,7 @@
     record = g_new0(union call_record, 1);
     if (schema == NULL ||
         fp_decode(schema, body->data, body->size_bytes, record) != FP_OK) {
-        answer_err(dispatch, caller, FP_ERR_BAD_REQUEST);
+        dispatch_answer_err(dispatch, caller, FP_ERR_BAD_REQUEST);
     }
     else {
         handle_call(dispatch, caller, kind, record);
@@ -545,12 +483,6 @@
     plan_config_changed(dispatch->plan);
 }
 
-void
-dispatch_evacuation_changed(struct dispatch *dispatch)
-{
-    plan_evacuation_changed(dispatch->plan);
-}
-
 void
 dispatch_target_changed(struct dispatch *dispatch, struct fleet_target *target,
                         bool restarted)
--- a/node/dispatchpriv.h
+++ b/node/dispatchpriv.h
@@ -4,6 +4,7 @@
  *   dispatchlane.c orders to targets, leases, ends of runs
  *   dispatchask.c  queries to the placement policy
  *   dispatchcrash.c crashes of targets: events, evidence in the log
+ *   dispatchevac.c orders to evacuate data centres
  */
 #ifndef FP_DISPATCHPRIV_H
 #define FP_DISPATCHPRIV_H
@@ -98,6 +99,26 @@
                      const struct target_session *session);
 void dispatch_drop_pending(struct pending_request *pending);
 
+/* Proposes a change and answers the caller once it is committed or has failed.
+ * job_id: of a submitted job; else 0. */
+void dispatch_propose(struct dispatch *dispatch,
+                      const struct relay_caller *caller,
+                      const struct fp_schema *schema, void *change,
+                      uint64_t job_id);
+void dispatch_answer_err(struct dispatch *dispatch,
+                         const struct relay_caller *caller, enum fp_err err);
+
+/* dispatchevac.c */
+
+/* A host in this data centre called the leader. */
+void dispatch_note_data_centre(struct dispatch *dispatch,
+                               const char *data_centre);
+void dispatch_on_evacuate(struct dispatch *dispatch,
+                          const struct relay_caller *caller,
+                          struct fleet_evacuation *order);
+void dispatch_on_read_evacuations(struct dispatch *dispatch,
+                                  const struct relay_caller *caller);
+
 /* dispatchlane.c */
 void dispatch_add_session(struct dispatch *dispatch,
                           struct fleet_target *target);
--- a/node/fleetmetrics.c
+++ b/node/fleetmetrics.c
@@ -154,11 +154,11 @@
         add_value(out, "leads", replica_is_leader(sources->replica));
         add_value(out, "term", raft_term(raft));
         add_value(out, "commit_index", raft_commit_index(raft));
+        add_evacuations(out, sources->fleet);
     }
     if (sources->dispatch != NULL) {
         add_plan_counters(out, dispatch_counters(sources->dispatch));
         add_lost_runs(out, sources->fleet);
-        add_evacuations(out, sources->fleet);
         add_dispatch_histograms(out, dispatch_times(sources->dispatch));
     }
     http_reply(request, 200, "text/plain", out->str, out->len, 0);
