--- a/cli/explain.c
+++ b/cli/explain.c
@@ -6,6 +6,7 @@
 
 #include "base/event.h"
 #include "cli/cli.h"
+#include "core/plan.h"
 
 #define ARGS_MAX 256        /* an ID and the names of log files */
 #define LINE_MAX_BYTES 8192 /* longer lines are ignored */
@@ -30,11 +31,13 @@
     const struct log_line *failed_call;
     const struct log_line *run_lost;
     const struct log_line *run_unanswered;
+    const struct log_line *moved;  /* a run left an evacuated data centre */
     const struct log_line *proven; /* a task crashes its targets */
     const struct log_line *run_failed;
     const struct log_line *longest_wait;
     const struct log_line *slowest_answer; /* of the placement policy */
     uint32_t failed_run_count;
+    uint32_t moved_count;
     uint32_t lost_suspect_count; /* lost runs that may have crashed a target */
     uint32_t lost_neighbour_count; /* other lost runs */
     uint32_t lines_left_out;       /* while the job was live */
@@ -152,6 +155,11 @@
             history->proven = line;
         }
     }
+    else if (strcmp(event, "run.stopped") == 0 &&
+             strcmp(string_field(line, "why"), PLAN_EVACUATED_REASON) == 0) {
+        history->moved = line;
+        history->moved_count++;
+    }
     else if (strcmp(event, "run.unanswered") == 0) {
         history->run_unanswered = line;
     }
@@ -227,6 +235,12 @@
             string_field(history->new_leader, "host"),
             (history->new_leader->at_s - history->accepted->at_s) * 1000);
     }
+    else if (history->moved != NULL) {
+        printf("because task %s was moved from target %s, whose data centre "
+               "is evacuated.\n",
+               string_field(history->moved, "id"),
+               string_field(history->moved, "target"));
+    }
     else if (history->longest_wait != NULL) {
         printf("because step %s waited at least %lld ms: %s.\n",
                string_field(history->longest_wait, "id"),
@@ -300,6 +314,12 @@
                "the target, %u others.\n",
                history->lost_suspect_count, history->lost_neighbour_count);
     }
+    if (history->moved != NULL) {
+        printf("Runs moved since their data centre is evacuated: %u, the last "
+               "one task %s from target %s.\n",
+               history->moved_count, string_field(history->moved, "id"),
+               string_field(history->moved, "target"));
+    }
     if (history->ended != NULL) {
         print_ended_cause(history);
     }
--- a/core/plan.h
+++ b/core/plan.h
@@ -153,6 +153,10 @@
  * kept for short queries, so that these never queue behind long ones. */
 #define PLAN_SHORT_QUERY_MS 100u
 
+/* Reason of the stop of a run that is moved out of an evacuated data centre.
+ */
+#define PLAN_EVACUATED_REASON "its data centre is evacuated"
+
 /* When capacity is reserved for a large task that does not fit. */
 enum plan_reserve_mode {
     RESERVE_NEVER,
--- a/core/planevac.c
+++ b/core/planevac.c
@@ -215,8 +215,7 @@
             if (should_move(run, now_ms) &&
                 has_room_elsewhere(plan, run->step, now_ms)) {
                 plan->counters.evacuated_runs++;
-                plan_order_stop(plan, run, "its data centre is evacuated",
-                                now_ms);
+                plan_order_stop(plan, run, PLAN_EVACUATED_REASON, now_ms);
                 moves++;
             }
         }
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -125,6 +125,16 @@
 core/planhold.c	return step->def->lasting ||\n           now_ms + run_time_ms > target->reserved_from_ms;	return true;	Plan.ShortWork*
 core/planrun.c	(!def->checkpoints ||\n                               run->expected_end_ms <= target->leaves_ms)	false	Plan.WorkWithACheckpoint*
 core/planorder.c	return step->due_ms == 0 || due_ms < 0 ?	return true ?	Plan.AnOccurrence*
+core/planpriv.h	           !target->in_evacuation;	           true;	Evac.AnEvacuatedDataCentreGets*
+core/planevac.c	        release_target(plan, target);	        (void)release_target;	Evac.AReservationIs*
+core/planevac.c	return count_away(step, now_ms) < away_limit(step->def);	return true;	Evac.LastingTasksAreMoved*
+core/planevac.c	                has_room_elsewhere(plan, run->step, now_ms)	                has_room_elsewhere != NULL	Evac.ALastingTaskWithoutRoom*
+core/planevac.c	           run->expected_end_ms > now_ms + FINISH_MAX_MS;	           true;	Evac.WorkThatEnds*
+core/planevac.c	    return now_ms < target->cold_until_ms && target->last_start_ms != 0 &&	    return false &&	Evac.ColdTargets*
+core/fleetevac.c	    if (g_queue_find_custom(&data_centre->orders, change_id, compare_ids) !=\n        NULL) {	    if (compare_ids == NULL) {	Evac.ALateCopy*
+core/fleetevac.c	    data_centre->evacuated = saved->evacuated;	    ;	Evac.ASnapshotKeeps*
+core/fleet.c	    fleet_remember_data_centre(fleet, rec->data_centre);	    ;	Evac.ADataCentreStays*
+core/planticket.c	        if (target->mark != plan->mark && plan_takes_starts(target) &&	        if (target->mark != plan->mark && target->usable &&	Evac.ThePolicyIsNot*
 LIST
 echo "$CAUGHT passed, $MISSED failed"
 [ "$MISSED" = 0 ]
--- a/tests/sessions/explain.sh
+++ b/tests/sessions/explain.sh
@@ -1,6 +1,6 @@
 # "explain" finds in the logs of two hosts why a job was late or rejected: a lost
 # leader, a job on time, a rejected job, a lost target, a wait for the team's
-# limit with log lines missing, and an unknown ID.
+# limit with log lines missing, a data centre that is evacuated, an unknown ID.
 LOGS=$(mktemp -d)
 cat >"$LOGS/one" <<'LINES'
 {"at":100.000,"event":"job.accepted","id":"00000000000000a1","queue":"q","team":"t","tasks":1,"chain_ms":700,"objective_ms":1300,"config":3}
@@ -21,8 +21,11 @@
 {"at":109.200,"event":"step.waits","id":"00000000000000a5.0.0","why":"its team is at its limit","idle":1,"granted":0,"waited_ms":1200,"free_cpu_milli":9000,"free_accel":0}
 {"at":110.000,"event":"lines.left_out","kind":"run.ended","count":7}
 {"at":111.000,"event":"job.ended","id":"00000000000000a5","state":"completed","took_ms":3000,"objective_ms":1300}
+{"at":112.000,"event":"job.accepted","id":"00000000000000a6","queue":"q","team":"t","tasks":1,"chain_ms":700,"objective_ms":1300,"config":3}
+{"at":112.500,"event":"run.stopped","id":"00000000000000a6.0.0.0","run":1,"target":"t-4","why":"its data centre is evacuated"}
+{"at":115.000,"event":"job.ended","id":"00000000000000a6","state":"completed","took_ms":3000,"objective_ms":1300}
 LINES
-for id in 00000000000000a1 00000000000000a2 00000000000000a3 00000000000000a4 00000000000000a5 00000000000000ff; do
+for id in 00000000000000a1 00000000000000a2 00000000000000a3 00000000000000a4 00000000000000a5 00000000000000a6 00000000000000ff; do
     "$FP" explain $id "$LOGS/two" "$LOGS/one" | sed "s|$LOGS/||"
 done
 rm -rf "$LOGS"
