--- a/tests/evac_test.cc
+++ b/tests/evac_test.cc
@@ -280,10 +280,13 @@
 {
     EvacSim sim;
     sim.two_data_centres();
+    sim.evacuate("west");
     sim.submit(1, {StepSpec{
-                      .count = 16, .estimate_ms = 20000, .checkpoints = true}});
+                      .count = 4, .estimate_ms = 20000, .checkpoints = true}});
     sim.run_pass();
     sim.confirm_starts();
+    ASSERT_EQ(sim.starts_on('e'), 4u);
+    sim.evacuate("west", true);
     sim.evacuate("east");
     for (int i = 0; i < 15; i++) {
         sim.run_pass(1000);
