Shares of teams: decided by the leader, kept in the state, served first

Cause: a team's weight was stored and never used, and the time at which a job was accepted was lost at each takeover: late work looked new.

Change: the leader decides (jobs proposed and not yet applied count), the change carries the decision, and applying it uses the tokens. By the policy's flags: work within a share goes before work beyond it in queue, placement, queries and reservations; begun jobs go first while they can be in time; inherited jobs keep their age, guarded against clocks that jump; one overdue job of each service at a time is served first, so that everything ends. Shown by: tests/shares_test.cc (JobsThatAreBegun... also shows the default policy's order); 12 mutants.

--- a/core/fleet.c
+++ b/core/fleet.c
@@ -242,6 +242,14 @@
                            at_ms);
 }
 
+void
+fleet_decide_share(const struct fleet *fleet, struct fleet_submit *job,
+                   const struct fleet_team *team, uint64_t at_ms)
+{
+    job->share_window_ms = fleet->share_window_ms;
+    job->beyond_share = fleet_is_beyond_share(fleet, team, at_ms);
+}
+
 bool
 fleet_job_is_live(const struct fleet_job *job)
 {
@@ -286,6 +294,8 @@
 
     job->submit = *submit;
     memset(submit, 0, sizeof(*submit));
+    job->accepted_ms = job->submit.head.at_ms;
+    job->beyond_share = job->submit.beyond_share;
     job->queue =
         fleet_find_queue_exact(fleet, job->submit.host, job->submit.prefix);
     if (job->queue == NULL) {
@@ -325,6 +335,18 @@
     }
 }
 
+/* The leader has decided whether the job is beyond its team's rate, so that
+ * replicas of versions without shares, which know no tokens, agree on it. */
+static void
+use_share(struct fleet_job *job)
+{
+    if (job->team != NULL && job->submit.share_window_ms != 0 &&
+        !job->beyond_share) {
+        share_take(&job->team->share, job->team->weight,
+                   job->submit.share_window_ms, job->accepted_ms);
+    }
+}
+
 static void
 apply_submit(struct fleet *fleet, struct fleet_submit *submit,
              struct change_answer *answer)
@@ -340,6 +362,7 @@
         return;
     }
     job = fleet_add_job(fleet, submit);
+    use_share(job);
     answer->first = true;
     if (fleet->ops.job_added != NULL) {
         fleet->ops.job_added(fleet->ops.ctx, job);
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -129,7 +129,8 @@
 /* Encodes the whole state as a snapshot; the caller frees out. */
 void fleet_save(const struct fleet *fleet, struct fp_blob *out);
 
-/* Replaces the state by a snapshot; fleet->ops and the retention time stay.
+/* Replaces the state by a snapshot; fleet->ops, the retention time and
+ * share_window_ms stay.
  * No callback is called. Returns FP_ERR_CORRUPT, with the state unchanged,
  * when the snapshot cannot be decoded.
  */
@@ -164,6 +165,11 @@
 bool fleet_is_beyond_share(const struct fleet *fleet,
                            const struct fleet_team *team, uint64_t at_ms);
 
+/* Sets the fields of a job that the leader is to propose at at_ms, on the wall
+ * clock. */
+void fleet_decide_share(const struct fleet *fleet, struct fleet_submit *job,
+                        const struct fleet_team *team, uint64_t at_ms);
+
 /* Whether the state already holds what a target announces, so that no change
  * is needed. data_centre and stays_ms are not compared, and a leaving target
  * that announces itself as not leaving is no difference. */
--- a/core/fleetrec.c
+++ b/core/fleetrec.c
@@ -83,6 +83,8 @@
     U64(fleet_submit, first_due_ms),
     U32(fleet_submit, interval_ms),
     U32(fleet_submit, occurrences),
+    BOOL(fleet_submit, beyond_share),
+    U32(fleet_submit, share_window_ms),
 };
 const struct fp_schema FLEET_SUBMIT_SCHEMA =
     SCHEMA("fleet-submit", FLEET_SUBMIT, fleet_submit, FLEET_SUBMIT_FIELDS);
@@ -260,6 +262,7 @@
     U32(fleet_job_saved, state),
     U64(fleet_job_saved, ended_ms),
     LIST(fleet_job_saved, tasks, FLEET_JOB_TASKS_MAX, FLEET_TASK_SAVED_SCHEMA),
+    BOOL(fleet_job_saved, submit.beyond_share),
 };
 const struct fp_schema FLEET_JOB_SAVED_SCHEMA =
     SCHEMA("fleet-job-saved", FLEET_JOB_SAVED, fleet_job_saved,
@@ -272,9 +275,18 @@
     SCHEMA("fleet-snapshot-item", 128, fleet_snapshot_item,
            FLEET_SNAPSHOT_ITEM_FIELDS);
 
+static const struct fp_field FLEET_SHARE_SAVED_FIELDS[] = {
+    STR(fleet_share_saved, team, FLEET_NAME_BYTES),
+    U64(fleet_share_saved, tokens_micro),
+    U64(fleet_share_saved, updated_ms),
+};
+static const struct fp_schema FLEET_SHARE_SAVED_SCHEMA = SCHEMA(
+    "fleet-share-saved", 141, fleet_share_saved, FLEET_SHARE_SAVED_FIELDS);
+
 static const struct fp_field FLEET_SNAPSHOT_FIELDS[] = {
     U64(fleet_snapshot, now_ms),
     LIST(fleet_snapshot, items, 1048576, FLEET_SNAPSHOT_ITEM_SCHEMA),
+    LIST(fleet_snapshot, shares, 65536, FLEET_SHARE_SAVED_SCHEMA),
 };
 const struct fp_schema FLEET_SNAPSHOT_SCHEMA = SCHEMA(
     "fleet-snapshot", FLEET_SNAPSHOT, fleet_snapshot, FLEET_SNAPSHOT_FIELDS);
--- a/core/fleetrec.h
+++ b/core/fleetrec.h
@@ -105,6 +105,10 @@
     uint64_t first_due_ms;         /* due time of occurrence 0, since 1970 */
     uint32_t interval_ms;          /* between occurrences */
     uint32_t occurrences; /* 0: the steps run once, without a due time */
+    /* Set by the leader that proposes the job: */
+    bool beyond_share;        /* its team is beyond its rate */
+    uint32_t share_window_ms; /* see core/shares.h; 0: the job does not count
+                               * for its team's rate */
 };
 
 struct fleet_cancel {
@@ -262,6 +266,13 @@
     struct fp_list tasks; /* struct fleet_task_saved */
 };
 
+/* The share of a team, in snapshots. */
+struct fleet_share_saved {
+    char team[FLEET_NAME_BYTES];
+    uint64_t tokens_micro;
+    uint64_t updated_ms;
+};
+
 /* The record of a configuration, a target or a job, in snapshots. */
 struct fleet_snapshot_item {
     struct fp_blob record; /* encoded */
@@ -270,6 +281,9 @@
 struct fleet_snapshot {
     uint64_t now_ms;
     struct fp_list items; /* struct fleet_snapshot_item */
+    /* struct fleet_share_saved; not among the items, since earlier versions
+     * refuse a snapshot with an item of an unknown type. */
+    struct fp_list shares;
 };
 
 /* Calls from a host to the leader, and from the leader to hosts that query the
--- a/core/fleetsave.c
+++ b/core/fleetsave.c
@@ -109,6 +109,37 @@
     g_free(saved.tasks.items);
 }
 
+static void
+save_shares(struct fleet_snapshot *snap, const struct fleet *fleet)
+{
+    GHashTableIter iter;
+    const struct fleet_team *team;
+
+    g_hash_table_iter_init(&iter, fleet->teams);
+    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&team)) {
+        struct fleet_share_saved *saved;
+
+        if (team->share.updated_ms == 0) {
+            continue;
+        }
+        saved = fp_list_add(&snap->shares, sizeof(*saved));
+        g_strlcpy(saved->team, team->name, sizeof(saved->team));
+        saved->tokens_micro = team->share.tokens_micro;
+        saved->updated_ms = team->share.updated_ms;
+    }
+}
+
+static void
+load_shares(struct fleet *fleet, const struct fleet_snapshot *snap)
+{
+    const struct fleet_share_saved *saved = snap->shares.items;
+
+    for (uint32_t i = 0; i < snap->shares.count; i++) {
+        fleet_ensure_team(fleet, saved[i].team)->share =
+            (struct share){saved[i].tokens_micro, saved[i].updated_ms};
+    }
+}
+
 void
 fleet_save(const struct fleet *fleet, struct fp_blob *out)
 {
@@ -132,6 +163,7 @@
          link = link->next) {
         save_job(&snap, link->data);
     }
+    save_shares(&snap, fleet);
     fp_encode(&FLEET_SNAPSHOT_SCHEMA, &snap, out);
     fp_record_free(&FLEET_SNAPSHOT_SCHEMA, &snap);
 }
@@ -229,9 +261,11 @@
     if (err == FP_OK) {
         item = snap.items.items;
         loaded->now_ms = snap.now_ms;
+        loaded->share_window_ms = fleet->share_window_ms;
         for (uint32_t i = 0; i < snap.items.count && err == FP_OK; i++) {
             err = load_item(loaded, &item[i].record);
         }
+        load_shares(loaded, &snap);
         fp_record_free(&FLEET_SNAPSHOT_SCHEMA, &snap);
     }
     if (err == FP_OK) {
--- a/core/plan.c
+++ b/core/plan.c
@@ -27,6 +27,7 @@
                                                   .keeps_headroom = true,
                                                   .reserves_for_gangs = true,
                                                   .by_share = true,
+                                                  .keeps_accepted = true,
                                                   .finishes_started = true,
                                                   .packs_all = true,
                                                   .forecasts = true,
@@ -283,7 +284,8 @@
 
     pjob->job = job;
     pjob->inherited = inherited;
-    pjob->accepted_ms = now_ms;
+    pjob->accepted_ms =
+        inherited ? plan_inherited_since_ms(plan, job, now_ms) : now_ms;
     init_tasks(plan, pjob);
     pjob->step_count = occurrences * job->step_count;
     pjob->steps = g_new0(struct plan_step, pjob->step_count);
@@ -601,6 +603,7 @@
     g_hash_table_iter_init(&iter, fleet->teams);
     while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&team)) {
         memset(&team->used, 0, sizeof(team->used));
+        team->offered_jobs = 0;
     }
     for (guint i = 0; i < fleet->queues->len; i++) {
         ((struct fleet_queue *)fleet->queues->pdata[i])->waiting_jobs = 0;
--- a/core/plan.h
+++ b/core/plan.h
@@ -15,6 +15,7 @@
  *   planrun.c    runs: starts, stops, ends
  *   planlist.c   run lists of targets
  *   planorder.c  order of the waiting steps, and admission of jobs
+ *   planage.c    ages of jobs over terms, and turns of overdue ones
  *   planfit.c    placement of a step's tasks
  *   planhold.c   capacity reserved for large tasks
  *   plancrash.c  crashes of targets, and the runs that may have caused them
@@ -170,7 +171,9 @@
     bool keeps_headroom; /* capacity is kept free for work with little slack */
     bool reserves_for_gangs; /* of any tasks; else only for tasks with several
                               * accelerators */
-    bool by_share; /* work within a team's rate first (core/shares.h) */
+    bool by_share;       /* work within a team's rate first (core/shares.h) */
+    bool keeps_accepted; /* inherited jobs count from when they were accepted;
+                          * else from the start of the term */
     bool finishes_started; /* steps with runs before those without */
     bool packs_all;        /* placement by all resources (core/planpack.h) */
     bool forecasts;        /* refuses what cannot end in time
@@ -194,6 +197,7 @@
                                    * the estimate */
     uint32_t run_base; /* runs of inherited tasks are numbered from this + 1,
                         * above those of earlier terms */
+    uint64_t wall_ms;  /* wall clock, at the now_ms of plan_new() */
 };
 
 struct plan_counters {
--- a/core/planhold.c
+++ b/core/planhold.c
@@ -77,6 +77,15 @@
     return free_ms;
 }
 
+/* Whether a reservation does not hold against the step: work beyond its team's
+ * rate reserves nothing from work within it. */
+static bool
+gives_way(const struct plan_step *reserved_for, const struct plan_step *step)
+{
+    return reserved_for->sort_key[0] >= CLASS_BEYOND_SHARE &&
+           step->sort_key[0] < CLASS_BEYOND_SHARE;
+}
+
 /* Whether the step may reserve capacity on a target. A target has at most one
  * reservation at a time. */
 static bool
@@ -84,7 +93,8 @@
                uint64_t now_ms)
 {
     return (target->reserved_for == NULL ||
-            now_ms >= target->reserved_until_ms) &&
+            now_ms >= target->reserved_until_ms ||
+            gives_way(target->reserved_for, step)) &&
            target->usable && !target->target->rec.leaving &&
            plan_could_fit(target, step);
 }
@@ -122,6 +132,7 @@
 }
 
 struct slot_search {
+    struct plan *plan;
     const struct plan_step *step;
     const struct fleet_resources *size;
     uint64_t now_ms;
@@ -197,7 +208,9 @@
             g_array_index(search->slots, struct slot, i).target;
 
         if (target->reserved_for != step) {
-            plan_clear_reservation(target);
+            if (target->reserved_for != NULL) {
+                plan_release_reservation(search->plan, target->reserved_for);
+            }
             target->reserved = (struct fleet_resources){0, 0, 0};
             target->reserved_for = step;
             step->reserved_targets++;
@@ -260,7 +273,8 @@
 plan_reserve_capacity(struct plan *plan, struct plan_step *step,
                       const struct fleet_resources *size, uint64_t now_ms)
 {
-    struct slot_search search = {.step = step, .size = size, .now_ms = now_ms};
+    struct slot_search search = {
+        .plan = plan, .step = step, .size = size, .now_ms = now_ms};
 
     if (!is_hard_to_place(plan, step, size) ||
         !is_reservation_due(plan, step, now_ms) ||
@@ -313,7 +327,8 @@
         (uint64_t)step->def->estimate_ms * BACKFILL_TIME_PERMILLE / 1000;
 
     if (target->reserved_for == NULL || target->reserved_for == step ||
-        now_ms >= target->reserved_until_ms) {
+        now_ms >= target->reserved_until_ms ||
+        gives_way(target->reserved_for, step)) {
         return false;
     }
     return step->def->lasting ||
--- a/core/planorder.c
+++ b/core/planorder.c
@@ -8,8 +8,6 @@
 
 /* Targets per policy query that a job's objective allows time for. */
 #define OBJECTIVE_QUERY_TARGETS 30u
-/* A result later than this many objectives has no value to the client. */
-#define EXPIRY_FACTOR 3u
 #define WAITING_TASKS_MAX 20000u /* bounds memory and the time of a pass */
 /* A rejected client faces a backlog of some tens of seconds of work. */
 #define ADMISSION_RETRY_MS 15000u
@@ -85,19 +83,6 @@
     uint64_t objective_ms;
 };
 
-/* When the time allowed by the objective begins: at the due time of an
- * occurrence, so that it is not late because its job was submitted long ago;
- * for other jobs when the job was accepted. due_ms: wall clock. */
-static uint64_t
-objective_start_ms(const struct plan *plan, uint64_t due_ms,
-                   uint64_t accepted_ms)
-{
-    int64_t due_mono_ms = (int64_t)due_ms - plan->wall_offset_ms;
-
-    return due_ms == 0 || due_mono_ms < 0 ? accepted_ms
-                                          : (uint64_t)due_mono_ms;
-}
-
 static uint64_t
 latest_start_ms(const struct order_input *in)
 {
@@ -134,7 +119,7 @@
         key[0] = CLASS_IN_TIME;
     }
     else {
-        key[0] = end_ms <= in->start_ms + EXPIRY_FACTOR * in->objective_ms
+        key[0] = end_ms <= in->start_ms + PLAN_EXPIRY_FACTOR * in->objective_ms
                      ? CLASS_LATE
                      : CLASS_EXPIRED;
     }
@@ -161,7 +146,7 @@
         .remaining_ms = remaining_run_ms(step),
         .start_ms =
             plan->params.policy->by_slack
-                ? objective_start_ms(plan, step->due_ms, job->accepted_ms)
+                ? plan_objective_start_ms(plan, step->due_ms, job->accepted_ms)
                 : job->accepted_ms,
         .objective_ms = job->objective_ms,
     };
@@ -180,7 +165,7 @@
         .lasting = submit->steps.count > 0 && steps[0].lasting,
         .beyond_share = beyond_share,
         .priority = queue->conf.priority,
-        .start_ms = objective_start_ms(
+        .start_ms = plan_objective_start_ms(
             plan, submit->occurrences > 0 ? submit->first_due_ms : 0, now_ms),
         .objective_ms = plan_objective_ms(
             plan_critical_path_ms(submit, &queue->conf), &queue->conf),
@@ -230,6 +215,11 @@
     bool keeps_place;
 
     set_sort_key(plan, step, now_ms);
+    if (step->job->pool->overdue_job == step->job && !step->def->lasting) {
+        step->sort_key[0] = CLASS_IN_TIME;
+        step->sort_key[1] = 0;
+        step->sort_key[2] = 0;
+    }
     keeps_place = step->is_sorted && step->sort_key[0] == old_class &&
                   step->sort_key[1] == old_priority &&
                   step->sort_key[2] == old_latest_ms;
@@ -266,6 +256,7 @@
     GPtrArray *moved = g_ptr_array_new();
     GPtrArray *open = plan->open_steps;
 
+    plan_choose_overdue_jobs(plan, now_ms);
     kept = g_ptr_array_sized_new(open->len);
     for (guint i = 0; i < open->len; i++) {
         g_ptr_array_add(update_sort_key(plan, open->pdata[i], now_ms) ? kept
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -47,6 +47,8 @@
     struct fleet_resources used;     /* on usable targets; each pass recounts
                                       * it */
     uint32_t unlisted_targets;       /* targets whose runs are not known yet */
+    struct plan_job *overdue_job; /* whose turn it is, see planorder.c; set by
+                                   * each pass; NULL: none */
     struct fleet_resources tight_used; /* by runs of tight jobs */
     struct fleet_resources tight_peak; /* decaying peak of tight_used */
     uint64_t peak_decayed_ms;          /* when tight_peak last decayed */
@@ -160,11 +162,14 @@
     bool inherited;            /* accepted before this term */
     bool started;              /* no longer counted in queue->waiting */
     bool ended;                /* in the fleet's state: its runs are stopped */
-    uint64_t accepted_ms;      /* or when the term began, if inherited */
+    uint64_t accepted_ms;      /* if inherited: by the wall clock, or when the
+                                * term began; see keeps_accepted */
     uint32_t critical_path_ms; /* run times plus policy queries */
     uint32_t objective_ms;     /* time objective, counted from accepted_ms
                                 * or, if set, from the due_ms of a step */
     bool tight;                /* little slack: it must start at once */
+    uint32_t turns;            /* at the head of its service, being overdue */
+    uint64_t turn_until_ms;    /* end of the last one */
     struct plan_step *steps;   /* by occurrence, then step */
     bool has_crashes;          /* a task has or had crashes or open_crashes */
     uint32_t step_count;
@@ -289,6 +294,24 @@
                           const struct plan_step *step,
                           const struct fleet_resources *size);
 
+/* planage.c */
+
+/* A result later than this many objectives has no value to the client. */
+#define PLAN_EXPIRY_FACTOR 3u
+
+/* When the time allowed by the objective begins: at the due time of an
+ * occurrence, so that it is not late because its job was submitted long ago;
+ * for other jobs when the job was accepted. due_ms: wall clock. */
+uint64_t plan_objective_start_ms(const struct plan *plan, uint64_t due_ms,
+                                 uint64_t accepted_ms);
+/* When an inherited job was accepted, on this host's monotonic clock. Wall
+ * clocks of hosts differ a little: none is in the future. One that is far
+ * ahead of the last change is not believed. */
+uint64_t plan_inherited_since_ms(const struct plan *plan,
+                                 const struct fleet_job *job, uint64_t now_ms);
+/* Sets pool->overdue_job of each pool. */
+void plan_choose_overdue_jobs(struct plan *plan, uint64_t now_ms);
+
 /* planhold.c */
 
 /* Whether capacity of the target is reserved for another step, and this one
--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -46,7 +46,8 @@
     struct pending_request *pending;
     struct relay *relay;
     struct relay_caller caller;
-    uint64_t job_id; /* ID of a submitted job; else 0 */
+    uint64_t job_id;         /* ID of a submitted job; else 0 */
+    struct fleet_team *team; /* in whose offered_jobs it counts; NULL: none */
 };
 
 static void
@@ -68,6 +69,9 @@
     if (proposal->pending->dispatch != NULL && proposal->job_id != 0) {
         g_hash_table_remove(proposal->pending->dispatch->submitting,
                             &proposal->job_id);
+        if (proposal->team != NULL) {
+            proposal->team->offered_jobs--;
+        }
     }
     if (proposal->pending->dispatch != NULL) {
         histogram_add(&proposal->pending->dispatch->times.commit_ms,
@@ -78,9 +82,11 @@
     g_free(proposal);
 }
 
+/* job_id, team: see struct pending_proposal. */
 static void
-propose(struct dispatch *dispatch, const struct relay_caller *caller,
-        const struct fp_schema *schema, void *change, uint64_t job_id)
+propose_job(struct dispatch *dispatch, const struct relay_caller *caller,
+            const struct fp_schema *schema, void *change, uint64_t job_id,
+            struct fleet_team *team)
 {
     struct pending_proposal *proposal = g_new0(struct pending_proposal, 1);
 
@@ -88,11 +94,22 @@
     proposal->relay = dispatch->deps.relay;
     proposal->caller = *caller;
     proposal->job_id = job_id;
+    proposal->team = team;
+    if (team != NULL) {
+        team->offered_jobs++;
+    }
     proposal->pending->sent_ms = clock_mono_ms();
     replica_propose(dispatch->deps.replica, schema, change, on_proposal_done,
                     proposal);
 }
 
+static void
+propose(struct dispatch *dispatch, const struct relay_caller *caller,
+        const struct fp_schema *schema, void *change)
+{
+    propose_job(dispatch, caller, schema, change, 0, NULL);
+}
+
 /* ---- calls of clients --------------------------------------------------- */
 
 /* Finds the queue of a call, and the team of its key. The team is NULL for a
@@ -211,7 +228,10 @@
               sizeof(call->job.team));
     submitting_id = g_memdup2(&id, sizeof(id));
     g_hash_table_add(dispatch->submitting, submitting_id);
-    propose(dispatch, caller, &FLEET_SUBMIT_SCHEMA, &call->job, id);
+    fleet_decide_share(dispatch->deps.fleet, &call->job, team,
+                       clock_wall_ms());
+    propose_job(dispatch, caller, &FLEET_SUBMIT_SCHEMA, &call->job, id,
+                call->job.beyond_share ? NULL : team);
 }
 
 static void
@@ -241,7 +261,7 @@
         return;
     }
     cancel.id = job->submit.id;
-    propose(dispatch, caller, &FLEET_CANCEL_SCHEMA, &cancel, 0);
+    propose(dispatch, caller, &FLEET_CANCEL_SCHEMA, &cancel);
 }
 
 static void
@@ -280,7 +300,7 @@
         answer_err(dispatch, caller, err);
         return;
     }
-    propose(dispatch, caller, &FLEET_CONFIG_SCHEMA, config, 0);
+    propose(dispatch, caller, &FLEET_CONFIG_SCHEMA, config);
 }
 
 static void
@@ -328,7 +348,7 @@
         answer_err(dispatch, caller, FP_OK);
         return;
     }
-    propose(dispatch, caller, &FLEET_TARGET_SCHEMA, &call->target, 0);
+    propose(dispatch, caller, &FLEET_TARGET_SCHEMA, &call->target);
 }
 
 static void
@@ -432,7 +452,7 @@
         break;
     case CALL_LEAVE:
         propose(dispatch, caller, &FLEET_TARGET_REMOVAL_SCHEMA,
-                &record->removal, 0);
+                &record->removal);
         break;
     default:
         on_ping(dispatch, caller, &record->ping);
@@ -604,6 +624,7 @@
                                       : &PLAN_POLICY_DEFAULT,
         .remote_run_permille = fleet->remote_run_permille,
         .stop_ms = fleet->stop_ms,
+        .wall_ms = clock_wall_ms(),
         .run_base = (uint32_t)raft_term(replica_raft(deps->replica)) *
                     RUN_NUMBERS_PER_TERM};
     const struct plan_ops ops = {.start_run = dispatch_start_run,
--- a/node/fleetnode.c
+++ b/node/fleetnode.c
@@ -643,6 +643,9 @@
 
     node->fleet = fleet_new(node->settings->fleet->job_retention_ms);
     node->fleet->ops = fleet_ops;
+    if (node->settings->fleet->is_contended) {
+        node->fleet->share_window_ms = node->settings->fleet->share_window_ms;
+    }
     err = replica_new(&node->loop, node->timers, node->settings, &ops,
                       &node->replica, why, why_bytes);
     if (err != FP_OK) {
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -124,7 +124,19 @@
 core/planhold.c	search.slots->len >= member_count(step)	true	Plan.AGang*
 core/planhold.c	return step->def->lasting ||\n           now_ms + run_time_ms > target->reserved_from_ms;	return true;	Plan.ShortWork*
 core/planrun.c	(!def->checkpoints ||\n                               run->expected_end_ms <= target->leaves_ms)	false	Plan.WorkWithACheckpoint*
-core/planorder.c	return step->due_ms == 0 || due_ms < 0 ?	return true ?	Plan.AnOccurrence*
+core/planage.c	return due_ms == 0 || due_mono_ms < 0 ?	return true ?	Plan.AnOccurrence*
+core/shares.c	(has_room ? JOB_MICRO : 0)	0	Share.ATeamSaves*
+core/shares.c	now_ms > share->updated_ms ? now_ms - share->updated_ms : 0	now_ms - share->updated_ms	Share.AClock*
+core/fleet.c	    use_share(job);	    (void)use_share;	Shares.OnlyJobs*
+core/fleet.c	i < team->offered_jobs	false	Shares.JobsThatAreProposed*
+core/fleetsave.c	    save_shares(&snap, fleet);	    (void)save_shares;	Shares.ASnapshot*
+core/fleetrec.c	    BOOL(fleet_job_saved, submit.beyond_share),		Shares.ASnapshot*
+core/planorder.c	key[0] += CLASS_BEYOND_SHARE;	;	ShareOrder.WorkWithin*
+core/planorder.c	in->begun ? 0 : 1	true ? 0 : 1	ShareOrder.JobsThatAreBegunAreFinished*
+core/planage.c	    return now_ms - MIN(age_ms, now_ms);	    return now_ms;	ShareOrder.Inherited*
+core/planage.c	plan->fleet->now_ms + TERM_GAP_MAX_MS	UINT64_MAX	ShareOrder.AWallClock*
+core/planage.c	pool->overdue_job->turns++;	;	ShareOrder.EvenWork*
+core/planhold.c	return reserved_for->sort_key[0] >= CLASS_BEYOND_SHARE &&	return false &&	ShareOrder.AReservation*
 LIST
 echo "$CAUGHT passed, $MISSED failed"
 [ "$MISSED" = 0 ]
--- a/tests/plan_world.h
+++ b/tests/plan_world.h
@@ -90,8 +90,11 @@
     // Puts a configuration in force with these queues, in order of priority,
     // highest first, on service "svc" or, for a queue named "alt", on "alt".
     // limit_cpu_milli: of the one team; 0: none.
+    // teams: names and weights; the key of each but the first is its name.
     void configure(const std::vector<std::string> &queues,
-                   bool advised = false, uint64_t limit_cpu_milli = 0)
+                   bool advised = false, uint64_t limit_cpu_milli = 0,
+                   const std::vector<std::pair<std::string, uint32_t>> &teams =
+                       {{"team", 1}})
     {
         fleet_config config;
         memset(&config, 0, sizeof(config));
@@ -121,14 +124,18 @@
                 &config.services, sizeof(fleet_service_conf));
             g_strlcpy(service->name, name, FLEET_NAME_BYTES);
         }
-        auto *team = (fleet_team_conf *)fp_list_add(&config.teams,
-                                                    sizeof(fleet_team_conf));
-        g_strlcpy(team->name, "team", FLEET_NAME_BYTES);
-        team->weight = 1;
-        team->limit_cpu_milli = limit_cpu_milli;
-        auto *key = (fleet_key_conf *)fp_list_add(&team->keys,
-                                                  sizeof(fleet_key_conf));
-        g_strlcpy(key->key, "key", FLEET_KEY_BYTES);
+        for (const auto &[name, weight] : teams) {
+            auto *team = (fleet_team_conf *)fp_list_add(
+                &config.teams, sizeof(fleet_team_conf));
+            g_strlcpy(team->name, name.c_str(), FLEET_NAME_BYTES);
+            team->weight = weight;
+            team->limit_cpu_milli = limit_cpu_milli;
+            auto *key = (fleet_key_conf *)fp_list_add(&team->keys,
+                                                      sizeof(fleet_key_conf));
+            g_strlcpy(key->key,
+                      config.teams.count == 1 ? "key" : name.c_str(),
+                      FLEET_KEY_BYTES);
+        }
         ASSERT_EQ(apply_change(&FLEET_CONFIG_SCHEMA, &config).err, FP_OK);
         fp_record_free(&FLEET_CONFIG_SCHEMA, &config);
     }
@@ -159,9 +166,13 @@
 
     // Starts a term: jobs known so far are inherited. All targets are usable
     // and count as having listed their runs.
-    void become_leader(uint32_t run_base = 1024)
+    // The wall clock is at wall_ms, 0: with the time of the changes.
+    void become_leader(uint32_t run_base = 1024,
+                       const plan_policy *policy = nullptr,
+                       uint64_t wall_ms = 0)
     {
-        plan_params params = {nullptr, 900, 1500, run_base};
+        plan_params params = {policy, 900, 1500, run_base,
+                              wall_ms != 0 ? wall_ms : now_ms};
         plan_ops ops = {};
         ops.start_run = on_start;
         ops.stop_run = on_stop;
@@ -219,6 +230,7 @@
                     ->step = predecessor;
             }
         }
+        fleet_decide_share(fleet_state, &job, find_team(team), now_ms);
         change_answer answer = apply_change(&FLEET_SUBMIT_SCHEMA, &job);
         fp_record_free(&FLEET_SUBMIT_SCHEMA, &job);
         return answer;
@@ -336,6 +348,11 @@
     {
         return ((plan_target *)find_target(id)->plan)->used.cpu_milli;
     }
+    fleet_team *find_team(const std::string &name)
+    {
+        return (fleet_team *)g_hash_table_lookup(fleet_state->teams,
+                                                 name.c_str());
+    }
     fleet_job *find_job(uint64_t id)
     {
         return fleet_find_job(fleet_state, id);
