--- a/bench/replay.h
+++ b/bench/replay.h
@@ -80,18 +80,19 @@
 };
 
 enum replay_event_kind {
-    REPLAY_BURST,     /* a queue's arrival rate is multiplied by the factor */
-    REPLAY_CRASH,     /* targets crash and restart after for_ms */
-    REPLAY_REMOVED,   /* targets crash and do not restart */
-    REPLAY_LEAVING,   /* targets announce that they are leaving, and crash
-                       * after for_ms */
-    REPLAY_SLOW,      /* runs started on targets take factor times as long */
-    REPLAY_FAILING,   /* runs started on targets fail */
-    REPLAY_LOSSY,     /* orders are not answered, and carried out late; policy
-                       * queries fail */
-    REPLAY_CUT,       /* targets are disconnected but go on running; factor
-                       * 100 or more: only their answers are lost */
-    REPLAY_NO_LEADER, /* the leader fails; a new one follows after for_ms */
+    REPLAY_BURST,      /* a queue's arrival rate is multiplied by the factor */
+    REPLAY_TEAM_BURST, /* the same of one team, on all queues */
+    REPLAY_CRASH,      /* targets crash and restart after for_ms */
+    REPLAY_REMOVED,    /* targets crash and do not restart */
+    REPLAY_LEAVING,    /* targets announce that they are leaving, and crash
+                        * after for_ms */
+    REPLAY_SLOW,       /* runs started on targets take factor times as long */
+    REPLAY_FAILING,    /* runs started on targets fail */
+    REPLAY_LOSSY,      /* orders are not answered, and carried out late; policy
+                        * queries fail */
+    REPLAY_CUT,        /* targets are disconnected but go on running; factor
+                        * 100 or more: only their answers are lost */
+    REPLAY_NO_LEADER,  /* the leader fails; a new one follows after for_ms */
     REPLAY_SLOW_LEADER, /* the leader handles each answer late, by
                          * factor_percent of 1 ms, and passes are rare */
     REPLAY_CAPACITY,    /* the capacity of targets is multiplied by the factor,
@@ -104,7 +105,8 @@
     enum replay_event_kind kind;
     uint32_t at_ms;
     uint32_t for_ms;
-    char *on; /* queue of a burst, or service of the targets; NULL: all */
+    char *on; /* queue or team of a burst, or service of the targets; NULL:
+               * all */
     uint32_t share_permille; /* affected part of the targets, or of the
                               * orders and policy queries */
     uint32_t factor_percent; /* see enum replay_event_kind */
@@ -117,7 +119,9 @@
     uint32_t askers;        /* policy clients: hosts that can query the
                              * placement policy, one query each at a time */
     uint32_t lease_ms;
-    uint32_t stop_ms; /* time that a target takes to stop a run */
+    uint32_t stop_ms;         /* time that a target takes to stop a run */
+    uint32_t share_window_ms; /* over which a team's weight, in jobs a second,
+                               * is averaged; 0: no shares */
     struct replay_team *teams;
     uint32_t teams_count;
     struct replay_service *services;
@@ -150,6 +154,7 @@
     uint64_t objective_ms;  /* after arrival, computed from true run times */
     uint64_t cancel_ms;     /* when the client cancels it; 0: never */
     uint32_t mean_run_ms;   /* true mean run time of its tasks */
+    bool beyond_share;      /* its team had sent more than its rate */
     bool crashes;           /* one of its tasks crashes its targets */
     uint32_t crashing_step; /* the task: its step and index */
     uint32_t crashing_index;
@@ -223,6 +228,12 @@
 /* job: struct sim_job. */
 void replay_job_free(void *job);
 
+/* Jain's index over the parts of their owed credit that the teams earned with
+ * the jobs within their shares: 1 if all are equal, 1 / teams if one has all.
+ */
+double replay_fairness(const struct replay_load *load,
+                       const struct sim_result *result);
+
 /* Report of one simulation: credit by queue and team, waits, wasted processor
  * time, scheduling passes, breaches. The caller owns the reference. */
 json_t *replay_report(const struct replay_load *load,
--- a/bench/sim.c
+++ b/bench/sim.c
@@ -222,6 +222,7 @@
 {
     switch (load_event->kind) {
     case REPLAY_BURST:
+    case REPLAY_TEAM_BURST:
         return; /* applied when the jobs were generated */
     case REPLAY_LOSSY:
         sim->lossy_until_ms = sim->now_ms + load_event->for_ms;
@@ -285,6 +286,18 @@
     sim_apply(sim, &FLEET_CANCEL_SCHEMA, &change);
 }
 
+/* The leader decides on the share as in node/dispatch.c. */
+static void
+submit_job(struct sim *sim, struct sim_job *job)
+{
+    const struct fleet_team *team =
+        g_hash_table_lookup(sim->fleet->teams, job->submit.team);
+
+    fleet_decide_share(sim->fleet, &job->submit, team,
+                       SIM_WALL_START_MS + sim->now_ms);
+    sim_apply(sim, &FLEET_SUBMIT_SCHEMA, &job->submit);
+}
+
 static void
 handle_event(struct sim *sim, struct sim_event *event)
 {
@@ -301,7 +314,7 @@
             cancel_job(sim, event->job);
         }
         else {
-            sim_apply(sim, &FLEET_SUBMIT_SCHEMA, &event->job->submit);
+            submit_job(sim, event->job);
         }
         return;
     case SIM_START_ARRIVAL:
@@ -426,6 +439,8 @@
 
     sim->fleet = fleet_new(UINT32_MAX);
     sim->fleet->ops = sim_fleet_ops(sim);
+    sim->fleet->share_window_ms =
+        sim->policy->by_share ? load->share_window_ms : 0;
     apply_config(sim);
     for (uint32_t s = 0; s < load->services_count; s++) {
         for (uint32_t i = 0; i < load->services[s].targets; i++) {
--- a/bench/simlead.c
+++ b/bench/simlead.c
@@ -450,11 +450,12 @@
 void
 sim_begin_term(struct sim *sim)
 {
-    const struct plan_params params = {.policy = sim->policy,
-                                       .stop_ms = sim->load->stop_ms,
-                                       .remote_run_permille = 1500,
-                                       .run_base =
-                                           sim->term * RUN_NUMBERS_PER_TERM};
+    const struct plan_params params = {
+        .policy = sim->policy,
+        .stop_ms = sim->load->stop_ms,
+        .remote_run_permille = 1500,
+        .run_base = sim->term * RUN_NUMBERS_PER_TERM,
+        .wall_ms = SIM_WALL_START_MS + sim->now_ms};
     const struct plan_ops ops = {.start_run = start_run,
                                  .stop_run = stop_run,
                                  .set_pace = set_pace,
--- a/core/planage.c
+++ b/core/planage.c
@@ -45,7 +45,8 @@
     uint64_t start_ms =
         plan_objective_start_ms(plan, step->due_ms, job->accepted_ms);
 
-    return now_ms > start_ms +
+    return plan->params.policy->by_share &&
+           now_ms > start_ms +
                         PLAN_EXPIRY_FACTOR * (uint64_t)job->objective_ms +
                         OVERDUE_MS;
 }
@@ -71,22 +72,22 @@
  * service at a time goes before all others but long-running services; one that
  * cannot be placed gives the next one its turn. */
 void
-plan_choose_overdue_jobs(struct plan *plan, uint64_t now_ms)
+plan_survey_open_steps(struct plan *plan, uint64_t now_ms)
 {
     GHashTableIter iter;
     struct plan_pool *pool;
 
-    if (!plan->params.policy->by_share) {
-        return;
-    }
     g_hash_table_iter_init(&iter, plan->pools);
     while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&pool)) {
         pool->overdue_job = NULL;
+        pool->has_late_work = false;
     }
     for (guint i = 0; i < plan->open_steps->len; i++) {
         const struct plan_step *step = plan->open_steps->pdata[i];
 
         pool = step->job->pool;
+        pool->has_late_work =
+            pool->has_late_work || step->sort_key[0] == CLASS_LATE;
         if (is_overdue(plan, step, now_ms) &&
             (pool->overdue_job == NULL ||
              has_earlier_turn(step->job, pool->overdue_job, now_ms))) {
--- a/core/planorder.c
+++ b/core/planorder.c
@@ -77,6 +77,7 @@
     bool lasting;
     bool beyond_share;
     bool begun;            /* its job has runs or done tasks */
+    bool is_full;          /* its service has late work */
     uint32_t priority;     /* of the queue; 0 is the highest */
     uint64_t remaining_ms; /* see remaining_run_ms() */
     uint64_t start_ms;     /* when the time allowed by the objective begins */
@@ -95,9 +96,12 @@
  * planpriv.h, plus CLASS_BEYOND_SHARE for work beyond its team's rate, which
  * takes what the other work leaves (core/shares.h). Late work still runs to
  * its end. Within a class steps are sorted by the queue's priority, then by
- * their latest start time. A job is of use to its caller only once its last
- * task ends: work that was begun goes before work of the same class and
- * priority that was not, as long as it can be in time.
+ * their latest start time.
+ *
+ * A job is of use to its caller only once its last task ends. While a service
+ * cannot serve all in time, work that was begun goes before work of the same
+ * class and priority that was not, as long as it can be in time; while it can,
+ * that would make work late that has little time left.
  */
 static void
 set_order_key(const struct plan_policy *policy, const struct order_input *in,
@@ -126,7 +130,7 @@
     key[1] = in->priority;
     if (policy->finishes_started) {
         key[1] = (uint64_t)in->priority * 2 +
-                 (key[0] != CLASS_IN_TIME || in->begun ? 0 : 1);
+                 (key[0] == CLASS_IN_TIME && in->is_full && !in->begun);
     }
     if (policy->by_share && in->beyond_share && !in->lasting) {
         key[0] += CLASS_BEYOND_SHARE;
@@ -142,6 +146,7 @@
         .lasting = step->def->lasting,
         .beyond_share = job->job->beyond_share,
         .begun = job->started,
+        .is_full = job->pool->has_late_work,
         .priority = job->job->queue->conf.priority,
         .remaining_ms = remaining_run_ms(step),
         .start_ms =
@@ -161,9 +166,12 @@
                     uint64_t now_ms, uint64_t key[3])
 {
     const struct fleet_step *steps = submit->steps.items;
+    const struct plan_pool *pool =
+        g_hash_table_lookup(plan->pools, queue->conf.service);
     struct order_input in = {
         .lasting = submit->steps.count > 0 && steps[0].lasting,
         .beyond_share = beyond_share,
+        .is_full = pool != NULL && pool->has_late_work,
         .priority = queue->conf.priority,
         .start_ms = plan_objective_start_ms(
             plan, submit->occurrences > 0 ? submit->first_due_ms : 0, now_ms),
@@ -256,7 +264,7 @@
     GPtrArray *moved = g_ptr_array_new();
     GPtrArray *open = plan->open_steps;
 
-    plan_choose_overdue_jobs(plan, now_ms);
+    plan_survey_open_steps(plan, now_ms);
     kept = g_ptr_array_sized_new(open->len);
     for (guint i = 0; i < open->len; i++) {
         g_ptr_array_add(update_sort_key(plan, open->pdata[i], now_ms) ? kept
