--- a/node/dispatchevac.c
+++ b/node/dispatchevac.c
@@ -44,7 +44,7 @@
     }
     /* Proposed even if it changes nothing now: an earlier order may not be
      * committed yet. */
-    dispatch_propose(dispatch, caller, &FLEET_EVACUATION_SCHEMA, order, 0);
+    dispatch_propose(dispatch, caller, &FLEET_EVACUATION_SCHEMA, order);
 }
 
 void
--- a/node/dispatchpriv.h
+++ b/node/dispatchpriv.h
@@ -99,12 +99,11 @@
                      const struct target_session *session);
 void dispatch_drop_pending(struct pending_request *pending);
 
-/* Proposes a change and answers the caller once it is committed or has failed.
- * job_id: of a submitted job; else 0. */
+/* Proposes a change, and answers the caller once it is committed or has
+ * failed. */
 void dispatch_propose(struct dispatch *dispatch,
                       const struct relay_caller *caller,
-                      const struct fp_schema *schema, void *change,
-                      uint64_t job_id);
+                      const struct fp_schema *schema, void *change);
 void dispatch_answer_err(struct dispatch *dispatch,
                          const struct relay_caller *caller, enum fp_err err);
 
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -124,7 +124,6 @@
 core/planhold.c	search.slots->len >= member_count(step)	true	Plan.AGang*
 core/planhold.c	return step->def->lasting ||\n           now_ms + run_time_ms > target->reserved_from_ms;	return true;	Plan.ShortWork*
 core/planrun.c	(!def->checkpoints ||\n                               run->expected_end_ms <= target->leaves_ms)	false	Plan.WorkWithACheckpoint*
-core/planorder.c	return step->due_ms == 0 || due_ms < 0 ?	return true ?	Plan.AnOccurrence*
 core/planpriv.h	           !target->in_evacuation;	           true;	Evac.AnEvacuatedDataCentreGets*
 core/planevac.c	        release_target(plan, target);	        (void)release_target;	Evac.AReservationIs*
 core/planevac.c	return count_away(step, now_ms) < away_limit(step->def);	return true;	Evac.LastingTasksAreMoved*
@@ -135,6 +134,20 @@
 core/fleetevac.c	    data_centre->evacuated = saved->evacuated;	    ;	Evac.ASnapshotKeeps*
 core/fleet.c	    fleet_remember_data_centre(fleet, rec->data_centre);	    ;	Evac.ADataCentreStays*
 core/planticket.c	        if (target->mark != plan->mark && plan_takes_starts(target) &&	        if (target->mark != plan->mark && target->usable &&	Evac.ThePolicyIsNot*
+core/planage.c	return due_ms == 0 || due_mono_ms < 0 ?	return true ?	Plan.AnOccurrence*
+core/shares.c	(has_room ? JOB_MICRO : 0)	0	Share.ATeamSaves*
+core/shares.c	now_ms > share->updated_ms ? now_ms - share->updated_ms : 0	now_ms - share->updated_ms	Share.AClock*
+core/fleet.c	    use_share(job);	    (void)use_share;	Shares.OnlyJobs*
+core/fleet.c	i < team->offered_jobs	false	Shares.JobsThatAreProposed*
+core/fleetsave.c	    save_shares(&snap, fleet);	    (void)save_shares;	Shares.ASnapshot*
+core/fleetrec.c	    BOOL(fleet_job_saved, submit.beyond_share),		Shares.ASnapshot*
+core/planorder.c	key[0] += CLASS_BEYOND_SHARE;	;	ShareOrder.WorkWithin*
+core/planorder.c	in->is_full && !in->begun	false	ShareOrder.JobsThatAreBegunAreFinished*
+core/planorder.c	in->is_full && !in->begun	!in->begun	ShareOrder.JobsThatAreBegunAreFinished*
+core/planage.c	    return now_ms - MIN(age_ms, now_ms);	    return now_ms;	ShareOrder.Inherited*
+core/planage.c	plan->fleet->now_ms + TERM_GAP_MAX_MS	UINT64_MAX	ShareOrder.AWallClock*
+core/planage.c	pool->overdue_job->turns++;	;	ShareOrder.EvenWork*
+core/planhold.c	return reserved_for->sort_key[0] >= CLASS_BEYOND_SHARE &&	return false &&	ShareOrder.AReservation*
 LIST
 echo "$CAUGHT passed, $MISSED failed"
 [ "$MISSED" = 0 ]
