--- a/base/event.c
+++ b/base/event.c
@@ -83,10 +83,12 @@
     [EVENT_CALL_FAILED] = {"call.failed", 200, "id call path error took_ms",
                            "a client's call was refused or got no answer"},
     [EVENT_JOB_ACCEPTED] = {"job.accepted", 300,
-                            "id queue team tasks chain_ms objective_ms config",
+                            "id queue team tasks chain_ms objective_ms "
+                            "forecast_ms config",
                             "a job is committed on a majority of replicas"},
     [EVENT_JOB_REJECTED] = {"job.rejected", 200,
-                            "id queue error wait_ms retry_after_ms config",
+                            "id queue error why wait_ms end_ms objective_ms margin_ms "
+                            "age_ms retry_after_ms config",
                             "a job was rejected; it never runs"},
     [EVENT_JOB_ENDED] = {"job.ended", 300, "id state took_ms objective_ms",
                          "a job completed, failed or was cancelled"},
--- a/core/plan.c
+++ b/core/plan.c
@@ -75,6 +75,10 @@
     struct plan_pool *pool = item;
 
     g_ptr_array_free(pool->targets, TRUE);
+    if (pool->backlog != NULL) {
+        backlog_clear(pool->backlog);
+        g_free(pool->backlog);
+    }
     g_free(pool);
 }
 
@@ -274,6 +278,12 @@
     }
 }
 
+bool
+plan_is_tight(uint32_t objective_ms, uint32_t critical_path_ms)
+{
+    return objective_ms < critical_path_ms + TIGHT_SLACK_MS;
+}
+
 static void
 add_job(struct plan *plan, struct fleet_job *job, bool inherited,
         uint64_t now_ms)
@@ -295,9 +305,10 @@
         plan_critical_path_ms(&job->submit, &job->queue->conf);
     pjob->objective_ms =
         plan_objective_ms(pjob->critical_path_ms, &job->queue->conf);
-    pjob->tight = pjob->objective_ms < pjob->critical_path_ms + TIGHT_SLACK_MS;
+    pjob->tight = plan_is_tight(pjob->objective_ms, pjob->critical_path_ms);
     pjob->pool = get_or_add_pool(plan, job->queue->conf.service);
     job->plan = pjob;
+    plan_admissions_job_added(plan, pjob, now_ms);
     if (!pjob->started) {
         job->queue->waiting_jobs++;
     }
@@ -320,6 +331,7 @@
         return;
     }
     pjob->ended = true;
+    plan_admissions_job_ended(plan, pjob, now_ms);
     plan_mark_started(pjob);
     for (GList *link = pjob->runs.head; link != NULL; link = link->next) {
         struct plan_run *run = link->data;
@@ -571,6 +583,9 @@
     for (guint i = 0; i < plan->upcoming_steps->len; i++) {
         plan_query_policy(plan, plan->upcoming_steps->pdata[i], now_ms);
     }
+    if (plan->params.policy->forecasts) {
+        plan_update_backlogs(plan, now_ms);
+    }
 }
 
 /* ---- creation and queries ----------------------------------------------- */
@@ -592,6 +607,7 @@
         plan->params.policy = &PLAN_POLICY_DEFAULT;
     }
     plan->ops = *ops;
+    plan->admissions = plan_admissions_new();
     plan->open_steps = g_ptr_array_new();
     plan->upcoming_steps = g_ptr_array_new();
     plan->targets = g_ptr_array_new();
@@ -647,6 +663,7 @@
     g_ptr_array_free(plan->targets, TRUE);
     g_array_free(plan->silences, TRUE);
     g_free(plan->evidence.items);
+    plan_admissions_free(plan->admissions);
     g_hash_table_destroy(plan->pools);
     g_free(plan);
 }
@@ -687,6 +704,16 @@
     *objective_ms = pjob != NULL ? pjob->objective_ms : 0;
 }
 
+uint32_t
+plan_job_forecast_ms(const struct fleet_job *job)
+{
+    const struct plan_job *pjob = job->plan;
+
+    return pjob != NULL && pjob->forecast_end_ms > pjob->accepted_ms
+               ? (uint32_t)(pjob->forecast_end_ms - pjob->accepted_ms)
+               : 0;
+}
+
 enum fleet_job_state
 plan_job_state(const struct fleet_job *job)
 {
--- a/core/plan.h
+++ b/core/plan.h
@@ -14,7 +14,9 @@
  *   plan.c       jobs, targets, scheduling passes
  *   planrun.c    runs: starts, stops, ends
  *   planlist.c   run lists of targets
- *   planorder.c  order of the waiting steps, and admission of jobs
+ *   planorder.c  order of the waiting steps
+ *   planforecast.c  when a job that is offered would end
+ *   planadmit.c  admission of jobs
  *   planfit.c    placement of a step's tasks
  *   planhold.c   capacity reserved for large tasks
  *   plancrash.c  crashes of targets, and the runs that may have caused them
@@ -217,7 +219,12 @@
 struct plan_admission {
     enum fp_err err;         /* FP_OK: admitted */
     uint32_t retry_after_ms; /* when to submit it again */
-    uint32_t wait_ms;        /* expected wait; always 0 */
+    uint32_t wait_ms;        /* forecast wait; 0: not forecast */
+    uint32_t end_ms;         /* forecast time to its end; 0: not forecast */
+    uint32_t objective_ms;   /* likewise */
+    uint32_t margin_ms;      /* by which forecasts were too early */
+    uint32_t age_ms;         /* of what the forecast is made from */
+    const char *reason;      /* of a refusal; free text, for the log */
 };
 
 /* Creates a scheduler over a fleet, which must outlive it. Live jobs of the
@@ -294,9 +301,6 @@
 /* How many of the given policy clients are kept for short queries; 0 of 1. */
 uint32_t plan_reserved_policy_clients(uint32_t clients);
 
-/* Whether to accept another job now: FP_ERR_BUSY when too many tasks wait. */
-struct plan_admission plan_admit(struct plan *plan);
-
 /* Queries. */
 
 /* The verdict on a task by the evidence of crashes, stored or not. */
@@ -316,6 +320,9 @@
  * not scheduled: it had ended before this term. */
 void plan_job_times(const struct fleet_job *job, uint32_t *critical_path_ms,
                     uint32_t *objective_ms);
+/* The time that a job should take, as forecast when it was admitted; 0: it was
+ * not forecast, or that is judged already. */
+uint32_t plan_job_forecast_ms(const struct fleet_job *job);
 /* The state of a job; a live one is JOB_RUNNING once a run was started. */
 enum fleet_job_state plan_job_state(const struct fleet_job *job);
 const struct plan_counters *plan_counters(const struct plan *plan);
--- a/core/planfit.c
+++ b/core/planfit.c
@@ -75,17 +75,21 @@
 }
 
 bool
-plan_could_fit(const struct plan_target *target, const struct plan_step *step)
+plan_could_hold(const struct plan_target *target, const struct fleet_step *def)
 {
-    const struct fleet_step *def = step->def;
-
-    return target->pool == step->job->pool &&
-           (def->fills || def->cpu_milli <= target->capacity.cpu_milli) &&
+    return (def->fills || def->cpu_milli <= target->capacity.cpu_milli) &&
            def->memory_mb <= target->capacity.memory_mb &&
            def->accel <= target->capacity.accel &&
            has_label(target, def->label);
 }
 
+bool
+plan_could_fit(const struct plan_target *target, const struct plan_step *step)
+{
+    return target->pool == step->job->pool &&
+           plan_could_hold(target, step->def);
+}
+
 bool
 plan_fits(const struct plan_target *target, const struct fleet_resources *size,
           const struct plan_step *step, uint64_t now_ms)
--- a/core/planforecast.h
+++ b/core/planforecast.h
@@ -7,6 +7,7 @@
 #ifndef FP_PLANFORECAST_H
 #define FP_PLANFORECAST_H
 
+#include "base/histogram.h"
 #include "core/plan.h"
 
 /* A job that a caller offers. */
@@ -30,6 +31,19 @@
                                    const struct plan_offer *offer,
                                    uint64_t now_ms);
 
+/* Forecasts of a queue's jobs against what came of them, in this term. */
+struct plan_queue_forecasts {
+    uint32_t margin_ms;              /* see struct plan_forecast */
+    uint64_t refused;                /* by forecast */
+    struct histogram too_early_ms;   /* ends after the forecast */
+    struct histogram too_late_ms;    /* ends before it */
+    struct histogram retry_after_ms; /* told to refused callers */
+};
+
+/* Returns NULL when nothing is known of the queue. */
+const struct plan_queue_forecasts *
+plan_queue_forecasts(const struct plan *plan, const struct fleet_queue *queue);
+
 /* Decides on a job, and counts a refusal: FP_ERR_BUSY with the time after
  * which a job like it should be accepted, spread over callers. */
 struct plan_admission
--- a/core/planorder.c
+++ b/core/planorder.c
@@ -1,5 +1,5 @@
-/* planorder.c -- scheduling order of open steps, headroom for low-slack work
- * and admission of jobs
+/* planorder.c -- scheduling order of open steps, and headroom for low-slack
+ * work
  */
 #include <stdlib.h>
 #include <string.h>
@@ -10,9 +10,6 @@
 #define OBJECTIVE_QUERY_TARGETS 30u
 /* A result later than this many objectives has no value to the client. */
 #define EXPIRY_FACTOR 3u
-#define WAITING_TASKS_MAX 20000u /* bounds memory and the time of a pass */
-/* A rejected client faces a backlog of some tens of seconds of work. */
-#define ADMISSION_RETRY_MS 15000u
 
 /* Time of the longest chain of dependent steps, in ms, with one policy query
  * for each step when the queue uses the policy. */
@@ -285,7 +282,6 @@
 /* Part of the peak that is left after each PEAK_DECAY_INTERVAL_MS. */
 #define PEAK_RETAINED_PERMILLE 980u
 #define PEAK_DECAY_INTERVAL_MS 100u
-#define HEADROOM_PERCENT 70u /* of the peak, kept free beside what is used */
 
 static uint64_t
 decayed_peak(uint64_t peak, uint64_t current)
@@ -376,8 +372,8 @@
 
 /* Workload: a burst of work with a fraction of a second of slack, on a service
  * that batch work would fill. Returns whether a task of this size, if it can
- * wait, leaves HEADROOM_PERCENT of the recent peak usage of low-slack work
- * free. Always true for work with little slack, long-running services and
+ * wait, leaves PLAN_HEADROOM_PERCENT of the recent peak usage of low-slack
+ * work free. Always true for work with little slack, long-running services and
  * filler work. */
 bool
 plan_leaves_headroom(const struct plan *plan, const struct plan_step *step,
@@ -385,8 +381,9 @@
 {
     const struct plan_pool *pool = step->job->pool;
     uint64_t headroom_cpu =
-        pool->tight_peak.cpu_milli * HEADROOM_PERCENT / 100;
-    uint64_t headroom_accel = pool->tight_peak.accel * HEADROOM_PERCENT / 100;
+        pool->tight_peak.cpu_milli * PLAN_HEADROOM_PERCENT / 100;
+    uint64_t headroom_accel =
+        pool->tight_peak.accel * PLAN_HEADROOM_PERCENT / 100;
 
     if (!plan->params.policy->keeps_headroom || step->job->tight ||
         step->def->lasting || step->def->fills) {
@@ -397,25 +394,3 @@
            pool->used.accel + size->accel + headroom_accel <=
                pool->capacity.accel;
 }
-
-/* Workload: more jobs arrive than scheduling passes can examine. Below that
- * limit every job is accepted: waiting work still has value when it is late,
- * and a rejected client retries into the same burst. */
-struct plan_admission
-plan_admit(struct plan *plan)
-{
-    struct plan_admission admission = {FP_OK, 0, 0};
-    uint64_t tasks = 0;
-
-    for (guint i = 0; i < plan->open_steps->len; i++) {
-        const struct plan_step *step = plan->open_steps->pdata[i];
-
-        tasks += step->pending;
-    }
-    if (tasks > WAITING_TASKS_MAX) {
-        admission.err = FP_ERR_BUSY;
-        admission.retry_after_ms = ADMISSION_RETRY_MS;
-        plan->counters.jobs_rejected++;
-    }
-    return admission;
-}
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -2,6 +2,7 @@
 #ifndef FP_PLANPRIV_H
 #define FP_PLANPRIV_H
 
+#include "core/backlog.h"
 #include "core/plan.h"
 
 enum run_state {
@@ -50,6 +51,7 @@
     struct fleet_resources tight_used; /* by runs of tight jobs */
     struct fleet_resources tight_peak; /* decaying peak of tight_used */
     uint64_t peak_decayed_ms;          /* when tight_peak last decayed */
+    struct backlog *backlog; /* see planforecast.c; NULL: not made yet */
 };
 
 struct plan_target {
@@ -138,6 +140,7 @@
                                 * an enum plan_class */
     bool is_sorted;            /* in its place in plan->open_steps */
     uint64_t latest_start_ms;  /* to meet the objective; set with sort_key */
+    uint64_t backlog_mark;     /* see plan->backlog_mark */
 };
 
 struct plan_task {
@@ -170,6 +173,8 @@
     uint32_t step_count;
     struct plan_task *tasks;
     GQueue runs; /* struct plan_run of its steps, by their job_link */
+    uint64_t forecast_end_ms; /* as forecast when it was admitted; 0: not */
+    uint64_t backlog_mark;    /* see plan->backlog_mark */
 };
 
 /* A target that stopped answering. */
@@ -212,6 +217,8 @@
     bool dirty;    /* something changed since the last pass */
     uint64_t last_pass_ms;
     uint64_t next_pass_ms; /* when to run a pass even if nothing changed */
+    uint64_t backlog_mark; /* of what the last backlog counts */
+    struct plan_admissions *admissions; /* see planadmit.c */
 };
 
 /* planrun.c */
@@ -267,7 +274,15 @@
 /* Capacity that a run of a task occupies. */
 struct fleet_resources plan_task_size(const struct fleet_step *def);
 
+/* plan.c */
+
+/* Whether a job with these times has little slack. */
+bool plan_is_tight(uint32_t objective_ms, uint32_t critical_path_ms);
+
 /* planorder.c */
+
+/* Of the recent peak of tight work, kept free beside what is used. */
+#define PLAN_HEADROOM_PERCENT 70u
 uint32_t plan_critical_path_ms(const struct fleet_submit *submit,
                                const struct fleet_queue_conf *queue);
 uint32_t plan_objective_ms(uint32_t critical_path_ms,
@@ -289,6 +304,46 @@
                           const struct plan_step *step,
                           const struct fleet_resources *size);
 
+/* planforecast.c */
+
+/* Takes stock of the work of each service, unless that was done just now.
+ * Steps must be in scheduling order. */
+void plan_update_backlogs(struct plan *plan, uint64_t now_ms);
+/* A job that is forecast, and what the forecast takes into account. */
+struct plan_forecast_input {
+    const struct plan_offer *offer;
+    struct plan_pool *pool;
+    struct backlog_demand demand;
+    uint32_t chain_ms; /* its longest chain of steps */
+    uint64_t due_ms;   /* its first occurrence, on the monotonic clock; 0:
+                        * none */
+};
+/* Fills in what the service and the job itself give. */
+void plan_forecast_prepare(const struct plan *plan,
+                           const struct plan_offer *offer, uint64_t now_ms,
+                           struct plan_forecast_input *input);
+
+/* planadmit.c */
+struct plan_admissions *plan_admissions_new(void);
+void plan_admissions_free(struct plan_admissions *admissions);
+/* Adds the jobs that were admitted and are not planned yet, and the work that
+ * arrives and goes before the job. */
+void plan_admissions_count(const struct plan *plan,
+                           struct plan_forecast_input *input);
+/* By how much forecasts of the queue's jobs were too early. */
+uint32_t plan_admissions_margin_ms(const struct plan *plan,
+                                   const struct fleet_queue *queue);
+void plan_admissions_job_added(struct plan *plan, struct plan_job *job,
+                               uint64_t now_ms);
+void plan_admissions_job_ended(struct plan *plan, struct plan_job *job,
+                               uint64_t now_ms);
+/* Judges the forecast of a job that has not ended long after it should have.
+ */
+void plan_admissions_check_overdue(struct plan *plan, struct plan_job *job,
+                                   uint64_t now_ms);
+/* Forgets jobs that a backlog counts, or that never came. */
+void plan_admissions_tick(struct plan *plan, uint64_t now_ms);
+
 /* planhold.c */
 
 /* Whether capacity of the target is reserved for another step, and this one
@@ -353,6 +408,10 @@
 bool plan_fits(const struct plan_target *target,
                const struct fleet_resources *size,
                const struct plan_step *step, uint64_t now_ms);
+/* Whether a task of this kind could start on the target if that were empty and
+ * in the right service. */
+bool plan_could_hold(const struct plan_target *target,
+                     const struct fleet_step *def);
 /* Whether a task of the step could start on the target if that were empty. */
 bool plan_could_fit(const struct plan_target *target,
                     const struct plan_step *step);
--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -5,6 +5,7 @@
 
 #include "base/event.h"
 #include "base/log.h"
+#include "core/planforecast.h"
 #include "node/dispatchpriv.h"
 
 /* Run numbers for the runs of inherited tasks in each term. */
@@ -157,7 +158,8 @@
 static void
 log_job_rejected(const struct dispatch *dispatch,
                  const struct call_submit *call, uint64_t id,
-                 const struct call_answer *answer, uint32_t wait_ms)
+                 const struct call_answer *answer,
+                 const struct plan_admission *admission)
 {
     char text[32];
 
@@ -165,7 +167,12 @@
     EVENT(EVENT_JOB_REJECTED, EVENT_STR("id", text),
           EVENT_STR("queue", call->to.path),
           EVENT_STR("error", fp_err_row(answer->err)->name),
-          EVENT_INT("wait_ms", wait_ms),
+          EVENT_STR("why", admission->reason),
+          EVENT_INT("wait_ms", admission->wait_ms),
+          EVENT_INT("end_ms", admission->end_ms),
+          EVENT_INT("objective_ms", admission->objective_ms),
+          EVENT_INT("margin_ms", admission->margin_ms),
+          EVENT_INT("age_ms", admission->age_ms),
           EVENT_INT("retry_after_ms", answer->retry_after_ms),
           EVENT_INT("config", dispatch->deps.fleet->config.version));
 }
@@ -176,7 +183,7 @@
 {
     struct fleet_queue *queue;
     struct fleet_team *team;
-    struct plan_admission admission = {FP_OK, 0, 0};
+    struct plan_admission admission = {.err = FP_OK, .reason = ""};
     struct call_answer answer = {.err = FP_OK};
     uint64_t id = 0;
     char reason[200];
@@ -195,12 +202,20 @@
     }
     if (answer.err == FP_OK &&
         !g_hash_table_contains(dispatch->submitting, &id)) {
-        admission = plan_admit(dispatch->plan);
+        const struct plan_offer offer = {
+            .submit = &call->job,
+            .queue = queue,
+            .team = team,
+            .beyond_share = fleet_is_beyond_share(dispatch->deps.fleet, team,
+                                                  clock_wall_ms())};
+
+        call->job.id = id;
+        admission = plan_admit(dispatch->plan, &offer, clock_mono_ms());
         answer.err = admission.err;
         answer.retry_after_ms = admission.retry_after_ms;
     }
     if (answer.err != FP_OK) {
-        log_job_rejected(dispatch, call, id, &answer, admission.wait_ms);
+        log_job_rejected(dispatch, call, id, &answer, &admission);
         relay_answer(dispatch->deps.relay, caller, FP_OK, &answer);
         return;
     }
@@ -509,6 +524,7 @@
           EVENT_STR("team", job->submit.team),
           EVENT_INT("tasks", job->task_count), EVENT_INT("chain_ms", chain_ms),
           EVENT_INT("objective_ms", objective_ms),
+          EVENT_INT("forecast_ms", plan_job_forecast_ms(job)),
           EVENT_INT("config", dispatch->deps.fleet->config.version));
 }
 
