--- a/tests/evac_test.cc
+++ b/tests/evac_test.cc
@@ -1,6 +1,10 @@
 // Tests of evacuated data centres and of cold targets.
 #include "plan_world.h"
 
+extern "C" {
+#include "core/planforecast.h"
+}
+
 namespace {
 
 using plan_sim::FleetSim;
@@ -211,7 +215,9 @@
     sim.evacuate("east");
     sim.evacuate("west");
     EXPECT_EQ(sim.submit(1, {StepSpec{.count = 2}}).err, FP_OK);
-    EXPECT_EQ(plan_admit(sim.planner).err, FP_OK);
+    const fleet_job *job = sim.find_job(1);
+    const plan_offer offer = {&job->submit, job->queue, job->team, false};
+    EXPECT_EQ(plan_admit(sim.planner, &offer, sim.now_ms).err, FP_OK);
     for (int i = 0; i < 20; i++) {
         sim.run_pass(1000);
     }
