Placement by all resources: best fit by the sum of free shares

Cause: placement_cost() knew accelerators and cores only, and a query to the placement policy named targets by free accelerators or cores. On a service where one kind of task takes 62 of 128 cores, 160 of 256 GB and 2 to 8 of 8 accelerators, and another 11 cores, 29 GB and 1, the small tasks were packed by accelerators, eight a target, and kept the large ones out.

Change, under packs_all of the policy only: the cost of a target is the sum of the shares of cores, memory and accelerators that the task leaves free there; a query names targets with room for the task first, then those that should have it when the answer is there, by the expected ends of their runs, then the others, the emptiest first.

Tests first: without the change Pack.AScanGoesBesideAMatch... ends with 'no target has room for a match', and both tests of the queries fail on the names.

--- a/bench/replay.c
+++ b/bench/replay.c
@@ -308,14 +308,19 @@
     uint32_t seed;
     const char *policy;
     const char *plot;
+    uint32_t highest_permille; /* 0: not asked for */
 };
 
-enum { KEY_SEED = 1024, KEY_POLICY, KEY_PLOT };
+enum { KEY_SEED = 1024, KEY_POLICY, KEY_PLOT, KEY_HIGHEST };
 
 static const struct argp_option OPTIONS[] = {
     {"seed", KEY_SEED, "N", 0, "seed of the generated jobs and faults (1)", 2},
     {"policy", KEY_POLICY, "NAME", 0,
-     "filbertpath, holds-at-once or fifo (all)", 2},
+     "filbertpath, contended, holds-at-once or fifo (all)", 2},
+    {"highest", KEY_HIGHEST, "PERMILLE", 0,
+     "print only the highest arrival rate, in percent of the load's, at which "
+     "each service alone earns this much of its credit, over seeds 1 to N",
+     2},
     {"plot", KEY_PLOT, "FILE", 0,
      "write a bar chart of earned / owed credit, as SVG", 2},
     {NULL, 0, NULL, 0, NULL, 0}};
@@ -337,15 +342,60 @@
     if (!g_ascii_string_to_unsigned(arg, 10, 1, 1000000, &value, NULL)) {
         return false;
     }
+    if (key == KEY_HIGHEST) {
+        options->highest_permille = (uint32_t)value;
+        return value <= 1000;
+    }
     options->seed = (uint32_t)value;
     return true;
 }
 
+/* The highest load that each service holds under a policy. The caller owns the
+ * reference. */
+static json_t *
+report_highest(struct replay_load *load, const struct plan_policy *policy,
+               const struct replay_options *options)
+{
+    json_t *services = json_object();
+
+    for (uint32_t i = 0; i < load->services_count; i++) {
+        uint32_t percent =
+            replay_highest_percent(load, &load->services[i], policy,
+                                   options->seed, options->highest_permille);
+
+        json_object_set_new(services, load->services[i].name,
+                            json_integer(percent));
+    }
+    return json_pack("{s:s,s:o}", "policy", policy->name, "percent", services);
+}
+
+static void
+print_highest(const json_t *reports)
+{
+    const json_t *report;
+    size_t i;
+
+    json_array_foreach(reports, i, report)
+    {
+        json_t *percent = json_object_get(report, "percent");
+        const char *service;
+        const json_t *value;
+
+        json_object_foreach(percent, service, value)
+        {
+            printf("%-14s %-18s %3d %% of the load\n",
+                   json_string_value(json_object_get(report, "policy")),
+                   service, (int)json_integer_value(value));
+        }
+    }
+}
+
 int
 bench_replay(struct cli *cli, int argc, char **argv)
 {
     static const struct plan_policy *const policies[] = {
-        &PLAN_POLICY_DEFAULT, &PLAN_POLICY_RESERVE_AT_ONCE, &PLAN_POLICY_FIFO};
+        &PLAN_POLICY_DEFAULT, &PLAN_POLICY_CONTENDED,
+        &PLAN_POLICY_RESERVE_AT_ONCE, &PLAN_POLICY_FIFO};
     struct replay_options options = {.seed = 1};
     const char *args[1] = {NULL};
     struct cli_parser parser = {
@@ -381,6 +431,11 @@
             strcmp(options.policy, policies[i]->name) != 0) {
             continue;
         }
+        if (options.highest_permille > 0) {
+            json_array_append_new(reports,
+                                  report_highest(load, policies[i], &options));
+            continue;
+        }
         result = sim_replay(load, policies[i], options.seed);
         json_array_append_new(reports,
                               replay_report(load, policies[i], result));
@@ -392,6 +447,9 @@
     else if (cli->json) {
         cli_print(cli, reports);
     }
+    else if (options.highest_permille > 0) {
+        print_highest(reports);
+    }
     else {
         print_reports(reports);
     }
--- a/bench/replay.h
+++ b/bench/replay.h
@@ -4,6 +4,7 @@
  *   replay.c      the command and its report
  *   replayload.c  the load file
  *   replayjobs.c  generated jobs, and the credit that they earn
+ *   replayhigh.c  the highest load that a policy can hold
  *   sim*.c        the simulation: targets, placement policy, lost orders,
  *                 leader changes
  */
@@ -199,6 +200,15 @@
                               const struct plan_policy *policy, uint32_t seed);
 void sim_result_free(struct sim_result *result);
 
+/* The highest arrival rate, in percent of the load's, at which the jobs of a
+ * service alone earn this much of their credit under a policy, over the seeds
+ * from 1 on; found by bisection (replayhigh.c). The load is unchanged after
+ * the call. */
+uint32_t replay_highest_percent(struct replay_load *load,
+                                const struct replay_service *service,
+                                const struct plan_policy *policy,
+                                uint32_t seeds, uint32_t permille);
+
 /* ---- jobs and their credit (replayjobs.c) ------------------------------- */
 
 /* Hash of its arguments, uniform below 2^32: a random number that does not
--- a/core/planfit.c
+++ b/core/planfit.c
@@ -1,6 +1,7 @@
 /* planfit.c -- placement of a step's tasks on targets */
 #include <string.h>
 
+#include "core/planpack.h"
 #include "core/planpriv.h"
 
 /* Targets whose runs take longer than this, per mille of the estimate, are
@@ -149,7 +150,9 @@
  * most idle CPU. Such latency-bound tasks avoid targets with filler work. A
  * task that may crash its target prefers targets with few runs. */
 static uint64_t
-placement_cost(const struct plan_target *target, const struct plan_step *step)
+placement_cost(const struct plan *plan, const struct plan_target *target,
+               const struct plan_step *step,
+               const struct fleet_resources *size)
 {
     const struct fleet_step *def = step->def;
     /* The capacity may have fallen below what runs. */
@@ -181,6 +184,10 @@
                 run->step != NULL && run->step->def->fills ? 1ull << 40 : 0;
         }
     }
+    if (plan->params.policy->packs_all) {
+        return cost +
+               plan_packing_cost(&target->capacity, &target->used, size);
+    }
     if (def->accel > 0) {
         cost += free_accel << 32;
     }
@@ -188,6 +195,7 @@
 }
 
 struct placement_search {
+    const struct plan *plan;
     struct plan_step *step;
     const struct fleet_resources *size;
     const char *rack;                    /* NULL: any */
@@ -208,7 +216,7 @@
         !plan_fits(target, search->size, search->step, search->now_ms)) {
         return;
     }
-    cost = placement_cost(target, search->step) +
+    cost = placement_cost(search->plan, target, search->step, search->size) +
            (target == search->failed_on ? FAILED_HERE_COST : 0);
     if (cost < search->best_cost) {
         search->best = target;
@@ -223,8 +231,8 @@
                  const struct fleet_resources *size, const char *rack,
                  const struct plan_target *failed_on, uint64_t now_ms)
 {
-    struct placement_search search = {step,   size, rack,      failed_on,
-                                      now_ms, NULL, UINT64_MAX};
+    struct placement_search search = {plan,      step,   size, rack,
+                                      failed_on, now_ms, NULL, UINT64_MAX};
 
     if (!plan_leaves_headroom(plan, step, size)) {
         return NULL;
--- a/core/planpack.h
+++ b/core/planpack.h
@@ -6,6 +6,8 @@
 #ifndef FP_PLANPACK_H
 #define FP_PLANPACK_H
 
+#include <stdint.h>
+
 #include "core/fleetrec.h"
 
 /* Cost of a task of this size on a target with this capacity, of which used is
--- a/core/planticket.c
+++ b/core/planticket.c
@@ -8,6 +8,7 @@
  */
 #include <string.h>
 
+#include "core/planpack.h"
 #include "core/planpriv.h"
 
 /* How many targets a query lists, for the policy to choose from. */
@@ -29,6 +30,8 @@
 #define SHORT_QUERY_CLIENTS_MIN 2u
 /* Subtracted from a ticket's validity, for network delay and clock skew. */
 #define TICKET_MARGIN_MS 250u
+/* A target counts as free soon if it is by this long after the answer. */
+#define FREE_SOON_MS 500u
 
 uint32_t
 plan_reserved_policy_clients(uint32_t clients)
@@ -153,9 +156,49 @@
 
 struct candidate {
     struct plan_target *target;
-    uint64_t rank; /* free capacity, plus a bonus for the data's rack */
+    uint64_t rank; /* the highest is named first */
 };
 
+/* What will be in use on a target by then, by the expected ends of its runs.
+ */
+static struct fleet_resources
+used_at(const struct plan_target *target, uint64_t at_ms)
+{
+    struct fleet_resources used = target->used;
+
+    for (guint i = 0; i < target->runs->len; i++) {
+        const struct plan_run *run = target->runs->pdata[i];
+
+        if (run->expected_end_ms <= at_ms &&
+            (run->step == NULL || !run->step->def->lasting)) {
+            plan_subtract_size(&used, &run->size);
+        }
+    }
+    return used;
+}
+
+/* Workload: tasks that need most of one resource of a target, which the
+ * targets with much of another one free do not have. Targets with room for the
+ * task rank first, then those that should have it when the answer is there,
+ * then the others; among equals those with the most free: by the time of the
+ * answer other steps have filled the fullest. */
+static uint64_t
+rank_by_room(const struct plan_target *target,
+             const struct fleet_resources *size, uint64_t answer_ms)
+{
+    struct fleet_resources used = target->used;
+    uint64_t rank = 0;
+
+    if (plan_count_fitting(target, &used, size) > 0) {
+        rank = 2ull << 32;
+    }
+    else {
+        used = used_at(target, answer_ms + FREE_SOON_MS);
+        rank = plan_count_fitting(target, &used, size) > 0 ? 1ull << 32 : 0;
+    }
+    return rank + plan_packing_cost(&target->capacity, &used, size);
+}
+
 /* Workload: gangs whose members take whole targets, on a service that is
  * nearly full, where the policy allows a third of the targets. The more
  * targets are granted, the sooner enough of them are free at the same time. */
@@ -226,9 +269,10 @@
 
 /* Lists the best of the usable targets that could run the step and were not
  * named in a query yet: those on the rack of its data first, then by free
- * capacity, largest first. */
+ * capacity, largest first. answer_ms: when the answer is expected. */
 static GArray *
-list_unqueried(struct plan *plan, const struct plan_step *step)
+list_unqueried(struct plan *plan, const struct plan_step *step,
+               uint64_t answer_ms)
 {
     const GPtrArray *targets = step->job->pool->targets;
     GArray *list = g_array_new(FALSE, FALSE, sizeof(struct candidate));
@@ -242,7 +286,9 @@
 
         if (target->mark != plan->mark && target->usable &&
             !target->target->rec.leaving && plan_could_fit(target, step)) {
-            candidate.rank = free_resource(target, &size);
+            candidate.rank = plan->params.policy->packs_all
+                                 ? rank_by_room(target, &size, answer_ms)
+                                 : free_resource(target, &size);
             if (step->def->rack[0] != '\0' &&
                 strcmp(step->def->rack, target->target->rec.rack) == 0) {
                 candidate.rank += 1ull << 40;
@@ -337,11 +383,11 @@
 choose_query_targets(struct plan *plan, const struct plan_step *step,
                      uint32_t query_ms, uint64_t now_ms)
 {
-    GArray *list =
-        list_expiring_grants(step, now_ms + query_ms + QUERY_ROUND_TRIP_MS);
+    uint64_t answer_ms = now_ms + query_ms + QUERY_ROUND_TRIP_MS;
+    GArray *list = list_expiring_grants(step, answer_ms);
 
     if (!is_granted_capacity_enough(step, now_ms)) {
-        GArray *unqueried = list_unqueried(plan, step);
+        GArray *unqueried = list_unqueried(plan, step, answer_ms);
 
         g_array_append_vals(list, unqueried->data, unqueried->len);
         g_array_free(unqueried, TRUE);
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -125,6 +125,10 @@
 core/planhold.c	return step->def->lasting ||\n           now_ms + run_time_ms > target->reserved_from_ms;	return true;	Plan.ShortWork*
 core/planrun.c	(!def->checkpoints ||\n                               run->expected_end_ms <= target->leaves_ms)	false	Plan.WorkWithACheckpoint*
 core/planorder.c	return step->due_ms == 0 || due_ms < 0 ?	return true ?	Plan.AnOccurrence*
+core/planfit.c	if (plan->params.policy->packs_all) {	if (false) {	Pack.AScanGoes*
+core/planticket.c	candidate.rank = plan->params.policy->packs_all	candidate.rank = false	Pack.AQueryNamesTargetsWith*
+core/planticket.c	        rank = plan_count_fitting(target, &used, size) > 0 ? 1ull << 32 : 0;	        rank = 0;	Pack.AQueryNamesTargetsThatAreFree*
+core/planpack.c	if (capacity == 0 || used + size >= capacity) {	if (capacity == 0) {	Pack.ATargetThatShrank*
 LIST
 echo "$CAUGHT passed, $MISSED failed"
 [ "$MISSED" = 0 ]
--- a/tests/plan_world.h
+++ b/tests/plan_world.h
@@ -41,6 +41,7 @@
          duplicates = false, fills = false;
     uint32_t spread = 0, tail_ms = 0;
     std::string rack = {}, label = {};
+    uint32_t memory_mb = 0;
 };
 
 struct FleetSim {
@@ -202,6 +203,7 @@
                                                    sizeof(fleet_step));
             step->count = spec.count;
             step->cpu_milli = spec.cpu_milli;
+            step->memory_mb = spec.memory_mb;
             step->accel = spec.accel;
             step->estimate_ms = spec.estimate_ms;
             step->gang = spec.gang;
