--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -148,6 +148,10 @@
 core/planage.c	plan->fleet->now_ms + TERM_GAP_MAX_MS	UINT64_MAX	ShareOrder.AWallClock*
 core/planage.c	pool->overdue_job->turns++;	;	ShareOrder.EvenWork*
 core/planhold.c	return reserved_for->sort_key[0] >= CLASS_BEYOND_SHARE &&	return false &&	ShareOrder.AReservation*
+core/planfit.c	if (plan->params.policy->packs_all) {	if (false) {	Pack.AScanGoes*
+core/planticket.c	candidate.rank = plan->params.policy->packs_all	candidate.rank = false	Pack.AQueryNamesTargetsWith*
+core/planticket.c	        rank = plan_count_fitting(target, &used, size) > 0 ? 1ull << 32 : 0;	        rank = 0;	Pack.AQueryNamesTargetsThatAreFree*
+core/planpack.c	if (capacity == 0 || used + size >= capacity) {	if (capacity == 0) {	Pack.ATargetThatShrank*
 LIST
 echo "$CAUGHT passed, $MISSED failed"
 [ "$MISSED" = 0 ]
