Copies of stragglers: a second run where it is likely to end in time

A run that takes several times as long as its siblings made its job late although the step allows duplicates and the service has room: no second run was ever started, but for targets that stopped answering.

A copy starts when the run is likely to end too late for its job and a copy is not, by the run times of the queue, corrected by the step's own ended runs; when copies of such runs have ended first often enough; and when there is room beyond the work that waits. Extra work is at most 1 % of the service's. Where a step allows no duplicates, and for gangs and lasting tasks, nothing is doubled. A new leader adopts both runs.

--- a/base/event.c
+++ b/base/event.c
@@ -107,6 +107,10 @@
     [EVENT_RUN_START_ORDERED] =
         {"run.ordered", 500, "id run target waited_ms estimate_ms resumes",
          "a task was placed and its start was ordered"},
+    [EVENT_RUN_COPIED] =
+        {"run.copied", 200, "id run copy from to ran_ms late_permille",
+         "a second run of a task was started, since the first one takes much "
+         "longer than usual"},
     [EVENT_RUN_START_REFUSED] = {"run.refused", 200, "id run target answer",
                                  "a target refused a start"},
     [EVENT_RUN_START_UNANSWERED] =
--- a/bench/simlead.c
+++ b/bench/simlead.c
@@ -521,6 +521,9 @@
     totals->stops += counters->stops;
     totals->policy_queries += counters->policy_queries;
     totals->runs_lost += counters->runs_lost;
+    totals->copies += counters->copies;
+    totals->copies_won += counters->copies_won;
+    totals->copies_lost += counters->copies_lost;
     plan_free(sim->plan);
     sim->plan = NULL;
     sim->term++;
--- a/core/plan.c
+++ b/core/plan.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "core/plancopy.h"
 #include "core/planpriv.h"
 
 /* A gang of which only some members have a run is stopped after this. */
@@ -576,6 +577,7 @@
     for (guint i = 0; i < plan->upcoming_steps->len; i++) {
         plan_query_policy(plan, plan->upcoming_steps->pdata[i], now_ms);
     }
+    plan_start_copies(plan, now_ms);
 }
 
 /* ---- creation and queries ----------------------------------------------- */
@@ -597,6 +599,7 @@
         plan->params.policy = &PLAN_POLICY_DEFAULT;
     }
     plan->ops = *ops;
+    plan->copies = plan_copies_new();
     plan->open_steps = g_ptr_array_new();
     plan->upcoming_steps = g_ptr_array_new();
     plan->targets = g_ptr_array_new();
@@ -653,6 +656,7 @@
     g_ptr_array_free(plan->targets, TRUE);
     g_array_free(plan->silences, TRUE);
     g_free(plan->evidence.items);
+    plan_copies_free(plan->copies);
     g_hash_table_destroy(plan->pools);
     g_free(plan);
 }
--- a/core/plan.h
+++ b/core/plan.h
@@ -17,6 +17,7 @@
  *   planorder.c  order of the waiting steps, and admission of jobs
  *   planage.c    ages of jobs over terms, and turns of overdue ones
  *   planfit.c    placement of a step's tasks
+ *   plancopy.c   second runs of stragglers
  *   planhold.c   capacity reserved for large tasks
  *   planevac.c   evacuated data centres, and cold targets
  *   plancrash.c  crashes of targets, and the runs that may have caused them
@@ -114,6 +115,17 @@
     uint64_t free_accel;     /* accelerators free on those targets */
 };
 
+/* A second run of a task is about to be ordered. */
+struct plan_copy {
+    struct fleet_task_id task;
+    uint32_t run_number; /* of the first run */
+    uint32_t copy_number;
+    const struct fleet_target *from; /* of the first run */
+    const struct fleet_target *to;
+    uint64_t ran_ms;        /* how long the first run has lasted */
+    uint32_t late_permille; /* probability that it ends too late */
+};
+
 /* Orders and reports of the scheduler; on_* may be NULL. */
 struct plan_ops {
     void (*start_run)(void *ctx, const struct plan_start *start);
@@ -137,6 +149,8 @@
     void (*on_run_found)(void *ctx, const struct fleet_target *target,
                          const struct fleet_task_id *task, uint32_t run_number,
                          bool adopted);
+    /* See core/plancopy.h. */
+    void (*on_run_copied)(void *ctx, const struct plan_copy *copy);
     /* A step has waited for over a second; repeated once a second. */
     void (*on_step_waiting)(void *ctx, const struct plan_wait *wait);
     void (*on_run_lost)(void *ctx, const struct plan_lost_run *lost);
@@ -218,6 +232,12 @@
     uint64_t trials; /* starts of suspected tasks, apart from other starts */
     uint64_t tasks_given_up; /* since they crash their targets */
     uint64_t evacuated_runs; /* stopped to go on in another data centre */
+    uint64_t copies;             /* second runs of tasks; in starts as well */
+    uint64_t copies_won;         /* ended first */
+    uint64_t copies_lost;        /* stopped since the first run was done */
+    uint64_t copy_waste_milli_s; /* processor time of runs that a copy or the
+                                  * first run overtook, thousandths of a core
+                                  * times s */
     uint64_t policy_queries;
     uint64_t jobs_rejected;
     uint64_t passes;
--- a/core/planfit.c
+++ b/core/planfit.c
@@ -482,3 +482,10 @@
         place_tasks(plan, step, now_ms);
     }
 }
+
+bool
+plan_team_allows(const struct plan *plan, const struct fleet_team *team,
+                 const struct fleet_resources *size)
+{
+    return is_team_within_limit(plan, team, size);
+}
--- a/core/planlist.c
+++ b/core/planlist.c
@@ -3,14 +3,26 @@
  */
 #include <string.h>
 
+#include "core/plancopy.h"
 #include "core/planpriv.h"
 
 #define STOP_RETRY_MS 700u   /* before an unanswered stop is repeated */
 #define PACE_FACTOR 2u       /* between two paces */
 #define MIN_PACE_PERCENT 10u /* a lower pace is rounded to 0 */
 
+/* Whether a task goes on with one more run that an earlier leader started: it
+ * has none, or one beside which the earlier leader had started a copy. */
+static bool
+needs_listed_run(const struct plan *plan, const struct plan_step *step,
+                 const struct plan_task *task)
+{
+    return !step->job->ended && !task->done &&
+           (task->runs == 0 ||
+            (task->copies == 1 && plan_allows_copies(plan, step)));
+}
+
 /* Adds a listed run that was not ordered in this term. It is adopted if it is
- * in the target's first list and its task needs a run; otherwise stopped. */
+ * in the target's first list and its task needs it; otherwise stopped. */
 static void
 add_listed_run(struct plan *plan, struct plan_target *target,
                const struct plan_listed_run *listed, bool first,
@@ -29,9 +41,8 @@
     if (task_number == UINT32_MAX) {
         step = NULL;
     }
-    adopted = step != NULL && first && !pjob->ended &&
-              !pjob->tasks[task_number].done &&
-              pjob->tasks[task_number].runs == 0;
+    adopted = step != NULL && first &&
+              needs_listed_run(plan, step, &pjob->tasks[task_number]);
     run = plan_add_run(plan, target, step, &listed->task, task_number);
     run->run_number = listed->run_number;
     run->ordered_ms = now_ms;
@@ -39,6 +50,7 @@
     run->last_listed_ms = now_ms;
     run->state = RUN_ACTIVE;
     run->active_since_ms = now_ms;
+    run->is_inherited = true;
     if (step != NULL) {
         task = &pjob->tasks[task_number];
         task->next_run_number =
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -34,6 +34,8 @@
     uint64_t last_listed_ms; /* when its target last listed it; 0: never */
     bool start_in_flight;    /* a copy of its start order may still arrive */
     bool detached;      /* its task may have another run (def->duplicates) */
+    bool is_copy;       /* started while its task had another run */
+    bool is_inherited;  /* started before this term, at an unknown time */
     bool is_trial;      /* nothing else had just started on its target */
     bool is_open_crash; /* counted in its task's open_crashes */
     bool is_judged;     /* the crash of its target was counted */
@@ -132,6 +134,8 @@
                                 * 0: all or none have */
     bool query_in_flight;
     uint64_t expected_end_ms; /* when its last run should end */
+    uint32_t ended_runs;      /* learned by plancopy.c */
+    uint32_t ended_permille;  /* sum of their run times, of the estimate */
     bool is_trial;            /* its starts are trials; set before placement */
     uint64_t next_query_ms;   /* no policy query before this */
     uint32_t query_failures;  /* in a row; each doubles the timeout */
@@ -205,8 +209,9 @@
     GPtrArray *targets;        /* struct plan_target */
     GHashTable *pools;         /* service to struct plan_pool */
     GArray *silences; /* struct plan_silence of the last seconds, by time */
-    uint64_t last_silence;   /* number of the last one */
-    struct fp_list evidence; /* struct fleet_task_crash to be stored */
+    uint64_t last_silence;      /* number of the last one */
+    struct plan_copies *copies; /* see plancopy.c */
+    struct fp_list evidence;    /* struct fleet_task_crash to be stored */
     struct fleet_resources unlisted_capacity; /* of targets whose runs are not
                                                * known yet; set by each pass */
     int64_t wall_offset_ms;    /* wall clock less monotonic clock */
@@ -410,6 +415,10 @@
 /* Whether a task of the step could start on the target if that were empty. */
 bool plan_could_fit(const struct plan_target *target,
                     const struct plan_step *step);
+/* Whether the team stays within its limits with work of this size added. team
+ * may be NULL. */
+bool plan_team_allows(const struct plan *plan, const struct fleet_team *team,
+                      const struct fleet_resources *size);
 /* Starts as many tasks of the step as possible. */
 void plan_place_step(struct plan *plan, struct plan_step *step,
                      uint64_t now_ms);
--- a/core/planrun.c
+++ b/core/planrun.c
@@ -1,6 +1,7 @@
 /* planrun.c -- runs: starts, stops, ends, and evacuation of targets */
 #include <string.h>
 
+#include "core/plancopy.h"
 #include "core/planpriv.h"
 
 /* Delays before a task is started again. */
@@ -318,7 +319,12 @@
         run->is_trial = true;
         plan->counters.trials++;
     }
-    step->pending--;
+    if (task->runs == 1) {
+        step->pending--;
+    }
+    else {
+        run->is_copy = true;
+    }
     task->next_run_number = run_number + 1;
     run->run_number = run_number;
     run->state = RUN_STARTING;
@@ -489,6 +495,7 @@
     }
     if (run != NULL) {
         update_health(plan, ptarget, run, end->outcome, now_ms);
+        plan_learn_copies(plan, run, end->outcome, now_ms);
         plan_remove_run(plan, run);
     }
     if (step != NULL && task_number != UINT32_MAX) {
--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -600,6 +600,21 @@
           EVENT_STR("target", target->rec.id), EVENT_INT("wanted", adopted));
 }
 
+static void
+log_run_copied(void *ctx, const struct plan_copy *copy)
+{
+    char id[FLEET_TASK_ID_TEXT_BYTES];
+
+    (void)ctx;
+    fleet_task_id_text(&copy->task, id, sizeof(id));
+    EVENT(EVENT_RUN_COPIED, EVENT_STR("id", id),
+          EVENT_INT("run", copy->run_number),
+          EVENT_INT("copy", copy->copy_number),
+          EVENT_STR("from", copy->from->rec.id),
+          EVENT_STR("to", copy->to->rec.id), EVENT_INT("ran_ms", copy->ran_ms),
+          EVENT_INT("late_permille", copy->late_permille));
+}
+
 static void
 log_step_waiting(void *ctx, const struct plan_wait *wait)
 {
@@ -642,6 +657,7 @@
                                  .set_pace = dispatch_set_pace,
                                  .query_policy = dispatch_query_policy,
                                  .on_run_found = log_run_found,
+                                 .on_run_copied = log_run_copied,
                                  .on_step_waiting = log_step_waiting,
                                  .on_run_lost = dispatch_log_run_lost,
                                  .on_target_crashed =
--- a/node/fleetmetrics.c
+++ b/node/fleetmetrics.c
@@ -54,6 +54,11 @@
     add_value(out, "crash_trials_total", counters->trials);
     add_value(out, "tasks_given_up_total", counters->tasks_given_up);
     add_value(out, "evacuated_runs_total", counters->evacuated_runs);
+    add_value(out, "copies_total", counters->copies);
+    add_value(out, "copies_won_total", counters->copies_won);
+    add_value(out, "copies_lost_total", counters->copies_lost);
+    add_value(out, "copies_wasted_core_ms_total",
+              counters->copy_waste_milli_s);
     add_value(out, "policy_questions_total", counters->policy_queries);
     add_value(out, "jobs_rejected_total", counters->jobs_rejected);
     add_value(out, "plan_passes_total", counters->passes);
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -148,6 +148,17 @@
 core/planage.c	plan->fleet->now_ms + TERM_GAP_MAX_MS	UINT64_MAX	ShareOrder.AWallClock*
 core/planage.c	pool->overdue_job->turns++;	;	ShareOrder.EvenWork*
 core/planhold.c	return reserved_for->sort_key[0] >= CLASS_BEYOND_SHARE &&	return false &&	ShareOrder.AReservation*
+core/plancopy.c	plan->params.policy->copies && step->def->duplicates &&	plan->params.policy->copies &&	Copy.NothingIsDoubled*
+core/plancopy.c	task->failures.count + 2 <= max_attempts	max_attempts > 0	Copy.AttemptsAreKept*
+core/plancopy.c	task->runs == 1 && task->copies == 1 &&		Copy.AStraggler*
+core/plancopy.c	plan_team_allows(plan, step->job->job->team, size) &&		Copy.TheTeamLimit*
+core/plancopy.c	budget->extra + extra <= budget->work * EXTRA_WORK_PERMILLE / 1000	true	Copy.ExtraWork*
+core/plancopy.c	budget->is_full = true;	budget->is_full = false;	Copy.NoneWhile*
+core/plancopy.c	task->open_crashes == 0 && 		Copy.NoneForACancelled*
+core/plancopy.c	return (times->won + WON_PRIOR) * 1000 /	return 1000 + 0 * (times->won + WON_PRIOR) /	Copy.NoMoreThanTrials*
+core/planlist.c	(task->copies == 1 && plan_allows_copies(plan, step))	false	Copy.ANewLeaderAdopts*
+core/planlist.c	(task->copies == 1 && plan_allows_copies(plan, step))	true	Copy.ANewLeaderStops*
+core/planrun.c	    if (task->runs == 1) {\n        step->pending--;	    if (task->runs >= 1) {\n        step->pending--;	Copy.AStraggler*
 LIST
 echo "$CAUGHT passed, $MISSED failed"
 [ "$MISSED" = 0 ]
