Entry: a host takes in what its own limits allow, and answers the rest at once

Behind one load balancer each front gets the same share of the calls, also one with a third of the memory, descriptors and link of the others. Nothing bounded what a host took in: connections were kept until h2o's 30 s, requests were kept while no leader answered, each with up to 1 MiB, and with the descriptors used up not even the readiness check was accepted.

settings: limits {memory_mb, max_fds, link_mbps}, all optional; without them nothing is bounded. node/entry.c derives bounds on connections, unanswered requests, the bytes of their bodies and the bytes of incomplete requests. Beyond them: the connection idle for longest is closed for a new one; a request gets 503 host-full (not run, Retry-After) before its body is copied; slow senders are closed, the oldest first.

--- a/base/err.c
+++ b/base/err.c
@@ -69,6 +69,8 @@
                         "None of the system's hosts could be reached."},
     [FP_ERR_INTERNAL] = {"internal", 500, 15, FP_MAY_HAVE_RUN, false, 0,
                          "A fault in filbertpath itself."},
+    [FP_ERR_HOST_FULL] = {"host-full", 503, 8, FP_NOT_RUN, true, 500,
+                          "This host is full; use another."},
 };
 
 const struct fp_err_row *
--- a/base/err.h
+++ b/base/err.h
@@ -42,6 +42,7 @@
     FP_ERR_NO_MEMORY,         /* allocation failed */
     FP_ERR_NETWORK,           /* none of the system's hosts is reachable */
     FP_ERR_INTERNAL,          /* a bug in filbertpath */
+    FP_ERR_HOST_FULL,         /* this host has no room for the request */
     FP_ERR_COUNT
 };
 
--- a/base/event.c
+++ b/base/event.c
@@ -19,6 +19,10 @@
                             "the process started and serves requests"},
     [EVENT_NODE_DRAINING] = {"node.draining", 5, "host signal in_flight",
                              "a signal started the shutdown"},
+    [EVENT_HOST_FULL] =
+        {"host.full", 5, "host refused requests connections",
+         "the host refused requests or connections of clients, "
+         "beyond its bounds"},
     [EVENT_NODE_ENDED] = {"node.ended", 5, "host in_flight",
                           "the process is about to exit"},
     [EVENT_SETTINGS_RELOADED] = {"settings.read", 5, "path seeds",
--- /dev/null
+++ b/node/entry.h
@@ -0,0 +1,55 @@
+/* entry.h -- how much a host takes in at its entry
+ *
+ * Pure decisions. Bounds follow from the host's own limits (settings.limits):
+ * hosts of unlike size behind one load balancer get the same share of the
+ * calls, and the smallest must neither run out of memory nor of descriptors,
+ * nor queue more on its link than it can send in time. What exceeds a bound is
+ * refused at once, before any of it is passed on.
+ */
+#ifndef FP_ENTRY_H
+#define FP_ENTRY_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Limits of the host; 0: not known, and not a bound. */
+struct entry_limits {
+    uint32_t memory_mb;
+    uint32_t max_fds;
+    uint32_t link_kbps;
+};
+
+/* Bounds of a listener; 0: none. */
+struct entry_bounds {
+    uint32_t connections;   /* open at once */
+    uint32_t requests;      /* unanswered */
+    uint64_t request_bytes; /* sum of their bodies; one is always taken */
+    uint64_t partial_bytes; /* received of requests that are not complete */
+};
+
+/* What a listener holds at the moment. */
+struct entry_load {
+    uint32_t connections;
+    uint32_t idle; /* of them, without a request that is unanswered */
+    uint32_t requests;
+    uint64_t request_bytes;
+};
+
+/* What to do with a new connection. */
+enum entry_admission {
+    ENTRY_TAKE,
+    ENTRY_REPLACE_IDLE, /* after the oldest idle connection is closed */
+    ENTRY_CLOSE         /* it is closed before anything is read */
+};
+
+void entry_set_bounds(const struct entry_limits *limits,
+                      struct entry_bounds *bounds);
+
+enum entry_admission entry_admit_connection(const struct entry_bounds *bounds,
+                                            const struct entry_load *load);
+
+/* Whether another request is taken; load does not include it. */
+bool entry_takes_request(const struct entry_bounds *bounds,
+                         const struct entry_load *load, uint64_t body_bytes);
+
+#endif /* FP_ENTRY_H */
--- a/node/fleetmetrics.c
+++ b/node/fleetmetrics.c
@@ -40,6 +40,27 @@
     add_value(out, "bus_malformed_total", counters->malformed);
 }
 
+/* What the clients' listener holds, its bounds and how often they were met. */
+static void
+add_entry(GString *out, const struct httpd *clients)
+{
+    const struct httpd_counters *counters = httpd_counters(clients);
+    const struct entry_bounds *bounds = httpd_bounds(clients);
+    struct entry_load load;
+
+    httpd_load(clients, &load);
+    add_value(out, "entry_connections", load.connections);
+    add_value(out, "entry_connections_max", bounds->connections);
+    add_value(out, "entry_requests", load.requests);
+    add_value(out, "entry_requests_max", bounds->requests);
+    add_value(out, "entry_request_bytes", load.request_bytes);
+    add_value(out, "entry_request_bytes_max", bounds->request_bytes);
+    add_value(out, "entry_refused_total", counters->refused_requests);
+    add_value(out, "entry_closed_idle_total", counters->closed_idle);
+    add_value(out, "entry_closed_new_total", counters->closed_new);
+    add_value(out, "entry_closed_partial_total", counters->closed_partial);
+}
+
 static void
 add_plan_counters(GString *out, const struct plan_counters *counters)
 {
@@ -153,6 +174,9 @@
     add_relay_counters(out, sources->relay);
     add_call_latencies(out, relay_counters(sources->relay));
     add_bus_counters(out, sources->bus);
+    if (sources->clients != NULL) {
+        add_entry(out, sources->clients);
+    }
     if (sources->replica != NULL) {
         const struct raft *raft = replica_raft(sources->replica);
 
--- a/node/fleetmetrics.h
+++ b/node/fleetmetrics.h
@@ -10,6 +10,7 @@
 struct fleetmetrics_sources {
     const struct relay *relay;
     const struct bus *bus;
+    const struct httpd *clients;     /* NULL on a host without clients */
     const struct replica *replica;   /* NULL on a front host */
     const struct dispatch *dispatch; /* NULL unless this host leads */
     const struct fleet *fleet;       /* not used unless this host leads */
--- a/node/fleetnode.c
+++ b/node/fleetnode.c
@@ -21,6 +21,7 @@
 /* A host that has had no answer from a leader for longer is not ready. */
 #define LEADER_SILENCE_MAX_MS 2000u
 #define MEMBERSHIP_INTERVAL_MS 200u
+#define ENTRY_INTERVAL_MS 200u   /* checks what incomplete requests hold */
 #define RELOAD_INTERVAL_MS 1000u /* checks the settings file for changes */
 /* End of STAGE_UNREADY and latest exit, in eighths of the grace time since the
  * signal. The rest is a reserve. */
@@ -456,6 +457,7 @@
     struct fleetmetrics_sources sources = {
         .relay = node->relay,
         .bus = node->replica != NULL ? replica_bus(node->replica) : node->bus,
+        .clients = node->client_httpd,
         .replica = node->replica,
         .dispatch = node->dispatch,
         .fleet = node->fleet,
@@ -626,6 +628,44 @@
     advance_drain(node, now_ms);
 }
 
+/* Only clients' connections are bounded: those of targets and operators are as
+ * many as the fleet has. */
+static void
+set_entry_bounds(struct fleetnode *node)
+{
+    const struct settings_limits *settings = &node->settings->limits;
+    const struct entry_limits limits = {settings->memory_mb, settings->max_fds,
+                                        settings->link_kbps};
+    struct entry_bounds bounds;
+
+    entry_set_bounds(&limits, &bounds);
+    if (node->client_httpd != NULL) {
+        httpd_set_bounds(node->client_httpd, &bounds);
+    }
+}
+
+static void
+on_entry_timer(void *ctx, uint64_t now_ms)
+{
+    struct fleetnode *node = ctx;
+    struct entry_load load;
+    uint64_t refused;
+
+    (void)now_ms;
+    if (node->client_httpd == NULL) {
+        return;
+    }
+    httpd_check_partial(node->client_httpd);
+    refused = httpd_take_refused(node->client_httpd);
+    if (refused > 0) {
+        httpd_load(node->client_httpd, &load);
+        EVENT(EVENT_HOST_FULL, EVENT_STR("host", node->settings->host),
+              EVENT_INT("refused", refused),
+              EVENT_INT("requests", load.requests),
+              EVENT_INT("connections", load.connections));
+    }
+}
+
 static void
 on_flush(uv_prepare_t *prepare)
 {
@@ -731,6 +771,7 @@
     add_seed_hosts(node, fleet);
     err = open_httpd(node, fleet->clients, on_client_request,
                      &node->client_httpd, why, why_bytes);
+    set_entry_bounds(node);
     if (err == FP_OK) {
         err = open_httpd(node, fleet->control, on_control_request,
                          &node->control_httpd, why, why_bytes);
@@ -753,6 +794,7 @@
 {
     timers_subscribe(node->timers, TICK_INTERVAL_MS, on_tick, node);
     timers_subscribe(node->timers, PING_INTERVAL_MS, on_ping_timer, node);
+    timers_subscribe(node->timers, ENTRY_INTERVAL_MS, on_entry_timer, node);
     timers_subscribe(node->timers, RELOAD_INTERVAL_MS, on_reload_timer, node);
     if (node->replica != NULL) {
         timers_subscribe(node->timers, MEMBERSHIP_INTERVAL_MS,
--- a/node/httpd.h
+++ b/node/httpd.h
@@ -11,6 +11,7 @@
 #include <uv.h>
 
 #include "base/err.h"
+#include "node/entry.h"
 #include "node/settings.h"
 
 #define HTTPD_BODY_MAX_BYTES (1024u * 1024) /* h2o rejects larger bodies */
@@ -40,6 +41,31 @@
                       void *ctx, struct httpd **out, char *why,
                       size_t why_bytes);
 
+/* How often a server met its bounds. */
+struct httpd_counters {
+    uint64_t refused_requests;
+    uint64_t closed_idle;        /* connections, to make room for new ones */
+    uint64_t closed_new;         /* connections, since all others were busy */
+    uint64_t closed_partial;     /* connections that sent requests slowly */
+    uint64_t refused_since_read; /* all but closed_idle since the last
+                                  * httpd_take_refused() */
+};
+
+/* Sets bounds on what the server takes in. A request beyond them is answered
+ * at once by FP_ERR_HOST_FULL; its body is not read into a request. */
+void httpd_set_bounds(struct httpd *httpd, const struct entry_bounds *bounds);
+
+/* Closes connections, the oldest first, while requests that are not complete
+ * hold more memory than the bound; call it several times a second. */
+void httpd_check_partial(struct httpd *httpd);
+
+/* Refusals since the last call. */
+uint64_t httpd_take_refused(struct httpd *httpd);
+
+const struct entry_bounds *httpd_bounds(const struct httpd *httpd);
+const struct httpd_counters *httpd_counters(const struct httpd *httpd);
+void httpd_load(const struct httpd *httpd, struct entry_load *load);
+
 /* Begins a graceful shutdown: each connection is closed after its next
  * response, which carries "Connection: close". New connections are still
  * accepted.
--- a/node/settings.c
+++ b/node/settings.c
@@ -54,6 +54,15 @@
     TIME_FIELD(task_lease_ms),   TIME_FIELD(drain_ms),
     TIME_FIELD(drain_max_ms),    CYAML_FIELD_END};
 
+static const cyaml_schema_field_t LIMITS_FIELDS[] = {
+    CYAML_FIELD_UINT("memory_mb", CYAML_FLAG_OPTIONAL, struct settings_limits,
+                     memory_mb),
+    CYAML_FIELD_UINT("max_fds", CYAML_FLAG_OPTIONAL, struct settings_limits,
+                     max_fds),
+    CYAML_FIELD_FLOAT("link_mbps", CYAML_FLAG_OPTIONAL, struct settings_limits,
+                      link_mbps),
+    CYAML_FIELD_END};
+
 static const cyaml_schema_field_t LOG_FIELDS[] = {
     CYAML_FIELD_STRING_PTR("format", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
                            struct settings_log, format, 1, 16),
@@ -118,6 +127,8 @@
                         LOG_FIELDS),
     CYAML_FIELD_MAPPING("times", CYAML_FLAG_OPTIONAL, struct settings, times,
                         TIMES_FIELDS),
+    CYAML_FIELD_MAPPING("limits", CYAML_FLAG_OPTIONAL, struct settings, limits,
+                        LIMITS_FIELDS),
     CYAML_FIELD_MAPPING_PTR("curve", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
                             struct settings, curve, CURVE_FIELDS),
     CYAML_FIELD_MAPPING_PTR("tls", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
@@ -227,6 +238,34 @@
     return true;
 }
 
+/* 0 means that the limit is not known. */
+static bool
+check_limit(const char *key, double value, double min, double max, char *why,
+            unsigned why_bytes)
+{
+    if (value != 0 && !(value >= min && value <= max)) {
+        snprintf(why, why_bytes, "limits.%s: %g is outside %g to %g", key,
+                 value, min, max);
+        return false;
+    }
+    return true;
+}
+
+static bool
+check_limits(struct settings_limits *limits, char *why, unsigned why_bytes)
+{
+    if (!check_limit("memory_mb", limits->memory_mb, 16, 1 << 24, why,
+                     why_bytes) ||
+        !check_limit("max_fds", limits->max_fds, 64, 1 << 24, why,
+                     why_bytes) ||
+        !check_limit("link_mbps", limits->link_mbps, 0.01, 1e6, why,
+                     why_bytes)) {
+        return false;
+    }
+    limits->link_kbps = (uint32_t)(limits->link_mbps * 1000);
+    return true;
+}
+
 /* Checks the form that key_hash_secret() writes. */
 static bool
 is_key_hash(const char *text)
@@ -500,6 +539,7 @@
     if (settings->fleet != NULL) {
         return check_log(&settings->log, why, why_bytes) &&
                check_times(&settings->times, why, why_bytes) &&
+               check_limits(&settings->limits, why, why_bytes) &&
                check_fleet(settings, why, why_bytes) &&
                check_bus_encryption(settings, why, why_bytes);
     }
@@ -517,6 +557,7 @@
     }
     return check_log(&settings->log, why, why_bytes) &&
            check_times(&settings->times, why, why_bytes) &&
+           check_limits(&settings->limits, why, why_bytes) &&
            check_hosts(settings, why, why_bytes) &&
            check_bus_encryption(settings, why, why_bytes);
 }
--- a/node/settings.h
+++ b/node/settings.h
@@ -50,6 +50,15 @@
     char *level;  /* debug, info, notice or warning; NULL: not set */
 };
 
+/* Limits of the host that a process should keep within; 0 or absent: none is
+ * known. See node/entry.h. */
+struct settings_limits {
+    uint32_t memory_mb; /* 16 to 16777216 */
+    uint32_t max_fds;   /* 64 to 16777216: open descriptors */
+    double link_mbps;   /* 0.01 to 1000000 */
+    uint32_t link_kbps; /* set by settings_load() from link_mbps */
+};
+
 /* Additional settings of a host in a platform deployment: it discovers the
  * other hosts from a few seeds instead of a full list, and hosts are named by
  * their IP address. Absent addresses are NULL.
@@ -94,6 +103,7 @@
     uint32_t snapshot_entries; /* 100 to 1000000: log length for a snapshot */
     struct settings_log log;
     struct settings_times times;
+    struct settings_limits limits;
     struct settings_curve *curve; /* NULL: the bus is not encrypted */
     struct settings_tls *tls;     /* NULL: plain HTTP */
     struct settings_host *hosts;  /* with fleet set: only this host */
--- /dev/null
+++ b/tests/entry_test.cc
@@ -0,0 +1,297 @@
+// Bounds on what a host takes in: decisions, and an HTTP server under clients
+// that open connections without end, send slowly or wait for answers.
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "node/entry.h"
+#include "node/httpd.h"
+}
+
+namespace {
+
+entry_bounds bounds_of(uint32_t memory_mb, uint32_t fds, uint32_t kbps)
+{
+    entry_limits limits = {memory_mb, fds, kbps};
+    entry_bounds bounds;
+    entry_set_bounds(&limits, &bounds);
+    return bounds;
+}
+
+TEST(Entry, BoundsFollowFromTheHostsLimits)
+{
+    entry_bounds small = bounds_of(120, 3075, 1500);
+    entry_bounds large = bounds_of(400, 10250, 5000);
+    EXPECT_GT(small.connections, 500u);
+    EXPECT_LT(small.connections, 3075u);
+    EXPECT_GT(large.connections, 3 * small.connections);
+    EXPECT_GT(large.requests, 3 * small.requests);
+    EXPECT_LE(small.request_bytes, 1500u * 1000 / 8); // a second of the link
+    // What the bounds allow takes less than the memory: 8 kB a connection, 16 kB a
+    // request, five copies of a body.
+    uint64_t bytes = small.connections * 8192ull + small.requests * 16384ull +
+                     5 * small.request_bytes + small.partial_bytes;
+    EXPECT_LT(bytes, 120ull << 20);
+}
+
+TEST(Entry, WithoutLimitsThereAreNoBounds)
+{
+    entry_bounds none = bounds_of(0, 0, 0);
+    entry_load load = {1u << 20, 0, 1u << 20, 1ull << 40};
+    EXPECT_EQ(entry_admit_connection(&none, &load), ENTRY_TAKE);
+    EXPECT_TRUE(entry_takes_request(&none, &load, 1 << 20));
+}
+
+TEST(Entry, OneOfTheLimitsSuffices)
+{
+    EXPECT_LT(bounds_of(0, 4096, 0).connections, 4096u);
+    EXPECT_GT(bounds_of(0, 4096, 0).connections, 2048u);
+    EXPECT_EQ(bounds_of(0, 4096, 0).requests, 0u);
+    EXPECT_EQ(bounds_of(0, 0, 8000).request_bytes, 500000u);
+    EXPECT_GT(bounds_of(64, 0, 0).requests, 0u);
+    EXPECT_GE(bounds_of(16, 64, 0).connections, 16u);
+}
+
+TEST(Entry, AConnectionReplacesAnIdleOneOrIsClosed)
+{
+    entry_bounds bounds = {4, 2, 0, 0};
+    entry_load load = {3, 0, 0, 0};
+    EXPECT_EQ(entry_admit_connection(&bounds, &load), ENTRY_TAKE);
+    load.connections = 4;
+    EXPECT_EQ(entry_admit_connection(&bounds, &load), ENTRY_CLOSE);
+    load.idle = 1;
+    EXPECT_EQ(entry_admit_connection(&bounds, &load), ENTRY_REPLACE_IDLE);
+}
+
+TEST(Entry, RequestsAreBoundedByNumberAndBytes)
+{
+    entry_bounds bounds = {0, 3, 1000, 0};
+    entry_load load = {0, 0, 2, 900};
+    EXPECT_TRUE(entry_takes_request(&bounds, &load, 100));
+    EXPECT_FALSE(entry_takes_request(&bounds, &load, 101));
+    load = {0, 0, 3, 0};
+    EXPECT_FALSE(entry_takes_request(&bounds, &load, 0));
+    load = {0, 0, 0, 0};
+    EXPECT_TRUE(entry_takes_request(&bounds, &load, 5000)); // alone
+}
+
+// A server on loopback with its clients, on one thread.
+struct Server {
+    uv_loop_t loop;
+    httpd *server = nullptr;
+    std::vector<http_request *> waiting;
+    std::vector<int> clients;
+    sockaddr_in address = {};
+    explicit Server(const entry_bounds &bounds)
+    {
+        char why[200] = "";
+        uv_loop_init(&loop);
+        for (int port = 21800; port < 21900; port++) {
+            std::string text = "127.0.0.1:" + std::to_string(port);
+            if (httpd_new(&loop, text.c_str(), nullptr, on_request, this,
+                          &server, why, sizeof(why)) == FP_OK) {
+                address.sin_family = AF_INET;
+                address.sin_port = htons((uint16_t)port);
+                inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+                break;
+            }
+            httpd_close(server);
+            run();
+            httpd_free(server);
+            server = nullptr;
+        }
+        if (server != nullptr) {
+            httpd_set_bounds(server, &bounds);
+        }
+    }
+    ~Server()
+    {
+        answer_all();
+        for (int fd : clients) {
+            close(fd);
+        }
+        run();
+        httpd_close(server);
+        run();
+        httpd_free(server);
+        uv_loop_close(&loop);
+    }
+    Server(const Server &) = delete;
+    Server &operator=(const Server &) = delete;
+
+    static void on_request(void *ctx, http_request *request)
+    {
+        ((Server *)ctx)->waiting.push_back(request);
+    }
+    void run()
+    {
+        for (int i = 0; i < 20; i++) {
+            uv_run(&loop, UV_RUN_NOWAIT);
+            usleep(500);
+        }
+    }
+    int connect_client()
+    {
+        int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        EXPECT_EQ(connect(fd, (sockaddr *)&address, sizeof(address)), 0);
+        fcntl(fd, F_SETFL, O_NONBLOCK);
+        clients.push_back(fd);
+        run();
+        return fd;
+    }
+    void send_text(int fd, const std::string &text)
+    {
+        EXPECT_EQ(write(fd, text.data(), text.size()), (ssize_t)text.size());
+        run();
+    }
+    void post(int fd, size_t body_bytes)
+    {
+        send_text(fd, "POST /q/1 HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                          std::to_string(body_bytes) + "\r\n\r\n" +
+                          std::string(body_bytes, 'x'));
+    }
+    void answer_all()
+    {
+        for (http_request *request : waiting) {
+            http_reply(request, 200, "", "ok", 2, 0);
+        }
+        waiting.clear();
+        run();
+    }
+    // What the client has received; "closed": the end of the connection.
+    static std::string received(int fd)
+    {
+        char text[2000];
+        ssize_t bytes = read(fd, text, sizeof(text));
+        return bytes > 0 ? std::string(text, (size_t)bytes)
+                         : (bytes == 0 || errno == ECONNRESET ? "closed" : "");
+    }
+};
+
+TEST(Entry, TheOldestIdleConnectionsAreClosedForNewOnes)
+{
+    Server server({8, 0, 0, 0});
+    ASSERT_NE(server.server, nullptr);
+    int busy = server.connect_client();
+    server.post(busy, 2);
+    std::vector<int> fds;
+    for (int i = 0; i < 100; i++) {
+        fds.push_back(server.connect_client());
+    }
+    entry_load load;
+    httpd_load(server.server, &load);
+    EXPECT_EQ(load.connections, 8u);
+    EXPECT_EQ(httpd_counters(server.server)->closed_idle, 93u);
+    EXPECT_EQ(Server::received(fds[0]), "closed");
+    EXPECT_EQ(Server::received(fds[92]), "closed");
+    EXPECT_EQ(Server::received(fds[93]), "");
+    server.answer_all(); // the one with a request was kept
+    EXPECT_NE(Server::received(busy).find("200"), std::string::npos);
+    server.post(fds[99], 2); // and new ones are served
+    ASSERT_EQ(server.waiting.size(), 1u);
+    server.answer_all();
+    EXPECT_NE(Server::received(fds[99]).find("200"), std::string::npos);
+}
+
+TEST(Entry, AConnectionIsClosedAtOnceWhenAllOthersAreBusy)
+{
+    Server server({4, 0, 0, 0});
+    ASSERT_NE(server.server, nullptr);
+    for (int i = 0; i < 4; i++) {
+        server.post(server.connect_client(), 2);
+    }
+    int fd = server.connect_client();
+    EXPECT_EQ(Server::received(fd), "closed");
+    EXPECT_EQ(httpd_counters(server.server)->closed_new, 1u);
+    EXPECT_EQ(server.waiting.size(), 4u);
+    server.answer_all();
+    EXPECT_EQ(Server::received(server.connect_client()), "");
+}
+
+TEST(Entry, RequestsBeyondTheBoundAreAnsweredAtOnce)
+{
+    Server server({0, 3, 0, 0});
+    ASSERT_NE(server.server, nullptr);
+    std::vector<int> fds;
+    for (int i = 0; i < 9; i++) {
+        fds.push_back(server.connect_client());
+        server.post(fds.back(), 50);
+    }
+    EXPECT_EQ(server.waiting.size(), 3u);
+    for (int i = 3; i < 9; i++) {
+        std::string text = Server::received(fds[i]);
+        EXPECT_NE(text.find("503"), std::string::npos) << text;
+        EXPECT_NE(text.find("retry-after: 1"), std::string::npos) << text;
+        EXPECT_NE(text.find("\"not run\""), std::string::npos) << text;
+    }
+    EXPECT_EQ(httpd_counters(server.server)->refused_requests, 6u);
+    EXPECT_EQ(httpd_take_refused(server.server), 6u);
+    EXPECT_EQ(httpd_take_refused(server.server), 0u);
+    server.answer_all();
+    server.post(fds[8], 50); // on the connection that was refused before
+    EXPECT_EQ(server.waiting.size(), 1u);
+}
+
+TEST(Entry, BodiesOfWaitingRequestsAreBounded)
+{
+    Server server({0, 0, 1000, 0});
+    ASSERT_NE(server.server, nullptr);
+    for (int i = 0; i < 5; i++) {
+        server.post(server.connect_client(), 400);
+    }
+    EXPECT_EQ(server.waiting.size(), 2u);
+    EXPECT_EQ(httpd_counters(server.server)->refused_requests, 3u);
+}
+
+// Clients that announce a large body, send some of it and then nothing.
+TEST(Entry, SlowSendersAreClosedOldestFirst)
+{
+    Server server({0, 0, 0, 100000});
+    ASSERT_NE(server.server, nullptr);
+    std::vector<int> fds;
+    for (int i = 0; i < 8; i++) {
+        fds.push_back(server.connect_client());
+        server.send_text(fds.back(),
+                         "POST /q/1 HTTP/1.1\r\nHost: h\r\n"
+                         "Content-Length: 60000\r\n\r\n" +
+                             std::string(30000, 'x'));
+    }
+    httpd_check_partial(server.server);
+    server.run();
+    EXPECT_EQ(httpd_counters(server.server)->closed_partial, 5u);
+    EXPECT_EQ(Server::received(fds[4]), "closed");
+    server.send_text(fds[7], std::string(30000, 'x'));
+    ASSERT_EQ(server.waiting.size(), 1u);
+}
+
+TEST(Entry, AClientThatLeavesFreesItsPlace)
+{
+    Server server({2, 2, 0, 0});
+    ASSERT_NE(server.server, nullptr);
+    server.post(server.connect_client(), 2);
+    server.post(server.connect_client(), 2);
+    for (int fd : server.clients) {
+        close(fd);
+    }
+    server.clients.clear();
+    server.run();
+    entry_load load;
+    httpd_load(server.server, &load);
+    EXPECT_EQ(load.requests, 2u); // they are still worked on
+    server.answer_all();
+    httpd_load(server.server, &load);
+    EXPECT_EQ(load.connections, 0u);
+    EXPECT_EQ(load.requests, 0u);
+    server.post(server.connect_client(), 2);
+    EXPECT_EQ(server.waiting.size(), 1u);
+}
+
+} // namespace
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -159,6 +159,13 @@
 core/planlist.c	(task->copies == 1 && plan_allows_copies(plan, step))	false	Copy.ANewLeaderAdopts*
 core/planlist.c	(task->copies == 1 && plan_allows_copies(plan, step))	true	Copy.ANewLeaderStops*
 core/planrun.c	    if (task->runs == 1) {\n        step->pending--;	    if (task->runs >= 1) {\n        step->pending--;	Copy.AStraggler*
+node/entry.c	load->requests >= bounds->requests	false	Entry.RequestsBeyond*
+node/entry.c	load->request_bytes + body_bytes <= bounds->request_bytes	true	Entry.BodiesOf*
+node/entry.c	return load->idle > 0 ? ENTRY_REPLACE_IDLE : ENTRY_CLOSE;	return ENTRY_TAKE;	Entry.TheOldestIdle*
+node/httpd.c	g_queue_push_tail_link(&conn->httpd->idle, &conn->link);	g_queue_push_head_link(&conn->httpd->idle, &conn->link);	Entry.TheOldestIdle*
+node/httpd.c	        set_idle(ref->conn, false);\n		Entry.TheOldestIdle*
+node/httpd.c	bytes > httpd->bounds.partial_bytes	false	Entry.SlowSenders*
+node/settings.c	value != 0 && !(value >= min && value <= max)	false	Settings.ErrorsName*
 LIST
 echo "$CAUGHT passed, $MISSED failed"
 [ "$MISSED" = 0 ]
--- a/tests/store_test.cc
+++ b/tests/store_test.cc
@@ -399,6 +399,9 @@
 TEST(Settings, ErrorsNameFieldAndProblem)
 {
     EXPECT_EQ(load_error(GOOD), "");
+    EXPECT_EQ(load_error(GOOD + "limits: {memory_mb: 120, max_fds: 3075, "
+                                "link_mbps: 1.5}\n"),
+              "");
     const struct {
         std::string text;
         const char *expected;
@@ -408,6 +411,11 @@
          "times.fresh_ms: 9000 is outside 500 to 2500 ms"},
         {GOOD + "times:\n  fresh_ms: soon\n", "fresh_ms"},
         {GOOD + "times:\n  heartbeat_ms: 400\n", "times.election_min_ms"},
+        {GOOD + "limits:\n  memory_mb: 4\n",
+         "limits.memory_mb: 4 is outside 16"},
+        {GOOD + "limits:\n  link_mbps: -1\n", "limits.link_mbps: -1"},
+        {GOOD + "limits:\n  max_fds: 8\n", "limits.max_fds: 8 is outside"},
+        {GOOD + "limits:\n  cores: 2\n", "cores"},
         {GOOD + "log:\n  level: loud\n", "log.level: 'loud'"},
         {GOOD + "snapshot_entries: 5\n", "snapshot_entries: 5 is outside"},
         {GOOD + "  - name: h1\n    data_centre: d\n    bus: 127.0.0.1:3\n"
