--- a/base/event.c
+++ b/base/event.c
@@ -19,6 +19,10 @@
                             "the process started and serves requests"},
     [EVENT_NODE_DRAINING] = {"node.draining", 5, "host signal in_flight",
                              "a signal started the shutdown"},
+    [EVENT_HOST_FULL] =
+        {"host.full", 5, "host refused requests connections",
+         "the host refused requests or connections of clients, "
+         "beyond its bounds"},
     [EVENT_NODE_ENDED] = {"node.ended", 5, "host in_flight",
                           "the process is about to exit"},
     [EVENT_SETTINGS_RELOADED] = {"settings.read", 5, "path seeds",
@@ -110,6 +114,10 @@
     [EVENT_RUN_START_ORDERED] =
         {"run.ordered", 500, "id run target waited_ms estimate_ms resumes",
          "a task was placed and its start was ordered"},
+    [EVENT_RUN_COPIED] =
+        {"run.copied", 200, "id run copy from to ran_ms late_permille",
+         "a second run of a task was started, since the first one takes much "
+         "longer than usual"},
     [EVENT_RUN_START_REFUSED] = {"run.refused", 200, "id run target answer",
                                  "a target refused a start"},
     [EVENT_RUN_START_UNANSWERED] =
--- a/core/plan.c
+++ b/core/plan.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "core/plancopy.h"
 #include "core/planpriv.h"
 
 /* A gang of which only some members have a run is stopped after this. */
@@ -591,6 +592,7 @@
     if (plan->params.policy->forecasts) {
         plan_update_backlogs(plan, now_ms);
     }
+    plan_start_copies(plan, now_ms);
 }
 
 /* ---- creation and queries ----------------------------------------------- */
@@ -613,6 +615,7 @@
     }
     plan->ops = *ops;
     plan->admissions = plan_admissions_new();
+    plan->copies = plan_copies_new();
     plan->open_steps = g_ptr_array_new();
     plan->upcoming_steps = g_ptr_array_new();
     plan->targets = g_ptr_array_new();
@@ -670,6 +673,7 @@
     g_array_free(plan->silences, TRUE);
     g_free(plan->evidence.items);
     plan_admissions_free(plan->admissions);
+    plan_copies_free(plan->copies);
     g_hash_table_destroy(plan->pools);
     g_free(plan);
 }
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -152,6 +152,24 @@
 core/planticket.c	candidate.rank = plan->params.policy->packs_all	candidate.rank = false	Pack.AQueryNamesTargetsWith*
 core/planticket.c	        rank = plan_count_fitting(target, &used, size) > 0 ? 1ull << 32 : 0;	        rank = 0;	Pack.AQueryNamesTargetsThatAreFree*
 core/planpack.c	if (capacity == 0 || used + size >= capacity) {	if (capacity == 0) {	Pack.ATargetThatShrank*
+core/plancopy.c	plan->params.policy->copies && step->def->duplicates &&	plan->params.policy->copies &&	Copy.NothingIsDoubled*
+core/plancopy.c	task->failures.count + 2 <= max_attempts	max_attempts > 0	Copy.AttemptsAreKept*
+core/plancopy.c	task->runs == 1 && task->copies == 1 &&		Copy.AStraggler*
+core/plancopy.c	plan_team_allows(plan, step->job->job->team, size) &&		Copy.TheTeamLimit*
+core/plancopy.c	budget->extra + extra <= budget->work * EXTRA_WORK_PERMILLE / 1000	true	Copy.ExtraWork*
+core/plancopy.c	budget->is_full = true;	budget->is_full = false;	Copy.NoneWhile*
+core/plancopy.c	task->open_crashes == 0 && 		Copy.NoneForACancelled*
+core/plancopy.c	return (times->won + WON_PRIOR) * 1000 /	return 1000 + 0 * (times->won + WON_PRIOR) /	Copy.NoMoreThanTrials*
+core/planlist.c	(task->copies == 1 && plan_allows_copies(plan, step))	false	Copy.ANewLeaderAdopts*
+core/planlist.c	(task->copies == 1 && plan_allows_copies(plan, step))	true	Copy.ANewLeaderStops*
+core/planrun.c	    if (task->runs == 1) {\n        step->pending--;	    if (task->runs >= 1) {\n        step->pending--;	Copy.AStraggler*
+node/entry.c	load->requests >= bounds->requests	false	Entry.RequestsBeyond*
+node/entry.c	load->request_bytes + body_bytes <= bounds->request_bytes	true	Entry.BodiesOf*
+node/entry.c	return load->idle > 0 ? ENTRY_REPLACE_IDLE : ENTRY_CLOSE;	return ENTRY_TAKE;	Entry.TheOldestIdle*
+node/httpd.c	g_queue_push_tail_link(&conn->httpd->idle, &conn->link);	g_queue_push_head_link(&conn->httpd->idle, &conn->link);	Entry.TheOldestIdle*
+node/httpd.c	        set_idle(ref->conn, false);\n		Entry.TheOldestIdle*
+node/httpd.c	bytes > httpd->bounds.partial_bytes	false	Entry.SlowSenders*
+node/settings.c	value != 0 && !(value >= min && value <= max)	false	Settings.ErrorsName*
 LIST
 echo "$CAUGHT passed, $MISSED failed"
 [ "$MISSED" = 0 ]
