--- a/bench/replay.c
+++ b/bench/replay.c
@@ -141,7 +141,7 @@
     return json_pack(
         "{s:o,s:f,s:s,s:s,s:o,s:o,s:o,s:f,s:f,s:f,s:I,s:I,s:I,s:i,s:i,s:i,s:i,"
         "s:i,s:i,"
-        "s:o,s:s}",
+        "s:o,s:i,s:s}",
         "within", within, "fairness", replay_fairness(load, result), "load",
         load->name, "policy", policy->name, "all", all, "queues", queues,
         "teams", teams, "wasted_core_s",
@@ -154,7 +154,8 @@
         "over_cap", (int)breaches->over_cap, "stuck", (int)breaches->stuck,
         "over_crashes", (int)breaches->over_crashes, "wrongly_given_up",
         (int)breaches->wrongly_given_up, "crashes", report_crashes(result),
-        "first_breach", breaches->first);
+        "evacuated", (int)breaches->evacuated, "first_breach",
+        breaches->first);
 }
 
 static double
@@ -225,20 +226,23 @@
         print_row(policy, json_object_get(report, "all"));
         printf("%-14s fairness of teams within their shares %.3f\n", policy,
                get_number(report, "fairness"));
-        printf("%-14s wasted %.0f core-s, %d starts, %d questions; decision "
-               "p50 %.0f us, p99 %.0f us; breaches: %d over size, %d doubled, "
-               "%d over cap, %d stuck, %d over crashes, %d wrongly given up\n",
-               policy, get_number(report, "wasted_core_s"),
-               (int)get_number(report, "starts"),
-               (int)get_number(report, "questions"),
-               get_number(report, "decision_p50_us"),
-               get_number(report, "decision_p99_us"),
-               (int)get_number(report, "over_size"),
-               (int)get_number(report, "doubled"),
-               (int)get_number(report, "over_cap"),
-               (int)get_number(report, "stuck"),
-               (int)get_number(report, "over_crashes"),
-               (int)get_number(report, "wrongly_given_up"));
+        printf(
+            "%-14s wasted %.0f core-s, %d starts, %d questions; decision "
+            "p50 %.0f us, p99 %.0f us; breaches: %d over size, %d doubled, "
+            "%d over cap, %d stuck, %d over crashes, %d wrongly given up, %d "
+            "evacuated\n",
+            policy, get_number(report, "wasted_core_s"),
+            (int)get_number(report, "starts"),
+            (int)get_number(report, "questions"),
+            get_number(report, "decision_p50_us"),
+            get_number(report, "decision_p99_us"),
+            (int)get_number(report, "over_size"),
+            (int)get_number(report, "doubled"),
+            (int)get_number(report, "over_cap"),
+            (int)get_number(report, "stuck"),
+            (int)get_number(report, "over_crashes"),
+            (int)get_number(report, "wrongly_given_up"),
+            (int)get_number(report, "evacuated"));
         print_crashes(policy, json_object_get(report, "crashes"));
     }
 }
--- a/bench/replay.h
+++ b/bench/replay.h
@@ -102,6 +102,7 @@
                          * factor_percent of 1 ms, and passes are rare */
     REPLAY_CAPACITY,    /* the capacity of targets is multiplied by the factor,
                          * below what runs there as well */
+    REPLAY_EVACUATED,   /* a data centre, dc-0, dc-1 or dc-2, is evacuated */
     REPLAY_EVENT_KIND_COUNT
 };
 
@@ -110,8 +111,8 @@
     enum replay_event_kind kind;
     uint32_t at_ms;
     uint32_t for_ms;
-    char *on; /* queue or team of a burst, or service of the targets; NULL:
-               * all */
+    char *on; /* queue or team of a burst, data centre that is evacuated, or
+               * service of the targets; NULL: all */
     uint32_t share_permille; /* affected part of the targets, or of the
                               * orders and policy queries */
     uint32_t factor_percent; /* see enum replay_event_kind */
@@ -186,6 +187,7 @@
                                 * targets had crashed under them */
     uint32_t wrongly_given_up; /* jobs without a task that crashes its targets,
                                 * failed for one */
+    uint32_t evacuated;        /* starts ordered in an evacuated data centre */
     char first[160];           /* description of the first breach; "": none */
 };
 
--- a/bench/replayload.c
+++ b/bench/replayload.c
@@ -80,12 +80,13 @@
     CYAML_FIELD_END};
 
 static const cyaml_strval_t EVENT_KINDS[] = {
-    {"burst", REPLAY_BURST},       {"team_burst", REPLAY_TEAM_BURST},
-    {"crash", REPLAY_CRASH},       {"removed", REPLAY_REMOVED},
-    {"leaving", REPLAY_LEAVING},   {"slow", REPLAY_SLOW},
-    {"failing", REPLAY_FAILING},   {"slow_leader", REPLAY_SLOW_LEADER},
-    {"capacity", REPLAY_CAPACITY}, {"lossy", REPLAY_LOSSY},
-    {"cut", REPLAY_CUT},           {"no_leader", REPLAY_NO_LEADER}};
+    {"burst", REPLAY_BURST},         {"team_burst", REPLAY_TEAM_BURST},
+    {"crash", REPLAY_CRASH},         {"removed", REPLAY_REMOVED},
+    {"leaving", REPLAY_LEAVING},     {"slow", REPLAY_SLOW},
+    {"failing", REPLAY_FAILING},     {"slow_leader", REPLAY_SLOW_LEADER},
+    {"capacity", REPLAY_CAPACITY},   {"lossy", REPLAY_LOSSY},
+    {"evacuated", REPLAY_EVACUATED}, {"cut", REPLAY_CUT},
+    {"no_leader", REPLAY_NO_LEADER}};
 
 static const cyaml_schema_field_t EVENT_FIELDS[] = {
     CYAML_FIELD_ENUM("kind", CYAML_FLAG_DEFAULT, struct replay_event, kind,
--- a/bench/sim.c
+++ b/bench/sim.c
@@ -155,6 +155,9 @@
     g_snprintf(rec->rack, sizeof(rec->rack), "%s-r%u", service->name,
                index / service->rack);
     g_strlcpy(rec->labels, rec->rack, sizeof(rec->labels));
+    target->data_centre = index % SIM_DATA_CENTRES;
+    g_snprintf(rec->data_centre, sizeof(rec->data_centre), "dc-%u",
+               target->data_centre);
     rec->cpu_milli = service->cpu_milli * size / 100;
     rec->memory_mb = service->memory_mb * size / 100;
     rec->accel = service->accel;
@@ -217,6 +220,42 @@
     }
 }
 
+/* Without a leader the operator's call has no answer and is sent again. */
+static void
+order_evacuation(struct sim *sim, const struct sim_event *event)
+{
+    const char *on = event->load_event->on;
+
+    if (sim->plan == NULL) {
+        struct sim_event *retry =
+            sim_add_event(sim, SIM_EVACUATION, sim->now_ms + SIM_DETECTION_MS);
+
+        retry->load_event = event->load_event;
+        retry->withdrawn = event->withdrawn;
+        return;
+    }
+    for (uint32_t i = 0; i < SIM_DATA_CENTRES; i++) {
+        struct fleet_evacuation order = {.withdrawn = event->withdrawn};
+
+        g_snprintf(order.data_centre, sizeof(order.data_centre), "dc-%u", i);
+        if (on == NULL || strcmp(on, order.data_centre) == 0) {
+            sim_apply(sim, &FLEET_EVACUATION_SCHEMA, &order);
+            sim->evacuated[i] = !event->withdrawn;
+        }
+    }
+}
+
+static void
+add_evacuation(struct sim *sim, const struct replay_event *load_event)
+{
+    struct sim_event *event =
+        sim_add_event(sim, SIM_EVACUATION, sim->now_ms + load_event->for_ms);
+
+    event->load_event = load_event;
+    event->withdrawn = true;
+    order_evacuation(sim, &(struct sim_event){.load_event = load_event});
+}
+
 static void
 on_load_event(struct sim *sim, const struct replay_event *load_event)
 {
@@ -235,6 +274,9 @@
             sim_watch_lease(sim, sim->targets->pdata[i]);
         }
         return;
+    case REPLAY_EVACUATED:
+        add_evacuation(sim, load_event);
+        return;
     case REPLAY_NO_LEADER:
         sim_end_term(sim);
         sim_add_event(sim, SIM_TERM_START, sim->now_ms + load_event->for_ms);
@@ -355,6 +397,9 @@
     case SIM_LOAD_EVENT:
         on_load_event(sim, event->load_event);
         return;
+    case SIM_EVACUATION:
+        order_evacuation(sim, event);
+        return;
     case SIM_TERM_START:
         sim_begin_term(sim);
         return;
--- a/bench/simlead.c
+++ b/bench/simlead.c
@@ -244,6 +244,18 @@
 static void
 start_run(void *ctx, const struct plan_start *start)
 {
+    struct sim *sim = ctx;
+    const struct sim_target *target =
+        sim_find_target(sim, start->target->rec.id);
+
+    if (sim->evacuated[target->data_centre]) {
+        char text[FLEET_TASK_ID_TEXT_BYTES];
+
+        fleet_task_id_text(&start->task, text, sizeof(text));
+        sim_count_breach(sim, &sim->result->breaches.evacuated,
+                         "starts in an evacuated data centre", text,
+                         target->id);
+    }
     send_order(ctx, SIM_START_ARRIVAL, start->target, &start->task,
                start->run_number, start->checkpoint);
 }
--- a/bench/simpriv.h
+++ b/bench/simpriv.h
@@ -21,6 +21,7 @@
  * connections. */
 #define SIM_CLOSE_DETECTION_MS 11u
 #define SIM_WALL_START_MS 1800000000000u /* wall clock at virtual time 0 */
+#define SIM_DATA_CENTRES 3u              /* targets are in them by turns */
 #define SIM_HOST "replay"                /* host of every queue */
 
 /* A hold call is a long poll by which the leader renews the lease of a target:
@@ -50,6 +51,7 @@
     SIM_CAPACITY_CHANGE,     /* a target announces another capacity */
     SIM_LATE_ANNOUNCEMENT,   /* an older announcement arrives late */
     SIM_LOAD_EVENT,          /* an event of the load begins */
+    SIM_EVACUATION,          /* an evacuation is ordered or withdrawn */
     SIM_TERM_START,          /* a new leader starts its term */
     SIM_SAMPLE               /* running tasks of lasting jobs are counted */
 };
@@ -72,7 +74,8 @@
         uint64_t hold_sent_ms; /* SIM_HOLD_ANSWER that ends the wait of a call:
                                 * when it was sent; else 0 */
     };
-    const struct replay_event *load_event; /* SIM_LOAD_EVENT */
+    const struct replay_event *load_event; /* SIM_LOAD_EVENT, SIM_EVACUATION */
+    bool withdrawn;                        /* SIM_EVACUATION */
     struct fleet_target_rec *late_rec;     /* SIM_LATE_ANNOUNCEMENT, owned */
     GArray *tickets;     /* SIM_POLICY_ANSWER: struct call_ticket, owned */
     struct fp_list ends; /* SIM_ENDS_COMMIT: struct fleet_run_end, owned */
@@ -104,6 +107,7 @@
 
 struct sim_target {
     char id[FLEET_NAME_BYTES];
+    uint32_t data_centre;
     struct fleet_target_rec rec;
     uint32_t speed_percent;
     bool up;
@@ -157,6 +161,7 @@
     uint32_t lossy_permille; /* probability that an answer is lost */
     uint64_t slow_leader_until_ms;
     uint32_t leader_delay_ms; /* until a slow leader handles an answer */
+    bool evacuated[SIM_DATA_CENTRES]; /* as acknowledged to the operator */
     uint32_t unfinished_jobs;
     struct sim_result *result;
 };
--- a/tests/evac_test.cc
+++ b/tests/evac_test.cc
@@ -2,6 +2,7 @@
 #include "plan_world.h"
 
 extern "C" {
+#include "bench/replay.h"
 #include "core/planforecast.h"
 }
 
@@ -457,4 +458,26 @@
     EXPECT_FALSE(fleet_target_is_recorded(sim.fleet_state, &rec));
 }
 
+// Data centres are evacuated one after the other and all at once, the leader
+// fails right after an acknowledgement, targets leave, crash and are cut off.
+TEST(Evac, NoStartIsOrderedInAnEvacuatedDataCentre)
+{
+    char why[256] = "";
+    replay_load *load = nullptr;
+    ASSERT_EQ(replay_read_load("bench/loads/evacuated.yaml", &load, why,
+                               sizeof(why)),
+              FP_OK)
+        << why;
+    for (uint32_t seed = 1; seed <= 4; seed++) {
+        sim_result *result = sim_replay(load, &PLAN_POLICY_DEFAULT, seed);
+        const sim_breaches &breaches = result->breaches;
+        EXPECT_EQ(breaches.over_size + breaches.doubled + breaches.over_cap +
+                      breaches.stuck + breaches.evacuated,
+                  0u)
+            << "seed " << seed << ": " << breaches.first;
+        sim_result_free(result);
+    }
+    replay_load_free(load);
+}
+
 } // namespace
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -7,13 +7,14 @@
 and an operator. Faults are drawn from the seed and may overlap: processes are
 killed, paused, or stopped and restarted; data folders are lost or end in a torn
 record; connections to targets are delayed, reset, blocked, or blocked only for
-responses; targets restart.
+responses; targets restart. One of two zones is evacuated now and then.
 
 Checks, from what callers and targets observe:
 - no task runs twice at once or starts after its end was acknowledged;
 - no target runs more than its capacity;
 - every job answered with 200 completes;
 - a job that was refused on every attempt never starts;
+- no task starts in an evacuated zone later than 5 s after the acknowledgement;
 - the configuration read back is not older than the newest acknowledged one;
 - no process exits unless this script stopped it.
 
@@ -224,6 +225,27 @@
                         % (version, status))
             await asyncio.sleep(1.5)
 
+    async def order_evacuation(self, method):
+        for address in self.options.control.split(",") * 30:
+            status, _ = await standin.request(
+                address, method, "/filbertpath/evacuations/z2")
+            if status == 200:
+                return
+            if 400 <= status < 500:
+                self.report_failure("%s of an evacuation was answered with "
+                                    "status %d" % (method, status))
+            await asyncio.sleep(0.2)
+        self.report_failure("%s of an evacuation has no answer" % method)
+
+    async def run_evacuations(self, deadline):
+        while time.monotonic() + 10 < deadline:
+            await self.order_evacuation("POST")
+            self.checker.evacuated["z2"] = time.time()
+            await asyncio.sleep(8)
+            self.checker.evacuated.clear()
+            await self.order_evacuation("DELETE")
+            await asyncio.sleep(2 + 4 * self.rng.random())
+
     async def submit_job(self, name, queue, body):
         """Submits one job, with retries, and records the outcome."""
         statuses = []
@@ -364,6 +386,7 @@
         await asyncio.sleep(1)
         deadline = time.monotonic() + self.options.seconds
         await asyncio.gather(self.run_callers(deadline),
+                             self.run_evacuations(deadline),
                              self.inject_faults(deadline))
         while any(node.fault_active for node in self.nodes):
             await asyncio.sleep(0.2)
@@ -411,6 +434,7 @@
     options = parser.parse_args()
     options.late = options.lost = 0.01
     options.failures = options.resize = 0
+    options.zones = 2
     soak = Soak(options)
     # Targets listen on a port of their own, next to that of their proxies.
     options.port = options.port + 7
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -120,6 +120,7 @@
         self.started_jobs = set()  # jobs with at least one started task
         self.crash_counts = {}  # task -> targets that it has crashed
         self.late_starts = {}  # task -> starts after three crashes
+        self.evacuated = {}  # zone -> when that was acknowledged
         self.violations = 0
         self.start_count = 0
         self.end_counts = {}
@@ -131,16 +132,19 @@
                 self.report_violation("%s crashes its targets and is started "
                                       "again: %s" % (task, where))
 
-    def check_evacuated(self, path, target, where):
-        if not path or not os.path.exists(path):
-            return
-        with open(path, encoding="utf-8") as lines:
-            for line in lines:
-                zone, at_s = line.split()
-                if (zone == target.zone and
-                        time.time() > float(at_s) + EVACUATION_S):
-                    self.report_violation("a start in the evacuated zone %s: "
-                                          "%s" % (zone, where))
+    def check_evacuated(self, target, where):
+        since_s = self.evacuated.get(target.zone)
+        if since_s is not None and time.time() > since_s + EVACUATION_S:
+            self.report_violation("a start in the evacuated zone %s: %s" % (
+                target.zone, where))
+
+    def read_evacuated(self, path):
+        self.evacuated = {}
+        if path and os.path.exists(path):
+            with open(path, encoding="utf-8") as lines:
+                for line in lines:
+                    zone, since_s = line.split()
+                    self.evacuated[zone] = float(since_s)
 
     def report_violation(self, text):
         self.violations += 1
@@ -237,7 +241,7 @@
             return 409, {"clock_ms": self.clock_ms(), "reason": "late"}
         where = "run %d on %s, %d ms after its start" % (run, self.id,
                                                          self.clock_ms())
-        self.checker.check_evacuated(self.options.evacuated, self, where)
+        self.checker.check_evacuated(self, where)
         if task in self.checker.running_tasks:
             self.checker.report_violation("%s runs twice: %s and %s" % (
                 task, where, self.checker.running_tasks[task]))
@@ -384,6 +388,7 @@
     next_resize = time.monotonic() + (options.resize or 1e9)
     while time.monotonic() < deadline:
         await asyncio.sleep(0.1)
+        checker.read_evacuated(options.evacuated)
         if time.monotonic() >= next_restart:
             rng.choice(targets).restart()
             next_restart += options.restart
