--- a/node/fleetmetrics.c
+++ b/node/fleetmetrics.c
@@ -129,7 +129,8 @@
                  {CALL_WAITING, "kind=\"waiting\""},
                  {CALL_CONFIGURE, "kind=\"configure\""},
                  {CALL_READ_CONFIG, "kind=\"read_config\""},
-                 {CALL_ANNOUNCE, "kind=\"announce\""}};
+                 {CALL_ANNOUNCE, "kind=\"announce\""},
+                 {CALL_EVACUATE, "kind=\"evacuate\""}};
 
     for (size_t i = 0; i < sizeof(kinds) / sizeof(kinds[0]); i++) {
         histogram_append_text(&counters->latency_ms[kinds[i].kind], "call_ms",
