--- a/core/plan.c
+++ b/core/plan.c
@@ -28,7 +28,6 @@
                                                   .reserves_for_gangs = true,
                                                   .by_share = true,
                                                   .keeps_accepted = true,
-                                                  .finishes_started = true,
                                                   .packs_all = true,
                                                   .forecasts = true,
                                                   .copies = true};
--- a/core/plan.h
+++ b/core/plan.h
@@ -181,7 +181,8 @@
     bool by_share;       /* work within a team's rate first (core/shares.h) */
     bool keeps_accepted; /* inherited jobs count from when they were accepted;
                           * else from the start of the term */
-    bool finishes_started; /* steps with runs before those without */
+    bool finishes_started; /* jobs with runs before those without; in no
+                            * policy: see docs/design/order.md */
     bool packs_all;        /* placement by all resources (core/planpack.h) */
     bool forecasts;        /* refuses what cannot end in time
                             * (core/planforecast.h) */
