--- a/base/event.c
+++ b/base/event.c
@@ -89,7 +89,7 @@
                            "a client's call was refused or got no answer"},
     [EVENT_JOB_ACCEPTED] = {"job.accepted", 300,
                             "id queue team tasks chain_ms objective_ms "
-                            "forecast_ms config",
+                            "forecast_ms config beyond_share",
                             "a job is committed on a majority of replicas"},
     [EVENT_JOB_REJECTED] =
         {"job.rejected", 200,
@@ -100,7 +100,7 @@
                          "a job completed, failed or was cancelled"},
     [EVENT_STEP_WAITING] =
         {"step.waits", 100,
-         "id idle why waited_ms granted free_cpu free_accel",
+         "id idle why waited_ms granted free_cpu free_accel beyond_share",
          "a step has waited for more than a second"},
     [EVENT_POLICY_ASKED] = {"policy.asked", 200, "id asker named expected_ms",
                             "the placement policy is asked about a step"},
--- a/cli/explain.c
+++ b/cli/explain.c
@@ -320,6 +320,11 @@
                history->moved_count, string_field(history->moved, "id"),
                string_field(history->moved, "target"));
     }
+    if (history->accepted != NULL &&
+        integer_field(history->accepted, "beyond_share") != 0) {
+        printf("The job was beyond its team's share: work within shares went "
+               "before it.\n");
+    }
     if (history->ended != NULL) {
         print_ended_cause(history);
     }
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -26,6 +26,8 @@
      * by the scheduler. */
     uint64_t lost_suspects;   /* their start may have crashed the target */
     uint64_t lost_neighbours; /* the others */
+    /* Accepted while this host led; maintained by the scheduler. */
+    uint64_t jobs_beyond_share;
 };
 
 /* A team. It is kept after a configuration drops it, since its jobs refer to
@@ -38,6 +40,7 @@
     struct share share;    /* of its rate; see core/shares.h */
     uint32_t offered_jobs; /* proposed by this host as the leader, within the
                             * rate and not applied yet */
+    uint64_t jobs_beyond_share;  /* as of struct fleet_queue */
     struct fleet_resources used; /* by runs, including those that are starting
                                   * or stopping; maintained by the scheduler */
     /* Needed by inherited tasks that may be running on targets that have not
--- a/core/plan.c
+++ b/core/plan.c
@@ -322,6 +322,10 @@
 void
 plan_job_added(struct plan *plan, struct fleet_job *job, uint64_t now_ms)
 {
+    if (job->beyond_share && job->team != NULL) {
+        job->queue->jobs_beyond_share++;
+        job->team->jobs_beyond_share++;
+    }
     add_job(plan, job, false, now_ms);
 }
 
@@ -509,7 +513,8 @@
         .step = {step->job->job->submit.id, step->occurrence, step->index, 0},
         .reason = step->wait_reason,
         .pending = step->pending,
-        .waited_ms = now_ms - step->opened_ms};
+        .waited_ms = now_ms - step->opened_ms,
+        .beyond_share = step->sort_key[0] >= CLASS_BEYOND_SHARE};
     const struct plan_pool *pool =
         g_hash_table_lookup(plan->pools, step->job->job->queue->conf.service);
 
--- a/core/plan.h
+++ b/core/plan.h
@@ -114,6 +114,7 @@
     uint64_t waited_ms;
     uint64_t free_cpu_milli; /* on all usable targets of the service */
     uint64_t free_accel;     /* accelerators free on those targets */
+    bool beyond_share;       /* work within shares goes before it */
 };
 
 /* Orders and reports of the scheduler; on_* may be NULL. */
--- a/core/shares.c
+++ b/core/shares.c
@@ -14,11 +14,11 @@
                : UINT64_MAX;
 }
 
-/* Tokens at now_ms. A clock that went back adds nothing, and one that jumped
- * ahead fills the bucket at most. */
-static uint64_t
-tokens_at(const struct share *share, uint32_t weight, uint32_t window_ms,
-          uint64_t now_ms)
+/* A clock that went back adds nothing, and one that jumped ahead fills the
+ * bucket at most. */
+uint64_t
+share_tokens_micro(const struct share *share, uint32_t weight,
+                   uint32_t window_ms, uint64_t now_ms)
 {
     const uint64_t capacity = capacity_micro(weight, window_ms);
     uint64_t elapsed_ms;
@@ -41,7 +41,7 @@
                uint64_t now_ms)
 {
     return weight == 0 ||
-           tokens_at(share, weight, window_ms, now_ms) >= JOB_MICRO;
+           share_tokens_micro(share, weight, window_ms, now_ms) >= JOB_MICRO;
 }
 
 bool
@@ -53,8 +53,9 @@
     if (weight == 0) {
         return true;
     }
-    share->tokens_micro = tokens_at(share, weight, window_ms, now_ms) -
-                          (has_room ? JOB_MICRO : 0);
+    share->tokens_micro =
+        share_tokens_micro(share, weight, window_ms, now_ms) -
+        (has_room ? JOB_MICRO : 0);
     share->updated_ms = MAX(now_ms, 1);
     return has_room;
 }
--- a/core/shares.h
+++ b/core/shares.h
@@ -26,6 +26,10 @@
 bool share_take(struct share *share, uint32_t weight, uint32_t window_ms,
                 uint64_t now_ms);
 
+/* The tokens at now_ms, in millionths of a job; weight must not be 0. */
+uint64_t share_tokens_micro(const struct share *share, uint32_t weight,
+                            uint32_t window_ms, uint64_t now_ms);
+
 /* What share_take() would return, without accounting for a job. */
 bool share_has_room(const struct share *share, uint32_t weight,
                     uint32_t window_ms, uint64_t now_ms);
--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -555,7 +555,8 @@
           EVENT_INT("tasks", job->task_count), EVENT_INT("chain_ms", chain_ms),
           EVENT_INT("objective_ms", objective_ms),
           EVENT_INT("forecast_ms", plan_job_forecast_ms(job)),
-          EVENT_INT("config", dispatch->deps.fleet->config.version));
+          EVENT_INT("config", dispatch->deps.fleet->config.version),
+          EVENT_INT("beyond_share", job->beyond_share));
 }
 
 void
@@ -628,7 +629,8 @@
           EVENT_INT("waited_ms", wait->waited_ms),
           EVENT_INT("granted", wait->granted),
           EVENT_INT("free_cpu", wait->free_cpu_milli),
-          EVENT_INT("free_accel", wait->free_accel));
+          EVENT_INT("free_accel", wait->free_accel),
+          EVENT_INT("beyond_share", wait->beyond_share));
 }
 
 static void
--- a/node/fleetmetrics.c
+++ b/node/fleetmetrics.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "base/event.h"
+#include "node/clock.h"
 
 static void
 add_value(GString *out, const char *name, uint64_t value)
@@ -91,6 +92,41 @@
     }
 }
 
+/* Jobs beyond their teams' shares, and what the teams have left. */
+static void
+add_shares(GString *out, const struct fleet *fleet)
+{
+    GHashTableIter iter;
+    const struct fleet_team *team;
+
+    for (guint i = 0; fleet->share_window_ms > 0 && i < fleet->queues->len;
+         i++) {
+        const struct fleet_queue *queue = fleet->queues->pdata[i];
+
+        g_string_append_printf(
+            out,
+            "filbertpath_queue_jobs_beyond_share_total{queue=\"%s\"} %llu\n",
+            queue->conf.name, (unsigned long long)queue->jobs_beyond_share);
+    }
+    g_hash_table_iter_init(&iter, fleet->teams);
+    while (fleet->share_window_ms > 0 &&
+           g_hash_table_iter_next(&iter, NULL, (gpointer *)&team)) {
+        if (!team->configured || team->weight == 0) {
+            continue;
+        }
+        g_string_append_printf(
+            out,
+            "filbertpath_team_jobs_beyond_share_total{team=\"%s\"} %llu\n"
+            "filbertpath_team_share_jobs{team=\"%s\"} %llu\n",
+            team->name, (unsigned long long)team->jobs_beyond_share,
+            team->name,
+            (unsigned long long)share_tokens_micro(&team->share, team->weight,
+                                                   fleet->share_window_ms,
+                                                   clock_wall_ms()) /
+                1000000);
+    }
+}
+
 static void
 add_call_latencies(GString *out, const struct relay_counters *counters)
 {
@@ -159,6 +195,7 @@
     if (sources->dispatch != NULL) {
         add_plan_counters(out, dispatch_counters(sources->dispatch));
         add_lost_runs(out, sources->fleet);
+        add_shares(out, sources->fleet);
         add_dispatch_histograms(out, dispatch_times(sources->dispatch));
     }
     http_reply(request, 200, "text/plain", out->str, out->len, 0);
--- a/tests/shares_test.cc
+++ b/tests/shares_test.cc
@@ -289,6 +289,8 @@
     sim.run_pass();
     EXPECT_EQ(sim.started(), (std::vector<uint64_t>{100, 101, 11}))
         << "room that is left is lent";
+    EXPECT_EQ(sim.find_team("greedy")->jobs_beyond_share, 4u);
+    EXPECT_EQ(sim.find_job(11)->queue->jobs_beyond_share, 4u);
 }
 
 TEST(ShareOrder, LateWorkWithinAShareGoesBeforeWorkBeyondIt)
