--- a/core/plan.h
+++ b/core/plan.h
@@ -115,6 +115,7 @@
     uint64_t waited_ms;
     uint64_t free_cpu_milli; /* on all usable targets of the service */
     uint64_t free_accel;     /* accelerators free on those targets */
+    bool beyond_share;       /* work within shares goes before it */
 };
 
 /* A second run of a task is about to be ordered. */
@@ -195,7 +196,8 @@
     bool by_share;       /* work within a team's rate first (core/shares.h) */
     bool keeps_accepted; /* inherited jobs count from when they were accepted;
                           * else from the start of the term */
-    bool finishes_started; /* steps with runs before those without */
+    bool finishes_started; /* jobs with runs before those without; in no
+                            * policy: see docs/design/order.md */
     bool packs_all;        /* placement by all resources (core/planpack.h) */
     bool forecasts;        /* refuses what cannot end in time
                             * (core/planforecast.h) */
