--- a/base/event.c
+++ b/base/event.c
@@ -98,7 +98,7 @@
     [EVENT_JOB_REJECTED] =
         {"job.rejected", 200,
          "id queue error why wait_ms end_ms objective_ms margin_ms "
-         "age_ms retry_after_ms config",
+         "scale scarce own ahead age_ms retry_after_ms config",
          "a job was rejected; it never runs"},
     [EVENT_JOB_ENDED] = {"job.ended", 300, "id state took_ms objective_ms",
                          "a job completed, failed or was cancelled"},
--- a/core/backlog.c
+++ b/core/backlog.c
@@ -68,12 +68,14 @@
     for (int r = 0; r < BACKLOG_RESOURCE_COUNT; r++) {
         to->amount[r] += work->amount[r];
         to->work[r] += work->work[r];
+        to->whole[r] += work->whole[r];
     }
 }
 
 void
 backlog_add_entry(struct backlog *backlog, const uint64_t key[3],
-                  const struct backlog_work *work, uint64_t query_ms)
+                  const struct backlog_work *work, uint64_t query_ms,
+                  bool is_fresh)
 {
     struct backlog_entry entry = {.query_ms = 0};
 
@@ -84,6 +86,9 @@
     memcpy(entry.key, key, sizeof(entry.key));
     backlog_add_work(&entry.total, work);
     entry.query_ms += query_ms;
+    for (int r = 0; is_fresh && r < BACKLOG_RESOURCE_COUNT; r++) {
+        entry.fresh[r] += work->amount[r];
+    }
     g_array_append_val(backlog->entries, entry);
 }
 
@@ -127,24 +132,38 @@
  * starts as capacity is released, and releases it again after its run time. */
 struct flow {
     int64_t free;
-    int64_t queue; /* amount that goes before the demand and waits */
-    int64_t own;   /* amount of the demand that waits */
+    int64_t kept_free; /* the demand takes only what is free beside this */
+    int64_t queue;     /* amount that goes before the demand and waits */
+    int64_t own;       /* amount of the demand that waits */
     uint64_t run_slots;
     uint64_t own_run_slots;
     int64_t back[BACKLOG_SLOTS]; /* released by what starts in the model */
 };
 
-static void
+/* What one call of backlog_wait() works with. */
+struct wait_search {
+    const struct backlog *backlog;
+    const struct backlog_demand *demand;
+    struct backlog_work ahead;  /* waits and goes before the demand */
+    struct backlog_work others; /* that, and what arrives */
+    /* Whole targets that are taken in each slot, besides by the demand. */
+    uint64_t whole_starts[BACKLOG_SLOTS];
+    struct backlog_answer answer;
+};
+
+static int64_t
 start_in_slot(struct flow *flow, uint32_t slot, int64_t *waiting,
               uint64_t run_slots)
 {
-    int64_t started = MIN(MAX(flow->free, 0), *waiting);
+    const int64_t kept_free = waiting == &flow->own ? flow->kept_free : 0;
+    int64_t started = MIN(MAX(flow->free - kept_free, 0), *waiting);
 
     *waiting -= started;
     flow->free -= started;
     if (slot + run_slots < BACKLOG_SLOTS) {
         flow->back[slot + run_slots] += started;
     }
+    return started;
 }
 
 static uint64_t
@@ -170,69 +189,163 @@
            (uint64_t)(flow->queue + flow->own) * run_ms / rate;
 }
 
-static void
-wait_for_resource(const struct backlog *backlog,
-                  const struct backlog_demand *demand,
-                  const struct backlog_work *ahead, int r,
-                  struct backlog_answer *answer)
+/* Amount of a resource in the tasks that take whole targets in a slot. They
+ * start as whole targets become free, however much of the resource is. */
+static int64_t
+taken_with_targets(const struct wait_search *search, int r, uint32_t slot)
 {
-    const uint64_t wanted = demand->own.amount[r];
-    struct backlog_work others = *ahead;
+    const uint64_t targets = search->others.amount[BACKLOG_WHOLE];
+
+    return targets == 0 ? 0
+                        : (int64_t)(search->whole_starts[slot] *
+                                    search->others.whole[r] / targets);
+}
+
+static struct flow
+init_flow(const struct wait_search *search, int r)
+{
+    const struct backlog *backlog = search->backlog;
+    const struct backlog_demand *demand = search->demand;
     struct flow flow = {
-        .free = (int64_t)demand->free[r] -
-                (int64_t)(demand->kept_free[r] + backlog->lasting[r]),
-        .queue = (int64_t)ahead->amount[r],
-        .own = (int64_t)wanted,
+        .free = (int64_t)demand->free[r] - (int64_t)backlog->lasting[r],
+        .kept_free = (int64_t)demand->kept_free[r],
+        .queue = (int64_t)(search->ahead.amount[r] - search->ahead.whole[r]),
+        .own = (int64_t)demand->own.amount[r],
+        .run_slots = mean_run_slots(backlog, &search->others, r),
         .own_run_slots = mean_run_slots(backlog, &demand->own, r)};
-    uint64_t inflow = 0; /* in parts of 1 / BACKLOG_INFLOW_MS */
-    bool started = false;
 
-    backlog_add_work(&others, &demand->inflow);
-    flow.run_slots = mean_run_slots(backlog, &others, r);
+    if (r == BACKLOG_WHOLE) {
+        flow.queue = (int64_t)search->ahead.amount[r];
+        flow.free = (int64_t)(flow.own > 0 ? 0 : backlog->free_whole);
+    }
+    return flow;
+}
+
+/* Amount that arrives in a slot and goes before the demand. */
+static int64_t
+arrivals(const struct wait_search *search, int r, uint64_t *rest)
+{
+    const struct backlog_work *inflow = &search->demand->inflow;
+    uint64_t amount = inflow->amount[r];
+    int64_t arrived;
+
+    if (r != BACKLOG_WHOLE) {
+        amount -= inflow->whole[r];
+    }
+    *rest += amount * search->backlog->slot_ms;
+    arrived = (int64_t)(*rest / BACKLOG_INFLOW_MS);
+    *rest %= BACKLOG_INFLOW_MS;
+    return arrived;
+}
+
+static void
+set_last(struct wait_search *search, int r, uint64_t last_ms)
+{
+    if (last_ms >= search->answer.last_ms) {
+        search->answer.last_ms = last_ms;
+        search->answer.scarce = (enum backlog_resource)r;
+        search->answer.own = search->demand->own.amount[r];
+        search->answer.ahead = search->ahead.amount[r];
+    }
+}
+
+static void
+flow_resource(struct wait_search *search, int r)
+{
+    const struct backlog *backlog = search->backlog;
+    const uint64_t *released = backlog->released[r];
+    struct flow flow = init_flow(search, r);
+    const int64_t wanted = flow.own;
+    struct backlog_answer *answer = &search->answer;
+    uint64_t rest = 0;
+    bool started = wanted == 0;
+    bool is_done = wanted == 0;
+
+    if (r == BACKLOG_WHOLE && wanted > 0) {
+        released = search->demand->room;
+    }
     for (uint32_t slot = 0; slot < BACKLOG_SLOTS; slot++) {
-        flow.free += (int64_t)backlog->released[r][slot] + flow.back[slot];
-        inflow += demand->inflow.amount[r] * backlog->slot_ms;
+        const uint64_t at_ms = (uint64_t)slot * backlog->slot_ms;
+
+        flow.free += (int64_t)released[slot] + flow.back[slot];
         flow.queue +=
-            (int64_t)(backlog->follows[r][slot] + inflow / BACKLOG_INFLOW_MS);
-        inflow %= BACKLOG_INFLOW_MS;
-        start_in_slot(&flow, slot, &flow.queue, flow.run_slots);
+            (int64_t)backlog->follows[r][slot] + arrivals(search, r, &rest);
+        if (r == BACKLOG_WHOLE) {
+            search->whole_starts[slot] = (uint64_t)start_in_slot(
+                &flow, slot, &flow.queue, flow.run_slots);
+        }
+        else {
+            flow.queue += taken_with_targets(search, r, slot);
+            start_in_slot(&flow, slot, &flow.queue, flow.run_slots);
+        }
         start_in_slot(&flow, slot, &flow.own, flow.own_run_slots);
-        if (!started && flow.own < (int64_t)wanted) {
+        if (!started && flow.own < wanted) {
             started = true;
-            answer->first_ms =
-                MAX(answer->first_ms, (uint64_t)slot * backlog->slot_ms);
+            answer->first_ms = MAX(answer->first_ms, at_ms);
+        }
+        if (!is_done && flow.own == 0) {
+            is_done = true;
+            set_last(search, r, at_ms);
         }
-        if (flow.own == 0) {
-            answer->last_ms =
-                MAX(answer->last_ms, (uint64_t)slot * backlog->slot_ms);
+        if (is_done && r != BACKLOG_WHOLE) {
             return;
         }
     }
-    answer->last_ms = MAX(answer->last_ms, extrapolate_ms(backlog, &flow, r));
+    if (flow.own > 0) {
+        set_last(search, r, extrapolate_ms(backlog, &flow, r));
+    }
     if (!started) {
         answer->first_ms = answer->last_ms;
     }
 }
 
+/* Whether there is room for the demand now that nothing before it has a claim
+ * to: what had its chance to start did not fit. */
+static bool
+has_room_now(const struct wait_search *search,
+             const struct backlog_entry *entry)
+{
+    const struct backlog_demand *demand = search->demand;
+
+    for (int r = 0; r < BACKLOG_RESOURCE_COUNT; r++) {
+        uint64_t claimed = demand->kept_free[r] + demand->ahead.amount[r] +
+                           search->backlog->lasting[r] +
+                           (entry != NULL ? entry->fresh[r] : 0);
+
+        if (demand->own.amount[r] > 0 &&
+            demand->own.amount[r] + claimed > demand->free[r]) {
+            return false;
+        }
+    }
+    return true;
+}
+
 struct backlog_answer
 backlog_wait(const struct backlog *backlog,
              const struct backlog_demand *demand)
 {
     const struct backlog_entry *entry =
         find_entry_before(backlog, demand->key);
-    struct backlog_work ahead = demand->ahead;
-    struct backlog_answer answer = {0, 0, 0};
+    struct wait_search search = {
+        .backlog = backlog, .demand = demand, .ahead = demand->ahead};
 
     if (entry != NULL) {
-        backlog_add_work(&ahead, &entry->total);
+        backlog_add_work(&search.ahead, &entry->total);
         if (backlog->queries_blocked) {
-            answer.query_ms = entry->query_ms / MAX(backlog->query_clients, 1);
+            search.answer.query_ms =
+                entry->query_ms / MAX(backlog->query_clients, 1);
         }
     }
-    for (int r = 0; r < BACKLOG_RESOURCE_COUNT; r++) {
+    search.others = search.ahead;
+    backlog_add_work(&search.others, &demand->inflow);
+    if (has_room_now(&search, entry)) {
+        return search.answer;
+    }
+    flow_resource(&search, BACKLOG_WHOLE);
+    for (int r = 0; r < BACKLOG_WHOLE; r++) {
         if (demand->own.amount[r] > 0) {
-            wait_for_resource(backlog, demand, &ahead, r, &answer);
+            flow_resource(&search, r);
         }
     }
-    return answer;
+    return search.answer;
 }
--- a/core/backlog.h
+++ b/core/backlog.h
@@ -34,6 +34,8 @@
 struct backlog_work {
     uint64_t amount[BACKLOG_RESOURCE_COUNT]; /* in use while it runs */
     uint64_t work[BACKLOG_RESOURCE_COUNT];   /* amount times run time in ms */
+    /* Part of amount that is of tasks which need whole targets. */
+    uint64_t whole[BACKLOG_RESOURCE_COUNT];
 };
 
 /* A waiting step. */
@@ -41,6 +43,8 @@
     uint64_t key[3];           /* see plan_compare_keys() */
     struct backlog_work total; /* of this entry and all before it */
     uint64_t query_ms;         /* likewise: of policy queries not sent */
+    uint64_t fresh[BACKLOG_RESOURCE_COUNT]; /* likewise: amount of steps that
+                                             * have had no chance to start */
 };
 
 struct backlog {
@@ -53,6 +57,7 @@
     uint64_t released[BACKLOG_RESOURCE_COUNT][BACKLOG_SLOTS];
     /* Amount of steps of jobs in progress that will start then. */
     uint64_t follows[BACKLOG_RESOURCE_COUNT][BACKLOG_SLOTS];
+    uint64_t free_whole;    /* targets with room for a task that needs one */
     GArray *entries;        /* struct backlog_entry, in scheduling order */
     bool queries_blocked;   /* no policy client is free */
     uint32_t query_clients; /* with a query in flight */
@@ -65,6 +70,8 @@
     struct backlog_work ahead; /* besides that of the entries before key */
     uint64_t free[BACKLOG_RESOURCE_COUNT]; /* now, in pieces that its tasks
                                             * can use */
+    /* Of a demand that needs whole targets: when there is room, by slot. */
+    uint64_t room[BACKLOG_SLOTS];
     uint64_t kept_free[BACKLOG_RESOURCE_COUNT]; /* for other work, of free or
                                                  * of what is released */
     struct backlog_work inflow;                 /* arrives in BACKLOG_INFLOW_MS
@@ -72,9 +79,12 @@
 };
 
 struct backlog_answer {
-    uint64_t first_ms; /* until its first task starts */
-    uint64_t last_ms;  /* until its last task starts */
-    uint64_t query_ms; /* until a policy client is free for it */
+    uint64_t first_ms;            /* until its first task starts */
+    uint64_t last_ms;             /* until its last task starts */
+    uint64_t query_ms;            /* until a policy client is free for it */
+    enum backlog_resource scarce; /* what it waits for the longest */
+    uint64_t own;                 /* amount of that which it needs */
+    uint64_t ahead;               /* of what waits and goes before it */
 };
 
 void backlog_init(struct backlog *backlog);
@@ -91,9 +101,10 @@
                           const uint64_t amount[BACKLOG_RESOURCE_COUNT],
                           uint64_t after_ms);
 /* Adds a waiting step, in scheduling order. query_ms: of a policy query that
- * it still needs. */
+ * it still needs. is_fresh: it has had no chance to start yet. */
 void backlog_add_entry(struct backlog *backlog, const uint64_t key[3],
-                       const struct backlog_work *work, uint64_t query_ms);
+                       const struct backlog_work *work, uint64_t query_ms,
+                       bool is_fresh);
 
 void backlog_add_work(struct backlog_work *to,
                       const struct backlog_work *work);
--- a/core/plan.h
+++ b/core/plan.h
@@ -253,8 +253,12 @@
     uint32_t end_ms;         /* forecast time to its end; 0: not forecast */
     uint32_t objective_ms;   /* likewise */
     uint32_t margin_ms;      /* by which forecasts were too early */
-    uint32_t age_ms;         /* of what the forecast is made from */
-    const char *reason;      /* of a refusal; free text, for the log */
+    uint32_t scale_permille; /* see struct plan_forecast, as below */
+    const char *scarce;
+    uint64_t own;
+    uint64_t ahead;
+    uint32_t age_ms;    /* of what the forecast is made from */
+    const char *reason; /* of a refusal; free text, for the log */
 };
 
 /* Creates a scheduler over a fleet, which must outlive it. Live jobs of the
@@ -361,7 +365,7 @@
 void plan_job_times(const struct fleet_job *job, uint32_t *critical_path_ms,
                     uint32_t *objective_ms);
 /* The time that a job should take, as forecast when it was admitted; 0: it was
- * not forecast, or that is judged already. */
+ * not forecast. */
 uint32_t plan_job_forecast_ms(const struct fleet_job *job);
 /* The state of a job; a live one is JOB_RUNNING once a run was started. */
 enum fleet_job_state plan_job_state(const struct fleet_job *job);
--- a/core/planadmit.c
+++ b/core/planadmit.c
@@ -21,22 +21,32 @@
 /* A rejected client faces a backlog of some tens of seconds of work. */
 #define BACKLOG_RETRY_MS 15000u
 /* Bounds of the time after which a refused caller should come back. */
-#define RETRY_MIN_MS 500u
+#define RETRY_MIN_MS 1000u       /* the header gives seconds */
 #define RETRY_SPREAD_PERCENT 50u /* added at most, by the job's ID */
 /* An admitted job that is not planned by then was not committed. */
 #define UNPLANNED_MAX_MS 5000u
 /* Refused jobs are remembered, at most so many and for so long. */
 #define REFUSED_MAX 4096u
 #define REFUSED_KEPT_MS 60000u
-/* Margin of a queue: a forecast that was too early by more than the margin
- * widens it by 1 in MARGIN_STEP_DIVISOR of the job's objective, one that was
- * not narrows it by a quarter of that; so that about one in five exceeds it.
- */
-#define MARGIN_STEP_DIVISOR 64u
+/* Margin of a queue, per mille of a job's slack: a forecast that was too early
+ * by more than the margin widens it by a step, one that was not narrows it by
+ * a quarter of a step; so that about one in five exceeds it. A new leader
+ * knows nothing yet. */
+#define MARGIN_FIRST_PERMILLE 300u
+#define MARGIN_STEP_PERMILLE 80u
 #define MARGIN_NARROWING_DIVISOR 4u
+/* The scale of a queue's forecasts: the weight of the old value, and bounds. A
+ * part of the chain is added to both times, so that small ones count little.
+ */
+#define SCALE_WEIGHT 8u
+#define SCALE_MIN_PERMILLE 500u
+#define SCALE_MAX_PERMILLE 2000u
+#define SCALE_BASE_DIVISOR 4u
 /* Part of a job's slack that is added to the bound for callers that come back
  * and for large jobs that are refused more often than others. */
 #define WIDER_DIVISOR 4u
+/* Weight of the old value in the part of the targets that is granted. */
+#define GRANTS_WEIGHT 16u
 /* Work of a large job, of the mean of its queue. */
 #define LARGE_FACTOR 2u
 /* Large jobs of a queue are admitted at least at this rate, of the rate of all
@@ -73,6 +83,7 @@
     bool beyond_share;
     double amount[BACKLOG_RESOURCE_COUNT]; /* decaying sum */
     double work[BACKLOG_RESOURCE_COUNT];
+    double whole[BACKLOG_RESOURCE_COUNT];
     uint64_t decayed_ms;
 };
 
@@ -81,6 +92,7 @@
     uint64_t mean_work; /* task run time in ms */
     double offers[2];
     double admitted[2];
+    uint32_t grants_permille;
     struct plan_queue_forecasts forecasts;
 };
 
@@ -127,6 +139,9 @@
 
     if (record == NULL) {
         record = g_new0(struct queue_record, 1);
+        record->forecasts.scale_permille = 1000;
+        record->forecasts.margin_permille = MARGIN_FIRST_PERMILLE;
+        record->grants_permille = 1000;
         g_hash_table_insert(admissions->queues, (gpointer)queue, record);
     }
     return record;
@@ -153,6 +168,7 @@
     for (int r = 0; r < BACKLOG_RESOURCE_COUNT; r++) {
         inflow->amount[r] *= factor;
         inflow->work[r] *= factor;
+        inflow->whole[r] *= factor;
     }
     inflow->decayed_ms = now_ms;
 }
@@ -187,6 +203,7 @@
     for (int r = 0; r < BACKLOG_RESOURCE_COUNT; r++) {
         inflow->amount[r] += (double)work->amount[r];
         inflow->work[r] += (double)work->work[r];
+        inflow->whole[r] += (double)work->whole[r];
     }
 }
 
@@ -221,6 +238,9 @@
             demand->inflow.amount[r] +=
                 (uint64_t)(inflow.amount[r] * BACKLOG_INFLOW_MS /
                            INFLOW_MEAN_MS);
+            demand->inflow.whole[r] +=
+                (uint64_t)(inflow.whole[r] * BACKLOG_INFLOW_MS /
+                           INFLOW_MEAN_MS);
             demand->inflow.work[r] +=
                 (uint64_t)(inflow.work[r] * BACKLOG_INFLOW_MS /
                            INFLOW_MEAN_MS);
@@ -232,12 +252,79 @@
 
 uint32_t
 plan_admissions_margin_ms(const struct plan *plan,
-                          const struct fleet_queue *queue)
+                          const struct fleet_queue *queue, uint32_t slack_ms)
+{
+    const struct queue_record *record =
+        g_hash_table_lookup(plan->admissions->queues, queue);
+    const uint32_t permille = record != NULL
+                                  ? record->forecasts.margin_permille
+                                  : MARGIN_FIRST_PERMILLE;
+
+    return (uint32_t)((uint64_t)slack_ms * permille / 1000);
+}
+
+static uint32_t
+slack_of(const struct plan_job *job)
+{
+    return job->objective_ms - MIN(job->critical_path_ms, job->objective_ms);
+}
+
+uint32_t
+plan_admissions_scale_permille(const struct plan *plan,
+                               const struct fleet_queue *queue)
+{
+    const struct queue_record *record =
+        g_hash_table_lookup(plan->admissions->queues, queue);
+
+    return record != NULL ? record->forecasts.scale_permille : 1000;
+}
+
+uint32_t
+plan_admissions_grants_permille(const struct plan *plan,
+                                const struct fleet_queue *queue)
 {
     const struct queue_record *record =
         g_hash_table_lookup(plan->admissions->queues, queue);
 
-    return record != NULL ? record->forecasts.margin_ms : 0;
+    return record != NULL ? record->grants_permille : 1000;
+}
+
+void
+plan_admissions_learn_grants(struct plan *plan,
+                             const struct fleet_queue *queue, uint32_t granted,
+                             uint32_t answered)
+{
+    struct queue_record *record;
+
+    if (answered == 0) {
+        return;
+    }
+    record = get_or_add_record(plan->admissions, queue);
+    record->grants_permille = (record->grants_permille * (GRANTS_WEIGHT - 1) +
+                               granted * 1000 / answered) /
+                              GRANTS_WEIGHT;
+}
+
+/* Learns how the time that a job waited compares to the forecast. */
+static void
+learn_scale(struct plan_queue_forecasts *forecasts, const struct plan_job *job,
+            uint64_t end_ms)
+{
+    const uint64_t ideal_ms = job->accepted_ms + job->critical_path_ms;
+    const uint64_t base_ms = job->critical_path_ms / SCALE_BASE_DIVISOR + 1;
+    uint64_t waited_ms = end_ms - MIN(ideal_ms, end_ms) + base_ms;
+    uint64_t forecast_ms =
+        job->forecast_end_ms - MIN(ideal_ms, job->forecast_end_ms) + base_ms;
+    uint64_t ratio =
+        waited_ms * forecasts->scale_permille / MAX(forecast_ms, 1);
+
+    if (forecast_ms < base_ms * SCALE_BASE_DIVISOR / 2) {
+        return; /* that the job waited little is the margin's business */
+    }
+    ratio = CLAMP(ratio, SCALE_MIN_PERMILLE, SCALE_MAX_PERMILLE);
+    forecasts->scale_permille =
+        (uint32_t)((forecasts->scale_permille * (SCALE_WEIGHT - 1) + ratio) /
+                   SCALE_WEIGHT);
 }
 
 static void
@@ -245,7 +332,8 @@
 {
     struct plan_queue_forecasts *forecasts =
         &get_or_add_record(plan->admissions, job->job->queue)->forecasts;
-    const uint32_t step_ms = job->objective_ms / MARGIN_STEP_DIVISOR + 1;
+    const uint32_t margin_ms =
+        plan_admissions_margin_ms(plan, job->job->queue, slack_of(job));
 
     if (end_ms > job->forecast_end_ms) {
         histogram_add(&forecasts->too_early_ms, end_ms - job->forecast_end_ms);
@@ -253,23 +341,27 @@
     else {
         histogram_add(&forecasts->too_late_ms, job->forecast_end_ms - end_ms);
     }
-    if (end_ms > job->forecast_end_ms + forecasts->margin_ms) {
-        forecasts->margin_ms =
-            MIN(forecasts->margin_ms + step_ms, job->objective_ms);
+    if (end_ms > job->forecast_end_ms + margin_ms) {
+        forecasts->margin_permille =
+            MIN(forecasts->margin_permille + MARGIN_STEP_PERMILLE, 1000);
     }
     else {
-        forecasts->margin_ms -=
-            MIN(step_ms / MARGIN_NARROWING_DIVISOR, forecasts->margin_ms);
+        forecasts->margin_permille -=
+            MIN(MARGIN_STEP_PERMILLE / MARGIN_NARROWING_DIVISOR,
+                forecasts->margin_permille);
     }
-    job->forecast_end_ms = 0;
+    learn_scale(forecasts, job, end_ms);
 }
 
 void
 plan_admissions_check_overdue(struct plan *plan, struct plan_job *job,
                               uint64_t now_ms)
 {
-    if (job->forecast_end_ms != 0 &&
-        now_ms > job->forecast_end_ms + job->objective_ms) {
+    if (job->forecast_end_ms != 0 && !job->forecast_overdue &&
+        now_ms > job->forecast_end_ms +
+                     plan_admissions_margin_ms(plan, job->job->queue,
+                                               slack_of(job))) {
+        job->forecast_overdue = true;
         judge_forecast(plan, job, now_ms);
     }
 }
@@ -488,7 +580,7 @@
                                   ? forecast->objective_ms - chain_ms
                                   : 0;
     uint32_t bound_ms =
-        forecast->objective_ms - MIN(forecast->margin_ms, slack_ms / 2);
+        forecast->objective_ms - MIN(forecast->margin_ms, slack_ms);
     const int is_large = count_offer(record, offer);
     const bool came_back =
         g_hash_table_contains(admissions->refused, &offer->submit->id);
@@ -496,7 +588,11 @@
     if (came_back || (is_large && falls_short(record))) {
         bound_ms += slack_ms / WIDER_DIVISOR;
     }
-    if (forecast->end_ms <= MAX(bound_ms, chain_ms) ||
+    bound_ms = MAX(bound_ms, chain_ms + RETRY_MIN_MS);
+    if (forecast->holds_policy) {
+        bound_ms = chain_ms;
+    }
+    if (forecast->end_ms <= bound_ms ||
         !has_other_job(
             plan, g_hash_table_lookup(plan->pools, offer->queue->conf.service),
             offer)) {
@@ -534,6 +630,10 @@
     admission->end_ms = forecast.end_ms;
     admission->objective_ms = forecast.objective_ms;
     admission->margin_ms = forecast.margin_ms;
+    admission->scale_permille = forecast.scale_permille;
+    admission->scarce = forecast.scarce;
+    admission->own = forecast.own;
+    admission->ahead = forecast.ahead;
     admission->age_ms =
         (uint32_t)(now_ms - MIN(pool->backlog->made_ms, now_ms));
     if (exceeds_objective(
@@ -551,7 +651,8 @@
 plan_admit(struct plan *plan, const struct plan_offer *offer, uint64_t now_ms)
 {
     const struct fleet_step *steps = offer->submit->steps.items;
-    struct plan_admission admission = {.err = FP_OK, .reason = ""};
+    struct plan_admission admission = {
+        .err = FP_OK, .reason = "", .scarce = ""};
 
     if (is_too_much(plan)) {
         admission.err = FP_ERR_BUSY;
--- a/core/planforecast.c
+++ b/core/planforecast.c
@@ -92,6 +92,7 @@
     set_amount(work.amount, typical, &size, count);
     for (int r = 0; r < BACKLOG_RESOURCE_COUNT; r++) {
         work.work[r] = work.amount[r] * def->estimate_ms;
+        work.whole[r] = work.amount[BACKLOG_WHOLE] > 0 ? work.amount[r] : 0;
     }
     return work;
 }
@@ -143,6 +144,14 @@
     }
 }
 
+static bool
+has_half_free(const struct plan_target *target)
+{
+    return target->used.cpu_milli * 2 <= target->capacity.cpu_milli &&
+           target->used.memory_mb * 2 <= target->capacity.memory_mb &&
+           target->used.accel * 2 <= target->capacity.accel;
+}
+
 static void
 count_runs(struct plan *plan, const struct plan_target *target,
            const struct typical *typical, struct backlog *backlog,
@@ -169,7 +178,10 @@
             count_followers(plan, backlog, typical, run->step, after_ms);
         }
     }
-    if (!has_whole && ends > 0) {
+    if (!has_whole && has_half_free(target)) {
+        backlog->free_whole++;
+    }
+    else if (!has_whole && ends > 0) {
         /* Small tasks keep a large one out until about half of them end. */
         uint64_t amount[BACKLOG_RESOURCE_COUNT] = {[BACKLOG_WHOLE] = 1};
 
@@ -197,6 +209,7 @@
         later = work_of(typical, next->def, next->pending);
         for (int r = 0; r < BACKLOG_RESOURCE_COUNT; r++) {
             work.amount[r] = MAX(work.amount[r], later.amount[r]);
+            work.whole[r] = MAX(work.whole[r], later.whole[r]);
             work.work[r] += later.work[r];
         }
     }
@@ -204,15 +217,21 @@
 }
 
 static bool
-has_grant(const struct plan_step *step)
+has_grant(struct plan *plan, const struct plan_step *step)
 {
+    uint32_t granted = 0;
+    uint32_t answered = 0;
+
     for (guint i = 0; step->tickets != NULL && i < step->tickets->len; i++) {
-        if (g_array_index(step->tickets, struct plan_ticket, i).state ==
-            TICKET_GRANTED) {
-            return true;
-        }
+        const enum plan_ticket_state state =
+            g_array_index(step->tickets, struct plan_ticket, i).state;
+
+        granted += state == TICKET_GRANTED;
+        answered += state != TICKET_PENDING;
     }
-    return false;
+    plan_admissions_learn_grants(plan, step->job->job->queue, granted,
+                                 answered);
+    return granted > 0;
 }
 
 static uint64_t
@@ -224,11 +243,24 @@
                : 0;
 }
 
+static bool
+has_unlisted_target(const struct plan_pool *pool)
+{
+    for (guint i = 0; i < pool->targets->len; i++) {
+        if (!((const struct plan_target *)pool->targets->pdata[i])
+                 ->runs_known) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 count_waiting(struct plan *plan, const struct plan_pool *pool,
               const struct typical *typical, uint64_t now_ms)
 {
     struct backlog *backlog = pool->backlog;
+    const bool is_unlisted = !plan->reconciled && has_unlisted_target(pool);
 
     for (guint i = 0; i < plan->open_steps->len; i++) {
         struct plan_step *step = plan->open_steps->pdata[i];
@@ -251,12 +283,17 @@
             backlog_add_follower(backlog, work.amount, (uint64_t)due_in_ms);
         }
         else {
+            const bool needs_query =
+                plan_needs_ticket(step) && !has_grant(plan, step);
+            /* Inherited work waits until its targets have listed its runs. */
+            const bool is_fresh =
+                needs_query || (is_unlisted && step->job->inherited);
+
             backlog_add_entry(backlog, step->sort_key, &work,
-                              plan_needs_ticket(step) &&
-                                      !step->query_in_flight &&
-                                      !has_grant(step)
+                              needs_query && !step->query_in_flight
                                   ? query_ms(&step->job->job->queue->conf)
-                                  : 0);
+                                  : 0,
+                              is_fresh);
         }
     }
 }
@@ -362,6 +399,76 @@
     set_amount(out, typical, &size, MIN(slots, UINT32_MAX));
 }
 
+struct run_end {
+    uint64_t after_ms;
+    const struct plan_run *run;
+};
+
+static gint
+compare_run_ends(gconstpointer a, gconstpointer b)
+{
+    const struct run_end *x = a;
+    const struct run_end *y = b;
+
+    return x->after_ms < y->after_ms ? -1 : x->after_ms > y->after_ms;
+}
+
+/* When a target has room for a task of this size, by the expected ends of its
+ * runs; UINT64_MAX: not known. */
+static uint64_t
+room_after_ms(const struct plan_target *target,
+              const struct fleet_resources *size, uint64_t now_ms,
+              GArray *ends)
+{
+    struct fleet_resources used = target->used;
+    uint64_t after_ms = 0;
+
+    g_array_set_size(ends, 0);
+    for (guint i = 0; i < target->runs->len; i++) {
+        const struct run_end end = {
+            until_end_ms(target->runs->pdata[i], now_ms),
+            target->runs->pdata[i]};
+
+        if (!is_lasting(end.run)) {
+            g_array_append_val(ends, end);
+        }
+    }
+    g_array_sort(ends, compare_run_ends);
+    for (guint i = 0; plan_count_fitting(target, &used, size) == 0; i++) {
+        if (i == ends->len) {
+            return UINT64_MAX;
+        }
+        after_ms = g_array_index(ends, struct run_end, i).after_ms;
+        plan_subtract_size(&used,
+                           &g_array_index(ends, struct run_end, i).run->size);
+    }
+    return after_ms;
+}
+
+/* When targets have room for a task that needs a whole one. */
+static void
+set_room(const struct plan_pool *pool, const struct fleet_step *def,
+         uint64_t now_ms, uint64_t room[BACKLOG_SLOTS])
+{
+    const struct fleet_resources size = plan_task_size(def);
+    GArray *ends = g_array_new(FALSE, FALSE, sizeof(struct run_end));
+
+    for (guint i = 0; i < pool->targets->len; i++) {
+        const struct plan_target *target = pool->targets->pdata[i];
+        uint64_t slot;
+
+        if (!counts(target) || !plan_could_hold(target, def)) {
+            continue;
+        }
+        slot = room_after_ms(target, &size, now_ms, ends) /
+               pool->backlog->slot_ms;
+        if (slot < BACKLOG_SLOTS) {
+            room[slot]++;
+        }
+    }
+    g_array_free(ends, TRUE);
+}
+
 /* What is kept for work with little slack (plan_leaves_headroom()). */
 static void
 set_kept_free(const struct plan *plan, struct plan_forecast_input *input,
@@ -378,6 +485,26 @@
     }
 }
 
+/* A gang starts once as many of the targets that the policy grants it are free
+ * at the same time; that many of all targets are then. */
+static void
+ask_for_granted(const struct plan *plan, struct plan_forecast_input *input,
+                const struct fleet_step *def, uint64_t targets)
+{
+    const struct fleet_queue *queue = input->offer->queue;
+    uint64_t *whole = &input->demand.own.amount[BACKLOG_WHOLE];
+    uint64_t granted;
+
+    if (!queue->conf.advised || !def->gang || *whole == 0) {
+        return;
+    }
+    granted = MIN(plan_query_targets(plan, def), targets) *
+              plan_admissions_grants_permille(plan, queue) / 1000;
+    if (granted < targets) {
+        *whole = MIN(*whole * targets / MAX(granted, 1), targets);
+    }
+}
+
 void
 plan_forecast_prepare(const struct plan *plan, const struct plan_offer *offer,
                       uint64_t now_ms, struct plan_forecast_input *input)
@@ -408,7 +535,12 @@
             backlog_add_work(&input->demand.own, &work);
         }
     }
+    ask_for_granted(plan, input, &steps[0], typical.targets);
     count_free(input->pool, &typical, &steps[0], now_ms, input->demand.free);
+    if (input->demand.own.amount[BACKLOG_WHOLE] > 0 &&
+        input->pool->backlog != NULL) {
+        set_room(input->pool, &steps[0], now_ms, input->demand.room);
+    }
     set_kept_free(plan, input,
                   plan_objective_ms(input->chain_ms, &offer->queue->conf));
 }
@@ -468,16 +600,38 @@
     return wait_ms;
 }
 
+/* Workload: gangs that wait for whole targets, each of which queries the
+ * policy again whenever its tickets expire, until no client is left for work
+ * that could start. */
+static bool
+holds_policy(const struct plan *plan, const struct plan_forecast_input *input)
+{
+    const struct fleet_queue_conf *queue = &input->offer->queue->conf;
+    const struct fleet_step *steps = input->offer->submit->steps.items;
+    const uint64_t one_query_ms =
+        (queue->advice_us + (uint64_t)queue->advice_each_us *
+                                plan_query_targets(plan, &steps[0])) /
+        1000;
+
+    return queue->advised && input->pool != NULL &&
+           input->pool->backlog->queries_blocked &&
+           one_query_ms * 2 > queue->ticket_ms;
+}
+
+static const char *const RESOURCE_NAMES[BACKLOG_RESOURCE_COUNT] = {
+    "cpu", "memory", "accel", "whole targets"};
+
 struct plan_forecast
 plan_forecast(const struct plan *plan, const struct plan_offer *offer,
               uint64_t now_ms)
 {
     struct plan_forecast_input input;
     struct plan_forecast forecast;
-    struct backlog_answer answer = {0, 0, 0};
+    struct backlog_answer answer = {.first_ms = 0};
     uint64_t later_ms = 0;
     uint64_t waves_ms = 0;
     uint64_t wait_ms;
+    uint64_t delay_ms;
 
     plan_forecast_prepare(plan, offer, now_ms, &input);
     if (input.pool != NULL && input.pool->backlog != NULL) {
@@ -487,9 +641,9 @@
     }
     wait_ms = MAX(MAX(answer.first_ms, answer.query_ms), team_wait_ms(&input));
     forecast.wait_ms = (uint32_t)MIN(wait_ms, UINT32_MAX / 8);
-    forecast.end_ms =
-        (uint32_t)MIN(MAX(wait_ms, answer.last_ms) + later_ms + input.chain_ms,
-                      UINT32_MAX / 2);
+    delay_ms = (MAX(wait_ms, answer.last_ms) + later_ms) *
+               plan_admissions_scale_permille(plan, offer->queue) / 1000;
+    forecast.end_ms = (uint32_t)MIN(delay_ms + input.chain_ms, UINT32_MAX / 2);
     forecast.objective_ms =
         plan_objective_ms(input.chain_ms, &offer->queue->conf) +
         (uint32_t)MIN(waves_ms, UINT32_MAX / 8);
@@ -497,6 +651,14 @@
         forecast.objective_ms +=
             (uint32_t)MIN(input.due_ms - now_ms, UINT32_MAX / 8);
     }
-    forecast.margin_ms = plan_admissions_margin_ms(plan, offer->queue);
+    forecast.scale_permille =
+        plan_admissions_scale_permille(plan, offer->queue);
+    forecast.scarce = RESOURCE_NAMES[answer.scarce];
+    forecast.own = answer.own;
+    forecast.ahead = answer.ahead;
+    forecast.margin_ms = plan_admissions_margin_ms(
+        plan, offer->queue,
+        forecast.objective_ms - MIN(input.chain_ms, forecast.objective_ms));
+    forecast.holds_policy = answer.last_ms > 0 && holds_policy(plan, &input);
     return forecast;
 }
--- a/core/planforecast.h
+++ b/core/planforecast.h
@@ -23,6 +23,14 @@
     uint32_t end_ms;       /* until its last task ends */
     uint32_t objective_ms; /* its time objective */
     uint32_t margin_ms;    /* by which forecasts of its queue were too early */
+    uint32_t scale_permille; /* how long jobs of its queue waited, of what was
+                              * forecast; part of end_ms */
+    /* No policy client is free, and while it waits for capacity its queries
+     * would take one for most of the time. */
+    bool holds_policy;
+    const char *scarce; /* what it waits for the longest */
+    uint64_t own;       /* how much of that it needs */
+    uint64_t ahead;     /* and how much the work that goes before it */
 };
 
 /* Forecasts a job by the expected ends of runs and the work that waits and
@@ -33,7 +41,8 @@
 
 /* Forecasts of a queue's jobs against what came of them, in this term. */
 struct plan_queue_forecasts {
-    uint32_t margin_ms;              /* see struct plan_forecast */
+    uint32_t margin_permille;        /* of the slack of a job */
+    uint32_t scale_permille;         /* of the wait, of what was forecast */
     uint64_t refused;                /* by forecast */
     struct histogram too_early_ms;   /* ends after the forecast */
     struct histogram too_late_ms;    /* ends before it */
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -187,6 +187,7 @@
     struct plan_task *tasks;
     GQueue runs; /* struct plan_run of its steps, by their job_link */
     uint64_t forecast_end_ms; /* as forecast when it was admitted; 0: not */
+    bool forecast_overdue;    /* it was judged before its end */
     uint64_t backlog_mark;    /* see plan->backlog_mark */
 };
 
@@ -364,9 +365,20 @@
  * arrives and goes before the job. */
 void plan_admissions_count(const struct plan *plan,
                            struct plan_forecast_input *input);
+/* How long jobs of the queue waited, of what was forecast. */
+uint32_t plan_admissions_scale_permille(const struct plan *plan,
+                                        const struct fleet_queue *queue);
+/* The part of the targets that the placement policy grants to jobs of the
+ * queue. */
+uint32_t plan_admissions_grants_permille(const struct plan *plan,
+                                         const struct fleet_queue *queue);
+void plan_admissions_learn_grants(struct plan *plan,
+                                  const struct fleet_queue *queue,
+                                  uint32_t granted, uint32_t answered);
 /* By how much forecasts of the queue's jobs were too early. */
 uint32_t plan_admissions_margin_ms(const struct plan *plan,
-                                   const struct fleet_queue *queue);
+                                   const struct fleet_queue *queue,
+                                   uint32_t slack_ms);
 void plan_admissions_job_added(struct plan *plan, struct plan_job *job,
                                uint64_t now_ms);
 void plan_admissions_job_ended(struct plan *plan, struct plan_job *job,
@@ -497,6 +509,9 @@
 /* Marks a ticket as invalid; the grant remains. */
 void plan_expire_ticket(struct plan_step *step,
                         const struct plan_target *target);
+/* How many targets the first query for a step of this kind names. */
+uint32_t plan_query_targets(const struct plan *plan,
+                            const struct fleet_step *def);
 /* Queries the placement policy for a step, if that is useful now. */
 void plan_query_policy(struct plan *plan, struct plan_step *step,
                        uint64_t now_ms);
--- a/core/planticket.c
+++ b/core/planticket.c
@@ -210,10 +210,9 @@
 
 /* How many targets a query for the step names beside those that are granted.
  */
-static uint32_t
-query_target_count(const struct plan *plan, const struct plan_step *step)
+uint32_t
+plan_query_targets(const struct plan *plan, const struct fleet_step *def)
 {
-    const struct fleet_step *def = step->def;
     uint32_t count = def->count * QUERY_TARGETS_PER_TASK;
 
     if (def->gang && plan->params.policy->wide_gang_queries) {
@@ -277,7 +276,7 @@
     const GPtrArray *targets = step->job->pool->targets;
     GArray *list = g_array_new(FALSE, FALSE, sizeof(struct candidate));
     const struct fleet_resources size = plan_task_size(step->def);
-    uint32_t max = query_target_count(plan, step);
+    uint32_t max = plan_query_targets(plan, step->def);
 
     mark_named_targets(plan, step);
     for (guint i = 0; i < targets->len; i++) {
--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -189,6 +189,10 @@
           EVENT_INT("end_ms", admission->end_ms),
           EVENT_INT("objective_ms", admission->objective_ms),
           EVENT_INT("margin_ms", admission->margin_ms),
+          EVENT_INT("scale", admission->scale_permille),
+          EVENT_STR("scarce", admission->scarce),
+          EVENT_INT("own", admission->own),
+          EVENT_INT("ahead", admission->ahead),
           EVENT_INT("age_ms", admission->age_ms),
           EVENT_INT("retry_after_ms", answer->retry_after_ms),
           EVENT_INT("config", dispatch->deps.fleet->config.version));
@@ -200,7 +204,8 @@
 {
     struct fleet_queue *queue;
     struct fleet_team *team;
-    struct plan_admission admission = {.err = FP_OK, .reason = ""};
+    struct plan_admission admission = {
+        .err = FP_OK, .reason = "", .scarce = ""};
     struct call_answer answer = {.err = FP_OK};
     uint64_t id = 0;
     char reason[200];
