Admission: callers that could not come back in time are refused only if their result would be of no use

Cause: a job with under 2 s of slack that is refused comes back too late, as Retry-After gives whole seconds: waiting serves its caller better.

--- a/core/planadmit.c
+++ b/core/planadmit.c
@@ -47,6 +47,10 @@
 #define WIDER_DIVISOR 4u
 /* Weight of the old value in the part of the targets that is granted. */
 #define GRANTS_WEIGHT 16u
+/* A caller with so little slack that it could not come back in time is refused
+ * only if its result would come too late to be of use: after so many
+ * objectives. */
+#define EXPIRY_FACTOR 3u
 /* Work of a large job, of the mean of its queue. */
 #define LARGE_FACTOR 2u
 /* Large jobs of a queue are admitted at least at this rate, of the rate of all
@@ -589,6 +593,9 @@
         bound_ms += slack_ms / WIDER_DIVISOR;
     }
     bound_ms = MAX(bound_ms, chain_ms + RETRY_MIN_MS);
+    if (slack_ms < 2 * RETRY_MIN_MS) {
+        bound_ms = forecast->objective_ms * EXPIRY_FACTOR;
+    }
     if (forecast->holds_policy) {
         bound_ms = chain_ms;
     }
