Speeds of targets: learned from the ends of runs, by target and kind

Cause: slowdown_permille is smoothed for each target by itself, from nothing after each takeover, mixes the speed of the target with the tail of the work and the error of the estimates, and acts above 2.2 times only. A quarter of the targets at 0.55 of the speed of the rest went unseen.

Change, under learns_speeds of the policy only: a run is compared with the median of its step, which shares one estimate, right or wrong; of a target the last seven comparisons are kept and their median counts; its kind (labels but for the rack, capacity) stands in until it has three ends of its own; the ratio of run times to estimates is learned by queue. Nothing is learned from runs that were adopted, resumed, or ended before an eighth of their time. Used by the expected end of a run, reservations and backfill, the placement of work with little slack, and queries, which name slow targets last.

Tests first: tests/speed_test.cc; without the change of the placement Speed.WorkWithoutSlack... starts on the slow targets, without that of the queries Speed.QueriesName... finds them named. The mutants were run by hand.

--- a/bench/replay.h
+++ b/bench/replay.h
@@ -68,9 +68,13 @@
     uint32_t crashing_permille; /* part of the jobs with a task that crashes
                                  * every target that starts it */
     uint32_t crash_after_ms;    /* from its start to the crash; 0: 10 ms */
-    uint32_t copies_permille;   /* part of the steps that allow duplicates */
-    uint32_t apart_permille;    /* part of the steps that limit their tasks on
-                                 * one target */
+    uint32_t tail_permille; /* part of the runs that take tail_factor_percent
+                             * of their usual time */
+    uint32_t tail_factor_percent;
+    bool tail_of_task;        /* every run of such a task does; else one run */
+    uint32_t copies_permille; /* part of the steps that allow duplicates */
+    uint32_t apart_permille;  /* part of the steps that limit their tasks on
+                               * one target */
     bool gang;
     bool lasting;
     bool checkpoints;
--- a/bench/simtarget.c
+++ b/bench/simtarget.c
@@ -229,6 +229,19 @@
     crash->run_number = order->run_number;
 }
 
+/* Whether a run is one of those that take much longer than usual. */
+static bool
+is_in_tail(const struct sim *sim, const struct sim_run *run)
+{
+    const struct replay_queue *queue = run->job->queue;
+    uint32_t run_number = queue->tail_of_task ? 0 : run->run_number;
+
+    return replay_hash(sim->seed + 3, run->job->id ^ run_number,
+                       run->task.step * 65536u + run->task.index) %
+               1000 <
+           queue->tail_permille;
+}
+
 /* Run time from scratch on a target as fast as it is now. */
 static uint64_t
 total_run_ms(struct sim *sim, const struct sim_target *target,
@@ -241,6 +254,9 @@
         return UINT32_MAX;
     }
     ms = ms * 100 / target->speed_percent;
+    if (is_in_tail(sim, run)) {
+        ms = ms * run->job->queue->tail_factor_percent / 100;
+    }
     if (sim->now_ms < target->slow_until_ms) {
         ms = ms * target->slow_percent / 100;
     }
--- a/core/plan.c
+++ b/core/plan.c
@@ -31,6 +31,7 @@
                                                   .finishes_started = true,
                                                   .packs_all = true,
                                                   .forecasts = true,
+                                                  .learns_speeds = true,
                                                   .copies = true};
 const struct plan_policy PLAN_POLICY_RESERVE_AT_ONCE = {
     .name = "holds-at-once",
@@ -56,7 +57,9 @@
     if (pool == NULL) {
         pool = g_new0(struct plan_pool, 1);
         g_strlcpy(pool->service, service, sizeof(pool->service));
+        pool->plan = plan;
         pool->targets = g_ptr_array_new();
+        pool->kinds = g_ptr_array_new_with_free_func(g_free);
         g_hash_table_insert(plan->pools, pool->service, pool);
     }
     return pool;
@@ -80,6 +83,7 @@
         backlog_clear(pool->backlog);
         g_free(pool->backlog);
     }
+    g_ptr_array_free(pool->kinds, TRUE);
     g_free(pool);
 }
 
@@ -122,6 +126,7 @@
     set_pool(ptarget, get_or_add_pool(plan, target->rec.service));
     ptarget->capacity = (struct fleet_resources){
         target->rec.cpu_milli, target->rec.memory_mb, target->rec.accel};
+    plan_set_kind(ptarget);
     plan_update_place(plan, ptarget);
     plan_check_reservation(plan, ptarget);
     plan->dirty = true;
@@ -165,6 +170,7 @@
     target->failures_in_row = 0;
     target->backoff_until_ms = 0;
     target->slowdown_permille = 1000;
+    plan_forget_speed(target);
     target->silent_ms = 0;
     target->closed = false;
 }
@@ -356,6 +362,7 @@
     }
     for (uint32_t i = 0; i < job->step_count; i++) {
         plan_free_tickets(&job->steps[i]);
+        plan_free_step_ends(&job->steps[i]);
     }
     g_free(job->tasks);
     g_free(job->steps);
@@ -619,6 +626,8 @@
     plan->silences = g_array_new(FALSE, FALSE, sizeof(struct plan_silence));
     plan->pools =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_pool);
+    plan->queue_ratios =
+        g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
     g_hash_table_iter_init(&iter, fleet->teams);
     while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&team)) {
         memset(&team->used, 0, sizeof(team->used));
@@ -671,6 +680,7 @@
     g_free(plan->evidence.items);
     plan_admissions_free(plan->admissions);
     g_hash_table_destroy(plan->pools);
+    g_hash_table_destroy(plan->queue_ratios);
     g_free(plan);
 }
 
--- a/core/plan.h
+++ b/core/plan.h
@@ -23,6 +23,8 @@
  *   planevac.c   evacuated data centres, and cold targets
  *   plancrash.c  crashes of targets, and the runs that may have caused them
  *   planticket.c queries to the placement policy
+ *   planpack.c   how well a task fits a target
+ *   planspeed.c  how fast targets run work
  */
 #ifndef FP_PLAN_H
 #define FP_PLAN_H
@@ -185,6 +187,8 @@
     bool packs_all;        /* placement by all resources (core/planpack.h) */
     bool forecasts;        /* refuses what cannot end in time
                             * (core/planforecast.h) */
+    bool learns_speeds;    /* expected run times by target
+                            * (core/planspeed.h) */
     bool copies;           /* second runs of stragglers (core/plancopy.h) */
 };
 
--- a/core/planfit.c
+++ b/core/planfit.c
@@ -7,6 +7,10 @@
 /* Targets whose runs take longer than this, per mille of the estimate, are
  * used last. */
 #define SLOW_TARGET_PERMILLE 2200u
+/* With learned speeds: how finely targets are told apart by how late the step
+ * would be, in parts of its run time. */
+#define LATENESS_PARTS 4u
+#define LATENESS_MAX 1000u
 /* Cost of the target where the task failed last: above all other costs. */
 #define FAILED_HERE_COST (1ull << 52)
 /* How long targets are kept free of other starts before a trial. */
@@ -147,6 +151,37 @@
                            size->accel);
 }
 
+/* Workload: targets of unlike speed. Work with little slack takes the fast
+ * ones first, in particular the last tasks of a chain; to work that can wait,
+ * and still be in time on a slow one, they are the same. */
+static uint64_t
+speed_cost(const struct plan *plan, const struct plan_target *target,
+           const struct plan_step *step, uint64_t now_ms)
+{
+    uint64_t usual_ms;
+    uint64_t run_ms;
+    uint64_t slack_ms;
+
+    if (!plan->params.policy->learns_speeds) {
+        return target->slowdown_permille > SLOW_TARGET_PERMILLE
+                   ? (uint64_t)target->slowdown_permille << 38
+                   : 0;
+    }
+    if (step->def->lasting || step->def->fills) {
+        return 0;
+    }
+    usual_ms = MAX(plan_run_time_ms(plan, step, NULL), 1);
+    run_ms = plan_run_time_ms(plan, step, target);
+    slack_ms =
+        step->latest_start_ms > now_ms ? step->latest_start_ms - now_ms : 0;
+    if (run_ms <= usual_ms / 2 + slack_ms) {
+        return 0;
+    }
+    return MIN((run_ms - usual_ms / 2 - slack_ms) * LATENESS_PARTS / usual_ms,
+               LATENESS_MAX)
+           << 38;
+}
+
 /* Cost of placing a task on a target; the lowest is chosen. Prefers the rack
  * of the task's data, then targets that are not slow, then the tightest fit
  * (best fit), which keeps large blocks of capacity free. Filler work prefers
@@ -156,7 +191,7 @@
 static uint64_t
 placement_cost(const struct plan *plan, const struct plan_target *target,
                const struct plan_step *step,
-               const struct fleet_resources *size)
+               const struct fleet_resources *size, uint64_t now_ms)
 {
     const struct fleet_step *def = step->def;
     /* The capacity may have fallen below what runs. */
@@ -173,9 +208,7 @@
     if (step->is_trial) {
         cost += (uint64_t)target->runs->len << 42;
     }
-    if (target->slowdown_permille > SLOW_TARGET_PERMILLE) {
-        cost += (uint64_t)target->slowdown_permille << 38;
-    }
+    cost += speed_cost(plan, target, step, now_ms);
     if (def->fills) {
         cost += (uint64_t)target->serving_runs << 40;
         return cost + (1ull << 32) - MIN(free_cpu, 1ull << 32);
@@ -220,7 +253,8 @@
         !plan_fits(target, search->size, search->step, search->now_ms)) {
         return;
     }
-    cost = placement_cost(search->plan, target, search->step, search->size) +
+    cost = placement_cost(search->plan, target, search->step, search->size,
+                          search->now_ms) +
            plan_cold_cost(target, search->now_ms) +
            (target == search->failed_on ? FAILED_HERE_COST : 0);
     if (cost < search->best_cost) {
--- a/core/planhold.c
+++ b/core/planhold.c
@@ -250,7 +250,8 @@
     case RESERVE_AT_ONCE:
         return true;
     default:
-        return now_ms + step->def->estimate_ms >= step->latest_start_ms;
+        return now_ms + plan_run_time_ms(plan, step, NULL) >=
+               step->latest_start_ms;
     }
 }
 
@@ -322,8 +323,11 @@
 plan_is_reserved_for_other(const struct plan_target *target,
                            const struct plan_step *step, uint64_t now_ms)
 {
-    uint64_t run_time_ms =
-        (uint64_t)step->def->estimate_ms * BACKFILL_TIME_PERMILLE / 1000;
+    const struct plan *plan = target->pool->plan;
+    uint64_t expected_ms = plan->params.policy->learns_speeds
+                               ? plan_run_time_ms(plan, step, target)
+                               : step->def->estimate_ms;
+    uint64_t run_time_ms = expected_ms * BACKFILL_TIME_PERMILLE / 1000;
 
     if (target->reserved_for == NULL || target->reserved_for == step ||
         now_ms >= target->reserved_until_ms ||
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -4,6 +4,7 @@
 
 #include "core/backlog.h"
 #include "core/plan.h"
+#include "core/planspeed.h"
 
 enum run_state {
     RUN_STARTING, /* ordered, not answered */
@@ -38,12 +39,23 @@
     bool is_trial;      /* nothing else had just started on its target */
     bool is_open_crash; /* counted in its task's open_crashes */
     bool is_judged;     /* the crash of its target was counted */
+    bool is_whole;      /* ordered in this term, not from a checkpoint */
+};
+
+/* Targets of one service with the same labels, but for the rack, and the same
+ * capacity. */
+struct plan_kind {
+    char labels[FLEET_LABELS_BYTES];
+    struct fleet_resources capacity;
+    struct plan_speed speed;
 };
 
 /* All targets of one service. */
 struct plan_pool {
     char service[FLEET_NAME_BYTES];
     GPtrArray *targets;              /* struct plan_target */
+    GPtrArray *kinds;                /* struct plan_kind, owned */
+    const struct plan *plan;         /* that it belongs to */
     struct fleet_resources capacity; /* of usable targets; set by each pass */
     struct fleet_resources used;     /* on usable targets; each pass recounts
                                       * it */
@@ -85,7 +97,10 @@
     uint64_t last_start_ms;     /* when a start was last ordered; 0: never */
     uint64_t backoff_until_ms;  /* no starts before this */
     uint32_t failures_in_row;   /* failed runs since the last success */
-    uint32_t slowdown_permille; /* smoothed run time, of the estimate */
+    uint32_t slowdown_permille; /* smoothed run time, of the estimate; without
+                                 * learns_speeds of the policy */
+    struct plan_speed speed;    /* with it */
+    struct plan_kind *kind;     /* NULL: none of its own */
     uint32_t serving_runs;      /* runs with a bound on their tail latency */
     uint32_t members;           /* of the gang that is being placed */
     GPtrArray *runs;            /* struct plan_run, owned */
@@ -141,6 +156,8 @@
     GHashTable *ticket_index; /* struct plan_target to its index in tickets,
                                * plus 1 */
     uint32_t reserved_targets; /* targets with capacity reserved for it */
+    uint64_t typical_run_ms;   /* median of its tasks; 0: not known yet */
+    GArray *ends;              /* struct step_end of planspeed.c; NULL: none */
     uint64_t remaining_ms;     /* see remaining_run_ms() in planorder.c */
     uint64_t sort_key[3];      /* set by planorder.c, smallest first; [0] is
                                 * an enum plan_class */
@@ -209,6 +226,8 @@
                                 * ahead */
     GPtrArray *targets;        /* struct plan_target */
     GHashTable *pools;         /* service to struct plan_pool */
+    GHashTable *queue_ratios;  /* struct fleet_queue to struct plan_speed: run
+                                * times, of the estimates */
     GArray *silences; /* struct plan_silence of the last seconds, by time */
     uint64_t last_silence;   /* number of the last one */
     struct fp_list evidence; /* struct fleet_task_crash to be stored */
--- a/core/planrun.c
+++ b/core/planrun.c
@@ -15,8 +15,6 @@
 /* Added to the time of a stop: for its order to arrive, and for the end to be
  * listed. */
 #define EVACUATE_MARGIN_MS 300u
-/* Weight of the old value, of 8, in the smoothed run time of a target. */
-#define SLOWDOWN_OLD_WEIGHT 7u
 
 struct fleet_resources
 plan_task_size(const struct fleet_step *def)
@@ -311,7 +309,6 @@
         .spec = &job->job->submit.spec,
         .checkpoint = task->checkpoint != NULL ? task->checkpoint : "",
         .ticket = ticket};
-    uint64_t run_ms = step->def->estimate_ms;
 
     if (step->is_trial) {
         plan_begin_trial(target, step, now_ms);
@@ -325,11 +322,8 @@
     run->start_in_flight = true;
     run->ordered_ms = now_ms;
     target->last_start_ms = now_ms;
-    if (step->def->rack[0] != '\0' &&
-        strcmp(step->def->rack, target->target->rec.rack) != 0) {
-        run_ms = run_ms * plan->params.remote_run_permille / 1000;
-    }
-    run->expected_end_ms = now_ms + run_ms;
+    run->is_whole = task->checkpoint == NULL;
+    run->expected_end_ms = now_ms + plan_run_time_ms(plan, step, target);
     step->expected_end_ms = MAX(step->expected_end_ms, run->expected_end_ms);
     plan_mark_started(job);
     if (step->pending == 0) {
@@ -438,8 +432,6 @@
 update_health(struct plan *plan, struct plan_target *target,
               const struct plan_run *run, uint32_t outcome, uint64_t now_ms)
 {
-    uint64_t estimate_ms = run->expected_end_ms - run->ordered_ms;
-
     if (outcome == RUN_FAILED) {
         target->failures_in_row++;
         if (target->failures_in_row > FAILURES_TOLERATED) {
@@ -458,15 +450,9 @@
     }
     else if (outcome == RUN_DONE) {
         target->failures_in_row = 0;
-        if (estimate_ms > 0 && run->active_since_ms > 0) {
-            uint64_t ratio =
-                (now_ms - run->active_since_ms) * 1000 / estimate_ms;
-
-            target->slowdown_permille =
-                (uint32_t)((target->slowdown_permille * SLOWDOWN_OLD_WEIGHT +
-                            MIN(ratio, 20000)) /
-                           (SLOWDOWN_OLD_WEIGHT + 1));
-        }
+        plan_learn_speed(
+            plan, run,
+            run->active_since_ms > 0 ? now_ms - run->active_since_ms : 0);
     }
 }
 
--- a/core/planticket.c
+++ b/core/planticket.c
@@ -32,6 +32,9 @@
 #define TICKET_MARGIN_MS 250u
 /* A target counts as free soon if it is by this long after the answer. */
 #define FREE_SOON_MS 500u
+/* Targets that take this part of a typical one's run time are named last among
+ * equals. */
+#define SLOW_TO_NAME_PERMILLE 1300u
 
 uint32_t
 plan_reserved_policy_clients(uint32_t clients)
@@ -180,23 +183,29 @@
 /* Workload: tasks that need most of one resource of a target, which the
  * targets with much of another one free do not have. Targets with room for the
  * task rank first, then those that should have it when the answer is there,
- * then the others; among equals those with the most free: by the time of the
- * answer other steps have filled the fullest. */
+ * then the others; among equals first those that are not slow, and then those
+ * with the most free: by the time of the answer other steps have filled the
+ * fullest. */
 static uint64_t
-rank_by_room(const struct plan_target *target,
-             const struct fleet_resources *size, uint64_t answer_ms)
+rank_by_room(const struct plan *plan, const struct plan_target *target,
+             const struct plan_step *step, uint64_t answer_ms)
 {
+    const struct fleet_resources size = plan_task_size(step->def);
     struct fleet_resources used = target->used;
     uint64_t rank = 0;
 
-    if (plan_count_fitting(target, &used, size) > 0) {
+    if (plan_count_fitting(target, &used, &size) > 0) {
         rank = 2ull << 32;
     }
     else {
         used = used_at(target, answer_ms + FREE_SOON_MS);
-        rank = plan_count_fitting(target, &used, size) > 0 ? 1ull << 32 : 0;
+        rank = plan_count_fitting(target, &used, &size) > 0 ? 1ull << 32 : 0;
+    }
+    if (plan->params.policy->learns_speeds && !step->def->lasting &&
+        plan_slowness_permille(plan, target) < SLOW_TO_NAME_PERMILLE) {
+        rank += 1ull << 31;
     }
-    return rank + plan_packing_cost(&target->capacity, &used, size);
+    return rank + plan_packing_cost(&target->capacity, &used, &size);
 }
 
 /* Workload: gangs whose members take whole targets, on a service that is
@@ -287,7 +296,7 @@
         if (target->mark != plan->mark && plan_takes_starts(target) &&
             plan_could_fit(target, step)) {
             candidate.rank = plan->params.policy->packs_all
-                                 ? rank_by_room(target, &size, answer_ms)
+                                 ? rank_by_room(plan, target, step, answer_ms)
                                  : free_resource(target, &size);
             if (step->def->rack[0] != '\0' &&
                 strcmp(step->def->rack, target->target->rec.rack) == 0) {
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -150,8 +150,18 @@
 core/planhold.c	return reserved_for->sort_key[0] >= CLASS_BEYOND_SHARE &&	return false &&	ShareOrder.AReservation*
 core/planfit.c	if (plan->params.policy->packs_all) {	if (false) {	Pack.AScanGoes*
 core/planticket.c	candidate.rank = plan->params.policy->packs_all	candidate.rank = false	Pack.AQueryNamesTargetsWith*
-core/planticket.c	        rank = plan_count_fitting(target, &used, size) > 0 ? 1ull << 32 : 0;	        rank = 0;	Pack.AQueryNamesTargetsThatAreFree*
+core/planticket.c	        rank = plan_count_fitting(target, &used, &size) > 0 ? 1ull << 32 : 0;	        rank = 0;	Pack.AQueryNamesTargetsThatAreFree*
 core/planpack.c	if (capacity == 0 || used + size >= capacity) {	if (capacity == 0) {	Pack.ATargetThatShrank*
+core/planspeed.c	    speed->permille = sorted[kept / 2];	    speed->permille = sorted[kept - 1];	Speed.RunsOfTheTail*
+core/planspeed.c	if (permille < CREDIBLE_PERMILLE || target->removed) {	if (target->removed) {	Speed.ATargetThatEndsTooEarly*
+core/planspeed.c	    if (target->kind != kind) {	    if (false) {	Speed.ATargetOfAnotherKind*
+core/planspeed.c	        if (strcmp(*item, rec->rack) != 0) {	        if (true) {	Speed.ATargetOfAnotherKind*
+core/planspeed.c	           now_ms <= speed->learned_ms + SPEED_AGE_MS;	           true;	Speed.NothingIsKnown*
+core/planspeed.c	    step->typical_run_ms = MAX(ends[step->def->count / 2].run_ms, 1);	    step->typical_run_ms = step->def->estimate_ms;	Speed.ASlowTargetIsKnown*
+core/planspeed.c	#define OWN_OLD_WEIGHT 15u	#define OWN_OLD_WEIGHT 0u	Speed.ATargetThatTurnsSlow*
+core/planticket.c	if (plan->params.policy->learns_speeds && !step->def->lasting &&	if (false &&	Speed.QueriesName*
+core/planfit.c	    if (run_ms <= usual_ms / 2 + slack_ms) {	    if (true) {	Speed.WorkWithoutSlack*
+core/planspeed.c	        run_ms = typical_run_ms(plan, step);	        run_ms = step->def->estimate_ms;	Speed.ExpectedEnds*
 LIST
 echo "$CAUGHT passed, $MISSED failed"
 [ "$MISSED" = 0 ]
--- a/tests/pack_test.cc
+++ b/tests/pack_test.cc
@@ -97,11 +97,19 @@
     }
     sim.become_leader();
     sim.planner->params.policy = &PACKS;
+    // The last eight are free of a match soon, though other work stays; the
+    // others stay short of memory, with more of the rest free.
     for (int i = 0; i < 16; i++) {
-        StepSpec full = MATCH;
-        full.accel = i < 8 ? 2 : 8;
-        full.estimate_ms = i < 8 ? 60000 : 100;
-        start_on(sim, 100 + (uint64_t)i, full, "t" + std::to_string(i));
+        StepSpec stays = {.estimate_ms = 60000};
+        stays.cpu_milli = i < 8 ? 100 : 60000;
+        stays.accel = i < 8 ? 0 : 4;
+        stays.memory_mb = i < 8 ? 60000 : 0;
+        start_on(sim, 100 + (uint64_t)i, stays, "t" + std::to_string(i));
+    }
+    for (int i = 8; i < 16; i++) {
+        StepSpec ends = MATCH;
+        ends.estimate_ms = 100;
+        start_on(sim, 200 + (uint64_t)i, ends, "t" + std::to_string(i));
     }
     sim.configure({"q"}, true);
     sim.submit(1, {MATCH});
