Memory: jobs that have ended keep only what queries need

The plan of a job, with a place for each task and for each target that the placement policy was asked about (128 bytes and a hash entry for each), stayed until the job was forgotten, 120 s after its end: 9 of 10.5 KB of a job with two steps of ten tasks. Now it goes once the last run of the ended job is gone, and the tickets of a step with its last task.

--- a/core/fleet.c
+++ b/core/fleet.c
@@ -7,17 +7,26 @@
 /* Announcements of the same cold target may differ by this. */
 #define COLD_TOLERANCE_MS 2000u
 
-static void
-free_job(void *item)
+void
+fleet_drop_progress(struct fleet_job *job)
 {
-    struct fleet_job *job = item;
-
-    for (uint32_t i = 0; i < job->task_count; i++) {
+    for (uint32_t i = 0; job->tasks != NULL && i < job->task_count; i++) {
         g_free(job->tasks[i].checkpoint);
         failures_clear(&job->tasks[i].failures);
         g_free(job->tasks[i].crashes);
     }
     g_free(job->tasks);
+    job->tasks = NULL;
+    fp_blob_free(&job->submit.spec);
+    job->submit.spec = (struct fp_blob){0};
+}
+
+static void
+free_job(void *item)
+{
+    struct fleet_job *job = item;
+
+    fleet_drop_progress(job);
     g_free(job->first_task);
     fp_record_free(&FLEET_SUBMIT_SCHEMA, &job->submit);
     g_free(job);
@@ -357,6 +366,7 @@
     if (fleet->ops.job_ended != NULL) {
         fleet->ops.job_ended(fleet->ops.ctx, job);
     }
+    fleet_drop_progress(job);
 }
 
 /* The leader has decided whether the job is beyond its team's rate, so that
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -70,7 +70,7 @@
     uint32_t occurrence_tasks; /* tasks of one occurrence */
     uint32_t task_count;       /* over all occurrences */
     uint32_t tasks_left; /* tasks that are not done, over all occurrences */
-    struct fleet_task *tasks;
+    struct fleet_task *tasks; /* NULL once it has ended, as is submit.spec */
     void *plan; /* the scheduler's struct plan_job; NULL: not planned */
 };
 
--- a/core/fleetpriv.h
+++ b/core/fleetpriv.h
@@ -54,6 +54,10 @@
                              const struct fp_schema *schema,
                              const void *record);
 
+/* Frees what only live jobs need: the progress of the tasks, and the
+ * specification. */
+void fleet_drop_progress(struct fleet_job *job);
+
 /* fleet.c */
 /* Returns the schema of a change type, or NULL for an unknown type. */
 const struct fp_schema *fleet_schema_of(uint32_t type);
--- a/core/fleetsave.c
+++ b/core/fleetsave.c
@@ -79,7 +79,7 @@
     struct fleet_job_saved saved = {
         .submit = job->submit, .state = job->state, .ended_ms = job->ended_ms};
 
-    for (uint32_t i = 0; i < job->task_count; i++) {
+    for (uint32_t i = 0; job->tasks != NULL && i < job->task_count; i++) {
         const struct fleet_task *task = &job->tasks[i];
         struct fleet_task_saved *saved_task;
 
@@ -196,6 +196,7 @@
     job->ended_ms = saved->ended_ms;
     if (!fleet_job_is_live(job)) {
         g_queue_push_tail(&fleet->ended_jobs, job);
+        fleet_drop_progress(job);
     }
 }
 
--- a/core/plan.c
+++ b/core/plan.c
@@ -339,6 +339,7 @@
     }
     pjob->ended = true;
     plan_admissions_job_ended(plan, pjob, now_ms);
+    g_ptr_array_add(plan->ended_jobs, pjob);
     plan_mark_started(pjob);
     for (GList *link = pjob->runs.head; link != NULL; link = link->next) {
         struct plan_run *run = link->data;
@@ -390,6 +391,7 @@
         return;
     }
     plan_mark_started(pjob);
+    g_ptr_array_remove_fast(plan->ended_jobs, pjob);
     remove_steps_of_job(plan->open_steps, pjob);
     remove_steps_of_job(plan->upcoming_steps, pjob);
     for (uint32_t i = 0; i < pjob->step_count; i++) {
@@ -409,6 +411,20 @@
     free_plan_job(pjob);
 }
 
+/* Workload: thousands of ended jobs whose states can still be queried. A job
+ * is planned no more once its last run is gone. */
+static void
+remove_ended_jobs(struct plan *plan)
+{
+    for (guint i = plan->ended_jobs->len; i > 0; i--) {
+        const struct plan_job *pjob = plan->ended_jobs->pdata[i - 1];
+
+        if (pjob->runs.head == NULL) {
+            plan_job_removed(plan, pjob->job);
+        }
+    }
+}
+
 /* A queue may have moved to another service. */
 void
 plan_config_changed(struct plan *plan)
@@ -570,6 +586,7 @@
     plan->next_pass_ms = now_ms + IDLE_PASS_INTERVAL_MS;
     plan->counters.passes++;
     remove_closed_steps(plan);
+    remove_ended_jobs(plan);
     plan_sort_open_steps(plan, now_ms);
     plan_update_cold(plan, now_ms);
     plan_update_pools(plan, now_ms);
@@ -620,6 +637,7 @@
     plan->ops = *ops;
     plan->admissions = plan_admissions_new();
     plan->copies = plan_copies_new();
+    plan->ended_jobs = g_ptr_array_new();
     plan->open_steps = g_ptr_array_new();
     plan->upcoming_steps = g_ptr_array_new();
     plan->targets = g_ptr_array_new();
@@ -678,6 +696,7 @@
     g_free(plan->evidence.items);
     plan_admissions_free(plan->admissions);
     plan_copies_free(plan->copies);
+    g_ptr_array_free(plan->ended_jobs, TRUE);
     g_hash_table_destroy(plan->pools);
     g_free(plan);
 }
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -217,6 +217,7 @@
     GArray *silences; /* struct plan_silence of the last seconds, by time */
     uint64_t last_silence;      /* number of the last one */
     struct plan_copies *copies; /* see plancopy.c */
+    GPtrArray *ended_jobs;      /* struct plan_job that may have runs left */
     struct fp_list evidence;    /* struct fleet_task_crash to be stored */
     struct fleet_resources unlisted_capacity; /* of targets whose runs are not
                                                * known yet; set by each pass */
--- a/core/planrun.c
+++ b/core/planrun.c
@@ -403,6 +403,7 @@
         }
     }
     if (step->unfinished == 0) {
+        plan_free_tickets(step);
         plan_open_successors(plan, step);
     }
 }
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -170,6 +170,7 @@
 node/httpd.c	        set_idle(ref->conn, false);\n		Entry.TheOldestIdle*
 node/httpd.c	bytes > httpd->bounds.partial_bytes	false	Entry.SlowSenders*
 node/settings.c	value != 0 && !(value >= min && value <= max)	false	Settings.ErrorsName*
+core/plan.c	        if (pjob->runs.head == NULL) {\n            plan_job_removed(plan, pjob->job);	        if (pjob->job == NULL) {\n            plan_job_removed(plan, pjob->job);	Memory.Ended*
 LIST
 echo "$CAUGHT passed, $MISSED failed"
 [ "$MISSED" = 0 ]
