--- a/core/planforecast.c
+++ b/core/planforecast.c
@@ -37,7 +37,7 @@
 counts(const struct plan_target *target)
 {
     return (target->usable || !target->runs_known) &&
-           !target->target->rec.leaving && !target->in_evacuation;
+           !target->target->rec.leaving;
 }
 
 static struct typical
