--- a/core/plan.c
+++ b/core/plan.c
@@ -576,6 +576,21 @@
     }
 }
 
+/* Queries the placement policy for upcoming steps, of jobs beyond their
+ * teams' shares or of the others. */
+static void
+query_ahead(struct plan *plan, bool beyond_share, uint64_t now_ms)
+{
+    for (guint i = 0; i < plan->upcoming_steps->len; i++) {
+        struct plan_step *step = plan->upcoming_steps->pdata[i];
+
+        if ((plan->params.policy->by_share && step->job->job->beyond_share) ==
+            beyond_share) {
+            plan_query_policy(plan, step, now_ms);
+        }
+    }
+}
+
 void
 plan_pass(struct plan *plan, uint64_t now_ms, uint64_t wall_ms)
 {
@@ -614,9 +629,8 @@
         plan_place_step(plan, step, now_ms);
         report_wait(plan, step, now_ms);
     }
-    for (guint i = 0; i < plan->upcoming_steps->len; i++) {
-        plan_query_policy(plan, plan->upcoming_steps->pdata[i], now_ms);
-    }
+    query_ahead(plan, false, now_ms);
+    query_ahead(plan, true, now_ms);
     if (plan->params.policy->forecasts) {
         plan_update_backlogs(plan, now_ms);
     }
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -181,6 +181,7 @@
 core/planfit.c	    if (run_ms <= usual_ms / 2 + slack_ms) {	    if (true) {	Speed.WorkWithoutSlack*
 core/planspeed.c	        run_ms = typical_run_ms(plan, step);	        run_ms = step->def->estimate_ms;	Speed.ExpectedEnds*
 core/plan.c	        if (pjob->runs.head == NULL) {\n            plan_job_removed(plan, pjob->job);	        if (pjob->job == NULL) {\n            plan_job_removed(plan, pjob->job);	Memory.Ended*
+core/plan.c	plan->params.policy->by_share && step->job->job->beyond_share	false	ShareOrder.ThePolicyIs*
 LIST
 echo "$CAUGHT passed, $MISSED failed"
 [ "$MISSED" = 0 ]
--- a/tests/shares_test.cc
+++ b/tests/shares_test.cc
@@ -320,6 +320,37 @@
     EXPECT_EQ(sim.started(), (std::vector<uint64_t>{100}));
 }
 
+// Tickets of later steps are asked for while the earlier ones run.
+TEST(ShareOrder, ThePolicyIsAskedAheadForWorkWithinSharesFirst)
+{
+    Shares sim;
+    sim.configure({"q"}, true, 0, sim.teams);
+    sim.put_target("t0", 8000);
+    sim.become_leader(1024, &PLAN_POLICY_CONTENDED);
+    sim.burst(10);
+    for (uint64_t id = 1; id <= 10; id++) {
+        sim.cancel_job(id);
+    }
+    sim.submit(100, {{.count = 1}, {.count = 1, .after = {0}}}, "q", "greedy");
+    sim.submit(101, {{.count = 1}, {.count = 1, .after = {0}}}, "q", "team");
+    ASSERT_TRUE(sim.find_job(100)->beyond_share);
+    sim.run_pass();
+    auto queries = sim.queries;
+    for (const auto &query : queries) {
+        sim.answer_query(query, {"t0"});
+    }
+    sim.queries.clear();
+    sim.run_pass();
+    ASSERT_EQ(sim.start_orders.size(), 2u);
+    sim.confirm_starts();
+    sim.run_pass(200);
+    std::vector<uint64_t> asked;
+    for (const auto &query : sim.queries) {
+        asked.push_back(query.step.job_id);
+    }
+    EXPECT_EQ(asked, (std::vector<uint64_t>{101, 100}));
+}
+
 // The leader fails in the middle of a burst; the next one starts from a
 // snapshot and the rest of the log.
 TEST(ShareOrder, ANewLeaderIsAsFairAsTheOldOne)
