--- a/tests/shares_test.cc
+++ b/tests/shares_test.cc
@@ -331,19 +331,27 @@
     for (uint64_t id = 1; id <= 10; id++) {
         sim.cancel_job(id);
     }
-    sim.submit(100, {{.count = 1}, {.count = 1, .after = {0}}}, "q", "greedy");
-    sim.submit(101, {{.count = 1}, {.count = 1, .after = {0}}}, "q", "team");
-    ASSERT_TRUE(sim.find_job(100)->beyond_share);
-    sim.run_pass();
-    auto queries = sim.queries;
-    for (const auto &query : queries) {
-        sim.answer_query(query, {"t0"});
+    for (uint64_t id : {100, 101}) { // the one beyond its share starts first
+        sim.policy_client_free = true;
+        sim.submit(id, {{.count = 1}, {.count = 1, .after = {0}}}, "q",
+                   id == 100 ? "greedy" : "team");
+        sim.queries.clear();
+        sim.run_pass();
+        auto queries = sim.queries;
+        for (const auto &query : queries) { // one asked ahead is to be repeated
+            sim.answer_query(query, {"t0"},
+                             query.step.step == 0 ? FP_OK
+                                                  : FP_ERR_UNKNOWN_OUTCOME);
+        }
+        sim.policy_client_free = false;
+        sim.run_pass();
+        sim.confirm_starts();
     }
-    sim.queries.clear();
-    sim.run_pass();
     ASSERT_EQ(sim.start_orders.size(), 2u);
-    sim.confirm_starts();
-    sim.run_pass(200);
+    ASSERT_TRUE(sim.find_job(100)->beyond_share);
+    sim.queries.clear();
+    sim.policy_client_free = true;
+    sim.run_pass(2000);
     std::vector<uint64_t> asked;
     for (const auto &query : sim.queries) {
         asked.push_back(query.step.job_id);
