Admission: what is left of a returning caller's objective; holders of policy clients; tight work

Change: a caller that comes back is judged by what is left of its objective; work that holds policy clients while it waits is refused only beyond a quarter of the clients, not at once; margins take at most half of a job's slack; tight work is not forecast behind work that leaves it headroom.

--- a/bench/replay.h
+++ b/bench/replay.h
@@ -4,6 +4,7 @@
  *   replay.c      the command and its report
  *   replayload.c  the load file
  *   replayjobs.c  generated jobs, and the credit that they earn
+ *   replayrecover.c  recovery after a burst
  *   replayhigh.c  the highest load that a policy can hold
  *   sim*.c        the simulation: targets, placement policy, lost orders,
  *                 leader changes
@@ -161,6 +162,8 @@
     uint64_t cancel_ms;     /* when the client cancels it; 0: never */
     uint32_t mean_run_ms;   /* true mean run time of its tasks */
     bool beyond_share;      /* its team had sent more than its rate */
+    uint32_t refusals;      /* answers to its caller that refused it */
+    bool was_refused;       /* at last: it never ran */
     bool crashes;           /* one of its tasks crashes its targets */
     uint32_t crashing_step; /* the task: its step and index */
     uint32_t crashing_index;
@@ -250,6 +253,14 @@
 double replay_fairness(const struct replay_load *load,
                        const struct sim_result *result);
 
+/* How long after the last burst, or the last loss of the leader, a queue's
+ * jobs still missed their objectives: until the end of the last second in
+ * which less than 9 in 10 of the jobs that arrived were in time. A queue that
+ * has not recovered when the load ends is in a metastable state. */
+uint32_t replay_recovery_ms(const struct replay_load *load,
+                            const struct replay_queue *queue,
+                            const struct sim_result *result);
+
 /* Report of one simulation: credit by queue and team, waits, wasted processor
  * time, scheduling passes, breaches. The caller owns the reference. */
 json_t *replay_report(const struct replay_load *load,
--- a/core/backlog.c
+++ b/core/backlog.c
@@ -75,7 +75,7 @@
 void
 backlog_add_entry(struct backlog *backlog, const uint64_t key[3],
                   const struct backlog_work *work, uint64_t query_ms,
-                  bool is_fresh)
+                  bool is_fresh, bool is_tight)
 {
     struct backlog_entry entry = {.query_ms = 0};
 
@@ -85,6 +85,9 @@
     }
     memcpy(entry.key, key, sizeof(entry.key));
     backlog_add_work(&entry.total, work);
+    if (is_tight) {
+        backlog_add_work(&entry.tight, work);
+    }
     entry.query_ms += query_ms;
     for (int r = 0; is_fresh && r < BACKLOG_RESOURCE_COUNT; r++) {
         entry.fresh[r] += work->amount[r];
@@ -330,7 +333,8 @@
         .backlog = backlog, .demand = demand, .ahead = demand->ahead};
 
     if (entry != NULL) {
-        backlog_add_work(&search.ahead, &entry->total);
+        backlog_add_work(&search.ahead,
+                         demand->is_tight ? &entry->tight : &entry->total);
         if (backlog->queries_blocked) {
             search.answer.query_ms =
                 entry->query_ms / MAX(backlog->query_clients, 1);
--- a/core/backlog.h
+++ b/core/backlog.h
@@ -42,6 +42,7 @@
 struct backlog_entry {
     uint64_t key[3];           /* see plan_compare_keys() */
     struct backlog_work total; /* of this entry and all before it */
+    struct backlog_work tight; /* likewise: of entries with little slack */
     uint64_t query_ms;         /* likewise: of policy queries not sent */
     uint64_t fresh[BACKLOG_RESOURCE_COUNT]; /* likewise: amount of steps that
                                              * have had no chance to start */
@@ -57,8 +58,11 @@
     uint64_t released[BACKLOG_RESOURCE_COUNT][BACKLOG_SLOTS];
     /* Amount of steps of jobs in progress that will start then. */
     uint64_t follows[BACKLOG_RESOURCE_COUNT][BACKLOG_SLOTS];
-    uint64_t free_whole;    /* targets with room for a task that needs one */
-    GArray *entries;        /* struct backlog_entry, in scheduling order */
+    uint64_t free_whole; /* targets with room for a task that needs one */
+    GArray *entries;     /* struct backlog_entry, in scheduling order */
+    /* Policy clients that are kept busy, in thousandths, by steps that wait
+     * and would take one for most of the time. */
+    uint64_t held_clients_milli;
     bool queries_blocked;   /* no policy client is free */
     uint32_t query_clients; /* with a query in flight */
 };
@@ -66,6 +70,7 @@
 /* What is asked about. */
 struct backlog_demand {
     uint64_t key[3];
+    bool is_tight; /* see backlog_add_entry() */
     struct backlog_work own;
     struct backlog_work ahead; /* besides that of the entries before key */
     uint64_t free[BACKLOG_RESOURCE_COUNT]; /* now, in pieces that its tasks
@@ -101,10 +106,11 @@
                           const uint64_t amount[BACKLOG_RESOURCE_COUNT],
                           uint64_t after_ms);
 /* Adds a waiting step, in scheduling order. query_ms: of a policy query that
- * it still needs. is_fresh: it has had no chance to start yet. */
+ * it still needs. is_fresh: it has had no chance to start yet. is_tight: it
+ * has little slack, and may use capacity that is kept free for such work. */
 void backlog_add_entry(struct backlog *backlog, const uint64_t key[3],
                        const struct backlog_work *work, uint64_t query_ms,
-                       bool is_fresh);
+                       bool is_fresh, bool is_tight);
 
 void backlog_add_work(struct backlog_work *to,
                       const struct backlog_work *work);
--- a/core/planadmit.c
+++ b/core/planadmit.c
@@ -584,15 +584,19 @@
                                   ? forecast->objective_ms - chain_ms
                                   : 0;
     uint32_t bound_ms =
-        forecast->objective_ms - MIN(forecast->margin_ms, slack_ms);
+        forecast->objective_ms - MIN(forecast->margin_ms, slack_ms / 2);
     const int is_large = count_offer(record, offer);
-    const bool came_back =
-        g_hash_table_contains(admissions->refused, &offer->submit->id);
+    const struct refused *refused =
+        g_hash_table_lookup(admissions->refused, &offer->submit->id);
+    const bool came_back = refused != NULL;
 
     if (came_back || (is_large && falls_short(record))) {
         bound_ms += slack_ms / WIDER_DIVISOR;
     }
     bound_ms = MAX(bound_ms, chain_ms + RETRY_MIN_MS);
+    if (came_back) {
+        bound_ms -= (uint32_t)MIN(now_ms - refused->first_ms, bound_ms);
+    }
     if (slack_ms < 2 * RETRY_MIN_MS) {
         bound_ms = forecast->objective_ms * EXPIRY_FACTOR;
     }
--- a/core/planforecast.c
+++ b/core/planforecast.c
@@ -20,6 +20,8 @@
 /* A job that needs more than this part of its service at once is wide: it runs
  * in waves. */
 #define WIDE_DIVISOR 4u
+/* Steps that wait and hold policy clients may hold 1 in so many of them. */
+#define HOLDERS_DIVISOR 4u
 /* Targets per policy query, as a job's objective accounts for it. */
 #define QUERY_TARGETS 30u
 
@@ -243,6 +245,24 @@
                : 0;
 }
 
+/* Workload: gangs that wait for whole targets, each of which queries the
+ * policy again whenever its tickets expire, until no client is left for work
+ * that could start. Returns how much of a client, in thousandths, a step of
+ * this kind takes while it waits for capacity; 0: less than half. */
+static uint64_t
+held_client_milli(const struct plan *plan, const struct fleet_step *def,
+                  const struct fleet_queue_conf *queue)
+{
+    const uint64_t one_query_ms =
+        (queue->advice_us +
+         (uint64_t)queue->advice_each_us * plan_query_targets(plan, def)) /
+        1000;
+
+    return queue->advised && one_query_ms * 2 > queue->ticket_ms
+               ? one_query_ms * 1000 / (one_query_ms + queue->ticket_ms)
+               : 0;
+}
+
 static bool
 has_unlisted_target(const struct plan_pool *pool)
 {
@@ -293,7 +313,13 @@
                               needs_query && !step->query_in_flight
                                   ? query_ms(&step->job->job->queue->conf)
                                   : 0,
-                              is_fresh);
+                              is_fresh,
+                              plan->params.policy->keeps_headroom &&
+                                  step->job->tight);
+            if (plan_needs_ticket(step)) {
+                backlog->held_clients_milli += held_client_milli(
+                    plan, step->def, &step->job->job->queue->conf);
+            }
         }
     }
 }
@@ -476,8 +502,9 @@
 {
     const struct plan_pool *pool = input->pool;
 
-    if (plan->params.policy->keeps_headroom &&
-        !plan_is_tight(objective_ms, input->chain_ms)) {
+    input->demand.is_tight = plan->params.policy->keeps_headroom &&
+                             plan_is_tight(objective_ms, input->chain_ms);
+    if (plan->params.policy->keeps_headroom && !input->demand.is_tight) {
         input->demand.kept_free[BACKLOG_CPU] =
             pool->tight_peak.cpu_milli * PLAN_HEADROOM_PERCENT / 100;
         input->demand.kept_free[BACKLOG_ACCEL] =
@@ -600,22 +627,17 @@
     return wait_ms;
 }
 
-/* Workload: gangs that wait for whole targets, each of which queries the
- * policy again whenever its tickets expire, until no client is left for work
- * that could start. */
+/* Whether work that waits and holds policy clients has its part of them. */
 static bool
 holds_policy(const struct plan *plan, const struct plan_forecast_input *input)
 {
-    const struct fleet_queue_conf *queue = &input->offer->queue->conf;
+    const struct backlog *backlog = input->pool->backlog;
     const struct fleet_step *steps = input->offer->submit->steps.items;
-    const uint64_t one_query_ms =
-        (queue->advice_us + (uint64_t)queue->advice_each_us *
-                                plan_query_targets(plan, &steps[0])) /
-        1000;
 
-    return queue->advised && input->pool != NULL &&
-           input->pool->backlog->queries_blocked &&
-           one_query_ms * 2 > queue->ticket_ms;
+    return backlog->queries_blocked &&
+           backlog->held_clients_milli * HOLDERS_DIVISOR >
+               (uint64_t)backlog->query_clients * 1000 &&
+           held_client_milli(plan, &steps[0], &input->offer->queue->conf) > 0;
 }
 
 static const char *const RESOURCE_NAMES[BACKLOG_RESOURCE_COUNT] = {
--- a/tests/forecast_test.cc
+++ b/tests/forecast_test.cc
@@ -213,7 +213,7 @@
     // One that goes before it takes the first one.
     backlog_work other = demand.own;
     uint64_t key[3] = {0, 0, 0};
-    backlog_add_entry(&log, key, &other, 0, false);
+    backlog_add_entry(&log, key, &other, 0, false, false);
     backlog_answer answer = backlog_wait(&log, &demand);
     EXPECT_EQ(answer.last_ms, 900u);
     EXPECT_EQ(answer.scarce, BACKLOG_WHOLE);
