Slow targets are avoided, not ranked; dump and metrics of speeds and fragmentation

Cause: on a full service all work is late, so the preference for faster targets went before packing, and small tasks opened empty fast targets.

Change: a target costs by speed only if the run takes more than 1.5 times the usual one and what slack there is. The dump shows each target's speed and the free capacity that fits no waiting task; both are in the metrics too.

--- a/core/plan.c
+++ b/core/plan.c
@@ -746,32 +746,3 @@
 {
     return &plan->counters;
 }
-
-static json_t *
-dump_target(const struct plan_target *target)
-{
-    return json_pack("{s:s,s:b,s:i,s:I,s:I,s:I,s:I,s:i,s:i}", "id",
-                     target->target->rec.id, "usable", target->usable, "runs",
-                     (int)target->runs->len, "cpu_milli",
-                     (json_int_t)target->capacity.cpu_milli, "used_cpu_milli",
-                     (json_int_t)target->used.cpu_milli, "accel",
-                     (json_int_t)target->capacity.accel, "used_accel",
-                     (json_int_t)target->used.accel, "failed_row",
-                     (int)target->failures_in_row, "slow_permille",
-                     (int)target->slowdown_permille);
-}
-
-json_t *
-plan_dump(const struct plan *plan)
-{
-    json_t *targets = json_array();
-
-    for (guint i = 0; i < plan->targets->len; i++) {
-        json_array_append_new(targets, dump_target(plan->targets->pdata[i]));
-    }
-    return json_pack("{s:b,s:i,s:i,s:I,s:I,s:o}", "settled", plan->reconciled,
-                     "open_steps", (int)plan->open_steps->len, "coming_steps",
-                     (int)plan->upcoming_steps->len, "starts",
-                     (json_int_t)plan->counters.starts, "stops",
-                     (json_int_t)plan->counters.stops, "targets", targets);
-}
--- a/core/plan.h
+++ b/core/plan.h
@@ -25,6 +25,7 @@
  *   planticket.c queries to the placement policy
  *   planpack.c   how well a task fits a target
  *   planspeed.c  how fast targets run work
+ *   plandump.c   the state for diagnosis
  */
 #ifndef FP_PLAN_H
 #define FP_PLAN_H
@@ -351,6 +352,17 @@
 enum fleet_job_state plan_job_state(const struct fleet_job *job);
 const struct plan_counters *plan_counters(const struct plan *plan);
 
+/* Figures for the metrics. */
+struct plan_gauges {
+    /* What usable targets have free of a service for which tasks wait, though
+     * none of those first in order would fit there: fragmentation. */
+    struct fleet_resources unfit;
+    uint32_t targets_slow; /* see enum plan_speed_verdict in planspeed.h */
+    uint32_t targets_turned_slow;
+};
+
+struct plan_gauges plan_gauges(const struct plan *plan);
+
 /* The state for diagnosis; the caller owns the reference. */
 json_t *plan_dump(const struct plan *plan);
 
--- a/core/planfit.c
+++ b/core/planfit.c
@@ -7,7 +7,11 @@
 /* Targets whose runs take longer than this, per mille of the estimate, are
  * used last. */
 #define SLOW_TARGET_PERMILLE 2200u
-/* With learned speeds: how finely targets are told apart by how late the step
+/* With learned speeds: a run time, of the usual one, that makes work without
+ * slack avoid a target; less than that is left to packing, as on a full
+ * service all work is late. */
+#define SLOW_TARGET_RUN_PERMILLE 1500u
+/* How finely targets are told apart by how late the step
  * would be, in parts of its run time. */
 #define LATENESS_PARTS 4u
 #define LATENESS_MAX 1000u
@@ -151,16 +155,16 @@
                            size->accel);
 }
 
-/* Workload: targets of unlike speed. Work with little slack takes the fast
- * ones first, in particular the last tasks of a chain; to work that can wait,
- * and still be in time on a slow one, they are the same. */
+/* Workload: targets of unlike speed. Work with little slack keeps away
+ * from slow ones, in particular the last tasks of a chain; to work that can
+ * wait, and still be in time there, they are the same. */
 static uint64_t
 speed_cost(const struct plan *plan, const struct plan_target *target,
            const struct plan_step *step, uint64_t now_ms)
 {
     uint64_t usual_ms;
     uint64_t run_ms;
-    uint64_t slack_ms;
+    uint64_t in_time_ms;
 
     if (!plan->params.policy->learns_speeds) {
         return target->slowdown_permille > SLOW_TARGET_PERMILLE
@@ -172,13 +176,15 @@
     }
     usual_ms = MAX(plan_run_time_ms(plan, step, NULL), 1);
     run_ms = plan_run_time_ms(plan, step, target);
-    slack_ms =
-        step->latest_start_ms > now_ms ? step->latest_start_ms - now_ms : 0;
-    if (run_ms <= usual_ms / 2 + slack_ms) {
+    in_time_ms = usual_ms * SLOW_TARGET_RUN_PERMILLE / 1000;
+    if (step->latest_start_ms > now_ms) {
+        in_time_ms += step->latest_start_ms - now_ms;
+    }
+    if (run_ms <= in_time_ms) {
         return 0;
     }
-    return MIN((run_ms - usual_ms / 2 - slack_ms) * LATENESS_PARTS / usual_ms,
-               LATENESS_MAX)
+    return (1 + MIN((run_ms - in_time_ms) * LATENESS_PARTS / usual_ms,
+                    LATENESS_MAX))
            << 38;
 }
 
--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -723,6 +723,12 @@
     return plan_counters(dispatch->plan);
 }
 
+struct plan_gauges
+dispatch_gauges(const struct dispatch *dispatch)
+{
+    return plan_gauges(dispatch->plan);
+}
+
 const struct dispatch_times *
 dispatch_times(const struct dispatch *dispatch)
 {
--- a/node/dispatch.h
+++ b/node/dispatch.h
@@ -74,6 +74,7 @@
 
 const struct dispatch_times *dispatch_times(const struct dispatch *dispatch);
 const struct plan_counters *dispatch_counters(const struct dispatch *dispatch);
+struct plan_gauges dispatch_gauges(const struct dispatch *dispatch);
 
 /* The state for diagnosis; the caller owns the reference. */
 json_t *dispatch_dump(const struct dispatch *dispatch);
--- a/node/fleetmetrics.c
+++ b/node/fleetmetrics.c
@@ -40,6 +40,16 @@
     add_value(out, "bus_malformed_total", counters->malformed);
 }
 
+static void
+add_plan_gauges(GString *out, const struct plan_gauges *gauges)
+{
+    add_value(out, "unfit_cpu_milli", gauges->unfit.cpu_milli);
+    add_value(out, "unfit_memory_mb", gauges->unfit.memory_mb);
+    add_value(out, "unfit_accel", gauges->unfit.accel);
+    add_value(out, "targets_slow", gauges->targets_slow);
+    add_value(out, "targets_turned_slow", gauges->targets_turned_slow);
+}
+
 static void
 add_plan_counters(GString *out, const struct plan_counters *counters)
 {
@@ -157,6 +167,9 @@
         add_evacuations(out, sources->fleet);
     }
     if (sources->dispatch != NULL) {
+        const struct plan_gauges gauges = dispatch_gauges(sources->dispatch);
+
+        add_plan_gauges(out, &gauges);
         add_plan_counters(out, dispatch_counters(sources->dispatch));
         add_lost_runs(out, sources->fleet);
         add_dispatch_histograms(out, dispatch_times(sources->dispatch));
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -160,7 +160,7 @@
 core/planspeed.c	    step->typical_run_ms = MAX(ends[step->def->count / 2].run_ms, 1);	    step->typical_run_ms = step->def->estimate_ms;	Speed.ASlowTargetIsKnown*
 core/planspeed.c	#define OWN_OLD_WEIGHT 15u	#define OWN_OLD_WEIGHT 0u	Speed.ATargetThatTurnsSlow*
 core/planticket.c	if (plan->params.policy->learns_speeds && !step->def->lasting &&	if (false &&	Speed.QueriesName*
-core/planfit.c	    if (run_ms <= usual_ms / 2 + slack_ms) {	    if (true) {	Speed.WorkWithoutSlack*
+core/planfit.c	    if (run_ms <= in_time_ms) {	    if (true) {	Speed.WorkWithoutSlack*
 core/planspeed.c	        run_ms = typical_run_ms(plan, step);	        run_ms = step->def->estimate_ms;	Speed.ExpectedEnds*
 LIST
 echo "$CAUGHT passed, $MISSED failed"
--- a/tests/pack_test.cc
+++ b/tests/pack_test.cc
@@ -121,6 +121,33 @@
     }
 }
 
+TEST(Pack, WhatIsFreeWhereNoWaitingTaskFitsIsShownAsUnfit)
+{
+    FleetSim sim;
+    sim.configure({"q"});
+    sim.put_target("t1", 128000, 8);
+    sim.put_target("t2", 128000, 8);
+    sim.become_leader();
+    sim.planner->params.policy = &PACKS;
+    StepSpec scans = SCAN;
+    scans.count = 4; // a match beside them lacks memory
+    start_on(sim, 1, scans, "t1");
+    EXPECT_EQ(plan_gauges(sim.planner).unfit.accel, 0u) << "nothing waits";
+    StepSpec matches = MATCH;
+    matches.count = 2;
+    sim.submit(2, {matches});
+    sim.run_pass(5);
+    ASSERT_EQ(sim.start_orders.size(), 5u) << "one match fits";
+    // t1 has 84 cores, 56 GB and 4 accelerators left, t2 38 GB.
+    const fleet_resources rest = plan_gauges(sim.planner).unfit;
+    EXPECT_EQ(rest.accel, 4u + 6u);
+    EXPECT_EQ(rest.cpu_milli, 84000u + 66000u);
+    EXPECT_EQ(rest.memory_mb, 56000u + 38000u);
+    json_t *dump = plan_dump(sim.planner);
+    EXPECT_EQ(json_integer_value(json_object_get(dump, "unfit_accel")), 10);
+    json_decref(dump);
+}
+
 TEST(Pack, ATargetThatShrankBelowItsRunsHasNoRestAndNoOverflow)
 {
     const fleet_resources capacity = {1000, 0, 2};
--- a/tests/speed_test.cc
+++ b/tests/speed_test.cc
@@ -119,6 +119,23 @@
         sim.run_step(run_ms);
     }
     EXPECT_EQ(sim.verdict(2), SPEED_USUAL) << "it has recovered";
+    json_t *dump = plan_dump(sim.planner);
+    const json_t *row;
+    size_t i;
+    int slow = 0;
+    json_array_foreach(json_object_get(dump, "targets"), i, row)
+    {
+        const std::string id = json_string_value(json_object_get(row, "id"));
+        const bool is_slow = id == "t0" || id == "t4";
+        EXPECT_STREQ(json_string_value(json_object_get(row, "speed")),
+                     is_slow ? "slow" : "usual")
+            << id;
+        slow += json_integer_value(json_object_get(row, "slow_permille")) > 1700;
+    }
+    EXPECT_EQ(slow, 2);
+    EXPECT_EQ(plan_gauges(sim.planner).targets_slow, 2u);
+    EXPECT_EQ(plan_gauges(sim.planner).targets_turned_slow, 0u);
+    json_decref(dump);
 }
 
 TEST(Speed, ATargetThatEndsTooEarlyToHaveWorkedIsNotTakenForAFastOne)
