Copies: expected run times by the learned speeds of targets

A copy and its straggler are compared by plan_run_time_ms(); the correction by the step's own ended runs stays until the step's typical run time is known. Replay with a quarter of the targets at 0.55 of the speed, under the contended policy: no breach.

--- a/core/plancopy.c
+++ b/core/plancopy.c
@@ -14,6 +14,8 @@
 
 #include <string.h>
 
+#include "core/planspeed.h"
+
 /* Between two searches for stragglers. */
 #define SEARCH_INTERVAL_MS 25u
 /* Run times are counted in these parts of the expected run time. */
@@ -157,21 +159,20 @@
 
 /* ---- run times ---------------------------------------------------------- */
 
-/* Expected run time of a task of the step on a target: the estimate, corrected
- * by the step's ended runs, for the data's rack and the target's speed. */
+/* Expected run time of a task of the step on a target. While the typical run
+ * time of the step is not known (core/planspeed.h), it is corrected by the
+ * step's ended runs. */
 static uint64_t
 expected_run_ms(const struct plan *plan, const struct plan_step *step,
                 const struct plan_target *target)
 {
-    uint64_t ms = step->def->estimate_ms;
+    uint64_t ms = plan_run_time_ms(plan, step, target);
 
-    if (step->def->rack[0] != '\0' &&
-        strcmp(step->def->rack, target->target->rec.rack) != 0) {
-        ms = ms * plan->params.remote_run_permille / 1000;
-    }
     ms = ms * MAX(target->slowdown_permille, 1) / 1000;
-    ms = ms * (step->ended_permille + ESTIMATE_WEIGHT * 1000u) /
-         ((step->ended_runs + ESTIMATE_WEIGHT) * 1000u);
+    if (step->typical_run_ms == 0) {
+        ms = ms * (step->ended_permille + ESTIMATE_WEIGHT * 1000u) /
+             ((step->ended_runs + ESTIMATE_WEIGHT) * 1000u);
+    }
     return MAX(ms, 1);
 }
 
@@ -266,6 +267,26 @@
     }
 }
 
+/* A run of the step has ended that was expected to take expected_ms. */
+static void
+correct_estimate(struct plan_step *step, uint64_t ran_ms, uint64_t expected_ms)
+{
+    const uint32_t runs = step->ended_runs + ESTIMATE_WEIGHT;
+    const uint64_t uncorrected_ms =
+        MAX(expected_ms * runs * 1000 /
+                (step->ended_permille + ESTIMATE_WEIGHT * 1000u),
+            1);
+
+    if (step->ended_runs >= RUNS_MAX) {
+        return;
+    }
+    step->ended_runs++;
+    if (step->typical_run_ms == 0) {
+        step->ended_permille += (uint32_t)MIN(
+            ran_ms * 1000 / uncorrected_ms, BUCKETS / BUCKETS_PER_UNIT * 1000);
+    }
+}
+
 void
 plan_learn_copies(struct plan *plan, const struct plan_run *run,
                   uint32_t outcome, uint64_t now_ms)
@@ -282,17 +303,7 @@
     if (!run->is_inherited &&
         step->job->tasks[run->task_number].checkpoint == NULL) {
         add_run_time(run_times_of(plan, step), bucket_of(ran_ms, expected_ms));
-        if (step->ended_runs < RUNS_MAX) {
-            uint64_t estimate_ms = MAX(
-                expected_ms * (step->ended_runs + ESTIMATE_WEIGHT) * 1000u /
-                    (step->ended_permille + ESTIMATE_WEIGHT * 1000u),
-                1);
-
-            step->ended_runs++;
-            step->ended_permille +=
-                (uint32_t)MIN(ran_ms * 1000 / estimate_ms,
-                              BUCKETS / BUCKETS_PER_UNIT * 1000);
-        }
+        correct_estimate(step, ran_ms, expected_ms);
     }
     judge_copy(plan, run, now_ms);
 }
--- a/tests/copy_test.cc
+++ b/tests/copy_test.cc
@@ -539,4 +539,20 @@
     }
 }
 
+// With the other decisions for full services; a quarter of the targets is slow.
+TEST(Copy, ReplayWithSpeedsDoublesAndLosesNothing)
+{
+    replay_load *load = read_load("stragglers.yaml");
+    load->services[0].speeds_percent[0] = 55;
+    sim_result *result = sim_replay(load, &PLAN_POLICY_CONTENDED, 1);
+    const sim_breaches &breaches = result->breaches;
+    EXPECT_EQ(breaches.over_size + breaches.doubled + breaches.over_cap +
+                  breaches.stuck,
+              0u)
+        << breaches.first;
+    EXPECT_GT(result->counters.copies, 0u);
+    sim_result_free(result);
+    replay_load_free(load);
+}
+
 } // namespace
