--- a/core/planforecast.c
+++ b/core/planforecast.c
@@ -39,7 +39,7 @@
 counts(const struct plan_target *target)
 {
     return (target->usable || !target->runs_known) &&
-           !target->target->rec.leaving;
+           !target->target->rec.leaving && !target->in_evacuation;
 }
 
 static struct typical
