--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -198,6 +198,27 @@
           EVENT_INT("config", dispatch->deps.fleet->config.version));
 }
 
+/* Whether a job that is neither known nor being committed is admitted. A
+ * leader that is ready has applied all entries of earlier terms, so what it
+ * does not know will not be committed. */
+static enum fp_err
+admit_job(struct dispatch *dispatch, const struct fleet_queue *queue,
+          const struct fleet_team *team, const struct fleet_submit *job,
+          struct plan_admission *admission)
+{
+    const struct plan_offer offer = {
+        .submit = job,
+        .queue = queue,
+        .team = team,
+        .beyond_share = fleet_is_beyond_share(dispatch->deps.fleet, team,
+                                              clock_wall_ms())};
+
+    if (!g_hash_table_contains(dispatch->submitting, &job->id)) {
+        *admission = plan_admit(dispatch->plan, &offer, clock_mono_ms());
+    }
+    return admission->err;
+}
+
 static void
 on_submit(struct dispatch *dispatch, const struct relay_caller *caller,
           struct call_submit *call)
@@ -222,18 +243,9 @@
     if (answer.err == FP_OK) {
         answer.err = fleet_check_submit(&call->job, reason, sizeof(reason));
     }
-    if (answer.err == FP_OK &&
-        !g_hash_table_contains(dispatch->submitting, &id)) {
-        const struct plan_offer offer = {
-            .submit = &call->job,
-            .queue = queue,
-            .team = team,
-            .beyond_share = fleet_is_beyond_share(dispatch->deps.fleet, team,
-                                                  clock_wall_ms())};
-
-        call->job.id = id;
-        admission = plan_admit(dispatch->plan, &offer, clock_mono_ms());
-        answer.err = admission.err;
+    call->job.id = id;
+    if (answer.err == FP_OK) {
+        answer.err = admit_job(dispatch, queue, team, &call->job, &admission);
         answer.retry_after_ms = admission.retry_after_ms;
     }
     if (answer.err != FP_OK) {
@@ -241,7 +253,6 @@
         relay_answer(dispatch->deps.relay, caller, FP_OK, &answer);
         return;
     }
-    call->job.id = id;
     g_strlcpy(call->job.host, queue->conf.host, sizeof(call->job.host));
     g_strlcpy(call->job.prefix, queue->conf.prefix, sizeof(call->job.prefix));
     g_strlcpy(call->job.team, team != NULL ? team->name : "",
@@ -752,6 +763,13 @@
     return plan_gauges(dispatch->plan);
 }
 
+const struct plan_queue_forecasts *
+dispatch_forecasts(const struct dispatch *dispatch,
+                   const struct fleet_queue *queue)
+{
+    return plan_queue_forecasts(dispatch->plan, queue);
+}
+
 const struct dispatch_times *
 dispatch_times(const struct dispatch *dispatch)
 {
--- a/tests/forecast_test.cc
+++ b/tests/forecast_test.cc
@@ -2,6 +2,7 @@
 #include "plan_world.h"
 
 extern "C" {
+#include "bench/replay.h"
 #include "core/backlog.h"
 #include "core/planforecast.h"
 }
@@ -148,6 +149,21 @@
     EXPECT_EQ(offer(300, {.count = 1}).err, FP_OK);
 }
 
+TEST_F(Forecast, CallersThatComeBackLateAreJudgedByWhatIsLeft)
+{
+    fill(12);
+    ASSERT_EQ(offer(1, {.count = 1}).err, FP_ERR_BUSY);
+    // A backlog at which a new job is admitted.
+    sim.cancel_job(1012);
+    for (uint64_t id = 1001; id < 1012; id++) {
+        sim.cancel_job(id);
+    }
+    sim.now_ms += 1800; // of 2 s of slack
+    sim.run_pass();
+    EXPECT_EQ(offer(2, {.count = 1}).err, FP_OK);
+    EXPECT_EQ(offer(1, {.count = 1}).err, FP_ERR_BUSY);
+}
+
 TEST_F(Forecast, MarginsFollowWhatCameOfForecasts)
 {
     const fleet_queue *queue = fleet_find_queue(sim.fleet_state, "h", "/q/");
@@ -220,4 +236,144 @@
     backlog_clear(&log);
 }
 
+TEST(Backlog, TightWorkIsNotBehindWorkThatLeavesItHeadroom)
+{
+    backlog log;
+    backlog_init(&log);
+    backlog_reset(&log, 0, 1200);
+    log.capacity[BACKLOG_CPU] = 10;
+    backlog_demand demand;
+    memset(&demand, 0, sizeof(demand));
+    demand.own.amount[BACKLOG_CPU] = 5;
+    demand.own.work[BACKLOG_CPU] = 5 * 1200;
+    demand.key[0] = 1;
+    uint64_t freed[BACKLOG_RESOURCE_COUNT] = {10, 0, 0, 0};
+    backlog_add_release(&log, freed, 300);
+    backlog_work other = demand.own;
+    other.amount[BACKLOG_CPU] = 10;
+    other.work[BACKLOG_CPU] = 10 * 1200;
+    uint64_t key[3] = {0, 0, 0};
+    backlog_add_entry(&log, key, &other, 0, false, false);
+    EXPECT_EQ(backlog_wait(&log, &demand).last_ms, 1500u);
+    demand.is_tight = true;
+    EXPECT_EQ(backlog_wait(&log, &demand).last_ms, 300u);
+    backlog_clear(&log);
+}
+
+// ---- replays of a service that is full on a calm second
+
+struct Burst {
+    replay_load *load = nullptr;
+    Burst()
+    {
+        char why[256] = "";
+        EXPECT_EQ(replay_read_load("bench/loads/full-then-burst.yaml", &load,
+                                   why, sizeof(why)),
+                  FP_OK)
+            << why;
+    }
+    ~Burst() { replay_load_free(load); }
+    Burst(const Burst &) = delete;
+    Burst &operator=(const Burst &) = delete;
+};
+
+struct Outcome {
+    uint32_t in_time = 0, refused = 0, late = 0, breaches = 0;
+    uint32_t recovery_ms = 0; // the longest of the seeds
+};
+
+// What became of the jobs of each queue, over seeds 1 and 2.
+std::map<std::string, Outcome>
+replay(const replay_load *load, bool forecasts)
+{
+    std::map<std::string, Outcome> outcomes;
+    plan_policy policy = PLAN_POLICY_CONTENDED;
+    policy.forecasts = forecasts;
+    for (uint32_t seed = 1; seed <= 2; seed++) {
+        sim_result *result = sim_replay(load, &policy, seed);
+        for (guint i = 0; i < result->jobs->len; i++) {
+            auto *job = (const sim_job *)result->jobs->pdata[i];
+            Outcome &outcome = outcomes[job->queue->name];
+            bool in_time = replay_earned_permille(job) == 1000;
+            outcome.in_time += in_time;
+            outcome.refused += job->was_refused;
+            outcome.late += !in_time && !job->was_refused;
+        }
+        for (uint32_t q = 0; q < load->queues_count; q++) {
+            Outcome &outcome = outcomes[load->queues[q].name];
+            const sim_breaches &breaches = result->breaches;
+            outcome.recovery_ms =
+                std::max(outcome.recovery_ms,
+                         replay_recovery_ms(load, &load->queues[q], result));
+            outcome.breaches += breaches.over_size + breaches.doubled +
+                                breaches.over_cap + breaches.stuck;
+        }
+        sim_result_free(result);
+    }
+    return outcomes;
+}
+
+// The replays are made once for all tests.
+struct ForecastReplay : public ::testing::Test {
+    static std::map<std::string, Outcome> with, without;
+
+    static void SetUpTestSuite()
+    {
+        Burst burst;
+        ASSERT_NE(burst.load, nullptr);
+        with = replay(burst.load, true);
+        without = replay(burst.load, false);
+    }
+};
+std::map<std::string, Outcome> ForecastReplay::with, ForecastReplay::without;
+
+TEST_F(ForecastReplay, HalfAsMuchThatIsAcceptedEndsLate)
+{
+    for (const char *queue : {"match", "scan"}) {
+        EXPECT_LT(with[queue].late * 2, without[queue].late + 1) << queue;
+        EXPECT_EQ(with[queue].breaches, 0u);
+    }
+}
+
+TEST_F(ForecastReplay, NineInTenOfWhatIsAcceptedAreInTime)
+{
+    for (const char *queue : {"match", "scan"}) {
+        EXPECT_LE(with[queue].late * 10,
+                  with[queue].in_time + with[queue].late)
+            << queue;
+    }
+}
+
+TEST_F(ForecastReplay, RefusalsCostNoneThatWouldBeInTime)
+{
+    EXPECT_GE(with["match"].in_time + with["scan"].in_time,
+              without["match"].in_time + without["scan"].in_time);
+}
+
+TEST_F(ForecastReplay, SmallTasksAreInTimeAgainSecondsAfterTheBurst)
+{
+    EXPECT_LE(with["scan"].recovery_ms, 5000u);
+}
+
+TEST_F(ForecastReplay, GangsAreInTimeAgainSecondsAfterTheBurst)
+{
+    EXPECT_LE(with["match"].recovery_ms, 5000u);
+}
+
+// The leader is lost in the burst, or handles answers seconds late.
+TEST_F(ForecastReplay, APausedLeaderLosesAndDoublesNothing)
+{
+    Burst burst;
+    ASSERT_NE(burst.load, nullptr);
+    for (uint32_t i = 0; i < burst.load->events_count; i++) {
+        if (burst.load->events[i].kind == REPLAY_NO_LEADER) {
+            burst.load->events[i].kind = REPLAY_SLOW_LEADER;
+            burst.load->events[i].factor_percent = 300000;
+        }
+    }
+    std::map<std::string, Outcome> paused = replay(burst.load, true);
+    EXPECT_EQ(paused["scan"].breaches, 0u);
+    EXPECT_LE(paused["scan"].recovery_ms, 5000u);
+}
+
 } // namespace
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -182,6 +182,10 @@
 core/planspeed.c	        run_ms = typical_run_ms(plan, step);	        run_ms = step->def->estimate_ms;	Speed.ExpectedEnds*
 core/plan.c	        if (pjob->runs.head == NULL) {\n            plan_job_removed(plan, pjob->job);	        if (pjob->job == NULL) {\n            plan_job_removed(plan, pjob->job);	Memory.Ended*
 core/plan.c	plan->params.policy->by_share && step->job->job->beyond_share	false	ShareOrder.ThePolicyIs*
+core/backlog.c	    int64_t started = MIN(MAX(flow->free - kept_free, 0), *waiting);	    int64_t started = *waiting;	Forecast.LateWork*:Backlog.Whole*
+core/planadmit.c	        if (admitted->pool == input->pool &&	        if (false &&	Forecast.JobsThatAreBeing*
+core/planadmit.c	    if (forecast->end_ms <= bound_ms ||	    if (true ||	Forecast.LateWork*
+core/planadmit.c	        bound_ms -= (uint32_t)MIN(now_ms - refused->first_ms, bound_ms);	        bound_ms -= 0;	Forecast.CallersThatComeBackLate*
 LIST
 echo "$CAUGHT passed, $MISSED failed"
 [ "$MISSED" = 0 ]
