--- a/core/planfit.c
+++ b/core/planfit.c
@@ -160,9 +160,8 @@
  * wait, and still be in time there, they are the same. */
 static uint64_t
 speed_cost(const struct plan *plan, const struct plan_target *target,
-           const struct plan_step *step, uint64_t now_ms)
+           const struct plan_step *step, uint64_t usual_ms, uint64_t now_ms)
 {
-    uint64_t usual_ms;
     uint64_t run_ms;
     uint64_t in_time_ms;
 
@@ -174,8 +173,7 @@
     if (step->def->lasting || step->def->fills) {
         return 0;
     }
-    usual_ms = MAX(plan_run_time_ms(plan, step, NULL), 1);
-    run_ms = plan_run_time_ms(plan, step, target);
+    run_ms = usual_ms * plan_slowness_permille(plan, target) / 1000;
     in_time_ms = usual_ms * SLOW_TARGET_RUN_PERMILLE / 1000;
     if (step->latest_start_ms > now_ms) {
         in_time_ms += step->latest_start_ms - now_ms;
@@ -197,7 +195,8 @@
 static uint64_t
 placement_cost(const struct plan *plan, const struct plan_target *target,
                const struct plan_step *step,
-               const struct fleet_resources *size, uint64_t now_ms)
+               const struct fleet_resources *size, uint64_t usual_ms,
+               uint64_t now_ms)
 {
     const struct fleet_step *def = step->def;
     /* The capacity may have fallen below what runs. */
@@ -214,7 +213,7 @@
     if (step->is_trial) {
         cost += (uint64_t)target->runs->len << 42;
     }
-    cost += speed_cost(plan, target, step, now_ms);
+    cost += speed_cost(plan, target, step, usual_ms, now_ms);
     if (def->fills) {
         cost += (uint64_t)target->serving_runs << 40;
         return cost + (1ull << 32) - MIN(free_cpu, 1ull << 32);
@@ -241,6 +240,7 @@
     const struct plan *plan;
     struct plan_step *step;
     const struct fleet_resources *size;
+    uint64_t usual_ms;                   /* run time on a typical target */
     const char *rack;                    /* NULL: any */
     const struct plan_target *failed_on; /* last failure; NULL: none */
     uint64_t now_ms;
@@ -260,7 +260,7 @@
         return;
     }
     cost = placement_cost(search->plan, target, search->step, search->size,
-                          search->now_ms) +
+                          search->usual_ms, search->now_ms) +
            plan_cold_cost(target, search->now_ms) +
            (target == search->failed_on ? FAILED_HERE_COST : 0);
     if (cost < search->best_cost) {
@@ -276,8 +276,15 @@
                  const struct fleet_resources *size, const char *rack,
                  const struct plan_target *failed_on, uint64_t now_ms)
 {
-    struct placement_search search = {plan,      step,   size, rack,
-                                      failed_on, now_ms, NULL, UINT64_MAX};
+    struct placement_search search = {
+        .plan = plan,
+        .step = step,
+        .size = size,
+        .usual_ms = MAX(plan_run_time_ms(plan, step, NULL), 1),
+        .rack = rack,
+        .failed_on = failed_on,
+        .now_ms = now_ms,
+        .best_cost = UINT64_MAX};
 
     if (!plan_leaves_headroom(plan, step, size)) {
         return NULL;
--- a/tests/pack_test.cc
+++ b/tests/pack_test.cc
@@ -112,6 +112,8 @@
         start_on(sim, 200 + (uint64_t)i, ends, "t" + std::to_string(i));
     }
     sim.configure({"q"}, true);
+    // Only a query that takes long looks ahead.
+    ((fleet_queue *)sim.fleet_state->queues->pdata[0])->conf.advice_us = 400000;
     sim.submit(1, {MATCH});
     sim.run_pass(5);
     ASSERT_EQ(sim.queries.size(), 1u);
