Memory: tickets are kept where one was granted

Each target that the placement policy was asked about took 120 bytes of its step, 96 of them for a ticket that most never get, and a hash entry. The ticket is now allocated with the grant.

Test first: 187 bytes for each target asked about, a third of them granted (Memory.Targets* fails), now below the bound of 80.

--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -118,7 +118,7 @@
 struct plan_ticket {
     struct plan_target *target; /* a reference; it may be removed */
     enum plan_ticket_state state;
-    char ticket[FLEET_TICKET_BYTES];
+    char *ticket;            /* NULL until one is granted */
     uint64_t valid_until_ms; /* 0: no valid ticket */
 };
 
--- a/core/planticket.c
+++ b/core/planticket.c
@@ -82,9 +82,11 @@
 static void
 remove_ticket(struct plan_step *step, guint index)
 {
-    struct plan_target *target =
-        g_array_index(step->tickets, struct plan_ticket, index).target;
+    struct plan_ticket *ticket =
+        &g_array_index(step->tickets, struct plan_ticket, index);
+    struct plan_target *target = ticket->target;
 
+    g_free(ticket->ticket);
     g_hash_table_remove(step->ticket_index, target);
     g_array_remove_index_fast(step->tickets, index);
     if (index < step->tickets->len) {
@@ -103,8 +105,11 @@
         return;
     }
     for (guint i = 0; i < step->tickets->len; i++) {
-        plan_unref_target(
-            g_array_index(step->tickets, struct plan_ticket, i).target);
+        struct plan_ticket *ticket =
+            &g_array_index(step->tickets, struct plan_ticket, i);
+
+        g_free(ticket->ticket);
+        plan_unref_target(ticket->target);
     }
     g_array_free(step->tickets, TRUE);
     g_hash_table_destroy(step->ticket_index);
@@ -535,8 +540,8 @@
             ticket->state = TICKET_GRANTED;
             ticket->valid_until_ms =
                 now_ms + valid_ms - MIN(valid_ms, TICKET_MARGIN_MS);
-            g_strlcpy(ticket->ticket, tickets[i].ticket,
-                      sizeof(ticket->ticket));
+            g_free(ticket->ticket);
+            ticket->ticket = g_strdup(tickets[i].ticket);
         }
     }
     resolve_queried(step, err == FP_OK);
--- a/tests/memory_test.cc
+++ b/tests/memory_test.cc
@@ -64,4 +64,37 @@
     EXPECT_LE(each, 2000u);
 }
 
+// Of a backlog of steps each has asked about dozens of targets, of which the
+// policy granted a third: below half of the 187 bytes that each took before.
+TEST(Memory, TargetsThatThePolicyWasAskedAboutTakeLittle)
+{
+    FleetSim sim;
+    sim.configure({"q"}, true);
+    for (int i = 0; i < 100; i++) {
+        sim.put_target("t" + std::to_string(i));
+    }
+    sim.become_leader();
+    plan_reconciled(sim.planner);
+    StepSpec wide;
+    wide.count = 20;
+    wide.spread = 1;
+    for (uint64_t id = 1; id <= 100; id++) {
+        ASSERT_EQ(sim.submit(id, {wide}).err, FP_OK);
+    }
+    size_t before = heap_bytes();
+    size_t asked = 0;
+    sim.run_pass();
+    std::vector<PolicyQuery> queries;
+    queries.swap(sim.queries);
+    ASSERT_EQ(queries.size(), 100u);
+    for (auto &query : queries) {
+        asked += query.targets.size();
+        query.targets.resize(query.targets.size() / 3);
+        sim.answer_query(query, query.targets);
+    }
+    queries = {};
+    EXPECT_GE(asked, 9000u);
+    EXPECT_LE((heap_bytes() - before) / asked, 80u);
+}
+
 } // namespace
