--- a/bench/replay.c
+++ b/bench/replay.c
@@ -442,7 +442,7 @@
 bench_replay(struct cli *cli, int argc, char **argv)
 {
     static const struct plan_policy *const policies[] = {
-        &PLAN_POLICY_DEFAULT, &PLAN_POLICY_CONTENDED,
+        &PLAN_POLICY_DEFAULT, &PLAN_POLICY_CONTENDED, &PLAN_POLICY_REFUSING,
         &PLAN_POLICY_RESERVE_AT_ONCE, &PLAN_POLICY_FIFO};
     struct replay_options options = {.seed = 1};
     const char *args[1] = {NULL};
--- a/core/fleetevac.c
+++ b/core/fleetevac.c
@@ -102,20 +102,19 @@
 
     g_hash_table_iter_init(&iter, fleet->data_centres);
     while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&data_centre)) {
-        struct fleet_data_centre_saved saved = {
-            .evacuated = data_centre->evacuated,
-            .ordered_ms = data_centre->ordered_ms};
+        struct fleet_data_centre_saved *saved =
+            fp_list_add(&snap->data_centres, sizeof(*saved));
 
-        g_strlcpy(saved.name, data_centre->name, sizeof(saved.name));
+        saved->evacuated = data_centre->evacuated;
+        saved->ordered_ms = data_centre->ordered_ms;
+        g_strlcpy(saved->name, data_centre->name, sizeof(saved->name));
         for (GList *link = data_centre->orders.head; link != NULL;
              link = link->next) {
             struct fleet_evacuation_order *order =
-                fp_list_add(&saved.orders, sizeof(*order));
+                fp_list_add(&saved->orders, sizeof(*order));
 
             g_strlcpy(order->change_id, link->data, sizeof(order->change_id));
         }
-        fleet_add_snapshot_item(snap, &FLEET_DATA_CENTRE_SAVED_SCHEMA, &saved);
-        fp_record_free(&FLEET_DATA_CENTRE_SAVED_SCHEMA, &saved);
     }
 }
 
--- a/core/fleetrec.c
+++ b/core/fleetrec.c
@@ -246,8 +246,8 @@
          FLEET_EVACUATION_ORDER_SCHEMA),
 };
 const struct fp_schema FLEET_DATA_CENTRE_SAVED_SCHEMA =
-    SCHEMA("fleet-data-centre-saved", FLEET_DATA_CENTRE_SAVED,
-           fleet_data_centre_saved, FLEET_DATA_CENTRE_SAVED_FIELDS);
+    SCHEMA("fleet-data-centre-saved", 131, fleet_data_centre_saved,
+           FLEET_DATA_CENTRE_SAVED_FIELDS);
 
 static const struct fp_field FLEET_FAILED_RUN_FIELDS[] = {
     U32(fleet_failed_run, run),
@@ -316,6 +316,7 @@
     U64(fleet_snapshot, now_ms),
     LIST(fleet_snapshot, items, 1048576, FLEET_SNAPSHOT_ITEM_SCHEMA),
     LIST(fleet_snapshot, shares, 65536, FLEET_SHARE_SAVED_SCHEMA),
+    LIST(fleet_snapshot, data_centres, 65536, FLEET_DATA_CENTRE_SAVED_SCHEMA),
 };
 const struct fp_schema FLEET_SNAPSHOT_SCHEMA = SCHEMA(
     "fleet-snapshot", FLEET_SNAPSHOT, fleet_snapshot, FLEET_SNAPSHOT_FIELDS);
--- a/core/fleetrec.h
+++ b/core/fleetrec.h
@@ -39,8 +39,7 @@
     FLEET_JOB_SAVED, /* only in snapshots */
     FLEET_SNAPSHOT,
     FLEET_CRASHES,
-    FLEET_EVACUATION,
-    FLEET_DATA_CENTRE_SAVED /* only in snapshots */
+    FLEET_EVACUATION
 };
 
 /* How a run ended. */
@@ -309,9 +308,10 @@
 struct fleet_snapshot {
     uint64_t now_ms;
     struct fp_list items; /* struct fleet_snapshot_item */
-    /* struct fleet_share_saved; not among the items, since earlier versions
-     * refuse a snapshot with an item of an unknown type. */
-    struct fp_list shares;
+    /* Not among the items, since earlier versions refuse a snapshot with an
+     * item of an unknown type: */
+    struct fp_list shares;       /* struct fleet_share_saved */
+    struct fp_list data_centres; /* struct fleet_data_centre_saved */
 };
 
 /* Calls from a host to the leader, and from the leader to hosts that query the
--- a/core/fleetsave.c
+++ b/core/fleetsave.c
@@ -204,7 +204,6 @@
 load_item(struct fleet *fleet, const struct fp_blob *blob)
 {
     struct fleet_job_saved saved;
-    struct fleet_data_centre_saved data_centre;
     union fleet_change change;
     uint32_t type = 0;
     enum fp_err err = fp_peek_type(blob->data, blob->size_bytes, &type);
@@ -222,14 +221,6 @@
             fp_record_free(&FLEET_JOB_SAVED_SCHEMA, &saved);
         }
     }
-    else if (type == FLEET_DATA_CENTRE_SAVED) {
-        err = fp_decode(&FLEET_DATA_CENTRE_SAVED_SCHEMA, blob->data,
-                        blob->size_bytes, &data_centre);
-        if (err == FP_OK) {
-            fleet_load_data_centre(fleet, &data_centre);
-            fp_record_free(&FLEET_DATA_CENTRE_SAVED_SCHEMA, &data_centre);
-        }
-    }
     else if (type == FLEET_CONFIG || type == FLEET_TARGET) {
         struct change_answer answer = {.err = FP_OK};
 
@@ -246,6 +237,16 @@
     return err;
 }
 
+static void
+load_data_centres(struct fleet *fleet, const struct fleet_snapshot *snap)
+{
+    const struct fleet_data_centre_saved *saved = snap->data_centres.items;
+
+    for (uint32_t i = 0; i < snap->data_centres.count; i++) {
+        fleet_load_data_centre(fleet, &saved[i]);
+    }
+}
+
 /* Swaps the states of two fleets, except for their ops. */
 static void
 swap_states(struct fleet *a, struct fleet *b)
@@ -277,6 +278,7 @@
             err = load_item(loaded, &item[i].record);
         }
         load_shares(loaded, &snap);
+        load_data_centres(loaded, &snap);
         fp_record_free(&FLEET_SNAPSHOT_SCHEMA, &snap);
     }
     if (err == FP_OK) {
--- a/core/plan.c
+++ b/core/plan.c
@@ -20,19 +20,16 @@
                                                 .wide_gang_queries = true,
                                                 .keeps_headroom = true,
                                                 .reserves_for_gangs = true};
+/* The decisions of PLAN_POLICY_CONTENDED. */
+#define CONTENDED_DECISIONS                                                   \
+    .by_slack = true, .reserve_mode = RESERVE_WHEN_URGENT,                    \
+    .wide_gang_queries = true, .keeps_headroom = true,                        \
+    .reserves_for_gangs = true, .by_share = true, .keeps_accepted = true,     \
+    .packs_all = true, .learns_speeds = true, .copies = true
 const struct plan_policy PLAN_POLICY_CONTENDED = {.name = "contended",
-                                                  .by_slack = true,
-                                                  .reserve_mode =
-                                                      RESERVE_WHEN_URGENT,
-                                                  .wide_gang_queries = true,
-                                                  .keeps_headroom = true,
-                                                  .reserves_for_gangs = true,
-                                                  .by_share = true,
-                                                  .keeps_accepted = true,
-                                                  .packs_all = true,
-                                                  .forecasts = true,
-                                                  .learns_speeds = true,
-                                                  .copies = true};
+                                                  CONTENDED_DECISIONS};
+const struct plan_policy PLAN_POLICY_REFUSING = {
+    .name = "refusing", CONTENDED_DECISIONS, .forecasts = true};
 const struct plan_policy PLAN_POLICY_RESERVE_AT_ONCE = {
     .name = "holds-at-once",
     .by_slack = true,
--- a/core/plan.h
+++ b/core/plan.h
@@ -212,6 +212,8 @@
 extern const struct plan_policy PLAN_POLICY_DEFAULT;
 /* Decisions for services that are full at times; by settings. */
 extern const struct plan_policy PLAN_POLICY_CONTENDED;
+/* The same, and refuses jobs by forecast. */
+extern const struct plan_policy PLAN_POLICY_REFUSING;
 /* Reserves at once, and queries for gangs name few targets. */
 extern const struct plan_policy PLAN_POLICY_RESERVE_AT_ONCE;
 /* Reserves only for tasks with several accelerators. */
--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -673,14 +673,23 @@
           EVENT_INT("for_ms", for_ms), EVENT_INT("failures", failures));
 }
 
+static const struct plan_policy *
+choose_policy(const struct settings_fleet *fleet)
+{
+    if (!fleet->is_contended) {
+        return &PLAN_POLICY_DEFAULT;
+    }
+    return fleet->refuses_by_forecast ? &PLAN_POLICY_REFUSING
+                                      : &PLAN_POLICY_CONTENDED;
+}
+
 struct dispatch *
 dispatch_new(const struct dispatch_deps *deps)
 {
     struct dispatch *dispatch = g_new0(struct dispatch, 1);
     const struct settings_fleet *fleet = deps->settings->fleet;
     const struct plan_params params = {
-        .policy = fleet->is_contended ? &PLAN_POLICY_CONTENDED
-                                      : &PLAN_POLICY_DEFAULT,
+        .policy = choose_policy(fleet),
         .remote_run_permille = fleet->remote_run_permille,
         .stop_ms = fleet->stop_ms,
         .wall_ms = clock_wall_ms(),
--- a/tests/evac_test.cc
+++ b/tests/evac_test.cc
@@ -150,6 +150,30 @@
     fleet_free(loaded);
 }
 
+// In a rolling restart a host of the earlier version loads snapshots of newer
+// ones; it refuses those with an item of a type that it doesn't know.
+TEST(Evac, ASnapshotHasNoItemOfANewType)
+{
+    EvacSim sim;
+    sim.two_data_centres();
+    sim.submit(1, {StepSpec{.count = 1}});
+    sim.evacuate("east");
+    fp_blob state;
+    fleet_save(sim.fleet_state, &state);
+    fleet_snapshot snap;
+    ASSERT_EQ(fp_decode(&FLEET_SNAPSHOT_SCHEMA, state.data, state.size_bytes,
+                        &snap),
+              FP_OK);
+    auto *item = (fleet_snapshot_item *)snap.items.items;
+    for (uint32_t i = 0; i < snap.items.count; i++) {
+        uint32_t type = 0;
+        fp_peek_type(item[i].record.data, item[i].record.size_bytes, &type);
+        EXPECT_LE(type, (uint32_t)FLEET_JOB_SAVED);
+    }
+    fp_record_free(&FLEET_SNAPSHOT_SCHEMA, &snap);
+    fp_blob_free(&state);
+}
+
 // The state before data centres were recorded: only its targets name them.
 TEST(Evac, AnOlderSnapshotLoads)
 {
@@ -237,7 +261,7 @@
     for (const char *id : {"e0", "e1", "w0", "w1"}) {
         sim.put_in(id, id[0] == 'e' ? "east" : "west");
     }
-    sim.become_leader(1024, &PLAN_POLICY_CONTENDED);
+    sim.become_leader(1024, &PLAN_POLICY_REFUSING);
     plan_reconciled(sim.planner);
     sim.submit(1, {StepSpec{.count = 16, .estimate_ms = 4000}});
     sim.run_pass();
--- a/tests/forecast_test.cc
+++ b/tests/forecast_test.cc
@@ -23,7 +23,7 @@
             sim.put_target(id);
         }
         sim.become_leader();
-        sim.planner->params.policy = &PLAN_POLICY_CONTENDED;
+        sim.planner->params.policy = &PLAN_POLICY_REFUSING;
     }
 
     plan_admission offer(uint64_t id, const StepSpec &spec,
@@ -198,7 +198,7 @@
     plan_free(sim.planner);
     sim.planner = nullptr;
     sim.become_leader(2048);
-    sim.planner->params.policy = &PLAN_POLICY_CONTENDED;
+    sim.planner->params.policy = &PLAN_POLICY_REFUSING;
     for (guint i = 0; i < sim.planner->targets->len; i++) {
         auto *target = (plan_target *)sim.planner->targets->pdata[i];
         target->usable = false;
@@ -287,7 +287,7 @@
 replay(const replay_load *load, bool forecasts)
 {
     std::map<std::string, Outcome> outcomes;
-    plan_policy policy = PLAN_POLICY_CONTENDED;
+    plan_policy policy = PLAN_POLICY_REFUSING;
     policy.forecasts = forecasts;
     for (uint32_t seed = 1; seed <= 2; seed++) {
         sim_result *result = sim_replay(load, &policy, seed);
