--- a/core/planadmit.c
+++ b/core/planadmit.c
@@ -636,6 +636,9 @@
         plan_sort_open_steps(plan, now_ms);
         plan_update_backlogs(plan, now_ms);
     }
+    if (pool->backlog == NULL) {
+        return;
+    }
     forecast = plan_forecast(plan, offer, now_ms);
     admission->wait_ms = forecast.wait_ms;
     admission->end_ms = forecast.end_ms;
