--- a/tests/copy_test.cc
+++ b/tests/copy_test.cc
@@ -496,6 +496,14 @@
     EXPECT_GE(with.won * 2, with.copies);
 }
 
+// The bound that is stated for work thrown away: what it was, and a tenth.
+TEST(Copy, ReplayOfStragglersWastesAtMostATenthMore)
+{
+    Outcome with = replay(WITH_COPIES, false);
+    Outcome without = replay(WITHOUT_COPIES, false);
+    EXPECT_LE(with.wasted_core_s, without.wasted_core_s * 1.1);
+}
+
 // Where the work itself is long, copies are given up after a few.
 TEST(Copy, ReplayOfLongWorkStartsFewCopies)
 {
