Takeover: the log names what may run on targets that are out or leaving

Ruled out: run lists that come late (targets that answer list their runs within 30 ms), the policy, room.

Change: while a target gets no starts, the tasks that may run there are stored in the log (struct fleet_outage); a later leader that cannot reach the target holds back their jobs only.

--- a/base/event.c
+++ b/base/event.c
@@ -66,6 +66,9 @@
     [EVENT_TARGET_RECOVERED] =
         {"target.back", 100, "id runs",
          "an unresponsive or lost target answers again"},
+    [EVENT_TARGET_OUTAGE] =
+        {"target.outage", 100, "id over tasks",
+         "what may run on an unresponsive target is recorded"},
     [EVENT_TARGET_LOST] =
         {"target.lost", 100, "id why",
          "a target is lost; no run is active there any more"},
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -38,6 +38,7 @@
     struct fleet_target *target = item;
 
     fp_record_free(&FLEET_TARGET_SCHEMA, &target->rec);
+    fleet_end_outage(target);
     g_free(target);
 }
 
@@ -195,6 +196,9 @@
 
         target->rec = *rec;
         target->rec.leaving = leaving;
+        if (restarted) {
+            fleet_end_outage(target);
+        }
     }
     fleet_remember_data_centre(fleet, rec->data_centre);
     if (fleet->ops.target_changed != NULL) {
@@ -576,6 +580,8 @@
         return &FLEET_CRASHES_SCHEMA;
     case FLEET_EVACUATION:
         return &FLEET_EVACUATION_SCHEMA;
+    case FLEET_OUTAGE:
+        return &FLEET_OUTAGE_SCHEMA;
     default:
         return NULL;
     }
@@ -607,6 +613,9 @@
     case FLEET_EVACUATION:
         fleet_apply_evacuation(fleet, &change->evacuation);
         break;
+    case FLEET_OUTAGE:
+        fleet_apply_outage(fleet, &change->outage);
+        break;
     default:
         apply_ends(fleet, &change->ends);
         break;
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -76,7 +76,9 @@
 
 struct fleet_target {
     struct fleet_target_rec rec;
-    void *plan; /* the scheduler's struct plan_target; NULL: none */
+    void *plan;          /* the scheduler's struct plan_target; NULL: none */
+    bool is_out;         /* see struct fleet_outage */
+    struct fp_list held; /* struct fleet_task_id; while it is out */
 };
 
 /* A data centre that has or had targets, or that an order named. Entries are
--- a/core/fleetpriv.h
+++ b/core/fleetpriv.h
@@ -21,6 +21,7 @@
     struct fleet_run_ends ends;
     struct fleet_crashes crashes;
     struct fleet_evacuation evacuation;
+    struct fleet_outage outage;
 };
 
 /* fleetconf.c */
@@ -36,6 +37,17 @@
 /* Finds the team of this name, or adds it. */
 struct fleet_team *fleet_ensure_team(struct fleet *fleet, const char *name);
 
+/* fleetoutage.c */
+void fleet_apply_outage(struct fleet *fleet,
+                        const struct fleet_outage *outage);
+/* Forgets the outage of a target, for example of another incarnation. */
+void fleet_end_outage(struct fleet_target *target);
+void fleet_save_outages(const struct fleet *fleet,
+                        struct fleet_snapshot *snap);
+/* Returns FP_ERR_CORRUPT for a malformed record. */
+enum fp_err fleet_load_outages(struct fleet *fleet,
+                               const struct fleet_snapshot *snap);
+
 /* fleetevac.c */
 /* Frees a struct fleet_data_centre. */
 void fleet_free_data_centre(void *item);
--- a/core/fleetrec.c
+++ b/core/fleetrec.c
@@ -221,6 +221,26 @@
     SCHEMA("fleet-target-gone", FLEET_TARGET_REMOVAL, fleet_target_removal,
            FLEET_TARGET_REMOVAL_FIELDS);
 
+static const struct fp_field FLEET_TASK_ID_FIELDS[] = {
+    U64(fleet_task_id, job_id),
+    U32(fleet_task_id, occurrence),
+    U32(fleet_task_id, step),
+    U32(fleet_task_id, index),
+};
+static const struct fp_schema FLEET_TASK_ID_SCHEMA =
+    SCHEMA("fleet-task-id", 143, fleet_task_id, FLEET_TASK_ID_FIELDS);
+
+static const struct fp_field FLEET_OUTAGE_FIELDS[] = {
+    STR(fleet_outage, head.change_id, NAME_BYTES),
+    U64(fleet_outage, head.at_ms),
+    STR(fleet_outage, id, FLEET_NAME_BYTES),
+    U64(fleet_outage, born_ms),
+    BOOL(fleet_outage, is_over),
+    LIST(fleet_outage, tasks, 8192, FLEET_TASK_ID_SCHEMA),
+};
+const struct fp_schema FLEET_OUTAGE_SCHEMA =
+    SCHEMA("fleet-outage", FLEET_OUTAGE, fleet_outage, FLEET_OUTAGE_FIELDS);
+
 static const struct fp_field FLEET_EVACUATION_FIELDS[] = {
     STR(fleet_evacuation, head.change_id, NAME_BYTES),
     U64(fleet_evacuation, head.at_ms),
@@ -317,6 +337,7 @@
     LIST(fleet_snapshot, items, 1048576, FLEET_SNAPSHOT_ITEM_SCHEMA),
     LIST(fleet_snapshot, shares, 65536, FLEET_SHARE_SAVED_SCHEMA),
     LIST(fleet_snapshot, data_centres, 65536, FLEET_DATA_CENTRE_SAVED_SCHEMA),
+    LIST(fleet_snapshot, outages, 65536, FLEET_SNAPSHOT_ITEM_SCHEMA),
 };
 const struct fp_schema FLEET_SNAPSHOT_SCHEMA = SCHEMA(
     "fleet-snapshot", FLEET_SNAPSHOT, fleet_snapshot, FLEET_SNAPSHOT_FIELDS);
--- a/core/fleetrec.h
+++ b/core/fleetrec.h
@@ -39,7 +39,8 @@
     FLEET_JOB_SAVED, /* only in snapshots */
     FLEET_SNAPSHOT,
     FLEET_CRASHES,
-    FLEET_EVACUATION
+    FLEET_EVACUATION,
+    FLEET_OUTAGE
 };
 
 /* How a run ended. */
@@ -245,6 +246,16 @@
     uint64_t born_ms; /* incarnation; 0: any */
 };
 
+/* A target does not answer or is leaving, and gets no starts before the record
+ * says that this is over. Hosts of older versions ignore it. */
+struct fleet_outage {
+    struct change_head head;
+    char id[FLEET_NAME_BYTES];
+    uint64_t born_ms; /* incarnation */
+    bool is_over;
+    struct fp_list tasks; /* struct fleet_task_id: all that may run there */
+};
+
 /* A run that was counted as a failure. */
 struct fleet_failed_run {
     uint32_t run;
@@ -312,6 +323,7 @@
      * item of an unknown type: */
     struct fp_list shares;       /* struct fleet_share_saved */
     struct fp_list data_centres; /* struct fleet_data_centre_saved */
+    struct fp_list outages;      /* struct fleet_snapshot_item: fleet_outage */
 };
 
 /* Calls from a host to the leader, and from the leader to hosts that query the
@@ -410,6 +422,7 @@
 extern const struct fp_schema FLEET_CONFIG_SCHEMA;
 extern const struct fp_schema FLEET_TARGET_SCHEMA;
 extern const struct fp_schema FLEET_TARGET_REMOVAL_SCHEMA;
+extern const struct fp_schema FLEET_OUTAGE_SCHEMA;
 extern const struct fp_schema FLEET_EVACUATION_SCHEMA;
 extern const struct fp_schema FLEET_DATA_CENTRE_SAVED_SCHEMA;
 extern const struct fp_schema FLEET_JOB_SAVED_SCHEMA;
--- a/core/fleetsave.c
+++ b/core/fleetsave.c
@@ -165,6 +165,7 @@
         save_job(&snap, link->data);
     }
     save_shares(&snap, fleet);
+    fleet_save_outages(fleet, &snap);
     fp_encode(&FLEET_SNAPSHOT_SCHEMA, &snap, out);
     fp_record_free(&FLEET_SNAPSHOT_SCHEMA, &snap);
 }
@@ -279,6 +280,9 @@
         }
         load_shares(loaded, &snap);
         load_data_centres(loaded, &snap);
+        if (err == FP_OK) {
+            err = fleet_load_outages(loaded, &snap);
+        }
         fp_record_free(&FLEET_SNAPSHOT_SCHEMA, &snap);
     }
     if (err == FP_OK) {
--- a/core/plan.c
+++ b/core/plan.c
@@ -512,12 +512,14 @@
 
 /* After a leader is lost while some targets are unreachable, inherited work
  * may still run on a target of its service that has not listed its runs. Only
- * the jobs of that service wait for it. */
+ * the jobs of that service wait for it; if the target was out already, only
+ * those that it may run. */
 static bool
 is_reconciled(const struct plan *plan, const struct plan_job *job)
 {
     return plan->reconciled || !job->inherited ||
-           job->pool->unlisted_targets == 0;
+           (job->pool->unlisted_targets == 0 &&
+            job->held_mark != plan->held_mark);
 }
 
 static bool
--- a/core/plan.h
+++ b/core/plan.h
@@ -365,6 +365,11 @@
 void plan_count_in_data_centre(const struct plan *plan,
                                struct call_evacuation *out);
 
+/* Adds the tasks of all runs that may be on a target, struct fleet_task_id, to
+ * a list whose items the caller frees. Returns false if they are not known,
+ * since the target has not listed its runs in this term. */
+bool plan_list_tasks(const struct fleet_target *target, struct fp_list *tasks);
+
 /* When the next run on a target should end, by estimate; UINT64_MAX: none
  * will. */
 uint64_t plan_next_end_ms(const struct fleet_target *target);
--- a/core/planlist.c
+++ b/core/planlist.c
@@ -172,6 +172,23 @@
     }
 }
 
+bool
+plan_list_tasks(const struct fleet_target *target, struct fp_list *tasks)
+{
+    const struct plan_target *ptarget = target->plan;
+
+    if (!ptarget->runs_known) {
+        return false;
+    }
+    for (guint i = 0; i < ptarget->runs->len; i++) {
+        const struct plan_run *run = ptarget->runs->pdata[i];
+        struct fleet_task_id *task = fp_list_add(tasks, sizeof(*task));
+
+        *task = run->task;
+    }
+    return true;
+}
+
 void
 plan_runs_listed(struct plan *plan, struct fleet_target *target,
                  const struct plan_listed_run *listed, uint32_t count,
--- a/core/planorder.c
+++ b/core/planorder.c
@@ -334,6 +334,39 @@
     }
 }
 
+/* Marks the jobs that may have a run on a target that is out. */
+static void
+mark_held_jobs(struct plan *plan, const struct fleet_target *target)
+{
+    const struct fleet_task_id *task = target->held.items;
+
+    for (uint32_t i = 0; i < target->held.count; i++) {
+        const struct fleet_job *job =
+            fleet_find_job(plan->fleet, task[i].job_id);
+        struct plan_job *pjob = job != NULL ? job->plan : NULL;
+
+        if (pjob != NULL) {
+            pjob->held_mark = plan->held_mark;
+        }
+    }
+}
+
+/* A target has not listed its runs. Of one that is out, the tasks that it may
+ * run are known. */
+static void
+add_unlisted_target(struct plan *plan, const struct plan_target *target)
+{
+    const bool is_out = target->target->is_out;
+
+    if (!is_out) {
+        target->pool->unlisted_targets++;
+    }
+    if (!is_out || target->target->held.count > 0) {
+        plan_add_size(&plan->unlisted_capacity, &target->capacity);
+    }
+    mark_held_jobs(plan, target->target);
+}
+
 /* Sums up each service's capacity and usage over its usable targets, and the
  * capacity of targets that have not listed their runs yet. */
 void
@@ -350,12 +383,12 @@
         decay_peak(pool, now_ms);
     }
     memset(&plan->unlisted_capacity, 0, sizeof(plan->unlisted_capacity));
+    plan->held_mark++;
     for (guint i = 0; i < plan->targets->len; i++) {
         const struct plan_target *target = plan->targets->pdata[i];
 
         if (!target->runs_known) {
-            plan_add_size(&plan->unlisted_capacity, &target->capacity);
-            target->pool->unlisted_targets++;
+            add_unlisted_target(plan, target);
         }
         if (plan_takes_starts(target)) {
             target->pool->capacity.cpu_milli += target->capacity.cpu_milli;
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -61,7 +61,7 @@
     struct fleet_resources capacity; /* of usable targets; set by each pass */
     struct fleet_resources used;     /* on usable targets; each pass recounts
                                       * it */
-    uint32_t unlisted_targets;       /* targets whose runs are not known yet */
+    uint32_t unlisted_targets;       /* targets on which any work may run */
     bool has_late_work; /* open steps of CLASS_LATE, in the last pass */
     struct plan_job *overdue_job; /* whose turn it is, see planorder.c; set by
                                    * each pass; NULL: none */
@@ -206,6 +206,7 @@
     uint64_t forecast_end_ms; /* as forecast when it was admitted; 0: not */
     bool forecast_overdue;    /* it was judged before its end */
     uint64_t backlog_mark;    /* see plan->backlog_mark */
+    uint64_t held_mark;       /* see plan->held_mark */
 };
 
 /* A target that stopped answering. */
@@ -249,9 +250,10 @@
     bool has_cold;             /* a target may be cold */
     uint64_t next_move_ms;     /* see planevac.c */
     bool reconciled;
-    uint64_t mark; /* of the last set of marked targets; see
-                    * mark_named_targets() in planticket.c */
-    bool dirty;    /* something changed since the last pass */
+    uint64_t held_mark; /* of the jobs that have held tasks now */
+    uint64_t mark;      /* of the last set of marked targets; see
+                         * mark_named_targets() in planticket.c */
+    bool dirty;         /* something changed since the last pass */
     uint64_t last_pass_ms;
     uint64_t next_pass_ms; /* when to run a pass even if nothing changed */
     uint64_t backlog_mark; /* of what the last backlog counts */
--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -545,6 +545,7 @@
     else if (restarted) {
         dispatch_reset_session(dispatch, target, clock_mono_ms());
     }
+    dispatch_set_leaving(dispatch, target);
 }
 
 void
--- a/node/dispatchlane.c
+++ b/node/dispatchlane.c
@@ -32,10 +32,8 @@
     return g_hash_table_lookup(dispatch->sessions, target->rec.id);
 }
 
-/* Returns the target that a request was sent to; NULL if it was removed or
- * has restarted since. */
-static struct fleet_target *
-target_of(const struct pending_request *pending)
+struct fleet_target *
+dispatch_target_of(const struct pending_request *pending)
 {
     struct fleet_target *target =
         fleet_find_target(pending->dispatch->deps.fleet, pending->target_id);
@@ -177,7 +175,7 @@
         dispatch_drop_pending(pending);
         return;
     }
-    target = target_of(pending);
+    target = dispatch_target_of(pending);
     if (target == NULL) {
         dispatch_drop_pending(pending);
         return;
@@ -282,7 +280,8 @@
     struct fleet_target *target;
     uint64_t now_ms = clock_mono_ms();
 
-    if (pending->dispatch != NULL && (target = target_of(pending)) != NULL) {
+    if (pending->dispatch != NULL &&
+        (target = dispatch_target_of(pending)) != NULL) {
         update_clock(session_of(pending->dispatch, target), reply, now_ms);
         plan_stop_answered(pending->dispatch->plan, target, &pending->task,
                            pending->run_number, reply->answer, now_ms);
@@ -367,7 +366,8 @@
     struct target_session *session;
 
     (void)answer;
-    if (pending->dispatch != NULL && (target = target_of(pending)) != NULL) {
+    if (pending->dispatch != NULL &&
+        (target = dispatch_target_of(pending)) != NULL) {
         session = session_of(pending->dispatch, target);
         session->ends_in_flight = false;
         session->next_hold_ms = 0;
@@ -451,7 +451,9 @@
     plan_runs_listed(dispatch->plan, target, reply->runs, reply->run_count,
                      !session->runs_listed, sent_ms, now_ms);
     session->runs_listed = true;
-    plan_set_target_usable(dispatch->plan, target, session->has_clock);
+    if (!session->outage_known || session->leaving) {
+        plan_set_target_usable(dispatch->plan, target, session->has_clock);
+    }
     session->next_hold_ms = now_ms;
     if (has_new_ends) {
         commit_ends(session, reply);
@@ -484,6 +486,9 @@
               EVENT_STR("answer", answer_name(reply->closed ? ORDER_CLOSED
                                                             : reply->answer)));
     }
+    if (!session->silent) {
+        session->silent_since_ms = now_ms;
+    }
     session->silent = true;
     ends_call_unanswered(&session->ends_ack);
     session->next_hold_ms = now_ms + HOLD_RETRY_MS;
@@ -505,7 +510,8 @@
     struct target_session *session;
     uint64_t now_ms = clock_mono_ms();
 
-    if (pending->dispatch == NULL || (target = target_of(pending)) == NULL) {
+    if (pending->dispatch == NULL ||
+        (target = dispatch_target_of(pending)) == NULL) {
         dispatch_drop_pending(pending);
         return;
     }
@@ -594,6 +600,8 @@
     session->leases_over_ms = clock_mono_ms() +
                               lease_ms * 100 / (100 - CLOCK_DRIFT_PERCENT) +
                               LEASE_MARGIN_MS;
+    session->leaving = target->rec.leaving;
+    session->outage_known = target->is_out;
     g_hash_table_insert(dispatch->sessions, session->id, session);
 }
 
@@ -633,6 +641,8 @@
     memset(&session->ends_ack, 0, sizeof(session->ends_ack));
     session->next_hold_ms = 0;
     session->silent = false;
+    session->outage_known = false;
+    session->outage_in_flight = false;
     session->granted_deadline_ms = 0;
 }
 
@@ -670,6 +680,7 @@
                        now_ms >= session->next_hold_ms;
     struct fleet_target *target;
 
+    dispatch_tick_outage(session, now_ms);
     if (session->lost && !session->removal_proposed &&
         now_ms >= session->lost_ms + REMOVAL_DELAY_MS) {
         propose_removal(session);
@@ -717,7 +728,7 @@
     while (dispatch->unsent_starts->len > 0) {
         struct pending_request *pending = g_ptr_array_steal_index(
             dispatch->unsent_starts, dispatch->unsent_starts->len - 1);
-        struct fleet_target *target = target_of(pending);
+        struct fleet_target *target = dispatch_target_of(pending);
 
         if (target != NULL) {
             log_run_event(EVENT_RUN_START_REFUSED, &pending->task,
--- a/node/dispatchpriv.h
+++ b/node/dispatchpriv.h
@@ -37,7 +37,12 @@
     uint64_t granted_deadline_ms; /* latest end of a granted lease, on
                                    * the target's clock */
     bool silent;                  /* the last hold call failed */
-    uint64_t lost_ms;             /* when lost became true */
+    uint64_t silent_since_ms;
+    bool leaving;          /* for good: it gets no starts */
+    bool outage_known;     /* the record of an outage is, or may become, part
+                            * of the fleet's state: no starts */
+    bool outage_in_flight; /* a proposal of it is not answered yet */
+    uint64_t lost_ms;      /* when lost became true */
 };
 
 /* A proposal, order or query that has not been answered. */
@@ -118,7 +123,20 @@
 void dispatch_on_read_evacuations(struct dispatch *dispatch,
                                   const struct relay_caller *caller);
 
+/* dispatchoutage.c */
+
+/* Takes over from an announcement whether a target is leaving. */
+void dispatch_set_leaving(struct dispatch *dispatch,
+                          const struct fleet_target *target);
+
+/* Proposes the record of an outage, or of its end, when it is due. */
+void dispatch_tick_outage(struct target_session *session, uint64_t now_ms);
+
 /* dispatchlane.c */
+
+/* Returns the target that a request was sent to; NULL if it was removed or has
+ * restarted since. */
+struct fleet_target *dispatch_target_of(const struct pending_request *pending);
 void dispatch_add_session(struct dispatch *dispatch,
                           struct fleet_target *target);
 void dispatch_tick_sessions(struct dispatch *dispatch, uint64_t now_ms);
--- a/tests/plan_test.cc
+++ b/tests/plan_test.cc
@@ -154,6 +154,81 @@
     EXPECT_EQ(sim.start_orders.size(), 2u);
 }
 
+// Regression: targets that had left seconds before a leader was lost held back
+// all inherited work until their leases were over.
+TEST(Plan, ATargetThatWasOutDelaysOnlyTheTasksThatItMayRun)
+{
+    for (bool restored : {false, true}) {
+        FleetSim sim;
+        sim.configure({"q"});
+        sim.put_target("t1");
+        sim.put_target("t2");
+        sim.submit(1, {{.count = 1}});
+        sim.submit(2, {{.count = 1}});
+        fleet_task_id held = {1, 0, 0, 0};
+        fleet_outage outage = {};
+        g_strlcpy(outage.id, "t2", sizeof(outage.id));
+        outage.born_ms = sim.find_target("t2")->rec.born_ms;
+        outage.tasks = {&held, 1};
+        sim.apply_change(&FLEET_OUTAGE_SCHEMA, &outage);
+        if (restored) {
+            fp_blob saved = {nullptr, 0};
+            fleet_save(sim.fleet_state, &saved);
+            ASSERT_EQ(fleet_load(sim.fleet_state, &saved), FP_OK);
+            fp_blob_free(&saved);
+        }
+        sim.become_leader();
+        ((plan_target *)sim.find_target("t2")->plan)->runs_known = false;
+        plan_set_target_usable(sim.planner, sim.find_target("t2"), false);
+        sim.run_pass();
+        ASSERT_EQ(sim.start_orders.size(), 1u);
+        EXPECT_EQ(sim.start_orders[0].task.job_id, 2u);
+        plan_target_lost(sim.planner, sim.find_target("t2"), LOSS_LEASE,
+                         sim.now_ms);
+        sim.run_pass(5);
+        ASSERT_EQ(sim.start_orders.size(), 2u);
+        EXPECT_EQ(sim.start_orders[1].task.job_id, 1u);
+    }
+}
+
+// The record of an outage holds for one incarnation of the target and until
+// the record of its end; what the target may run is listed with it.
+TEST(Plan, TheRecordOfAnOutageNamesAllRunsOfItsTarget)
+{
+    FleetSim sim;
+    sim.configure({"q"});
+    sim.put_target("t1");
+    sim.submit(1, {{.count = 2}});
+    sim.become_leader();
+    sim.run_pass();
+    ASSERT_EQ(sim.start_orders.size(), 2u);
+    fleet_target *target = sim.find_target("t1");
+    fleet_outage outage = {};
+    ASSERT_TRUE(plan_list_tasks(target, &outage.tasks));
+    EXPECT_EQ(outage.tasks.count, 2u) << "their starts are not answered yet";
+    g_strlcpy(outage.id, "t1", sizeof(outage.id));
+    outage.born_ms = target->rec.born_ms + 1;
+    sim.apply_change(&FLEET_OUTAGE_SCHEMA, &outage);
+    EXPECT_FALSE(target->is_out) << "of another incarnation";
+    outage.born_ms = target->rec.born_ms;
+    sim.apply_change(&FLEET_OUTAGE_SCHEMA, &outage);
+    EXPECT_TRUE(target->is_out);
+    EXPECT_EQ(target->held.count, 2u);
+    outage.is_over = true;
+    sim.apply_change(&FLEET_OUTAGE_SCHEMA, &outage);
+    EXPECT_FALSE(target->is_out);
+    outage.is_over = false;
+    sim.apply_change(&FLEET_OUTAGE_SCHEMA, &outage);
+    fleet_target_rec restarted = target->rec;
+    restarted.born_ms++;
+    sim.apply_change(&FLEET_TARGET_SCHEMA, &restarted);
+    EXPECT_FALSE(sim.find_target("t1")->is_out) << "another incarnation";
+    ((plan_target *)sim.find_target("t1")->plan)->runs_known = false;
+    fp_list none = {nullptr, 0};
+    EXPECT_FALSE(plan_list_tasks(sim.find_target("t1"), &none));
+    g_free(outage.tasks.items);
+}
+
 // Regression: after a change of leader the wait of an inherited step was
 // reported as hours, because it did not start with the term.
 TEST(Plan, AnInheritedStepWaitsSinceTheStartOfTheTerm)
