--- a/node/fleetnode.c
+++ b/node/fleetnode.c
@@ -84,6 +84,7 @@
               EVENT_INT("term", raft_term(replica_raft(node->replica))),
               EVENT_INT("config", node->fleet->config.version));
         node->dispatch = dispatch_new(&deps);
+        relay_announce_leadership(node->relay);
     }
     else if (!leading && node->dispatch != NULL) {
         EVENT(EVENT_LEADERSHIP_ENDED, EVENT_STR("host", node->settings->host),
@@ -376,6 +377,14 @@
     }
 }
 
+static void
+on_host_connected(void *ctx, const char *host)
+{
+    struct fleetnode *node = ctx;
+
+    relay_introduce(node->relay, host);
+}
+
 static void
 on_ping_answered(void *ctx, enum fp_err err, const struct call_answer *answer)
 {
@@ -715,7 +724,7 @@
 static enum fp_err
 open_bus(struct fleetnode *node, char *why, unsigned why_bytes)
 {
-    const struct bus_ops ops = {on_bus_message, NULL, node};
+    const struct bus_ops ops = {on_bus_message, on_host_connected, node};
 
     return bus_new(&node->loop, node->settings, &ops, &node->bus, why,
                    why_bytes);
--- a/node/relay.c
+++ b/node/relay.c
@@ -10,6 +10,10 @@
 #define RESEND_DELAY_MS 450u    /* until an unanswered call is sent again */
 #define NOT_LEADER_DELAY_MS 40u /* before another host is called */
 #define KNOWN_HOSTS_MAX 64u
+#define CALLERS_MAX 4096u
+#define INTRODUCTION_TIMEOUT_MS 1000u
+/* Request ID of a reply that answers no call: its sender begins to lead. */
+#define ANNOUNCEMENT_ID 0u
 /* Once no leader has answered for this long, calls fail at once: an election
  * takes less time, so this host is probably cut off, and its clients should
  * retry at another host. */
@@ -39,7 +43,8 @@
     char leader[MSG_HOST_BYTES]; /* as of the last answer; "": not known */
     GPtrArray *hosts;            /* names of hosts that may lead */
     guint next_host;
-    GHashTable *calls; /* request ID to struct outgoing_call */
+    GHashTable *calls;   /* request ID to struct outgoing_call */
+    GHashTable *callers; /* set of the hosts that have called this one */
     uint64_t last_request_id;
     uint64_t leader_heard_ms;
     bool leader_silent; /* no answer within LEADER_TIMEOUT_MS */
@@ -205,6 +210,8 @@
     relay->hosts = g_ptr_array_new_with_free_func(g_free);
     relay->calls =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_call);
+    relay->callers =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     /* Request IDs must not repeat those of an earlier process on this host,
      * whose answers may still arrive. */
     relay->last_request_id = clock_wall_ms() << 16;
@@ -232,6 +239,7 @@
     }
     g_list_free(all);
     g_hash_table_destroy(relay->calls);
+    g_hash_table_destroy(relay->callers);
     g_ptr_array_free(relay->hosts, TRUE);
     g_free(relay);
 }
@@ -297,29 +305,103 @@
     send_copy(relay, call, clock_mono_ms());
 }
 
+static void
+on_introduced(void *ctx, enum fp_err err, const struct call_answer *answer)
+{
+    (void)ctx;
+    (void)err; /* the host has called nobody, or answers later pings */
+    (void)answer;
+}
+
+void
+relay_introduce(struct relay *relay, const char *host)
+{
+    const struct call_ping ping = {.helper = 0};
+
+    relay_call_host(relay, host, CALL_PING, &CALL_PING_SCHEMA, &ping,
+                    INTRODUCTION_TIMEOUT_MS, on_introduced, NULL);
+}
+
+void
+relay_announce_leadership(struct relay *relay)
+{
+    struct msg_forward_reply announcement = {.request_id = ANNOUNCEMENT_ID,
+                                             .err = FP_ERR_NO_LEADER};
+    GHashTableIter iter;
+    const char *host;
+
+    g_strlcpy(announcement.leader_host, relay->own_host,
+              sizeof(announcement.leader_host));
+    g_hash_table_iter_init(&iter, relay->callers);
+    while (g_hash_table_iter_next(&iter, (gpointer *)&host, NULL)) {
+        /* Who is not told finds the leader by its next call. */
+        bus_send(relay->bus, host, &MSG_FORWARD_REPLY_SCHEMA, &announcement);
+    }
+}
+
 /* A host answered that it does not lead, so it did not process its copy. */
 static void
 on_not_leader(struct relay *relay, struct outgoing_call *call,
               const char *from, const char *leader)
 {
     call->open_copies -= MIN(call->open_copies, 1);
-    if (call->single_host) {
-        finish_call(relay, call, FP_ERR_NO_LEADER, NULL);
-        return;
-    }
     if (strcmp(relay->leader, from) == 0) {
         relay->leader[0] = '\0';
     }
-    if (leader[0] != '\0' && strcmp(leader, from) != 0) {
+    /* Another host's introduction may name an earlier leader. */
+    if (leader[0] != '\0' && strcmp(leader, from) != 0 &&
+        (!call->single_host || relay->leader[0] == '\0')) {
         relay_add_host(relay, leader);
         g_strlcpy(relay->leader, leader, sizeof(relay->leader));
     }
+    if (call->single_host) {
+        finish_call(relay, call, FP_ERR_NO_LEADER, NULL);
+        return;
+    }
     call->resend_ms =
         MIN(call->resend_ms, clock_mono_ms() + NOT_LEADER_DELAY_MS);
     /* The same host may be called again: it may lead by then. */
     call->host[0] = '\0';
 }
 
+static void
+note_leader(struct relay *relay, const char *host)
+{
+    uint64_t now_ms = clock_mono_ms();
+
+    if (relay->leader_silent) {
+        EVENT(EVENT_LEADER_FOUND, EVENT_STR("leader", host),
+              EVENT_INT("silent_ms", relay->leader_heard_ms == 0
+                                         ? 0
+                                         : now_ms - relay->leader_heard_ms));
+    }
+    relay->leader_silent = false;
+    relay->leader_heard_ms = now_ms;
+    if (strcmp(relay->leader, host) != 0) {
+        g_strlcpy(relay->leader, host, sizeof(relay->leader));
+    }
+}
+
+/* Workload: the leader is lost with calls under way, each of which would be
+ * sent again only RESEND_DELAY_MS after its last copy. */
+static void
+on_leadership_announced(struct relay *relay, const char *host)
+{
+    GList *all = g_hash_table_get_values(relay->calls);
+    uint64_t now_ms = clock_mono_ms();
+
+    note_leader(relay, host);
+    for (GList *at = all; at != NULL; at = at->next) {
+        struct outgoing_call *call = at->data;
+
+        if (!call->single_host && strcmp(call->host, host) != 0) {
+            call->resend_ms = now_ms;
+            advance_call(relay, call, now_ms);
+        }
+    }
+    g_list_free(all);
+}
+
 static void
 handle_answer(struct relay *relay, const char *from,
               const struct msg_forward_reply *msg)
@@ -328,6 +410,10 @@
         g_hash_table_lookup(relay->calls, &msg->request_id);
     struct call_answer answer;
 
+    if (msg->request_id == ANNOUNCEMENT_ID &&
+        strcmp(msg->leader_host, from) == 0) {
+        on_leadership_announced(relay, from);
+    }
     if (call == NULL) {
         return;
     }
@@ -340,18 +426,7 @@
         return; /* as if the answer had been lost */
     }
     if (!call->single_host) {
-        if (relay->leader_silent) {
-            EVENT(EVENT_LEADER_FOUND, EVENT_STR("leader", from),
-                  EVENT_INT("silent_ms",
-                            relay->leader_heard_ms == 0
-                                ? 0
-                                : clock_mono_ms() - relay->leader_heard_ms));
-        }
-        relay->leader_silent = false;
-        relay->leader_heard_ms = clock_mono_ms();
-        if (strcmp(relay->leader, from) != 0) {
-            g_strlcpy(relay->leader, from, sizeof(relay->leader));
-        }
+        note_leader(relay, from);
     }
     call->open_copies -= MIN(call->open_copies, 1);
     /* A refused submission may still be accepted through another copy. */
@@ -403,6 +478,10 @@
     }
     g_strlcpy(caller.host, from, sizeof(caller.host));
     caller.request_id = forward->request_id;
+    if (g_hash_table_size(relay->callers) < CALLERS_MAX &&
+        !g_hash_table_contains(relay->callers, from)) {
+        g_hash_table_add(relay->callers, g_strdup(from));
+    }
     relay->ops.on_call(relay->ops.ctx, &caller, forward->kind, &forward->body);
 }
 
--- a/node/relay.h
+++ b/node/relay.h
@@ -1,7 +1,8 @@
 /* relay.h -- calls to the leader of a fleet, from any of its hosts
  *
  * A call is sent to the host that is believed to lead. A host that does not
- * lead refuses the call, which is then sent to another one. All calls are
+ * lead refuses the call, which is then sent to another one; a host that begins
+ * to lead says so, and gets the calls that wait. All calls are
  * idempotent (jobs by their ID, configurations by their version), so a call
  * that is not answered in time is sent again, to another host if one is known.
  * The error of a call without an answer depends on all copies that were sent:
@@ -65,6 +66,13 @@
  * oldest is dropped. */
 void relay_add_host(struct relay *relay, const char *host);
 
+/* Makes this host known to another one that may lead, so that it is told when
+ * that one leads. */
+void relay_introduce(struct relay *relay, const char *host);
+
+/* This host leads from now on: tells all hosts that have called it. */
+void relay_announce_leadership(struct relay *relay);
+
 /* Calls the leader. The record is encoded before this returns. */
 void relay_call(struct relay *relay, uint32_t kind,
                 const struct fp_schema *schema, const void *record,
