--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -39,7 +39,7 @@
 SETTINGS = """host: "{host}"
 {data}trusted_network: true
 snapshot_entries: 400
-times: {{heartbeat_ms: 80, election_min_ms: 450, election_max_ms: 850, fresh_ms: 1500}}
+times: {{heartbeat_ms: 50, election_min_ms: 200, election_max_ms: 320, fresh_ms: 1500}}
 fleet:
   {role}: "{host}:{port}"
   readiness: "{host}:{ready}"
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -165,6 +165,7 @@
         self.allowed_cpu = []  # (until, cpu) of earlier capacities
         self.old_announcement = None
         self.down_until = 0
+        self.deaf_until = 0
         self.sequence = 0
         self.writers = set()
         self.restart()
@@ -312,6 +313,8 @@
         born_ms = self.born_ms
         if time.monotonic() < self.down_until:
             raise ConnectionError
+        if time.monotonic() < self.deaf_until:
+            return None
         if fields.get("x-expect-instance") != self.id:
             return 421, {}
         if not path.endswith("hold"):
@@ -375,6 +378,9 @@
     await serve(address, answer_query)
 
 
+DEAF_S = 2.5  # a target that stops answering runs on for this long
+
+
 async def run_targets(options):
     rng = random.Random(options.seed)
     checker = InvariantChecker()
@@ -386,12 +392,16 @@
     deadline = time.monotonic() + options.seconds
     next_restart = time.monotonic() + (options.restart or 1e9)
     next_resize = time.monotonic() + (options.resize or 1e9)
+    next_deaf = time.monotonic() + (options.deaf or 1e9)
     while time.monotonic() < deadline:
         await asyncio.sleep(0.1)
         checker.read_evacuated(options.evacuated)
         if time.monotonic() >= next_restart:
             rng.choice(targets).restart()
             next_restart += options.restart
+        if time.monotonic() >= next_deaf:
+            rng.choice(targets).deaf_until = next_deaf + DEAF_S
+            next_deaf += options.deaf
         if time.monotonic() >= next_resize:
             rng.choice(targets).resize()
             next_resize += options.resize
@@ -472,6 +482,8 @@
     parser.add_argument("--lost", type=float, default=0)
     parser.add_argument("--failures", type=float, default=0)
     parser.add_argument("--restart", type=float, default=0)
+    parser.add_argument("--deaf", type=float, default=0,
+                        help="seconds between targets that stop answering")
     parser.add_argument("--resize", type=float, default=0)
     parser.add_argument("--zones", type=int, default=1)
     parser.add_argument("--evacuated", default="")
