Refusals by forecast are removed

The replay of a paused leader on a full service stays, with the policy in service (Replay.APausedLeader*). The contended policy decides as before: plans never read a forecast.

--- a/base/event.c
+++ b/base/event.c
@@ -96,13 +96,11 @@
                            "a client's call was refused or got no answer"},
     [EVENT_JOB_ACCEPTED] = {"job.accepted", 300,
                             "id queue team tasks chain_ms objective_ms "
-                            "forecast_ms config beyond_share",
+                            "config beyond_share",
                             "a job is committed on a majority of replicas"},
-    [EVENT_JOB_REJECTED] =
-        {"job.rejected", 200,
-         "id queue error why wait_ms end_ms objective_ms margin_ms "
-         "scale scarce own ahead age_ms retry_after_ms config",
-         "a job was rejected; it never runs"},
+    [EVENT_JOB_REJECTED] = {"job.rejected", 200,
+                            "id queue error why retry_after_ms config",
+                            "a job was rejected; it never runs"},
     [EVENT_JOB_ENDED] = {"job.ended", 300, "id state took_ms objective_ms",
                          "a job completed, failed or was cancelled"},
     [EVENT_STEP_WAITING] =
--- a/cli/explain.c
+++ b/cli/explain.c
@@ -338,29 +338,10 @@
     else if (history->accepted != NULL) {
         printf("Cause: the job has not ended in these logs.\n");
     }
-    else if (history->rejected != NULL &&
-             integer_field(history->rejected, "end_ms") > 0) {
-        const struct log_line *rejected = history->rejected;
-
-        printf("Cause: the job was rejected (%s): %s. It would have waited "
-               "%lld ms and ended after %lld ms; its objective is %lld ms, "
-               "the margin %lld ms. Scarce: %s; the job needs %lld, work "
-               "before it %lld. The forecast was %lld ms old.\n",
-               string_field(rejected, "error"), string_field(rejected, "why"),
-               integer_field(rejected, "wait_ms"),
-               integer_field(rejected, "end_ms"),
-               integer_field(rejected, "objective_ms"),
-               integer_field(rejected, "margin_ms"),
-               string_field(rejected, "scarce"),
-               integer_field(rejected, "own"),
-               integer_field(rejected, "ahead"),
-               integer_field(rejected, "age_ms"));
-    }
     else if (history->rejected != NULL) {
-        printf("Cause: the job was rejected (%s): the expected wait was %lld "
-               "ms.\n",
+        printf("Cause: the job was rejected (%s): %s.\n",
                string_field(history->rejected, "error"),
-               integer_field(history->rejected, "wait_ms"));
+               string_field(history->rejected, "why"));
     }
     else if (history->failed_call != NULL) {
         printf("Cause: the job was not accepted; the last call failed with %s "
--- a/core/plan.c
+++ b/core/plan.c
@@ -28,8 +28,6 @@
     .packs_all = true, .learns_speeds = true, .copies = true
 const struct plan_policy PLAN_POLICY_CONTENDED = {.name = "contended",
                                                   CONTENDED_DECISIONS};
-const struct plan_policy PLAN_POLICY_REFUSING = {
-    .name = "refusing", CONTENDED_DECISIONS, .forecasts = true};
 const struct plan_policy PLAN_POLICY_RESERVE_AT_ONCE = {
     .name = "holds-at-once",
     .by_slack = true,
@@ -76,10 +74,6 @@
     struct plan_pool *pool = item;
 
     g_ptr_array_free(pool->targets, TRUE);
-    if (pool->backlog != NULL) {
-        backlog_clear(pool->backlog);
-        g_free(pool->backlog);
-    }
     g_ptr_array_free(pool->kinds, TRUE);
     g_free(pool);
 }
@@ -314,7 +308,6 @@
     pjob->tight = plan_is_tight(pjob->objective_ms, pjob->critical_path_ms);
     pjob->pool = get_or_add_pool(plan, job->queue->conf.service);
     job->plan = pjob;
-    plan_admissions_job_added(plan, pjob, now_ms);
     if (!pjob->started) {
         job->queue->waiting_jobs++;
     }
@@ -341,7 +334,6 @@
         return;
     }
     pjob->ended = true;
-    plan_admissions_job_ended(plan, pjob, now_ms);
     g_ptr_array_add(plan->ended_jobs, pjob);
     plan_mark_started(pjob);
     for (GList *link = pjob->runs.head; link != NULL; link = link->next) {
@@ -630,9 +622,6 @@
     }
     query_ahead(plan, false, now_ms);
     query_ahead(plan, true, now_ms);
-    if (plan->params.policy->forecasts) {
-        plan_update_backlogs(plan, now_ms);
-    }
     plan_start_copies(plan, now_ms);
 }
 
@@ -655,7 +644,6 @@
         plan->params.policy = &PLAN_POLICY_DEFAULT;
     }
     plan->ops = *ops;
-    plan->admissions = plan_admissions_new();
     plan->copies = plan_copies_new();
     plan->ended_jobs = g_ptr_array_new();
     plan->open_steps = g_ptr_array_new();
@@ -716,7 +704,6 @@
     g_ptr_array_free(plan->targets, TRUE);
     g_array_free(plan->silences, TRUE);
     g_free(plan->evidence.items);
-    plan_admissions_free(plan->admissions);
     plan_copies_free(plan->copies);
     g_ptr_array_free(plan->ended_jobs, TRUE);
     g_hash_table_destroy(plan->pools);
@@ -760,16 +747,6 @@
     *objective_ms = pjob != NULL ? pjob->objective_ms : 0;
 }
 
-uint32_t
-plan_job_forecast_ms(const struct fleet_job *job)
-{
-    const struct plan_job *pjob = job->plan;
-
-    return pjob != NULL && pjob->forecast_end_ms > pjob->accepted_ms
-               ? (uint32_t)(pjob->forecast_end_ms - pjob->accepted_ms)
-               : 0;
-}
-
 enum fleet_job_state
 plan_job_state(const struct fleet_job *job)
 {
--- a/core/plan.h
+++ b/core/plan.h
@@ -16,7 +16,6 @@
  *   planlist.c   run lists of targets
  *   planorder.c  order of the waiting steps
  *   planage.c    ages of jobs over terms, and turns of overdue ones
- *   planforecast.c  when a job that is offered would end
  *   planadmit.c  admission of jobs
  *   planfit.c    placement of a step's tasks
  *   plancopy.c   second runs of stragglers
@@ -202,8 +201,6 @@
     bool finishes_started; /* jobs with runs before those without; in no
                             * policy: see docs/design/order.md */
     bool packs_all;        /* placement by all resources (core/planpack.h) */
-    bool forecasts;        /* refuses what cannot end in time
-                            * (core/planforecast.h) */
     bool learns_speeds;    /* expected run times by target
                             * (core/planspeed.h) */
     bool copies;           /* second runs of stragglers (core/plancopy.h) */
@@ -212,8 +209,6 @@
 extern const struct plan_policy PLAN_POLICY_DEFAULT;
 /* Decisions for services that are full at times; by settings. */
 extern const struct plan_policy PLAN_POLICY_CONTENDED;
-/* The same, and refuses jobs by forecast. */
-extern const struct plan_policy PLAN_POLICY_REFUSING;
 /* Reserves at once, and queries for gangs name few targets. */
 extern const struct plan_policy PLAN_POLICY_RESERVE_AT_ONCE;
 /* Reserves only for tasks with several accelerators. */
@@ -256,18 +251,9 @@
 
 /* Whether a job is admitted. */
 struct plan_admission {
-    enum fp_err err;         /* FP_OK: admitted */
+    enum fp_err err;         /* FP_OK: admitted; FP_ERR_BUSY */
     uint32_t retry_after_ms; /* when to submit it again */
-    uint32_t wait_ms;        /* forecast wait; 0: not forecast */
-    uint32_t end_ms;         /* forecast time to its end; 0: not forecast */
-    uint32_t objective_ms;   /* likewise */
-    uint32_t margin_ms;      /* by which forecasts were too early */
-    uint32_t scale_permille; /* see struct plan_forecast, as below */
-    const char *scarce;
-    uint64_t own;
-    uint64_t ahead;
-    uint32_t age_ms;    /* of what the forecast is made from */
-    const char *reason; /* of a refusal; free text, for the log */
+    const char *reason;      /* of a refusal; free text, for the log */
 };
 
 /* Creates a scheduler over a fleet, which must outlive it. Live jobs of the
@@ -279,6 +265,9 @@
                       const struct plan_ops *ops, uint64_t now_ms);
 void plan_free(struct plan *plan);
 
+/* Decides on a job that is offered, and counts a refusal. */
+struct plan_admission plan_admit(struct plan *plan);
+
 /* Changes of the fleet's state; see struct fleet_ops. */
 void plan_job_added(struct plan *plan, struct fleet_job *job, uint64_t now_ms);
 void plan_job_ended(struct plan *plan, struct fleet_job *job, uint64_t now_ms);
@@ -378,9 +367,6 @@
  * not scheduled: it had ended before this term. */
 void plan_job_times(const struct fleet_job *job, uint32_t *critical_path_ms,
                     uint32_t *objective_ms);
-/* The time that a job should take, as forecast when it was admitted; 0: it was
- * not forecast. */
-uint32_t plan_job_forecast_ms(const struct fleet_job *job);
 /* The state of a job; a live one is JOB_RUNNING once a run was started. */
 enum fleet_job_state plan_job_state(const struct fleet_job *job);
 const struct plan_counters *plan_counters(const struct plan *plan);
--- a/core/planorder.c
+++ b/core/planorder.c
@@ -157,31 +157,6 @@
     step->latest_start_ms = latest_start_ms(&in);
 }
 
-void
-plan_offer_sort_key(const struct plan *plan, const struct fleet_submit *submit,
-                    const struct fleet_queue *queue, bool beyond_share,
-                    uint64_t now_ms, uint64_t key[3])
-{
-    const struct fleet_step *steps = submit->steps.items;
-    const struct plan_pool *pool =
-        g_hash_table_lookup(plan->pools, queue->conf.service);
-    struct order_input in = {
-        .lasting = submit->steps.count > 0 && steps[0].lasting,
-        .beyond_share = beyond_share,
-        .is_full = pool != NULL && pool->has_late_work,
-        .priority = queue->conf.priority,
-        .start_ms = plan_objective_start_ms(
-            plan, submit->occurrences > 0 ? submit->first_due_ms : 0, now_ms),
-        .objective_ms = plan_objective_ms(
-            plan_critical_path_ms(submit, &queue->conf), &queue->conf),
-    };
-
-    for (uint32_t i = 0; i < submit->steps.count; i++) {
-        in.remaining_ms += steps[i].estimate_ms;
-    }
-    set_order_key(plan->params.policy, &in, now_ms, key);
-}
-
 int
 plan_compare_keys(const uint64_t a[3], const uint64_t b[3])
 {
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -2,7 +2,6 @@
 #ifndef FP_PLANPRIV_H
 #define FP_PLANPRIV_H
 
-#include "core/backlog.h"
 #include "core/plan.h"
 #include "core/planspeed.h"
 
@@ -68,7 +67,6 @@
     struct fleet_resources tight_used; /* by runs of tight jobs */
     struct fleet_resources tight_peak; /* decaying peak of tight_used */
     uint64_t peak_decayed_ms;          /* when tight_peak last decayed */
-    struct backlog *backlog; /* see planforecast.c; NULL: not made yet */
 };
 
 struct plan_target {
@@ -167,7 +165,6 @@
                                 * an enum plan_class */
     bool is_sorted;            /* in its place in plan->open_steps */
     uint64_t latest_start_ms;  /* to meet the objective; set with sort_key */
-    uint64_t backlog_mark;     /* see plan->backlog_mark */
 };
 
 struct plan_task {
@@ -202,11 +199,8 @@
     bool has_crashes;          /* a task has or had crashes or open_crashes */
     uint32_t step_count;
     struct plan_task *tasks;
-    GQueue runs; /* struct plan_run of its steps, by their job_link */
-    uint64_t forecast_end_ms; /* as forecast when it was admitted; 0: not */
-    bool forecast_overdue;    /* it was judged before its end */
-    uint64_t backlog_mark;    /* see plan->backlog_mark */
-    uint64_t held_mark;       /* see plan->held_mark */
+    GQueue runs;        /* struct plan_run of its steps, by their job_link */
+    uint64_t held_mark; /* see plan->held_mark */
 };
 
 /* A target that stopped answering. */
@@ -256,8 +250,6 @@
     bool dirty;         /* something changed since the last pass */
     uint64_t last_pass_ms;
     uint64_t next_pass_ms; /* when to run a pass even if nothing changed */
-    uint64_t backlog_mark; /* of what the last backlog counts */
-    struct plan_admissions *admissions; /* see planadmit.c */
 };
 
 /* planrun.c */
@@ -327,11 +319,6 @@
 uint32_t plan_objective_ms(uint32_t critical_path_ms,
                            const struct fleet_queue_conf *queue);
 void plan_sort_open_steps(struct plan *plan, uint64_t now_ms);
-/* The sort key of the first step of a job that would be accepted now. */
-void plan_offer_sort_key(const struct plan *plan,
-                         const struct fleet_submit *submit,
-                         const struct fleet_queue *queue, bool beyond_share,
-                         uint64_t now_ms, uint64_t key[3]);
 /* Returns less than 0 if a goes before b, 0 if they are equal. */
 int plan_compare_keys(const uint64_t a[3], const uint64_t b[3]);
 /* The class of a sort key, without CLASS_BEYOND_SHARE. */
@@ -361,57 +348,6 @@
 /* Sets overdue_job and has_late_work of each pool. */
 void plan_survey_open_steps(struct plan *plan, uint64_t now_ms);
 
-/* planforecast.c */
-
-/* Takes stock of the work of each service, unless that was done just now.
- * Steps must be in scheduling order. */
-void plan_update_backlogs(struct plan *plan, uint64_t now_ms);
-/* A job that is forecast, and what the forecast takes into account. */
-struct plan_forecast_input {
-    const struct plan_offer *offer;
-    struct plan_pool *pool;
-    struct backlog_demand demand;
-    uint32_t chain_ms; /* its longest chain of steps */
-    uint64_t due_ms;   /* its first occurrence, on the monotonic clock; 0:
-                        * none */
-};
-/* Fills in what the service and the job itself give. */
-void plan_forecast_prepare(const struct plan *plan,
-                           const struct plan_offer *offer, uint64_t now_ms,
-                           struct plan_forecast_input *input);
-
-/* planadmit.c */
-struct plan_admissions *plan_admissions_new(void);
-void plan_admissions_free(struct plan_admissions *admissions);
-/* Adds the jobs that were admitted and are not planned yet, and the work that
- * arrives and goes before the job. */
-void plan_admissions_count(const struct plan *plan,
-                           struct plan_forecast_input *input);
-/* How long jobs of the queue waited, of what was forecast. */
-uint32_t plan_admissions_scale_permille(const struct plan *plan,
-                                        const struct fleet_queue *queue);
-/* The part of the targets that the placement policy grants to jobs of the
- * queue. */
-uint32_t plan_admissions_grants_permille(const struct plan *plan,
-                                         const struct fleet_queue *queue);
-void plan_admissions_learn_grants(struct plan *plan,
-                                  const struct fleet_queue *queue,
-                                  uint32_t granted, uint32_t answered);
-/* By how much forecasts of the queue's jobs were too early. */
-uint32_t plan_admissions_margin_ms(const struct plan *plan,
-                                   const struct fleet_queue *queue,
-                                   uint32_t slack_ms);
-void plan_admissions_job_added(struct plan *plan, struct plan_job *job,
-                               uint64_t now_ms);
-void plan_admissions_job_ended(struct plan *plan, struct plan_job *job,
-                               uint64_t now_ms);
-/* Judges the forecast of a job that has not ended long after it should have.
- */
-void plan_admissions_check_overdue(struct plan *plan, struct plan_job *job,
-                                   uint64_t now_ms);
-/* Forgets jobs that a backlog counts, or that never came. */
-void plan_admissions_tick(struct plan *plan, uint64_t now_ms);
-
 /* planhold.c */
 
 /* Whether capacity of the target is reserved for another step, and this one
@@ -526,8 +462,6 @@
 const char *plan_valid_ticket(const struct plan_step *step,
                               const struct plan_target *target,
                               uint64_t now_ms);
-bool plan_was_granted(const struct plan_step *step,
-                      const struct plan_target *target);
 /* Marks a ticket as invalid; the grant remains. */
 void plan_expire_ticket(struct plan_step *step,
                         const struct plan_target *target);
--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -5,7 +5,6 @@
 
 #include "base/event.h"
 #include "base/log.h"
-#include "core/planforecast.h"
 #include "node/dispatchpriv.h"
 
 /* Run numbers for the runs of inherited tasks in each term. */
@@ -185,15 +184,6 @@
           EVENT_STR("queue", call->to.path),
           EVENT_STR("error", fp_err_row(answer->err)->name),
           EVENT_STR("why", admission->reason),
-          EVENT_INT("wait_ms", admission->wait_ms),
-          EVENT_INT("end_ms", admission->end_ms),
-          EVENT_INT("objective_ms", admission->objective_ms),
-          EVENT_INT("margin_ms", admission->margin_ms),
-          EVENT_INT("scale", admission->scale_permille),
-          EVENT_STR("scarce", admission->scarce),
-          EVENT_INT("own", admission->own),
-          EVENT_INT("ahead", admission->ahead),
-          EVENT_INT("age_ms", admission->age_ms),
           EVENT_INT("retry_after_ms", answer->retry_after_ms),
           EVENT_INT("config", dispatch->deps.fleet->config.version));
 }
@@ -202,19 +192,11 @@
  * leader that is ready has applied all entries of earlier terms, so what it
  * does not know will not be committed. */
 static enum fp_err
-admit_job(struct dispatch *dispatch, const struct fleet_queue *queue,
-          const struct fleet_team *team, const struct fleet_submit *job,
+admit_job(struct dispatch *dispatch, uint64_t id,
           struct plan_admission *admission)
 {
-    const struct plan_offer offer = {
-        .submit = job,
-        .queue = queue,
-        .team = team,
-        .beyond_share = fleet_is_beyond_share(dispatch->deps.fleet, team,
-                                              clock_wall_ms())};
-
-    if (!g_hash_table_contains(dispatch->submitting, &job->id)) {
-        *admission = plan_admit(dispatch->plan, &offer, clock_mono_ms());
+    if (!g_hash_table_contains(dispatch->submitting, &id)) {
+        *admission = plan_admit(dispatch->plan);
     }
     return admission->err;
 }
@@ -225,8 +207,7 @@
 {
     struct fleet_queue *queue;
     struct fleet_team *team;
-    struct plan_admission admission = {
-        .err = FP_OK, .reason = "", .scarce = ""};
+    struct plan_admission admission = {.err = FP_OK, .reason = ""};
     struct call_answer answer = {.err = FP_OK};
     uint64_t id = 0;
     char reason[200];
@@ -245,7 +226,7 @@
     }
     call->job.id = id;
     if (answer.err == FP_OK) {
-        answer.err = admit_job(dispatch, queue, team, &call->job, &admission);
+        answer.err = admit_job(dispatch, id, &admission);
         answer.retry_after_ms = admission.retry_after_ms;
     }
     if (answer.err != FP_OK) {
@@ -571,7 +552,6 @@
           EVENT_STR("team", job->submit.team),
           EVENT_INT("tasks", job->task_count), EVENT_INT("chain_ms", chain_ms),
           EVENT_INT("objective_ms", objective_ms),
-          EVENT_INT("forecast_ms", plan_job_forecast_ms(job)),
           EVENT_INT("config", dispatch->deps.fleet->config.version),
           EVENT_INT("beyond_share", job->beyond_share));
 }
@@ -680,8 +660,7 @@
     if (!fleet->is_contended) {
         return &PLAN_POLICY_DEFAULT;
     }
-    return fleet->refuses_by_forecast ? &PLAN_POLICY_REFUSING
-                                      : &PLAN_POLICY_CONTENDED;
+    return &PLAN_POLICY_CONTENDED;
 }
 
 struct dispatch *
@@ -773,13 +752,6 @@
     return plan_gauges(dispatch->plan);
 }
 
-const struct plan_queue_forecasts *
-dispatch_forecasts(const struct dispatch *dispatch,
-                   const struct fleet_queue *queue)
-{
-    return plan_queue_forecasts(dispatch->plan, queue);
-}
-
 const struct dispatch_times *
 dispatch_times(const struct dispatch *dispatch)
 {
--- a/node/dispatch.h
+++ b/node/dispatch.h
@@ -10,7 +10,6 @@
 #define FP_DISPATCH_H
 
 #include "base/histogram.h"
-#include "core/planforecast.h"
 #include "node/orders.h"
 #include "node/relay.h"
 #include "node/replica.h"
@@ -73,10 +72,6 @@
 void dispatch_job_removed(struct dispatch *dispatch, struct fleet_job *job);
 
 const struct dispatch_times *dispatch_times(const struct dispatch *dispatch);
-/* See plan_queue_forecasts(). */
-const struct plan_queue_forecasts *
-dispatch_forecasts(const struct dispatch *dispatch,
-                   const struct fleet_queue *queue);
 const struct plan_counters *dispatch_counters(const struct dispatch *dispatch);
 struct plan_gauges dispatch_gauges(const struct dispatch *dispatch);
 
--- a/node/fleetmetrics.c
+++ b/node/fleetmetrics.c
@@ -184,37 +184,6 @@
     }
 }
 
-/* Forecasts against the ends of jobs, and refusals by them. */
-static void
-add_forecasts(GString *out, const struct fleet *fleet,
-              const struct dispatch *dispatch)
-{
-    for (guint i = 0; i < fleet->queues->len; i++) {
-        const struct fleet_queue *queue = fleet->queues->pdata[i];
-        const struct plan_queue_forecasts *forecasts =
-            dispatch_forecasts(dispatch, queue);
-        char label[FLEET_NAME_BYTES + 16];
-
-        if (forecasts == NULL) {
-            continue;
-        }
-        g_snprintf(label, sizeof(label), "queue=\"%s\"", queue->conf.name);
-        g_string_append_printf(out,
-                               "filbertpath_forecast_refused_total{%s} %llu\n"
-                               "filbertpath_forecast_margin_permille{%s} %u\n"
-                               "filbertpath_forecast_scale_permille{%s} %u\n",
-                               label, (unsigned long long)forecasts->refused,
-                               label, forecasts->margin_permille, label,
-                               forecasts->scale_permille);
-        histogram_append_text(&forecasts->too_early_ms,
-                              "forecast_too_early_ms", label, out);
-        histogram_append_text(&forecasts->too_late_ms, "forecast_too_late_ms",
-                              label, out);
-        histogram_append_text(&forecasts->retry_after_ms, "retry_after_ms",
-                              label, out);
-    }
-}
-
 static void
 add_dispatch_histograms(GString *out, const struct dispatch_times *times)
 {
@@ -269,7 +238,6 @@
         add_plan_gauges(out, &gauges);
         add_plan_counters(out, dispatch_counters(sources->dispatch));
         add_lost_runs(out, sources->fleet);
-        add_forecasts(out, sources->fleet, sources->dispatch);
         add_shares(out, sources->fleet);
         add_dispatch_histograms(out, dispatch_times(sources->dispatch));
     }
--- a/node/settings.c
+++ b/node/settings.c
@@ -97,8 +97,6 @@
                      may_bootstrap),
     CYAML_FIELD_BOOL("contended", CYAML_FLAG_OPTIONAL, struct settings_fleet,
                      is_contended),
-    CYAML_FIELD_BOOL("refuse_by_forecast", CYAML_FLAG_OPTIONAL,
-                     struct settings_fleet, refuses_by_forecast),
     CYAML_FIELD_UINT("share_window_ms", CYAML_FLAG_OPTIONAL,
                      struct settings_fleet, share_window_ms),
     FLEET_NUMBER(bus_port),
--- a/node/settings.h
+++ b/node/settings.h
@@ -79,8 +79,6 @@
     uint32_t stop_ms;   /* longest time a target takes to stop a run */
     bool is_contended;  /* contended: services are full at times; see
                          * PLAN_POLICY_CONTENDED */
-    bool refuses_by_forecast; /* refuse_by_forecast: with contended, see
-                               * PLAN_POLICY_REFUSING */
     uint32_t share_window_ms; /* over which a team's rate is averaged */
     double grace_s;           /* time from SIGTERM to SIGKILL */
     double job_retention_s;   /* keep_s: ended jobs can be queried this long */
--- a/tests/replay_test.cc
+++ b/tests/replay_test.cc
@@ -221,4 +221,30 @@
     unlink(path);
 }
 
+// A service that is full on a calm second; the leader is lost in the burst, or
+// handles answers seconds late.
+TEST(Replay, APausedLeaderLosesAndDoublesNothingOnAFullService)
+{
+    for (bool slow : {false, true}) {
+        Load load("full-then-burst.yaml");
+        ASSERT_NE(load.load, nullptr);
+        for (uint32_t i = 0; slow && i < load.load->events_count; i++) {
+            if (load.load->events[i].kind == REPLAY_NO_LEADER) {
+                load.load->events[i].kind = REPLAY_SLOW_LEADER;
+                load.load->events[i].factor_percent = 300000;
+            }
+        }
+        for (uint32_t seed = 1; seed <= 2; seed++) {
+            sim_result *result =
+                sim_replay(load.load, &PLAN_POLICY_CONTENDED, seed);
+            const sim_breaches &breaches = result->breaches;
+            EXPECT_EQ(breaches.over_size + breaches.doubled +
+                          breaches.over_cap + breaches.stuck,
+                      0u)
+                << "seed " << seed << ": " << breaches.first;
+            sim_result_free(result);
+        }
+    }
+}
+
 } // namespace
