Bus: nothing goes back over a host's connection once the own one was open

Change: only until the first own connection to the host is open, which is what a restart of all hosts needs.

No unit test: buses need sockets and a frozen process.

--- a/node/bus.c
+++ b/node/bus.c
@@ -33,7 +33,8 @@
     uv_poll_t poll; /* of dealer, for messages from the host */
     char *host;
     void *dealer;
-    bool is_connected; /* as reported by on_connected() */
+    bool is_connected;  /* as reported by on_connected() */
+    bool was_connected; /* at any time */
     bool drop_sent;
     bool drop_received;
 };
@@ -228,6 +229,7 @@
     char host[MSG_HOST_BYTES];
 
     peer->is_connected = is_connected;
+    peer->was_connected = peer->was_connected || is_connected;
     if (is_new && bus->ops.on_connected != NULL) {
         g_strlcpy(host, peer->host, sizeof(host));
         bus->ops.on_connected(bus->ops.ctx, host);
@@ -474,6 +476,18 @@
     connect_peer(bus, host, address, NULL);
 }
 
+/* Whether a message that the own connection does not take goes over the one
+ * that the host opened. Only before the first own connection: one that was
+ * closed since its pings had no answer may leave the other one open, where
+ * messages to a frozen host would pile up.
+ */
+static bool
+may_send_back(const struct bus *bus, const struct peer *peer)
+{
+    return bus->settings->fleet != NULL &&
+           (peer == NULL || !peer->was_connected);
+}
+
 /* Sends to a host to which this one has no connection, through the connection
  * which that host opened.
  */
@@ -522,7 +536,7 @@
     rc = peer != NULL
              ? zmq_send(peer->dealer, blob.data, blob.size_bytes, ZMQ_DONTWAIT)
              : -1;
-    if (rc < 0 && bus->settings->fleet != NULL) {
+    if (rc < 0 && may_send_back(bus, peer)) {
         rc = send_through_router(bus, host, &blob);
     }
     if (rc >= 0) {
--- a/node/bus.h
+++ b/node/bus.h
@@ -51,7 +51,7 @@
 
 /* Sends a message to a host that this one connects to; in a fleet also to a
  * host that has connected to this one, over the connection which that host
- * opened where there is no own. msg is copied.
+ * opened where there has been no own. msg is copied.
  * Returns FP_OK once the message is queued on a live connection; it may still
  * be lost. FP_ERR_NOT_CONNECTED: it wasn't sent, for lack of a connection or
  * of room in its queue. FP_ERR_TOO_LARGE: above MSG_MAX_BYTES.
