--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -74,7 +74,7 @@
 core/failures.c	if (failures->runs[i] == run_number) {	if (failures->runs[i] >= run_number) {	Plan.FailuresOfAnEarlier*
 core/failures.c	if (failures->runs[i] == run_number) {	if (false) {	Fleet.AFailedRunIsCountedOnce*
 core/raftlead.c	!is_heard(raft, follower, now_ms)	false	Raft.ASilentMember*
-core/raft.c	set_pre_vote_timer(raft, now_ms);\n    if	reset_election_timer(raft, now_ms);\n    if	Raft.ALeaderIsFoundWithout*
+core/raft.c	set_pre_vote_timer(raft, now_ms);\n    if	reset_election_timer(raft, now_ms);\n    if	Raft.LostRequests*
 core/raft.c	if (raft->state == RAFT_PRE_CANDIDATE && !raft->disk_failed) {	if (false) {	Raft.ALeaderIsFoundSoon*
 node/fetchplain.c	if (!is_alive(connection)) {	if (false) {	Fetch.AClosedIdle*
 node/fetchtext.c	is_valid = is_valid && !has_line_break(header[1]);		Fetch.AHeaderWithALineBreak*
@@ -83,6 +83,7 @@
 core/raft.c	if (!msg->transfer && lease_may_be_held(raft, now_ms)) {	if (false) {	Raft.NoSecond*
 core/raft.c	    if (raft->leased_to == raft->id) {\n        raft->election	    if (true) {\n        raft->election	Raft.NoSecond*
 core/raft.c	    if (!is_recorded) {	    if (false) {	Raft.NoLeaseIsForgotten*
+core/raft.c	    raft->leased_to = leader_id;	    ;	Raft.NoLeaseIsForgotten*
 core/raft.c	if (msg->from_id != raft->leased_to || msg->term <= raft->term) {	if (msg->term <= raft->term) {	Raft.NoSecond*
 core/raft.c	if (msg->from_id != raft->leased_to || msg->term <= raft->term) {	if (msg->from_id != raft->leased_to) {	Raft.ALateRequest*
 core/raft.c	if (msg->from_id != raft->leased_to || msg->term <= raft->term) {	if (true) {	Raft.ALeaderIsFoundSoon*
--- a/tests/raft_test.cc
+++ b/tests/raft_test.cc
@@ -376,6 +376,51 @@
     }
 }
 
+// A follower that was a candidate of the leader's term itself, or voted for
+// another, records the leader before it acknowledges its first message.
+TEST(Raft, NoLeaseIsForgottenThatWasExtendedInTheTermOfAnotherVote)
+{
+    Simulation sim(3);
+    ASSERT_TRUE(form_three_voters(sim));
+    run_for(sim, 500);
+    Node *leader = current_leader(sim);
+    ASSERT_NE(leader, nullptr);
+    Node *voter = sim.nodes[(leader->number + 1) % 3].get();
+    crash(voter);
+    voter->disk.vote.term = raft_term(leader->replica);
+    voter->disk.vote.voted_for = voter->disk.id;
+    voter->disk.vote.leased_to = voter->disk.id;
+    voter->restart_ms = 0;
+    run_for(sim, 400);
+    ASSERT_EQ(current_leader(sim), leader);
+    EXPECT_EQ(voter->disk.vote.leased_to, raft_id(leader->replica));
+    EXPECT_EQ(voter->disk.vote.voted_for, voter->disk.id);
+    tear_down(sim);
+}
+
+// The first requests after a restart are lost on links that are cut for a
+// moment, without a new connection afterwards.
+TEST(Raft, LostRequestsAfterARestartAreRepeatedSoon)
+{
+    for (uint64_t seed = 1; seed <= 40; seed++) {
+        Simulation sim(seed);
+        ASSERT_TRUE(form_three_voters(sim));
+        run_for(sim, 500);
+        for (auto &n : sim.nodes) {
+            crash(n.get());
+            n->restart_ms = 0;
+        }
+        memset(sim.link_cut, true, sizeof(sim.link_cut));
+        run_for(sim, 100);
+        memset(sim.link_cut, 0, sizeof(sim.link_cut));
+        uint64_t joined_ms = sim.now_ms;
+        ASSERT_TRUE(run_until_leader(sim, 20000)) << "seed " << seed;
+        EXPECT_LE(sim.now_ms - joined_ms, 3 * sim.times.heartbeat_ms + 100)
+            << "seed " << seed;
+        tear_down(sim);
+    }
+}
+
 // A request for votes that the leader sent before it led arrives late, at a
 // follower that has extended its lease since: the lease is still in force.
 TEST(Raft, ALateRequestOfTheLeaderReleasesNoLease)
