Leaving targets: runs that would be lost are stopped while that has an answer

After a takeover the lease counted anew.

Ruled out: shorter leases (never shortened once granted; a core that is lost for 4.5 s would lose all runs); taking a refused connection as the end of the target (a network that is cut may refuse connections too).

Change: a run without checkpoints that should end after its target leaves is stopped at the announcement, the whole gang if it is a member, and starts elsewhere; one that is overdue is stopped at the last moment. So far such runs stayed since a stop loses their work; it is lost in any case.

--- a/core/plan.c
+++ b/core/plan.c
@@ -150,7 +150,8 @@
     plan->counters.runs_lost++;
     plan_remove_run(plan, run);
     if (step != NULL && step->def->gang) {
-        plan_stop_gang(plan, step, run_number, now_ms);
+        plan_stop_gang(plan, step, run_number, PLAN_PARTIAL_GANG_REASON,
+                       now_ms);
     }
 }
 
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -287,8 +287,11 @@
 /* Stops all runs of a task. */
 void plan_stop_task(struct plan *plan, const struct plan_step *step,
                     uint32_t task_number, uint64_t now_ms);
+/* Stops all runs of a gang. */
 void plan_stop_gang(struct plan *plan, const struct plan_step *step,
-                    uint32_t run_number, uint64_t now_ms);
+                    uint32_t run_number, const char *reason, uint64_t now_ms);
+/* One of its members has ended or cannot start. */
+#define PLAN_PARTIAL_GANG_REASON "its gang is not whole"
 void plan_add_size(struct fleet_resources *to,
                    const struct fleet_resources *size);
 /* Subtracts; no field falls below 0. */
--- a/core/planrun.c
+++ b/core/planrun.c
@@ -16,6 +16,7 @@
 /* Added to the time of a stop: for its order to arrive, and for the end to be
  * listed. */
 #define EVACUATE_MARGIN_MS 300u
+#define LEAVES_REASON "its target leaves"
 
 struct fleet_resources
 plan_task_size(const struct fleet_step *def)
@@ -420,17 +421,16 @@
     }
 }
 
-/* Stops all runs of a gang because one of them has ended or cannot start. */
 void
 plan_stop_gang(struct plan *plan, const struct plan_step *step,
-               uint32_t run_number, uint64_t now_ms)
+               uint32_t run_number, const char *reason, uint64_t now_ms)
 {
     for (GList *link = step->job->runs.head; link != NULL; link = link->next) {
         struct plan_run *run = link->data;
 
         if (run->step == step && run->run_number == run_number &&
             run->stop_ordered_ms == 0) {
-            plan_order_stop(plan, run, "its gang is not whole", now_ms);
+            plan_order_stop(plan, run, reason, now_ms);
         }
     }
 }
@@ -504,7 +504,8 @@
             task->failed_on = ptarget;
         }
         if (step->def->gang && end->outcome != RUN_DONE) {
-            plan_stop_gang(plan, step, end->run, now_ms);
+            plan_stop_gang(plan, step, end->run, PLAN_PARTIAL_GANG_REASON,
+                           now_ms);
         }
     }
 }
@@ -567,7 +568,8 @@
         plan_remove_run(plan, run);
     }
     if (step != NULL && step->def->gang) {
-        plan_stop_gang(plan, step, run_number, now_ms);
+        plan_stop_gang(plan, step, run_number, PLAN_PARTIAL_GANG_REASON,
+                       now_ms);
     }
 }
 
@@ -586,38 +588,60 @@
 
 /* ---- evacuation --------------------------------------------------------- */
 
-/* Targets may be taken away at short notice. Runs with checkpoints that would
- * be lost are stopped just in time, so that they resume elsewhere from their
- * last checkpoint; so are lasting ones. Runs that should end before then, or
- * that would lose all their work by a stop, stay. */
+/* Workload: targets are taken away at short notice, among them targets that
+ * run members of large gangs. What runs there is lost with its target, and if
+ * that does not say that it ends, it counts as running until the lease is
+ * over. So a run that cannot end before is stopped and starts elsewhere: at
+ * once if it has no checkpoints, as all that it does until then is lost; just
+ * in time if it resumes from its last checkpoint, or if it serves. An
+ * inherited run, whose start is not known, gets the time that there is, and
+ * one that takes longer than expected too. */
+static bool
+must_leave(const struct plan_target *target, const struct plan_run *run,
+           bool is_last_moment, uint64_t now_ms)
+{
+    const struct fleet_step *def = run->step != NULL ? run->step->def : NULL;
+
+    if (def == NULL || run->state != RUN_ACTIVE) {
+        return false;
+    }
+    if (def->lasting) {
+        return is_last_moment;
+    }
+    if (run->expected_end_ms > target->leaves_ms) {
+        return is_last_moment || (!def->checkpoints && !run->is_inherited);
+    }
+    return is_last_moment && !def->checkpoints &&
+           run->expected_end_ms < now_ms;
+}
+
 void
 plan_evacuate_target(struct plan *plan, struct plan_target *target,
                      uint64_t now_ms)
 {
+    bool is_last_moment;
+
     if (target->leaves_ms == 0) {
         target->leaves_ms = now_ms + MAX(target->target->rec.stays_ms, 1);
     }
-    if (target->evacuated || !target->runs_known ||
-        now_ms + plan->params.stop_ms + EVACUATE_MARGIN_MS <
-            target->leaves_ms) {
+    if (target->evacuated || !target->runs_known) {
         return;
     }
-    target->evacuated = true;
+    is_last_moment = now_ms + plan->params.stop_ms + EVACUATE_MARGIN_MS >=
+                     target->leaves_ms;
+    target->evacuated = is_last_moment;
     for (guint i = 0; i < target->runs->len; i++) {
         struct plan_run *run = target->runs->pdata[i];
-        const struct fleet_step *def =
-            run->step != NULL ? run->step->def : NULL;
 
-        if (def == NULL || run->state != RUN_ACTIVE ||
-            (!def->lasting && (!def->checkpoints ||
-                               run->expected_end_ms <= target->leaves_ms))) {
+        if (!must_leave(target, run, is_last_moment, now_ms)) {
             continue;
         }
-        if (def->gang) {
-            plan_stop_gang(plan, run->step, run->run_number, now_ms);
+        if (run->step->def->gang) {
+            plan_stop_gang(plan, run->step, run->run_number, LEAVES_REASON,
+                           now_ms);
         }
         else {
-            plan_order_stop(plan, run, "its target leaves", now_ms);
+            plan_order_stop(plan, run, LEAVES_REASON, now_ms);
         }
     }
 }
