Fronts hold calls from their start; the answer to an introduction finds the leader

Fronts had connected to the leader before, and introduced themselves, but its answer was not taken as a sign of a leader.

Ruled out: connecting (the times are those of the 500 ms ping, not of attempts to connect).

Change: calls fail at once only 1.3 s after the last answer of a leader or the start of the host. An answered introduction counts as hearing the leader. A leader that was not known before gets all waiting calls at once.

--- a/node/relay.c
+++ b/node/relay.c
@@ -16,7 +16,9 @@
 #define ANNOUNCEMENT_ID 0u
 /* Once no leader has answered for this long, calls fail at once: an election
  * takes less time, so this host is probably cut off, and its clients should
- * retry at another host. */
+ * retry at another host. A host that starts waits as long for its first
+ * answer: when all hosts restart, it may be up before those that elect the
+ * leader. */
 #define LEADER_TIMEOUT_MS 1300u
 
 /* A call of this host that has not ended. */
@@ -46,8 +48,9 @@
     GHashTable *calls;   /* request ID to struct outgoing_call */
     GHashTable *callers; /* set of the hosts that have called this one */
     uint64_t last_request_id;
-    uint64_t leader_heard_ms;
-    bool leader_silent; /* no answer within LEADER_TIMEOUT_MS */
+    uint64_t started_ms;
+    uint64_t leader_heard_ms; /* 0: never */
+    bool leader_silent;       /* no answer within LEADER_TIMEOUT_MS */
 };
 
 static void
@@ -162,7 +165,8 @@
                  uint64_t now_ms)
 {
     return !call->single_host && call->kind != CALL_PING &&
-           now_ms > relay->leader_heard_ms + LEADER_TIMEOUT_MS;
+           now_ms > MAX(relay->leader_heard_ms, relay->started_ms) +
+                        LEADER_TIMEOUT_MS;
 }
 
 static void
@@ -215,6 +219,7 @@
     /* Request IDs must not repeat those of an earlier process on this host,
      * whose answers may still arrive. */
     relay->last_request_id = clock_wall_ms() << 16;
+    relay->started_ms = clock_mono_ms();
     relay->leader_silent = true; /* until the first answer */
     timers_subscribe(timers, TICK_INTERVAL_MS, on_tick, relay);
     return relay;
@@ -364,10 +369,13 @@
     call->host[0] = '\0';
 }
 
-static void
+/* Returns whether the host was not known to lead. */
+static bool
 note_leader(struct relay *relay, const char *host)
 {
     uint64_t now_ms = clock_mono_ms();
+    const bool is_new =
+        relay->leader_silent || strcmp(relay->leader, host) != 0;
 
     if (relay->leader_silent) {
         EVENT(EVENT_LEADER_FOUND, EVENT_STR("leader", host),
@@ -380,17 +388,17 @@
     if (strcmp(relay->leader, host) != 0) {
         g_strlcpy(relay->leader, host, sizeof(relay->leader));
     }
+    return is_new;
 }
 
-/* Workload: the leader is lost with calls under way, each of which would be
- * sent again only RESEND_DELAY_MS after its last copy. */
+/* Workload: the leader or all hosts are lost with calls under way, each of
+ * which would be sent again only RESEND_DELAY_MS after its last copy. */
 static void
-on_leadership_announced(struct relay *relay, const char *host)
+send_waiting_calls(struct relay *relay, const char *host)
 {
     GList *all = g_hash_table_get_values(relay->calls);
     uint64_t now_ms = clock_mono_ms();
 
-    note_leader(relay, host);
     for (GList *at = all; at != NULL; at = at->next) {
         struct outgoing_call *call = at->data;
 
@@ -409,10 +417,12 @@
     struct outgoing_call *call =
         g_hash_table_lookup(relay->calls, &msg->request_id);
     struct call_answer answer;
+    bool found_leader = false;
 
     if (msg->request_id == ANNOUNCEMENT_ID &&
         strcmp(msg->leader_host, from) == 0) {
-        on_leadership_announced(relay, from);
+        note_leader(relay, from);
+        send_waiting_calls(relay, from);
     }
     if (call == NULL) {
         return;
@@ -425,8 +435,9 @@
                   &answer) != FP_OK) {
         return; /* as if the answer had been lost */
     }
-    if (!call->single_host) {
-        note_leader(relay, from);
+    /* Only a leader answers pings, introductions included. */
+    if (!call->single_host || call->kind == CALL_PING) {
+        found_leader = note_leader(relay, from);
     }
     call->open_copies -= MIN(call->open_copies, 1);
     /* A refused submission may still be accepted through another copy. */
@@ -438,6 +449,9 @@
         finish_call(relay, call, FP_OK, &answer);
     }
     fp_record_free(&CALL_ANSWER_SCHEMA, &answer);
+    if (found_leader) {
+        send_waiting_calls(relay, from);
+    }
 }
 
 void
