--- a/core/fleet.h
+++ b/core/fleet.h
@@ -46,10 +46,6 @@
     /* Needed by inherited tasks that may be running on targets that have not
      * listed their runs yet; maintained by the scheduler. */
     struct fleet_resources unlocated;
-    /* Part of the limit that a waiting gang claims, from claimed_from_ms on
-     * (core/planhold.c); set by each pass of the scheduler. */
-    struct fleet_resources claimed;
-    uint64_t claimed_from_ms; /* 0: nothing is claimed */
 };
 
 struct fleet_task {
--- a/core/planfit.c
+++ b/core/planfit.c
@@ -309,32 +309,6 @@
     return search.best;
 }
 
-/* Whether a team that runs nothing else would stay within its limit. */
-static bool
-could_be_within_limit(const struct fleet_team *team,
-                      const struct fleet_resources *size)
-{
-    return team == NULL ||
-           (is_within_limit(team->limit.cpu_milli, 0, 0, size->cpu_milli) &&
-            is_within_limit(team->limit.memory_mb, 0, 0, size->memory_mb) &&
-            is_within_limit(team->limit.accel, 0, 0, size->accel));
-}
-
-/* Whether the step's team stays within its limit, and leaves what a gang
- * claims of it. */
-static bool
-limit_allows(const struct plan *plan, const struct plan_step *step,
-             const struct fleet_resources *size, uint64_t now_ms)
-{
-    const struct fleet_team *team = step->job->job->team;
-    struct fleet_resources total = *size;
-
-    if (plan_is_limit_claimed(plan, step, now_ms)) {
-        plan_add_size(&total, &team->claimed);
-    }
-    return is_team_within_limit(plan, team, &total);
-}
-
 static bool
 start_on_target(struct plan *plan, struct plan_step *step, uint32_t index,
                 uint32_t run_number, struct plan_target *target,
@@ -495,7 +469,7 @@
         if (!may_start_task(step, number, now_ms)) {
             continue;
         }
-        if (!limit_allows(plan, step, &size, now_ms)) {
+        if (!is_team_within_limit(plan, step->job->job->team, &size)) {
             step->wait_reason = "its team is at its limit";
             return;
         }
@@ -537,12 +511,8 @@
             MAX(run_number,
                 step->job->tasks[step->first_task + i].next_run_number);
     }
-    if (!limit_allows(plan, step, &gang_size, now_ms)) {
+    if (!is_team_within_limit(plan, step->job->job->team, &gang_size)) {
         step->wait_reason = "its team is at its limit";
-        if (could_be_within_limit(step->job->job->team, &gang_size)) {
-            plan_reserve_capacity(plan, step, &size, now_ms);
-            plan_claim_limit(step, &gang_size, now_ms);
-        }
         return;
     }
     chosen = g_new0(struct plan_target *, step->def->count);
@@ -555,7 +525,6 @@
     else {
         step->wait_reason = no_target_reason(plan, step, &size);
         plan_reserve_capacity(plan, step, &size, now_ms);
-        plan_claim_limit(step, &gang_size, now_ms);
         prepare_trial(plan, step, now_ms);
     }
     g_free(chosen);
--- a/core/planhold.c
+++ b/core/planhold.c
@@ -292,35 +292,6 @@
     g_array_free(search.slots, TRUE);
 }
 
-void
-plan_claim_limit(const struct plan_step *step,
-                 const struct fleet_resources *gang_size, uint64_t now_ms)
-{
-    struct fleet_team *team = step->job->job->team;
-
-    if (team != NULL && team->claimed_from_ms == 0 &&
-        step->reserved_targets > 0 &&
-        plan_class_of(step->sort_key) == CLASS_IN_TIME) {
-        team->claimed = *gang_size;
-        team->claimed_from_ms = MAX(step->latest_start_ms, now_ms);
-    }
-}
-
-bool
-plan_is_limit_claimed(const struct plan *plan, const struct plan_step *step,
-                      uint64_t now_ms)
-{
-    const struct fleet_team *team = step->job->job->team;
-    uint64_t run_time_ms;
-
-    if (team == NULL || team->claimed_from_ms == 0) {
-        return false;
-    }
-    run_time_ms =
-        plan_run_time_ms(plan, step, NULL) * BACKFILL_TIME_PERMILLE / 1000;
-    return step->def->lasting || now_ms + run_time_ms > team->claimed_from_ms;
-}
-
 void
 plan_release_reservation(struct plan *plan, const struct plan_step *step)
 {
--- a/core/planorder.c
+++ b/core/planorder.c
@@ -342,19 +342,6 @@
     mark_held_jobs(plan, target->target);
 }
 
-static void
-clear_claims(struct plan *plan)
-{
-    GHashTableIter iter;
-    struct fleet_team *team;
-
-    g_hash_table_iter_init(&iter, plan->fleet->teams);
-    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&team)) {
-        memset(&team->claimed, 0, sizeof(team->claimed));
-        team->claimed_from_ms = 0;
-    }
-}
-
 /* Sums up each service's capacity and usage over its usable targets, and the
  * capacity of targets that have not listed their runs yet. */
 void
@@ -371,7 +358,6 @@
         decay_peak(pool, now_ms);
     }
     memset(&plan->unlisted_capacity, 0, sizeof(plan->unlisted_capacity));
-    clear_claims(plan);
     plan->held_mark++;
     for (guint i = 0; i < plan->targets->len; i++) {
         const struct plan_target *target = plan->targets->pdata[i];
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -360,15 +360,6 @@
 void plan_reserve_capacity(struct plan *plan, struct plan_step *step,
                            const struct fleet_resources *size,
                            uint64_t now_ms);
-/* Claims gang_size of its team's limit for a step that has reserved capacity,
- * for the rest of the pass: work that comes after it in the pass keeps away
- * from that part unless it ends in time. One step of a team has a claim. */
-void plan_claim_limit(const struct plan_step *step,
-                      const struct fleet_resources *gang_size,
-                      uint64_t now_ms);
-/* Whether a claim holds against a step that comes later in the pass. */
-bool plan_is_limit_claimed(const struct plan *plan,
-                           const struct plan_step *step, uint64_t now_ms);
 /* Ends the reservation of one target, if there is one. */
 void plan_clear_reservation(struct plan_target *target);
 /* The capacity or the labels of a target have changed: ends a reservation that
