--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -135,7 +135,9 @@
 node/fetch.c	if (transfer->opened_before_ms != 0 &&	if (false &&	Fetch.OpenedBefore*
 core/planhold.c	search.slots->len >= member_count(step)	true	Plan.AGang*
 core/planhold.c	return step->def->lasting ||\n           now_ms + run_time_ms > target->reserved_from_ms;	return true;	Plan.ShortWork*
-core/planrun.c	(!def->checkpoints ||\n                               run->expected_end_ms <= target->leaves_ms)	false	Plan.WorkWithACheckpoint*
+core/planrun.c	    if (run->expected_end_ms > target->leaves_ms) {	    if (true) {	Plan.WorkWithACheckpoint*
+core/planrun.c	return is_last_moment || (!def->checkpoints && !run->is_inherited);	return is_last_moment;	Plan.AGangWithoutCheckpoints*
+core/planrun.c	run->expected_end_ms < now_ms;	false;	Plan.AnOverdueRun*
 core/planpriv.h	           !target->in_evacuation;	           true;	Evac.AnEvacuatedDataCentreGets*
 core/planevac.c	        release_target(plan, target);	        (void)release_target;	Evac.AReservationIs*
 core/planevac.c	return count_away(step, now_ms) < away_limit(step->def);	return true;	Evac.LastingTasksAreMoved*
