Begun jobs first on a full service: removed, worth nothing

Removed: finishes_started of struct plan_policy, two inputs of the order, the survey of late work, two tests of it, two mutants. No policy in service or in the replay had it, so no decision changes.

--- a/core/plan.h
+++ b/core/plan.h
@@ -198,12 +198,10 @@
     bool by_share;       /* work within a team's rate first (core/shares.h) */
     bool keeps_accepted; /* inherited jobs count from when they were accepted;
                           * else from the start of the term */
-    bool finishes_started; /* jobs with runs before those without; in no
-                            * policy: see docs/design/order.md */
-    bool packs_all;        /* placement by all resources (core/planpack.h) */
-    bool learns_speeds;    /* expected run times by target
-                            * (core/planspeed.h) */
-    bool copies;           /* second runs of stragglers (core/plancopy.h) */
+    bool packs_all;      /* placement by all resources (core/planpack.h) */
+    bool learns_speeds;  /* expected run times by target
+                          * (core/planspeed.h) */
+    bool copies;         /* second runs of stragglers (core/plancopy.h) */
 };
 
 extern const struct plan_policy PLAN_POLICY_DEFAULT;
--- a/core/planage.c
+++ b/core/planage.c
@@ -80,14 +80,11 @@
     g_hash_table_iter_init(&iter, plan->pools);
     while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&pool)) {
         pool->overdue_job = NULL;
-        pool->has_late_work = false;
     }
     for (guint i = 0; i < plan->open_steps->len; i++) {
         const struct plan_step *step = plan->open_steps->pdata[i];
 
         pool = step->job->pool;
-        pool->has_late_work =
-            pool->has_late_work || step->sort_key[0] == CLASS_LATE;
         if (is_overdue(plan, step, now_ms) &&
             (pool->overdue_job == NULL ||
              has_earlier_turn(step->job, pool->overdue_job, now_ms))) {
--- a/core/planorder.c
+++ b/core/planorder.c
@@ -73,8 +73,6 @@
 struct order_input {
     bool lasting;
     bool beyond_share;
-    bool begun;            /* its job has runs or done tasks */
-    bool is_full;          /* its service has late work */
     uint32_t priority;     /* of the queue; 0 is the highest */
     uint64_t remaining_ms; /* see remaining_run_ms() */
     uint64_t start_ms;     /* when the time allowed by the objective begins */
@@ -94,11 +92,6 @@
  * takes what the other work leaves (core/shares.h). Late work still runs to
  * its end. Within a class steps are sorted by the queue's priority, then by
  * their latest start time.
- *
- * A job is of use to its caller only once its last task ends. While a service
- * cannot serve all in time, work that was begun goes before work of the same
- * class and priority that was not, as long as it can be in time; while it can,
- * that would make work late that has little time left.
  */
 static void
 set_order_key(const struct plan_policy *policy, const struct order_input *in,
@@ -125,10 +118,6 @@
                      : CLASS_EXPIRED;
     }
     key[1] = in->priority;
-    if (policy->finishes_started) {
-        key[1] = (uint64_t)in->priority * 2 +
-                 (key[0] == CLASS_IN_TIME && in->is_full && !in->begun);
-    }
     if (policy->by_share && in->beyond_share && !in->lasting) {
         key[0] += CLASS_BEYOND_SHARE;
     }
@@ -142,8 +131,6 @@
     const struct order_input in = {
         .lasting = step->def->lasting,
         .beyond_share = job->job->beyond_share,
-        .begun = job->started,
-        .is_full = job->pool->has_late_work,
         .priority = job->job->queue->conf.priority,
         .remaining_ms = remaining_run_ms(step),
         .start_ms =
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -61,7 +61,6 @@
     struct fleet_resources used;     /* on usable targets; each pass recounts
                                       * it */
     uint32_t unlisted_targets;       /* targets on which any work may run */
-    bool has_late_work; /* open steps of CLASS_LATE, in the last pass */
     struct plan_job *overdue_job; /* whose turn it is, see planorder.c; set by
                                    * each pass; NULL: none */
     struct fleet_resources tight_used; /* by runs of tight jobs */
@@ -348,7 +347,7 @@
  * ahead of the last change is not believed. */
 uint64_t plan_inherited_since_ms(const struct plan *plan,
                                  const struct fleet_job *job, uint64_t now_ms);
-/* Sets overdue_job and has_late_work of each pool. */
+/* Sets overdue_job of each pool. */
 void plan_survey_open_steps(struct plan *plan, uint64_t now_ms);
 
 /* planhold.c */
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -156,8 +156,6 @@
 core/fleetsave.c	    save_shares(&snap, fleet);	    (void)save_shares;	Shares.ASnapshot*
 core/fleetrec.c	    BOOL(fleet_job_saved, submit.beyond_share),		Shares.ASnapshot*
 core/planorder.c	key[0] += CLASS_BEYOND_SHARE;	;	ShareOrder.WorkWithin*
-core/planorder.c	in->is_full && !in->begun	false	ShareOrder.JobsThatAreBegunAreFinished*
-core/planorder.c	in->is_full && !in->begun	!in->begun	ShareOrder.JobsThatAreBegunAreFinished*
 core/planage.c	    return now_ms - MIN(age_ms, now_ms);	    return now_ms;	ShareOrder.Inherited*
 core/planage.c	plan->fleet->now_ms + TERM_GAP_MAX_MS	UINT64_MAX	ShareOrder.AWallClock*
 core/planage.c	pool->overdue_job->turns++;	;	ShareOrder.EvenWork*
--- a/tests/shares_test.cc
+++ b/tests/shares_test.cc
@@ -380,58 +380,6 @@
     EXPECT_GT(next.started()[1], 10u) << "any one beyond the share";
 }
 
-// A job is begun; a shorter one with less time comes. full: the service has
-// late work. Returns the job that starts next.
-uint64_t next_of_begun_and_new(const plan_policy *policy, bool full)
-{
-    Shares sim;
-    add_small_targets(sim, 1);
-    sim.become_leader(1024, policy);
-    sim.submit(1, {{.count = 1}, {.count = 1, .after = {0}}}, "q", "team");
-    sim.run_pass();
-    sim.confirm_starts();
-    if (full) { // no target has room for it
-        sim.submit(3, {{.count = 1, .cpu_milli = 9000, .estimate_ms = 10}},
-                   "low", "team");
-    }
-    sim.now_ms += 1500;
-    sim.submit(2, {{.count = 1, .estimate_ms = 10}}, "q", "team");
-    sim.run_pass();
-    sim.run_pass();
-    sim.end_run(sim.start_orders[0], RUN_DONE);
-    sim.start_orders.clear();
-    sim.run_pass();
-    return sim.started()[0];
-}
-
-TEST(ShareOrder, JobsThatAreBegunAreFinishedFirstOnAFullService)
-{
-    plan_policy finishing = PLAN_POLICY_CONTENDED;
-    finishing.finishes_started = true;
-    EXPECT_EQ(next_of_begun_and_new(&finishing, true), 1u);
-    EXPECT_EQ(next_of_begun_and_new(&finishing, false), 2u)
-        << "while all can be in time, that with the least time goes first";
-    EXPECT_EQ(next_of_begun_and_new(&PLAN_POLICY_DEFAULT, true), 2u);
-}
-
-TEST(ShareOrder, JobsThatAreBegunAndTooLateHaveNoPrecedence)
-{
-    Shares sim;
-    plan_policy finishing = PLAN_POLICY_CONTENDED;
-    finishing.finishes_started = true;
-    add_small_targets(sim, 1);
-    sim.become_leader(1024, &finishing);
-    sim.submit(1, {{.count = 1}, {.count = 1, .after = {0}}}, "q", "team");
-    sim.run_pass();
-    sim.confirm_starts();
-    sim.now_ms += 8000;
-    sim.submit(2, {{.count = 1, .estimate_ms = 100}}, "q", "team");
-    sim.end_run(sim.start_orders[0], RUN_DONE);
-    sim.start_orders.clear();
-    sim.run_pass();
-    EXPECT_EQ(sim.started()[0], 2u);
-}
-
 // objective_ms of the job: 1000 + 2 * 1000.
 TEST(ShareOrder, InheritedJobsKeepTheirAge)
 {
