Relay: waiting calls are sent by the next tick, not within an answer

On the host that leads, a call is handled and answered within advance_call(), so the answer to one call could free others that the outer loop, of on_tick() or of the same function, still lists.

Ruled out: the announcement alone (it comes from the bus, never from within a call).

--- a/node/relay.c
+++ b/node/relay.c
@@ -392,22 +392,22 @@
 }
 
 /* Workload: the leader or all hosts are lost with calls under way, each of
- * which would be sent again only RESEND_DELAY_MS after its last copy. */
+ * which would be sent again only RESEND_DELAY_MS after its last copy. The next
+ * tick sends them: a call that is handled on this host ends within
+ * advance_call(), and its answer may come from there. */
 static void
-send_waiting_calls(struct relay *relay, const char *host)
+hasten_waiting_calls(struct relay *relay, const char *host)
 {
-    GList *all = g_hash_table_get_values(relay->calls);
     uint64_t now_ms = clock_mono_ms();
+    GHashTableIter iter;
+    struct outgoing_call *call;
 
-    for (GList *at = all; at != NULL; at = at->next) {
-        struct outgoing_call *call = at->data;
-
+    g_hash_table_iter_init(&iter, relay->calls);
+    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&call)) {
         if (!call->single_host && strcmp(call->host, host) != 0) {
             call->resend_ms = now_ms;
-            advance_call(relay, call, now_ms);
         }
     }
-    g_list_free(all);
 }
 
 static void
@@ -417,12 +417,11 @@
     struct outgoing_call *call =
         g_hash_table_lookup(relay->calls, &msg->request_id);
     struct call_answer answer;
-    bool found_leader = false;
 
     if (msg->request_id == ANNOUNCEMENT_ID &&
         strcmp(msg->leader_host, from) == 0) {
         note_leader(relay, from);
-        send_waiting_calls(relay, from);
+        hasten_waiting_calls(relay, from);
     }
     if (call == NULL) {
         return;
@@ -436,8 +435,9 @@
         return; /* as if the answer had been lost */
     }
     /* Only a leader answers pings, introductions included. */
-    if (!call->single_host || call->kind == CALL_PING) {
-        found_leader = note_leader(relay, from);
+    if ((!call->single_host || call->kind == CALL_PING) &&
+        note_leader(relay, from)) {
+        hasten_waiting_calls(relay, from);
     }
     call->open_copies -= MIN(call->open_copies, 1);
     /* A refused submission may still be accepted through another copy. */
@@ -449,9 +449,6 @@
         finish_call(relay, call, FP_OK, &answer);
     }
     fp_record_free(&CALL_ANSWER_SCHEMA, &answer);
-    if (found_leader) {
-        send_waiting_calls(relay, from);
-    }
 }
 
 void
