--- a/review/common.py
+++ b/review/common.py
@@ -248,10 +248,12 @@
         return status, None
 
 
-async def serve(address, handler):
-    """Serves HTTP with kept connections. handler(path, headers, object) returns
-    (status, object), or None for no answer."""
+async def serve(address, handler, writers):
+    """Serves HTTP with kept connections, which are added to the set writers.
+    handler(path, headers, object) returns (status, object), or None for no
+    answer."""
     async def on_connection(reader, writer):
+        writers.add(writer)
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
@@ -274,6 +276,7 @@
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
+            writers.discard(writer)
             writer.close()
     ip, port = address.rsplit(":", 1)
     return await asyncio.start_server(on_connection, ip, int(port))
@@ -399,7 +402,8 @@
         self.highest = {}  # task -> highest run stopped or ended
         self.sequence = 0
         self.is_up = True
-        self.server = await serve(self.address, self.handle)
+        self.connections = set()
+        self.server = await serve(self.address, self.handle, self.connections)
         self.loops = [asyncio.ensure_future(self.heartbeats()),
                       asyncio.ensure_future(self.watch_lease())]
         self.world.minions.append(self)
@@ -407,7 +411,8 @@
                                                        self.born_ms))
 
     async def end(self):
-        """The process ends, and all that it runs."""
+        """The process ends, and with it its connections and all that it
+        runs."""
         self.is_up = False
         for loop in self.loops:
             loop.cancel()
@@ -417,6 +422,8 @@
             self.world.ended(self, task, run)
         self.running = {}
         self.server.close()
+        for writer in list(self.connections):
+            writer.transport.abort()
         self.world.minions.remove(self)
         self.world.record.write("%s ends" % self.name)
 
@@ -456,6 +463,8 @@
         return 409, {"clock_ms": self.clock_ms(), "reason": reason}
 
     async def handle(self, path, headers, order):
+        if not self.is_up:
+            return None
         if headers.get("x-expect-instance", self.name) != self.name:
             return 421, {}
         if path == "/health":
