review: jobs that can be done are given up when minions crash at random

Rule LOST: accepted jobs that nobody has cancelled are shown as failed, though no run of them has ended failed.

Order of events: two of 35 minions crash every 0.6 s and are back after 1 s; two of them crash within 0.3 s of a start of the same task, which then counts as the cause.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
