--- a/review/3/case.py
+++ b/review/3/case.py
@@ -10,6 +10,7 @@
 from common import (Link, Minion, configuration, put_config, route, run_case,
                     submit, until)
 
+MINIONS = 7   # of each service; one of them is cut off: 0.143 of its service
 CUT_S = 5.5   # largest of node_cut (servers) in the site file
 TERM_S = 0.5  # from the cut to the SIGTERM of the leader
 GRACE_S = 6   # the process exits by itself before
@@ -29,16 +30,18 @@
     apart.announced_address = links[-1].address
     for link in links:
         await link.start()
-    others = [Minion(world, "i-%d" % i, service, controls,
+    others = [Minion(world, "i-%d" % i,
+                     "store" if i <= MINIONS else "images", controls,
                      seconds=lambda task: 60.0)
-              for i, service in ((2, "store"), (3, "images"), (4, "images"))]
+              for i in range(2, 2 * MINIONS + 1)]
     for minion in [apart] + others:
         await minion.start()
     await asyncio.sleep(3)
     job = await submit(site, "batch", [
-        {"count": 2, "cpu": 2000, "mem_mb": 256, "estimated_ms": 60000,
+        {"count": MINIONS, "cpu": 2000, "mem_mb": 256, "estimated_ms": 60000,
          "anti_affinity": 1}])
-    await until("both tasks run", lambda: len(world.of(job)) == 2)
+    await until("one task runs on each minion",
+                lambda: len(world.of(job)) == MINIONS)
     await put_config(site, configuration(
         2, [route("spare", "images")], services))
     await put_config(site, configuration(
--- a/review/common.py
+++ b/review/common.py
@@ -398,6 +398,7 @@
         self.deadline_ms = 0
         self.running = {}  # task -> [run, checkpoint, timer]
         self.ends = []  # [n, task, run, how, saved]
+        self.seen = []  # those that are taken note of
         self.last_end = 0
         self.highest = {}  # task -> highest run stopped or ended
         self.sequence = 0
@@ -508,6 +509,7 @@
 
     async def hold(self, order):
         self.extend(order)
+        self.seen += [row for row in self.ends if row[0] <= order["last_seen"]]
         self.ends = [row for row in self.ends if row[0] > order["last_seen"]]
         if not self.ends and order.get("wait_ms", 0) > 0:
             self.new_end.clear()
