--- a/review/common.py
+++ b/review/common.py
@@ -657,10 +657,13 @@
 
 
 def run_case(folder, steps, fronts=1, bound_s=115):
-    """Runs steps(site, world, record, trouble). Exits with 1 if a rule was
-    broken, 0 if not, 2 if the case could not run."""
+    """Runs steps(site, world, record, trouble); trouble is false if the first
+    argument of the program is "calm". Exits with 1 if a rule was broken, 0 if
+    not, 2 if the case could not run."""
     record = Record(os.path.join(folder, "record.txt"))
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+    trouble = sys.argv[1:] != ["calm"]
+    record.write("with the disruption" if trouble else
+                 "without the disruption")
     site = Site(record, fronts)
 
     async def main():
