Disk: a failed write names the call, the file, the error and the sizes

A full disk, a failed sync, a lack of descriptors, a file that is too large and a fault of the store could not be told apart, and no metric counted failures.

The store describes the system call that failed last; the replica logs it as the event disk.failed and as a line of text. No change of behaviour.

--- a/base/event.c
+++ b/base/event.c
@@ -31,6 +31,10 @@
         {"settings.kept", 5, "path why",
          "reloading the settings file failed; the old settings stay in "
          "force"},
+    [EVENT_DISK_FAILED] =
+        {"disk.failed", 5, "operation file error offset size folder_bytes",
+         "a system call on the data folder failed; the replica no longer "
+         "leads, votes or acknowledges"},
     [EVENT_LEADER_LOST] = {"leader.lost", 5, "leader silent_ms",
                            "no leader answers; calls are refused immediately"},
     [EVENT_LEADER_FOUND] = {"leader.heard", 5, "leader silent_ms",
--- a/node/disk.c
+++ b/node/disk.c
@@ -19,8 +19,9 @@
     uv_async_t result_async;
     uint64_t last_number; /* number of the last queued write */
     /* Results, set by the thread and read by the loop. */
-    gint64 synced; /* guarded by lock */
-    bool failed;   /* guarded by lock */
+    uint64_t synced;              /* guarded by lock */
+    bool failed;                  /* guarded by lock */
+    struct store_failure failure; /* guarded by lock */
     GMutex lock;
     /* The results already reported to ops; used by the loop only. */
     uint64_t reported_synced;
@@ -52,10 +53,11 @@
 {
     g_mutex_lock(&disk->lock);
     if (err == FP_OK) {
-        disk->synced = (gint64)number;
+        disk->synced = number;
     }
-    else {
+    else if (!disk->failed) {
         disk->failed = true;
+        disk->failure = *store_last_failure(disk->store);
     }
     g_mutex_unlock(&disk->lock);
     uv_async_send(&disk->result_async);
@@ -110,12 +112,14 @@
 on_result(uv_async_t *result_async)
 {
     struct disk *disk = result_async->data;
+    struct store_failure failure;
     uint64_t synced;
     bool failed;
 
     g_mutex_lock(&disk->lock);
-    synced = (uint64_t)disk->synced;
+    synced = disk->synced;
     failed = disk->failed;
+    failure = disk->failure;
     g_mutex_unlock(&disk->lock);
     if (synced > disk->reported_synced) {
         disk->reported_synced = synced;
@@ -123,7 +127,7 @@
     }
     if (failed && !disk->reported_failed) {
         disk->reported_failed = true;
-        disk->ops.on_failed(disk->ops.ctx);
+        disk->ops.on_failed(disk->ops.ctx, &failure);
     }
 }
 
--- a/node/disk.h
+++ b/node/disk.h
@@ -14,8 +14,9 @@
 struct disk_ops {
     /* The writes up to and including this number are synced. */
     void (*on_synced)(void *ctx, uint64_t write);
-    /* A write or a sync failed; all later writes fail too. Called once. */
-    void (*on_failed)(void *ctx);
+    /* A write failed; all later writes fail too. Called once. failure is valid
+     * during the call only. */
+    void (*on_failed)(void *ctx, const struct store_failure *failure);
     void *ctx;
 };
 
--- a/node/replica.c
+++ b/node/replica.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "base/event.h"
 #include "base/log.h"
 #include "node/replicapriv.h"
 
@@ -160,12 +161,27 @@
 }
 
 static void
-on_disk_failed(void *ctx)
+on_disk_failed(void *ctx, const struct store_failure *failure)
 {
     struct replica *replica = ctx;
 
-    log_warn(LOG_DISK, "a write failed; this replica no longer leads, votes "
-                       "or acknowledges");
+    replica->disk_status.failures++;
+    replica->disk_status.failed_since_ms = clock_mono_ms();
+    log_warn(LOG_DISK,
+             "%s of '%s' failed at offset %llu, size %llu: %s; the folder "
+             "holds %llu bytes; this replica no longer leads, votes or "
+             "acknowledges",
+             failure->operation, failure->file,
+             (unsigned long long)failure->offset_bytes,
+             (unsigned long long)failure->size_bytes,
+             g_strerror(failure->error),
+             (unsigned long long)failure->folder_bytes);
+    EVENT(EVENT_DISK_FAILED, EVENT_STR("operation", failure->operation),
+          EVENT_STR("file", failure->file),
+          EVENT_STR("error", g_strerror(failure->error)),
+          EVENT_INT("offset", failure->offset_bytes),
+          EVENT_INT("size", failure->size_bytes),
+          EVENT_INT("folder_bytes", failure->folder_bytes));
     raft_disk_failed(replica->raft, clock_mono_ms());
 }
 
@@ -678,6 +694,12 @@
     return replica->run_id;
 }
 
+const struct replica_disk_status *
+replica_disk_status(const struct replica *replica)
+{
+    return &replica->disk_status;
+}
+
 bool
 replica_is_fresh(const struct replica *replica)
 {
--- a/node/replicapriv.h
+++ b/node/replicapriv.h
@@ -78,6 +78,7 @@
     uint64_t last_hello_ms;
     bool leading; /* as last reported to ops.on_leadership_changed */
     uint64_t snapshots_taken; /* since the start */
+    struct replica_disk_status disk_status;
 };
 
 /* replicatalk.c */
--- a/node/store.c
+++ b/node/store.c
@@ -54,6 +54,7 @@
     uint64_t next_frame; /* number of the next frame */
     uint64_t log_bytes;
     bool write_failed; /* all later writes must fail */
+    struct store_failure failure;
 };
 
 static ssize_t
@@ -72,8 +73,51 @@
 
 const struct store_io STORE_IO = {libc_write, libc_sync, NULL};
 
+/* Returns the sum of the sizes of the files in the folder. */
+static uint64_t
+folder_bytes(const struct store *store)
+{
+    GDir *dir = g_dir_open(store->folder, 0, NULL);
+    uint64_t bytes = 0;
+    const char *name;
+
+    while (dir != NULL && (name = g_dir_read_name(dir)) != NULL) {
+        char *path = g_build_filename(store->folder, name, NULL);
+        struct stat status;
+
+        if (stat(path, &status) == 0) {
+            bytes += (uint64_t)status.st_size;
+        }
+        g_free(path);
+    }
+    if (dir != NULL) {
+        g_dir_close(dir);
+    }
+    return bytes;
+}
+
+/* Describes the system call that has just failed, and returns FP_ERR_DISK. */
 static enum fp_err
-write_all(const struct store *store, int fd, const void *data, size_t size)
+record_failure(struct store *store, const char *operation, const char *file,
+               uint64_t offset_bytes, uint64_t size_bytes)
+{
+    struct store_failure *failure = &store->failure;
+
+    failure->error = errno;
+    failure->operation = operation;
+    g_strlcpy(failure->file, file, sizeof(failure->file));
+    failure->offset_bytes = offset_bytes;
+    failure->size_bytes = size_bytes;
+    failure->folder_bytes = folder_bytes(store);
+    return FP_ERR_DISK;
+}
+
+/* Writes data at offset_bytes, the end of the file; the offset is needed for
+ * the description of a failure only.
+ */
+static enum fp_err
+write_all(struct store *store, int fd, const char *file, uint64_t offset_bytes,
+          const void *data, size_t size)
 {
     const char *at = data;
 
@@ -84,18 +128,23 @@
             continue;
         }
         if (written <= 0) {
-            return FP_ERR_DISK;
+            errno = written == 0 ? EIO : errno;
+            return record_failure(store, "write", file, offset_bytes, size);
         }
         at += written;
+        offset_bytes += (uint64_t)written;
         size -= (size_t)written;
     }
     return FP_OK;
 }
 
 static enum fp_err
-sync_fd(const struct store *store, int fd)
+sync_fd(struct store *store, int fd, const char *file)
 {
-    return store->io.sync(store->io.ctx, fd) == 0 ? FP_OK : FP_ERR_DISK;
+    if (store->io.sync(store->io.ctx, fd) != 0) {
+        return record_failure(store, "sync", file, 0, 0);
+    }
+    return FP_OK;
 }
 
 static void
@@ -308,17 +357,31 @@
 }
 
 static enum fp_err
-truncate_file(const struct store *store, const char *path, size_t size_bytes)
+close_fd(struct store *store, int fd, const char *file)
 {
-    enum fp_err err = FP_ERR_DISK;
+    return close(fd) == 0 ? FP_OK : record_failure(store, "close", file, 0, 0);
+}
+
+static enum fp_err
+truncate_file(struct store *store, const char *path, size_t size_bytes)
+{
+    enum fp_err err;
+    char *file = g_path_get_basename(path);
     int fd = open(path, O_WRONLY | O_CLOEXEC);
 
-    if (fd >= 0 && ftruncate(fd, (off_t)size_bytes) == 0) {
-        err = sync_fd(store, fd);
+    if (fd < 0) {
+        err = record_failure(store, "open", file, 0, 0);
     }
-    if (fd >= 0 && close(fd) != 0) {
+    else if (ftruncate(fd, (off_t)size_bytes) != 0) {
+        err = record_failure(store, "truncate", file, size_bytes, 0);
+    }
+    else {
+        err = sync_fd(store, fd, file);
+    }
+    if (fd >= 0 && close_fd(store, fd, file) != FP_OK) {
         err = FP_ERR_DISK;
     }
+    g_free(file);
     return err;
 }
 
@@ -435,6 +498,21 @@
     return paths;
 }
 
+static enum fp_err
+fill_file(struct store *store, int fd, const char *name, const void *header,
+          size_t header_bytes, const void *body, size_t body_bytes)
+{
+    enum fp_err err = write_all(store, fd, name, 0, header, header_bytes);
+
+    if (err == FP_OK) {
+        err = write_all(store, fd, name, header_bytes, body, body_bytes);
+    }
+    if (err == FP_OK) {
+        err = sync_fd(store, fd, name);
+    }
+    return err;
+}
+
 /* Creates a file atomically and durably: after a crash it is complete under
  * its final name, or not there.
  */
@@ -442,30 +520,25 @@
 write_file(struct store *store, const char *name, const void *header,
            size_t header_bytes, const void *body, size_t body_bytes)
 {
-    enum fp_err err = FP_ERR_DISK;
+    enum fp_err err;
     char *temporary_path = g_strdup_printf("%s/%s.tmp", store->folder, name);
     char *path = g_strdup_printf("%s/%s", store->folder, name);
     int fd =
         open(temporary_path, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
 
     if (fd < 0) {
+        err = record_failure(store, "open", name, 0, 0);
         goto done;
     }
-    err = write_all(store, fd, header, header_bytes);
-    if (err == FP_OK) {
-        err = write_all(store, fd, body, body_bytes);
-    }
-    if (err == FP_OK) {
-        err = sync_fd(store, fd);
-    }
-    if (close(fd) != 0) {
+    err = fill_file(store, fd, name, header, header_bytes, body, body_bytes);
+    if (close_fd(store, fd, name) != FP_OK) {
         err = FP_ERR_DISK;
     }
     if (err == FP_OK && rename(temporary_path, path) != 0) {
-        err = FP_ERR_DISK;
+        err = record_failure(store, "rename", name, 0, 0);
     }
     if (err == FP_OK) {
-        err = sync_fd(store, store->folder_fd);
+        err = sync_fd(store, store->folder_fd, "");
     }
 
 done:
@@ -601,7 +674,9 @@
     }
     store->log_fd = open(path, O_WRONLY | O_APPEND | O_CLOEXEC);
     g_free(path);
-    return store->log_fd < 0 ? FP_ERR_DISK : FP_OK;
+    return store->log_fd < 0
+               ? record_failure(store, "open", store->log_name, 0, 0)
+               : FP_OK;
 }
 
 /* Creates a log file with one frame, or an empty one for size_bytes 0, and
@@ -717,12 +792,14 @@
         return FP_ERR_DISK;
     }
     fill_frame_header(header, store->next_frame, bytes, size_bytes);
-    err = write_all(store, store->log_fd, header, sizeof(header));
+    err = write_all(store, store->log_fd, store->log_name, store->log_bytes,
+                    header, sizeof(header));
     if (err == FP_OK) {
-        err = write_all(store, store->log_fd, bytes, size_bytes);
+        err = write_all(store, store->log_fd, store->log_name,
+                        store->log_bytes + sizeof(header), bytes, size_bytes);
     }
     if (err == FP_OK) {
-        err = sync_fd(store, store->log_fd);
+        err = sync_fd(store, store->log_fd, store->log_name);
     }
     if (err != FP_OK) {
         store->write_failed = true;
@@ -774,3 +851,9 @@
 {
     return store->log_bytes;
 }
+
+const struct store_failure *
+store_last_failure(const struct store *store)
+{
+    return &store->failure;
+}
--- a/node/store.h
+++ b/node/store.h
@@ -32,6 +32,16 @@
 /* write() and fsync() of the C library. */
 extern const struct store_io STORE_IO;
 
+/* A system call that failed. */
+struct store_failure {
+    const char *operation; /* its name: open, write, sync, ... */
+    char file[64];         /* name in the folder; "": the folder itself */
+    int error;             /* errno */
+    uint64_t offset_bytes; /* of a write or truncation in the file */
+    uint64_t size_bytes;   /* what a write had left to write */
+    uint64_t folder_bytes; /* sizes of all files in the folder, in sum */
+};
+
 struct store;
 
 /* Opens or creates a data folder, locks it against other processes, and reads
@@ -68,4 +78,7 @@
 /* Returns the size of the current log file. */
 uint64_t store_log_bytes(const struct store *store);
 
+/* Returns the last system call that failed; operation is NULL if none has. */
+const struct store_failure *store_last_failure(const struct store *store);
+
 #endif /* FP_STORE_H */
--- a/tests/store_test.cc
+++ b/tests/store_test.cc
@@ -237,6 +237,29 @@
     }
 }
 
+// A failure could not be told from another: a full disk, a failed sync, a lack
+// of descriptors.
+TEST(Store, AFailureNamesCallFileErrorAndSizes)
+{
+    Folder f;
+    FaultyIo faulty;
+    store_io io = {faulty_write, faulty_sync, &faulty};
+    Opened o(f, &io);
+    ASSERT_EQ(o.err, FP_OK);
+    EXPECT_EQ(store_last_failure(o.s)->operation, nullptr);
+    ASSERT_EQ(o.append(1, 1, "one"), FP_OK);
+    uint64_t before = store_log_bytes(o.s);
+    faulty.writes_left = 1; // the header is written
+    EXPECT_EQ(o.append(2, 1, "two"), FP_ERR_DISK);
+    const store_failure *failure = store_last_failure(o.s);
+    EXPECT_STREQ(failure->operation, "write");
+    EXPECT_EQ(f.path + "/" + failure->file, f.log());
+    EXPECT_EQ(failure->error, ENOSPC);
+    EXPECT_EQ(failure->offset_bytes, before + 24);
+    EXPECT_GT(failure->size_bytes, 0u);
+    EXPECT_EQ(failure->folder_bytes, before + 24 + 17); // and the identity
+}
+
 // A crash at any write (kind 0) or sync (kind 1) of store_write_snapshot()
 // leaves the old files or the new ones, and loses no entry.
 TEST(Store, CrashAtAnyStepOfASnapshot)
