--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 TEST_OBJECTS = $(TEST_SOURCES:%.cc=$(BUILD)/%.o)
 FORMATTED_FILES = $(wildcard base/*.[ch] core/*.[ch] node/*.[ch] bench/*.[ch] platform/*.[ch] cli/*.[ch] tests/*.c filbertpath.h)
 
-all: $(BUILD)/filbertpath $(BUILD)/badtarget
+all: $(BUILD)/filbertpath $(BUILD)/badtarget $(BUILD)/faultdisk.so
 
 $(BUILD)/filbertpath: $(OBJECTS)
 	@echo "  LINK $@"; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
@@ -34,6 +34,10 @@
 $(BUILD)/badtarget: $(BUILD)/tests/badtarget.o
 	@echo "  LINK $@"; $(CC) $(LDFLAGS) -o $@ $^ -luv
 
+$(BUILD)/faultdisk.so: tests/faultdisk.c
+	@mkdir -p $(dir $@)
+	@echo "  LINK $@"; $(CC) -std=gnu11 -D_GNU_SOURCE -O2 $(WARN) -shared -fPIC -o $@ $< -ldl
+
 $(BUILD)/unit: $(TEST_OBJECTS) $(LIBRARY_OBJECTS)
 	@echo "  LINK $@"; $(CXX) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lgtest -lgtest_main
 
--- a/base/event.c
+++ b/base/event.c
@@ -32,9 +32,13 @@
          "reloading the settings file failed; the old settings stay in "
          "force"},
     [EVENT_DISK_FAILED] =
-        {"disk.failed", 5, "operation file error offset size folder_bytes",
-         "a system call on the data folder failed; the replica no longer "
-         "leads, votes or acknowledges"},
+        {"disk.failed", 5,
+         "operation file error offset size folder_bytes failures retry_ms",
+         "a system call on the data folder failed; the replica does not lead, "
+         "vote or acknowledge until a write succeeds"},
+    [EVENT_DISK_RECOVERED] =
+        {"disk.recovered", 5, "failed_ms failures",
+         "the disk takes writes again; the replica is a full voter"},
     [EVENT_LEADER_LOST] = {"leader.lost", 5, "leader silent_ms",
                            "no leader answers; calls are refused immediately"},
     [EVENT_LEADER_FOUND] = {"leader.heard", 5, "leader silent_ms",
--- a/bench/log.c
+++ b/bench/log.c
@@ -208,15 +208,22 @@
         char *path = g_strdup_printf("%s/r%d", folder, i);
         char host[MSG_HOST_BYTES];
         struct raft_init init = {.host = host, .has_disk = true};
-        const struct raft_ops ops = {
-            on_send,           on_write_vote, on_write_entries,
-            on_write_snapshot, on_apply,      on_restore,
-            on_state_changed,  on_random,     replica};
+        const struct raft_ops ops = {.send = on_send,
+                                     .write_vote = on_write_vote,
+                                     .write_entries = on_write_entries,
+                                     .write_snapshot = on_write_snapshot,
+                                     .rewrite = on_write_snapshot,
+                                     .apply = on_apply,
+                                     .restore = on_restore,
+                                     .state_changed = on_state_changed,
+                                     .random = on_random,
+                                     .ctx = replica};
 
         snprintf(host, sizeof(host), "h%d", i);
         replica->cluster = cluster;
         if (store_open(path, &STORE_IO, &replica->store, &init, why,
-                       sizeof(why)) != FP_OK) {
+                       sizeof(why)) != FP_OK ||
+            store_prepare(replica->store) != FP_OK) {
             fprintf(stderr, "filbertpath: %s\n", why);
             g_free(path);
             return false;
@@ -384,7 +391,8 @@
     char why[200];
 
     if (store_open(path, &STORE_IO, &store, &init, why, sizeof(why)) !=
-        FP_OK) {
+            FP_OK ||
+        store_prepare(store) != FP_OK) {
         cell_free(cell);
         return;
     }
--- a/core/raft.c
+++ b/core/raft.c
@@ -290,7 +290,7 @@
         .from_id = raft->id, .to_id = msg->from_id, .pre = msg->pre};
     uint64_t after = 0;
 
-    if (!raft->has_disk || raft->disk_failed) {
+    if (!raft->has_disk) {
         return;
     }
     note_released_lease(raft, msg, now_ms);
@@ -457,9 +457,6 @@
                                      .asked_ms = now_ms};
     uint64_t last;
 
-    if (raft->disk_failed) {
-        return;
-    }
     if (msg->term < raft->term) {
         reply.term = raft->term;
         raft->ops.send(raft->ops.ctx, msg->from_id, &MSG_APPEND_REPLY_SCHEMA,
@@ -494,11 +491,25 @@
                    &reply, raft->last_write);
 }
 
+/* Queues all that this replica must remember as one write. */
 static void
-install_snapshot(struct raft *raft, struct raft_snapshot *snap)
+write_whole_state(struct raft *raft)
 {
-    struct raft_vote vote;
+    const struct raft_snapshot *snap = &raft->snapshot;
+    struct raft_vote vote = vote_record(raft);
+    uint64_t last = raftlog_last_index(&raft->log);
+
+    raft_track_write(
+        raft,
+        raft->ops.rewrite(raft->ops.ctx, snap, &vote,
+                          raftlog_entry_at(&raft->log, snap->last_index + 1),
+                          (uint32_t)(last - snap->last_index)),
+        last);
+}
 
+static void
+install_snapshot(struct raft *raft, struct raft_snapshot *snap)
+{
     if (!raft->ops.restore(raft->ops.ctx, snap)) {
         fp_blob_free(&snap->data);
         fp_record_free(&RAFT_MEMBERS_SCHEMA, &snap->members);
@@ -511,13 +522,10 @@
     raft->applied_index = snap->last_index;
     g_array_set_size(raft->pending_writes, 0);
     raft->synced_index = 0;
-    vote = vote_record(raft);
-    raft_track_write(
-        raft, raft->ops.write_snapshot(raft->ops.ctx, snap, &vote, NULL, 0),
-        snap->last_index);
     fp_blob_free(&raft->snapshot.data);
     fp_record_free(&RAFT_MEMBERS_SCHEMA, &raft->snapshot.members);
     raft->snapshot = *snap;
+    write_whole_state(raft);
     if (!raft->has_disk) {
         fp_blob_free(&raft->snapshot.data);
     }
@@ -560,7 +568,7 @@
                                        .last_index = msg->last_index,
                                        .echo_sent_ms = msg->sent_ms};
 
-    if (raft->disk_failed || msg->term < raft->term) {
+    if (msg->term < raft->term) {
         return;
     }
     follow_leader(raft, msg->term, msg->from_id, NULL, now_ms);
@@ -593,13 +601,30 @@
 on_timeout_now(struct raft *raft, const struct msg_timeout_now *msg,
                uint64_t now_ms)
 {
-    if (msg->term != raft->term || raft->disk_failed ||
-        !raft_is_voter(raft, raft->id)) {
+    if (msg->term != raft->term || !raft_is_voter(raft, raft->id)) {
         return;
     }
     start_election(raft, true, now_ms);
 }
 
+/* A replica that waits for its disk still learns who leads, so that it can
+ * tell others.
+ */
+static void
+note_leader(struct raft *raft, const struct msg_append *msg, uint64_t now_ms)
+{
+    if (msg->term < raft->term) {
+        return;
+    }
+    reset_election_timer(raft, now_ms);
+    if (raft->leader_id != msg->from_id) {
+        raft->leader_id = msg->from_id;
+        g_strlcpy(raft->leader_host, msg->leader_host,
+                  sizeof(raft->leader_host));
+        raft->ops.state_changed(raft->ops.ctx);
+    }
+}
+
 void
 raft_default_timing(struct raft_timing *timing)
 {
@@ -647,6 +672,9 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     raft->followers =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    raft->disk_failed = init->pending_write != 0;
+    raft->recovery_write = init->pending_write;
+    raft->last_write = init->pending_write;
     set_first_election_timer(raft, now_ms);
     memset(init, 0, sizeof(*init));
     return raft;
@@ -730,6 +758,12 @@
 raft_receive(struct raft *raft, uint32_t type, const void *msg,
              uint64_t now_ms)
 {
+    if (raft->disk_failed) {
+        if (type == MSG_APPEND) {
+            note_leader(raft, msg, now_ms);
+        }
+        return;
+    }
     switch (type) {
     case MSG_HELLO:
         raft_leader_on_hello(raft, msg, now_ms);
@@ -776,6 +810,10 @@
         done++;
     }
     g_array_remove_range(raft->pending_writes, 0, done);
+    if (raft->recovery_write != 0 && write >= raft->recovery_write) {
+        raft->disk_failed = false;
+        raft->recovery_write = 0;
+    }
     if (raft->state == RAFT_CANDIDATE && raft->pending_writes->len == 0) {
         add_vote(raft, raft->id);
         if (has_quorum(raft)) {
@@ -790,12 +828,28 @@
 void
 raft_disk_failed(struct raft *raft, uint64_t now_ms)
 {
-    raft_become_follower(raft, raft->term, now_ms);
+    if (!raft->disk_failed) {
+        raft_become_follower(raft, raft->term, now_ms);
+    }
     raft->disk_failed = true;
+    raft->recovery_write = 0;
     raft->fresh_until_ms = 0;
     raft->next_fresh_until_ms = 0;
 }
 
+void
+raft_rewrite(struct raft *raft)
+{
+    write_whole_state(raft);
+    raft->recovery_write = raft->last_write;
+}
+
+bool
+raft_awaits_disk(const struct raft *raft)
+{
+    return raft->disk_failed;
+}
+
 void
 raft_compact(struct raft *raft, const struct fp_blob *state)
 {
--- a/core/raft.h
+++ b/core/raft.h
@@ -69,6 +69,9 @@
     struct raft_vote vote;
     struct raft_snapshot snapshot; /* taken over by raft_new() */
     struct fp_list entries;        /* struct raft_entry; taken over */
+    /* Number of the write that makes this state durable; 0: it is. Until that
+     * write is synced the replica acts as after raft_disk_failed(). */
+    uint64_t pending_write;
 };
 
 struct raft_ops {
@@ -79,8 +82,10 @@
     /* Each write_* queues one durable write and returns its number, which is
      * greater than that of the write before it; the caller reports completed
      * writes by raft_synced(). write_entries replaces all entries from the
-     * first index written on; write_snapshot replaces the whole log by the
-     * snapshot and the entries after it. */
+     * first index written on; write_snapshot and rewrite replace the whole log
+     * by the snapshot and the entries after it. All that write_snapshot writes
+     * is in earlier writes too, so that it may be left out; rewrite also
+     * writes what isn't, such as the contents of writes that failed. */
     uint64_t (*write_vote)(void *ctx, const struct raft_vote *vote);
     uint64_t (*write_entries)(void *ctx, const struct raft_entry *entries,
                               uint32_t count);
@@ -88,6 +93,9 @@
                                const struct raft_vote *vote,
                                const struct raft_entry *entries,
                                uint32_t count);
+    uint64_t (*rewrite)(void *ctx, const struct raft_snapshot *snap,
+                        const struct raft_vote *vote,
+                        const struct raft_entry *entries, uint32_t count);
     /* Applies a committed change; called in log order, once for each index.
      * Entries of other kinds aren't passed on. */
     void (*apply)(void *ctx, const struct raft_entry *entry);
@@ -134,11 +142,20 @@
 /* Reports that the writes up to the given number are on disk. */
 void raft_synced(struct raft *raft, uint64_t write, uint64_t now_ms);
 
-/* Reports that the disk failed. From then on the replica doesn't lead, vote or
- * acknowledge anything.
+/* Reports that a write failed: it is unknown what the disk holds of it and of
+ * the writes after it, whose messages must not be sent. The replica doesn't
+ * lead, vote or acknowledge anything until a later raft_rewrite() is synced.
  */
 void raft_disk_failed(struct raft *raft, uint64_t now_ms);
 
+/* Writes all that this replica must remember. Call it after
+ * raft_disk_failed(), again after each one that failed too.
+ */
+void raft_rewrite(struct raft *raft);
+
+/* Returns whether the replica waits for its state to be on disk. */
+bool raft_awaits_disk(const struct raft *raft);
+
 /* Appends a copy of a change; raft_flush() writes and sends it.
  * Returns FP_OK and the log index, FP_ERR_NO_LEADER when this replica doesn't
  * lead or is handing leadership over, or FP_ERR_TOO_LARGE above
--- a/core/raftpriv.h
+++ b/core/raftpriv.h
@@ -54,7 +54,8 @@
     uint64_t id;
     char host[MSG_HOST_BYTES];
     bool has_disk;
-    bool disk_failed;
+    bool disk_failed;        /* the state may not be on disk */
+    uint64_t recovery_write; /* the write that ends disk_failed; 0: none yet */
     struct raft_timing timing;
     struct raft_ops ops;
 
--- a/node/disk.c
+++ b/node/disk.c
@@ -4,11 +4,28 @@
 #include <glib.h>
 #include <string.h>
 
+enum write_kind {
+    WRITE_APPEND,
+    WRITE_PREPARE,
+    WRITE_SNAPSHOT,
+    WRITE_REWRITE,
+    WRITE_STOP /* ends the thread */
+};
+
 struct write_request {
+    enum write_kind kind;
     uint64_t number;
     struct fp_list bytes;       /* packed records */
-    struct raft_snapshot *snap; /* NULL for an append */
-    bool stop;                  /* ends the thread */
+    struct raft_snapshot *snap; /* of WRITE_SNAPSHOT and WRITE_REWRITE */
+};
+
+/* What the thread has done so far. */
+struct disk_result {
+    uint64_t synced; /* number of the last write that is synced */
+    uint64_t failures;
+    uint64_t snapshot_failures;
+    uint64_t log_bytes;
+    struct store_failure failure; /* the last one */
 };
 
 struct disk {
@@ -17,15 +34,10 @@
     GAsyncQueue *queue; /* struct write_request */
     uv_thread_t thread;
     uv_async_t result_async;
-    uint64_t last_number; /* number of the last queued write */
-    /* Results, set by the thread and read by the loop. */
-    uint64_t synced;              /* guarded by lock */
-    bool failed;                  /* guarded by lock */
-    struct store_failure failure; /* guarded by lock */
+    uint64_t last_number;      /* number of the last queued write */
+    struct disk_result result; /* guarded by lock */
     GMutex lock;
-    /* The results already reported to ops; used by the loop only. */
-    uint64_t reported_synced;
-    bool reported_failed;
+    struct disk_result reported; /* to ops; used by the loop only */
 };
 
 static void
@@ -49,30 +61,36 @@
 }
 
 static void
-report_result(struct disk *disk, uint64_t number, enum fp_err err)
+report_result(struct disk *disk, const struct write_request *request,
+              enum fp_err err)
 {
+    struct disk_result *result = &disk->result;
+
     g_mutex_lock(&disk->lock);
-    if (err == FP_OK) {
-        disk->synced = number;
+    if (err != FP_OK) {
+        result->failure = *store_last_failure(disk->store);
     }
-    else if (!disk->failed) {
-        disk->failed = true;
-        disk->failure = *store_last_failure(disk->store);
+    if (store_has_failed(disk->store)) {
+        result->failures++;
     }
+    else {
+        result->synced = request->number;
+        result->snapshot_failures += err != FP_OK;
+    }
+    result->log_bytes = store_log_bytes(disk->store);
     g_mutex_unlock(&disk->lock);
     uv_async_send(&disk->result_async);
 }
 
 /* Adds the appends queued after the first one to it. Returns the request that
- * ended the batch, a snapshot or the stop request, or NULL when the queue is
- * empty.
+ * ended the batch, one of another kind, or NULL when the queue is empty.
  */
 static struct write_request *
 merge_queued_appends(struct disk *disk, struct write_request *first)
 {
     struct write_request *next = g_async_queue_try_pop(disk->queue);
 
-    while (next != NULL && next->snap == NULL && !next->stop) {
+    while (next != NULL && next->kind == WRITE_APPEND) {
         append_bytes(&first->bytes, &next->bytes);
         first->number = next->number;
         free_request(next);
@@ -81,65 +99,120 @@
     return next;
 }
 
+static enum fp_err
+run_request(struct disk *disk, const struct write_request *request)
+{
+    switch (request->kind) {
+    case WRITE_PREPARE:
+        return store_prepare(disk->store);
+    case WRITE_SNAPSHOT:
+        return store_write_snapshot(disk->store, request->snap,
+                                    request->bytes.items,
+                                    request->bytes.count);
+    case WRITE_REWRITE:
+        return store_rewrite(disk->store, request->snap, request->bytes.items,
+                             request->bytes.count);
+    default:
+        return store_append(disk->store, request->bytes.items,
+                            request->bytes.count);
+    }
+}
+
+/* After a failure only a rewrite, which holds all that the dropped writes
+ * held, makes the store writable again.
+ */
+static bool
+is_dropped(const struct disk *disk, const struct write_request *request)
+{
+    return store_has_failed(disk->store) && request->kind != WRITE_PREPARE &&
+           request->kind != WRITE_REWRITE;
+}
+
 static void
 run_thread(void *arg)
 {
     struct disk *disk = arg;
     struct write_request *request = g_async_queue_pop(disk->queue);
 
-    while (!request->stop) {
+    while (request->kind != WRITE_STOP) {
         struct write_request *next = NULL;
-        enum fp_err err;
 
-        if (request->snap != NULL) {
-            err = store_write_snapshot(disk->store, request->snap,
-                                       request->bytes.items,
-                                       request->bytes.count);
-        }
-        else {
+        if (request->kind == WRITE_APPEND) {
             next = merge_queued_appends(disk, request);
-            err = store_append(disk->store, request->bytes.items,
-                               request->bytes.count);
         }
-        report_result(disk, request->number, err);
+        if (!is_dropped(disk, request)) {
+            report_result(disk, request, run_request(disk, request));
+        }
         free_request(request);
         request = next != NULL ? next : g_async_queue_pop(disk->queue);
     }
     free_request(request);
 }
 
+/* Failures are reported first: a write that was synced after one is no news to
+ * an owner that has to write everything again.
+ */
 static void
 on_result(uv_async_t *result_async)
 {
     struct disk *disk = result_async->data;
-    struct store_failure failure;
-    uint64_t synced;
-    bool failed;
+    const struct disk_result before = disk->reported;
+    struct disk_result now;
 
     g_mutex_lock(&disk->lock);
-    synced = disk->synced;
-    failed = disk->failed;
-    failure = disk->failure;
+    now = disk->result;
     g_mutex_unlock(&disk->lock);
-    if (synced > disk->reported_synced) {
-        disk->reported_synced = synced;
-        disk->ops.on_synced(disk->ops.ctx, synced);
+    disk->reported = now;
+    if (now.failures > before.failures) {
+        disk->ops.on_failed(disk->ops.ctx, &now.failure);
     }
-    if (failed && !disk->reported_failed) {
-        disk->reported_failed = true;
-        disk->ops.on_failed(disk->ops.ctx, &failure);
+    if (now.snapshot_failures > before.snapshot_failures) {
+        disk->ops.on_snapshot_failed(disk->ops.ctx, &now.failure);
+    }
+    if (now.synced > before.synced) {
+        disk->ops.on_synced(disk->ops.ctx, now.synced);
     }
 }
 
 static struct write_request *
-new_request(struct disk *disk)
+new_request(struct disk *disk, enum write_kind kind)
 {
     struct write_request *request = g_new0(struct write_request, 1);
 
+    request->kind = kind;
     request->number = ++disk->last_number;
     return request;
 }
 
+static uint64_t
+push_request(struct disk *disk, struct write_request *request)
+{
+    uint64_t number = request->number;
+
+    g_async_queue_push(disk->queue, request);
+    return number;
+}
+
+static uint64_t
+push_state(struct disk *disk, enum write_kind kind,
+           const struct raft_snapshot *snap, const struct raft_vote *vote,
+           const struct raft_entry *entries, uint32_t count)
+{
+    struct write_request *request = new_request(disk, kind);
+
+    request->snap = g_new0(struct raft_snapshot, 1);
+    request->snap->last_index = snap->last_index;
+    request->snap->last_term = snap->last_term;
+    fp_record_copy(&RAFT_MEMBERS_SCHEMA, &request->snap->members,
+                   &snap->members);
+    request->snap->data = fp_blob_copy(snap->data.data, snap->data.size_bytes);
+    store_pack_vote(&request->bytes, vote);
+    for (uint32_t i = 0; i < count; i++) {
+        store_pack_entry(&request->bytes, &entries[i]);
+    }
+    return push_request(disk, request);
+}
+
 struct disk *
 disk_new(uv_loop_t *loop, struct store *store, const struct disk_ops *ops)
 {
@@ -155,27 +228,31 @@
     return disk;
 }
 
+uint64_t
+disk_prepare(struct disk *disk)
+{
+    return push_request(disk, new_request(disk, WRITE_PREPARE));
+}
+
 uint64_t
 disk_write_vote(struct disk *disk, const struct raft_vote *vote)
 {
-    struct write_request *request = new_request(disk);
+    struct write_request *request = new_request(disk, WRITE_APPEND);
 
     store_pack_vote(&request->bytes, vote);
-    g_async_queue_push(disk->queue, request);
-    return disk->last_number;
+    return push_request(disk, request);
 }
 
 uint64_t
 disk_write_entries(struct disk *disk, const struct raft_entry *entries,
                    uint32_t count)
 {
-    struct write_request *request = new_request(disk);
+    struct write_request *request = new_request(disk, WRITE_APPEND);
 
     for (uint32_t i = 0; i < count; i++) {
         store_pack_entry(&request->bytes, &entries[i]);
     }
-    g_async_queue_push(disk->queue, request);
-    return disk->last_number;
+    return push_request(disk, request);
 }
 
 uint64_t
@@ -183,20 +260,26 @@
                     const struct raft_vote *vote,
                     const struct raft_entry *entries, uint32_t count)
 {
-    struct write_request *request = new_request(disk);
+    return push_state(disk, WRITE_SNAPSHOT, snap, vote, entries, count);
+}
 
-    request->snap = g_new0(struct raft_snapshot, 1);
-    request->snap->last_index = snap->last_index;
-    request->snap->last_term = snap->last_term;
-    fp_record_copy(&RAFT_MEMBERS_SCHEMA, &request->snap->members,
-                   &snap->members);
-    request->snap->data = fp_blob_copy(snap->data.data, snap->data.size_bytes);
-    store_pack_vote(&request->bytes, vote);
-    for (uint32_t i = 0; i < count; i++) {
-        store_pack_entry(&request->bytes, &entries[i]);
-    }
-    g_async_queue_push(disk->queue, request);
-    return disk->last_number;
+uint64_t
+disk_rewrite(struct disk *disk, const struct raft_snapshot *snap,
+             const struct raft_vote *vote, const struct raft_entry *entries,
+             uint32_t count)
+{
+    return push_state(disk, WRITE_REWRITE, snap, vote, entries, count);
+}
+
+uint64_t
+disk_log_bytes(struct disk *disk)
+{
+    uint64_t bytes;
+
+    g_mutex_lock(&disk->lock);
+    bytes = disk->result.log_bytes;
+    g_mutex_unlock(&disk->lock);
+    return bytes;
 }
 
 static void
@@ -213,14 +296,10 @@
 void
 disk_free(struct disk *disk)
 {
-    struct write_request *request;
-
     if (disk == NULL) {
         return;
     }
-    request = new_request(disk);
-    request->stop = true;
-    g_async_queue_push(disk->queue, request);
+    push_request(disk, new_request(disk, WRITE_STOP));
     uv_thread_join(&disk->thread);
     uv_close((uv_handle_t *)&disk->result_async, on_async_closed);
 }
--- a/node/fleetmetrics.c
+++ b/node/fleetmetrics.c
@@ -211,15 +211,17 @@
     }
 }
 
-/* How long the disk has refused writes, and how often it has begun to. */
 static void
 add_disk(GString *out, const struct replica_disk_status *disk)
 {
     add_value(out, "disk_failures_total", disk->failures);
+    add_value(out, "disk_recoveries_total", disk->recoveries);
     add_value(out, "disk_failed_ms",
               disk->failed_since_ms == 0
                   ? 0
                   : clock_mono_ms() - disk->failed_since_ms);
+    add_value(out, "snapshot_failures_total", disk->snapshot_failures);
+    add_value(out, "log_bytes", disk->log_bytes);
 }
 
 static void
@@ -239,11 +241,13 @@
     }
     if (sources->replica != NULL) {
         const struct raft *raft = replica_raft(sources->replica);
+        const struct replica_disk_status disk =
+            replica_disk_status(sources->replica);
 
         add_value(out, "leads", replica_is_leader(sources->replica));
         add_value(out, "term", raft_term(raft));
         add_value(out, "commit_index", raft_commit_index(raft));
-        add_disk(out, replica_disk_status(sources->replica));
+        add_disk(out, &disk);
         add_evacuations(out, sources->fleet);
     }
     if (sources->dispatch != NULL) {
--- a/node/fleetnode.c
+++ b/node/fleetnode.c
@@ -861,6 +861,7 @@
     enum fp_err err;
 
     signal(SIGPIPE, SIG_IGN);
+    signal(SIGXFSZ, SIG_IGN); /* a file too large is a failed write */
     node->settings = settings;
     node->path = path;
     node->edge_ops = edge;
--- a/node/replica.c
+++ b/node/replica.c
@@ -1,6 +1,7 @@
 /* replica.c -- this host's replica: raft, durable writes, messages */
 #include "node/replica.h"
 
+#include <errno.h>
 #include <glib.h>
 #include <sodium.h>
 #include <stdio.h>
@@ -13,6 +14,12 @@
 #define TICK_INTERVAL_MS 10u
 #define HELLO_INTERVAL_MS 300u
 #define DEFERRED_MAX 65536u /* messages that wait for a sync */
+/* Pauses before a disk that failed is written again. */
+#define DISK_RETRY_MIN_MS 100u
+#define DISK_RETRY_MAX_MS 1000u
+#define OPEN_RETRY_MS 200u
+#define OPEN_REPORT_TRIES 50u
+#define SNAPSHOT_RETRY_MS 10000u /* after a snapshot that was not written */
 
 static void
 free_deferred(struct deferred_message *deferred)
@@ -150,39 +157,122 @@
     return disk_write_snapshot(replica->disk, snap, vote, entries, count);
 }
 
+static uint64_t
+on_rewrite(void *ctx, const struct raft_snapshot *snap,
+           const struct raft_vote *vote, const struct raft_entry *entries,
+           uint32_t count)
+{
+    struct replica *replica = ctx;
+
+    if (replica->disk == NULL) {
+        return 0;
+    }
+    return disk_rewrite(replica->disk, snap, vote, entries, count);
+}
+
+static void
+report_recovery(struct replica *replica, uint64_t now_ms)
+{
+    uint64_t failed_ms = now_ms - replica->disk_failed_since_ms;
+
+    replica->disk_recoveries++;
+    replica->disk_failed_since_ms = 0;
+    replica->disk_recovered_ms = now_ms;
+    log_notice(LOG_DISK,
+               "the disk takes writes again after %llu ms; this replica votes",
+               (unsigned long long)failed_ms);
+    EVENT(EVENT_DISK_RECOVERED, EVENT_INT("failed_ms", failed_ms),
+          EVENT_INT("failures", replica->disk_failures));
+}
+
 static void
 on_disk_synced(void *ctx, uint64_t write)
 {
     struct replica *replica = ctx;
+    uint64_t now_ms = clock_mono_ms();
 
     replica->synced_write = write;
-    raft_synced(replica->raft, write, clock_mono_ms());
+    raft_synced(replica->raft, write, now_ms);
+    if (replica->disk_failed_since_ms != 0 &&
+        !raft_awaits_disk(replica->raft)) {
+        report_recovery(replica, now_ms);
+    }
     send_deferred(replica);
 }
 
+/* The pause before the next retry: it doubles while the disk fails, or fails
+ * again soon. Each retry writes the log that is not in a snapshot once more.
+ */
+static uint64_t
+next_retry_pause(const struct replica *replica, uint64_t now_ms)
+{
+    if (replica->disk_failed_since_ms == 0 &&
+        now_ms > replica->disk_recovered_ms + DISK_RETRY_MAX_MS) {
+        return DISK_RETRY_MIN_MS;
+    }
+    return CLAMP(2 * replica->disk_pause_ms, DISK_RETRY_MIN_MS,
+                 DISK_RETRY_MAX_MS);
+}
+
 static void
 on_disk_failed(void *ctx, const struct store_failure *failure)
 {
     struct replica *replica = ctx;
+    uint64_t now_ms = clock_mono_ms();
 
-    replica->disk_status.failures++;
-    replica->disk_status.failed_since_ms = clock_mono_ms();
-    log_warn(LOG_DISK,
-             "%s of '%s' failed at offset %llu, size %llu: %s; the folder "
-             "holds %llu bytes; this replica no longer leads, votes or "
-             "acknowledges",
-             failure->operation, failure->file,
-             (unsigned long long)failure->offset_bytes,
-             (unsigned long long)failure->size_bytes,
-             g_strerror(failure->error),
-             (unsigned long long)failure->folder_bytes);
+    replica->disk_failures++;
+    replica->disk_pause_ms = next_retry_pause(replica, now_ms);
+    replica->disk_retry_ms = now_ms + replica->disk_pause_ms;
+    if (replica->disk_failed_since_ms == 0) {
+        replica->disk_failed_since_ms = now_ms;
+        log_warn(LOG_DISK,
+                 "%s of '%s' failed at offset %llu, size %llu: %s; the folder "
+                 "holds %llu bytes; this replica does not lead, vote or "
+                 "acknowledge until a write succeeds",
+                 failure->operation, failure->file,
+                 (unsigned long long)failure->offset_bytes,
+                 (unsigned long long)failure->size_bytes,
+                 g_strerror(failure->error),
+                 (unsigned long long)failure->folder_bytes);
+    }
     EVENT(EVENT_DISK_FAILED, EVENT_STR("operation", failure->operation),
           EVENT_STR("file", failure->file),
           EVENT_STR("error", g_strerror(failure->error)),
           EVENT_INT("offset", failure->offset_bytes),
           EVENT_INT("size", failure->size_bytes),
-          EVENT_INT("folder_bytes", failure->folder_bytes));
-    raft_disk_failed(replica->raft, clock_mono_ms());
+          EVENT_INT("folder_bytes", failure->folder_bytes),
+          EVENT_INT("failures", replica->disk_failures),
+          EVENT_INT("retry_ms", replica->disk_pause_ms));
+    /* These messages tell of writes that may not be on the disk. */
+    while (!g_queue_is_empty(&replica->deferred)) {
+        free_deferred(g_queue_pop_head(&replica->deferred));
+    }
+    raft_disk_failed(replica->raft, now_ms);
+}
+
+static void
+on_snapshot_failed(void *ctx, const struct store_failure *failure)
+{
+    struct replica *replica = ctx;
+
+    replica->snapshot_failures++;
+    replica->snapshot_retry_ms = clock_mono_ms() + SNAPSHOT_RETRY_MS;
+    log_warn(
+        LOG_DISK,
+        "%s of snapshot '%s' failed: %s; the folder holds %llu bytes; the "
+        "log grows until a snapshot can be written",
+        failure->operation, failure->file, g_strerror(failure->error),
+        (unsigned long long)failure->folder_bytes);
+}
+
+/* Writes the whole state again some time after a failed write. */
+static void
+retry_disk(struct replica *replica, uint64_t now_ms)
+{
+    if (replica->disk_retry_ms != 0 && now_ms >= replica->disk_retry_ms) {
+        replica->disk_retry_ms = 0;
+        raft_rewrite(replica->raft);
+    }
 }
 
 static void
@@ -249,13 +339,18 @@
     return bound == 0 ? 0 : randombytes_uniform(bound);
 }
 
-/* Announces this host's identity to a host, or to all others for NULL. */
+/* Announces this host's identity to a host, or to all others for NULL. A
+ * replica whose disk takes no writes is not announced: it could not join.
+ */
 static void
 send_hello(struct replica *replica, const char *host)
 {
     struct msg_hello msg = {.from_id = raft_id(replica->raft),
                             .has_disk = replica->disk != NULL};
 
+    if (raft_awaits_disk(replica->raft)) {
+        return;
+    }
     g_strlcpy(msg.host, replica->settings->host, sizeof(msg.host));
     if (host != NULL) {
         replica_send(replica, host, &MSG_HELLO_SCHEMA, &msg);
@@ -285,7 +380,8 @@
     uint64_t index = raft_applied_index(replica->raft);
     struct fp_blob state = {NULL, 0};
 
-    if (raft_log_length(replica->raft) < replica->settings->snapshot_entries) {
+    if (raft_log_length(replica->raft) < replica->settings->snapshot_entries ||
+        raft_awaits_disk(replica->raft)) {
         return;
     }
     if (replica->disk != NULL) {
@@ -303,6 +399,7 @@
 {
     struct replica *replica = ctx;
 
+    retry_disk(replica, now_ms);
     raft_tick(replica->raft, now_ms);
     if (!replica->leading && raft_leader_ready(replica->raft, now_ms)) {
         replica->leading = true;
@@ -444,11 +541,48 @@
     return (id >> 1) | 1;
 }
 
+static bool
+is_temporary(int error)
+{
+    return error == EIO || error == ENOSPC || error == EDQUOT ||
+           error == EROFS || error == EMFILE || error == ENFILE ||
+           error == ENOMEM;
+}
+
+/* Opens the store. While the folder cannot be read this waits, before anything
+ * is served: without its state the host can't tell what it has voted, and a
+ * process that ended would only be started again.
+ */
+static enum fp_err
+open_store(const char *folder, struct store **store, struct raft_init *init,
+           char *why, unsigned why_bytes)
+{
+    uint64_t tries = 0;
+    enum fp_err err;
+
+    while ((err = store_open(folder, &STORE_IO, store, init, why,
+                             why_bytes)) == FP_ERR_DISK &&
+           is_temporary(errno)) {
+        if (tries++ % OPEN_REPORT_TRIES == 0) {
+            log_warn(LOG_DISK, "%s: %s; waiting for the disk", why,
+                     g_strerror(errno));
+            event_flush();
+        }
+        g_usleep(OPEN_RETRY_MS * 1000);
+    }
+    if (tries > 0 && err == FP_OK) {
+        log_notice(LOG_DISK, "%s: can be read after %llu tries", folder,
+                   (unsigned long long)tries);
+    }
+    return err;
+}
+
 static enum fp_err
 open_disk(struct replica *replica, uv_loop_t *loop, struct raft_init *init,
           char *why, unsigned why_bytes)
 {
-    const struct disk_ops ops = {on_disk_synced, on_disk_failed, replica};
+    const struct disk_ops ops = {on_disk_synced, on_disk_failed,
+                                 on_snapshot_failed, replica};
     struct store *store;
     enum fp_err err;
 
@@ -456,13 +590,14 @@
         init->id = replica->run_id;
         return FP_OK;
     }
-    err = store_open(replica->settings->data_folder, &STORE_IO, &store, init,
-                     why, why_bytes);
+    err = open_store(replica->settings->data_folder, &store, init, why,
+                     why_bytes);
     if (err != FP_OK) {
         return err;
     }
     init->has_disk = true;
     replica->disk = disk_new(loop, store, &ops);
+    init->pending_write = disk_prepare(replica->disk);
     return FP_OK;
 }
 
@@ -474,6 +609,7 @@
         .write_vote = on_write_vote,
         .write_entries = on_write_entries,
         .write_snapshot = on_write_snapshot,
+        .rewrite = on_rewrite,
         .apply = on_apply,
         .restore = on_restore,
         .state_changed = on_raft_state_changed,
@@ -694,10 +830,20 @@
     return replica->run_id;
 }
 
-const struct replica_disk_status *
+struct replica_disk_status
 replica_disk_status(const struct replica *replica)
 {
-    return &replica->disk_status;
+    struct replica_disk_status status = {
+        .failures = replica->disk_failures,
+        .recoveries = replica->disk_recoveries,
+        .failed_since_ms = replica->disk_failed_since_ms,
+        .snapshot_failures = replica->snapshot_failures,
+    };
+
+    if (replica->disk != NULL) {
+        status.log_bytes = disk_log_bytes(replica->disk);
+    }
+    return status;
 }
 
 bool
@@ -726,6 +872,22 @@
                                          (json_int_t)(now_ms - heard_ms)));
 }
 
+static json_t *
+dump_disk(const struct replica *replica)
+{
+    const struct replica_disk_status status = replica_disk_status(replica);
+    uint64_t failed_ms = status.failed_since_ms == 0
+                             ? 0
+                             : clock_mono_ms() - status.failed_since_ms;
+
+    return json_pack("{s:I,s:I,s:I,s:I,s:I}", "failures",
+                     (json_int_t)status.failures, "recoveries",
+                     (json_int_t)status.recoveries, "failed_ms",
+                     (json_int_t)failed_ms, "snapshot_failures",
+                     (json_int_t)status.snapshot_failures, "log_bytes",
+                     (json_int_t)status.log_bytes);
+}
+
 json_t *
 replica_dump(const struct replica *replica)
 {
@@ -741,7 +903,8 @@
     list = json_incref(json_object_get(members, "list"));
     json_decref(members);
     return json_pack(
-        "{s:s,s:I,s:s,s:I,s:I,s:I,s:I,s:I,s:b,s:b,s:I,s:o,s:o,s:{s:I,s:I,s:I,"
+        "{s:s,s:I,s:s,s:I,s:I,s:I,s:I,s:I,s:b,s:b,s:I,s:o,s:o,s:o,s:{s:I,s:I,"
+        "s:I,"
         "s:I,s:I,s:I,s:I},s:I,s:I}",
         "state", state_names[raft_state(raft)], "term",
         (json_int_t)raft_term(raft), "leader", raft_leader_host(raft), "id",
@@ -751,12 +914,13 @@
         (json_int_t)raft_applied_index(raft), "log_entries",
         (json_int_t)raft_log_length(raft), "fresh", replica_is_fresh(replica),
         "has_disk", replica->disk != NULL, "snapshots",
-        (json_int_t)replica->snapshots_taken, "members", list, "followers",
-        followers, "bus", "sent", (json_int_t)bus->sent, "sent_bytes",
-        (json_int_t)bus->sent_bytes, "received", (json_int_t)bus->received,
-        "received_bytes", (json_int_t)bus->received_bytes, "refused",
-        (json_int_t)bus->refused, "malformed", (json_int_t)bus->malformed,
-        "cut", (json_int_t)bus->dropped, "proposals",
+        (json_int_t)replica->snapshots_taken, "disk", dump_disk(replica),
+        "members", list, "followers", followers, "bus", "sent",
+        (json_int_t)bus->sent, "sent_bytes", (json_int_t)bus->sent_bytes,
+        "received", (json_int_t)bus->received, "received_bytes",
+        (json_int_t)bus->received_bytes, "refused", (json_int_t)bus->refused,
+        "malformed", (json_int_t)bus->malformed, "cut",
+        (json_int_t)bus->dropped, "proposals",
         (json_int_t)g_hash_table_size(replica->proposals), "claims",
         (json_int_t)g_hash_table_size(replica->proposers));
 }
--- a/node/replica.h
+++ b/node/replica.h
@@ -33,10 +33,13 @@
     void *ctx;
 };
 
-/* Failures of the disk since the start. */
+/* The disk since the start of the process. */
 struct replica_disk_status {
-    uint64_t failures;
-    uint64_t failed_since_ms; /* 0: the disk takes writes */
+    uint64_t failures;          /* writes that failed, retries included */
+    uint64_t recoveries;        /* ends of failures */
+    uint64_t failed_since_ms;   /* 0: the disk takes writes */
+    uint64_t snapshot_failures; /* snapshots that could not be written */
+    uint64_t log_bytes;
 };
 
 /* Callbacks, set by the creator of the replica. All run on the loop. */
@@ -151,8 +154,7 @@
 const struct raft *replica_raft(const struct replica *replica);
 struct bus *replica_bus(const struct replica *replica);
 uint64_t replica_run_id(const struct replica *replica);
-const struct replica_disk_status *
-replica_disk_status(const struct replica *replica);
+struct replica_disk_status replica_disk_status(const struct replica *replica);
 bool replica_is_fresh(const struct replica *replica);
 bool replica_is_leader(const struct replica *replica);
 json_t *replica_dump(const struct replica *replica);
--- a/node/replicapriv.h
+++ b/node/replicapriv.h
@@ -78,7 +78,14 @@
     uint64_t last_hello_ms;
     bool leading; /* as last reported to ops.on_leadership_changed */
     uint64_t snapshots_taken; /* since the start */
-    struct replica_disk_status disk_status;
+    uint64_t disk_failures;
+    uint64_t disk_recoveries;
+    uint64_t disk_failed_since_ms; /* 0: the disk takes writes */
+    uint64_t disk_recovered_ms;    /* when it last took them again */
+    uint64_t disk_retry_ms;        /* when to write again; 0: not due */
+    uint64_t disk_pause_ms;        /* before the next retry */
+    uint64_t snapshot_failures;
+    uint64_t snapshot_retry_ms; /* no snapshot before this time */
 };
 
 /* replicatalk.c */
--- a/node/serve.c
+++ b/node/serve.c
@@ -445,6 +445,7 @@
     enum fp_err err;
 
     signal(SIGPIPE, SIG_IGN);
+    signal(SIGXFSZ, SIG_IGN); /* a file too large is a failed write */
     server->settings = settings;
     uv_loop_init(&server->loop);
     server->timers = timers_new(&server->loop);
--- a/node/store.c
+++ b/node/store.c
@@ -17,6 +17,9 @@
 #define FRAME_MAX_BYTES (256u * 1024 * 1024)
 #define SNAPSHOT_MAX_BYTES (512u * 1024 * 1024)
 
+#define LOG_PREFIX "log-"
+#define SNAPSHOT_PREFIX "snap-"
+
 static const char FRAME_MAGIC[4] = {'F', 'P', 'L', '1'};
 static const char SNAPSHOT_MAGIC[4] = {'F', 'P', 'S', '1'};
 
@@ -51,9 +54,12 @@
     int folder_fd;
     int log_fd;
     char *log_name;
-    uint64_t next_frame; /* number of the next frame */
-    uint64_t log_bytes;
-    bool write_failed; /* all later writes must fail */
+    uint64_t id;
+    bool has_identity_file;
+    uint64_t next_frame;     /* number of the next frame */
+    uint64_t log_bytes;      /* synced, once store_prepare() has succeeded */
+    uint64_t snapshot_index; /* of the snapshot that is on disk; 0: none */
+    bool write_failed;       /* only store_rewrite() may write */
     struct store_failure failure;
 };
 
@@ -362,37 +368,14 @@
     return close(fd) == 0 ? FP_OK : record_failure(store, "close", file, 0, 0);
 }
 
-static enum fp_err
-truncate_file(struct store *store, const char *path, size_t size_bytes)
-{
-    enum fp_err err;
-    char *file = g_path_get_basename(path);
-    int fd = open(path, O_WRONLY | O_CLOEXEC);
-
-    if (fd < 0) {
-        err = record_failure(store, "open", file, 0, 0);
-    }
-    else if (ftruncate(fd, (off_t)size_bytes) != 0) {
-        err = record_failure(store, "truncate", file, size_bytes, 0);
-    }
-    else {
-        err = sync_fd(store, fd, file);
-    }
-    if (fd >= 0 && close_fd(store, fd, file) != FP_OK) {
-        err = FP_ERR_DISK;
-    }
-    g_free(file);
-    return err;
-}
-
-/* Reads one log file. An incomplete frame at the end of the newest file is
- * truncated. An older file has one if a loss of power has undone both its
+/* Reads one log file, without an incomplete frame at its end. An older file
+ * has one if a write to it failed, or if a loss of power has undone both its
  * truncation and its removal; entries that are missing then, and that no
  * snapshot covers, are noticed by recover_entry().
  */
 static enum fp_err
 read_log(struct store *store, struct recovery *recovery, const char *path,
-         bool newest, char *why, size_t why_bytes)
+         char *why, size_t why_bytes)
 {
     enum fp_err err = FP_ERR_CORRUPT;
     char *data = NULL;
@@ -414,10 +397,6 @@
                          "%s: synced data is damaged at offset %zu", path, at);
                 goto done;
             }
-            if (newest && truncate_file(store, path, at) != FP_OK) {
-                err = FP_ERR_DISK;
-                goto done;
-            }
             break;
         }
         if (!recover_frame(recovery, bytes + at + FRAME_HEADER_BYTES,
@@ -537,7 +516,10 @@
     if (err == FP_OK && rename(temporary_path, path) != 0) {
         err = record_failure(store, "rename", name, 0, 0);
     }
-    if (err == FP_OK) {
+    if (err != FP_OK) {
+        unlink(temporary_path); /* its space may be what the disk lacks */
+    }
+    else {
         err = sync_fd(store, store->folder_fd, "");
     }
 
@@ -547,42 +529,57 @@
     return err;
 }
 
+/* Reads the identity, or draws one if there is no file yet. */
 static enum fp_err
-read_or_create_identity(struct store *store, uint64_t *id, char *why,
-                        size_t why_bytes)
+read_identity(struct store *store, char *why, size_t why_bytes)
 {
     char *path = g_build_filename(store->folder, "identity", NULL);
     char *text = NULL;
+    GError *error = NULL;
     enum fp_err err = FP_OK;
-    char line[32];
 
-    *id = 0;
-    if (g_file_get_contents(path, &text, NULL, NULL)) {
-        *id = g_ascii_strtoull(text, NULL, 16);
-        if (*id == 0) {
+    if (g_file_get_contents(path, &text, NULL, &error)) {
+        store->has_identity_file = true;
+        store->id = g_ascii_strtoull(text, NULL, 16);
+        if (store->id == 0) {
             snprintf(why, why_bytes, "%s: malformed identity", path);
             err = FP_ERR_CORRUPT;
         }
     }
+    else if (g_error_matches(error, G_FILE_ERROR, G_FILE_ERROR_NOENT)) {
+        randombytes_buf(&store->id, sizeof(store->id));
+        store->id = (store->id >> 1) | 1;
+    }
     else {
-        randombytes_buf(id, sizeof(*id));
-        *id = (*id >> 1) | 1;
-        snprintf(line, sizeof(line), "%016llx\n", (unsigned long long)*id);
-        err = write_file(store, "identity", line, strlen(line), "", 0);
-        if (err != FP_OK) {
-            snprintf(why, why_bytes, "%s: cannot be written", path);
-        }
+        snprintf(why, why_bytes, "%s: cannot be read", path);
+        err = FP_ERR_DISK;
     }
+    g_clear_error(&error);
     g_free(text);
     g_free(path);
     return err;
 }
 
+static enum fp_err
+write_identity(struct store *store)
+{
+    char line[32];
+    enum fp_err err;
+
+    if (store->has_identity_file) {
+        return FP_OK;
+    }
+    snprintf(line, sizeof(line), "%016llx\n", (unsigned long long)store->id);
+    err = write_file(store, "identity", line, strlen(line), "", 0);
+    store->has_identity_file = err == FP_OK;
+    return err;
+}
+
 static enum fp_err
 read_newest_snapshot(struct store *store, struct raft_init *init, char *why,
                      size_t why_bytes)
 {
-    GPtrArray *paths = list_files(store->folder, "snap-");
+    GPtrArray *paths = list_files(store->folder, SNAPSHOT_PREFIX);
     enum fp_err err = FP_OK;
 
     if (paths->len > 0) {
@@ -590,8 +587,10 @@
 
         err = read_snapshot(newest, &init->snapshot);
         if (err != FP_OK) {
-            snprintf(why, why_bytes, "%s: the snapshot is damaged", newest);
+            snprintf(why, why_bytes, "%s: the snapshot %s", newest,
+                     err == FP_ERR_DISK ? "cannot be read" : "is damaged");
         }
+        store->snapshot_index = init->snapshot.last_index;
     }
     g_ptr_array_free(paths, TRUE);
     return err;
@@ -638,20 +637,24 @@
 read_logs(struct store *store, struct raft_init *init, char *why,
           size_t why_bytes)
 {
-    GPtrArray *paths = list_files(store->folder, "log-");
+    GPtrArray *paths = list_files(store->folder, LOG_PREFIX);
     struct recovery recovery = {init, NULL};
     enum fp_err err = FP_OK;
 
     recovery.entries = g_array_new(FALSE, FALSE, sizeof(struct raft_entry));
     for (guint i = 0; i < paths->len && err == FP_OK; i++) {
-        err = read_log(store, &recovery, paths->pdata[i], i + 1 == paths->len,
-                       why, why_bytes);
+        err = read_log(store, &recovery, paths->pdata[i], why, why_bytes);
     }
     if (err == FP_OK) {
         reconcile_with_snapshot(&recovery);
         if (paths->len > 0) {
             store->log_name =
                 g_path_get_basename(paths->pdata[paths->len - 1]);
+            store->next_frame =
+                MAX(store->next_frame,
+                    g_ascii_strtoull(store->log_name + strlen(LOG_PREFIX),
+                                     NULL, 10) +
+                        1);
         }
         init->entries.count = recovery.entries->len;
         init->entries.items = g_array_free(recovery.entries, FALSE);
@@ -686,8 +689,8 @@
 create_log(struct store *store, const void *bytes, uint32_t size_bytes)
 {
     uint8_t header[FRAME_HEADER_BYTES];
-    char *name =
-        g_strdup_printf("log-%020llu", (unsigned long long)store->next_frame);
+    char *name = g_strdup_printf(LOG_PREFIX "%020llu",
+                                 (unsigned long long)store->next_frame);
     enum fp_err err;
 
     fill_frame_header(header, store->next_frame, bytes, size_bytes);
@@ -704,15 +707,15 @@
     return open_log(store);
 }
 
-/* Removes the files with a prefix, except the one named keep. Errors are
- * ignored: store_open() accepts old files.
- */
+/* Removes the files with a prefix, except the one named keep. */
 static void
 remove_old_files(struct store *store, const char *prefix, const char *keep)
 {
     GPtrArray *paths = list_files(store->folder, prefix);
 
     for (guint i = 0; i < paths->len; i++) {
+        /* A file that stays does no harm: store_open() accepts old files, and
+         * the next snapshot tries again. */
         if (!g_str_has_suffix(paths->pdata[i], keep)) {
             unlink(paths->pdata[i]);
         }
@@ -720,12 +723,47 @@
     g_ptr_array_free(paths, TRUE);
 }
 
+/* Removes the temporary files of a process that was killed. */
+static void
+remove_temporary_files(struct store *store)
+{
+    GDir *dir = g_dir_open(store->folder, 0, NULL);
+    const char *name;
+
+    while (dir != NULL && (name = g_dir_read_name(dir)) != NULL) {
+        if (g_str_has_suffix(name, ".tmp")) {
+            char *path = g_build_filename(store->folder, name, NULL);
+
+            unlink(path);
+            g_free(path);
+        }
+    }
+    if (dir != NULL) {
+        g_dir_close(dir);
+    }
+}
+
+/* Drops what may follow the last synced frame in the current log, so that a
+ * process that starts after this one doesn't read a frame from the page cache
+ * that is not on the disk.
+ */
+static enum fp_err
+truncate_log(struct store *store)
+{
+    if (ftruncate(store->log_fd, (off_t)store->log_bytes) != 0) {
+        return record_failure(store, "truncate", store->log_name,
+                              store->log_bytes, 0);
+    }
+    return FP_OK;
+}
+
 enum fp_err
 store_open(const char *folder, const struct store_io *io, struct store **out,
            struct raft_init *init, char *why, size_t why_bytes)
 {
     struct store *store = g_new0(struct store, 1);
     enum fp_err err = FP_ERR_DISK;
+    int error = 0;
 
     *out = NULL;
     store->folder = g_strdup(folder);
@@ -733,32 +771,37 @@
     store->log_fd = -1;
     store->next_frame = 1;
     store->folder_fd = -1;
+    store->write_failed = true; /* until store_prepare() has succeeded */
     if (g_mkdir_with_parents(folder, 0700) == 0) {
         store->folder_fd = open(folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
     }
     if (store->folder_fd < 0) {
+        error = errno;
         snprintf(why, why_bytes, "%s: cannot be opened", folder);
         goto done;
     }
     if (flock(store->folder_fd, LOCK_EX | LOCK_NB) != 0) {
+        error = errno;
         snprintf(why, why_bytes, "%s: in use by another process", folder);
         goto done;
     }
-    err = read_or_create_identity(store, &init->id, why, why_bytes);
+    error = EIO; /* of files that cannot be read */
+    err = read_identity(store, why, why_bytes);
+    init->id = store->id;
     if (err == FP_OK) {
         err = read_newest_snapshot(store, init, why, why_bytes);
     }
     if (err == FP_OK) {
         err = read_logs(store, init, why, why_bytes);
     }
-    if (err == FP_OK) {
-        err = store->log_name == NULL ? create_log(store, "", 0)
-                                      : open_log(store);
-    }
 
 done:
     if (err != FP_OK) {
+        fp_blob_free(&init->snapshot.data);
+        fp_record_free(&RAFT_MEMBERS_SCHEMA, &init->snapshot.members);
+        memset(&init->snapshot, 0, sizeof(init->snapshot));
         store_close(store);
+        errno = error;
         return err;
     }
     *out = store;
@@ -782,6 +825,29 @@
     g_free(store);
 }
 
+enum fp_err
+store_prepare(struct store *store)
+{
+    enum fp_err err = write_identity(store);
+
+    remove_temporary_files(store);
+    if (err == FP_OK) {
+        err = store->log_name == NULL ? create_log(store, "", 0)
+                                      : open_log(store);
+    }
+    if (err == FP_OK) {
+        err = truncate_log(store);
+    }
+    if (err == FP_OK) {
+        err = sync_fd(store, store->log_fd, store->log_name);
+    }
+    if (err == FP_OK) {
+        err = sync_fd(store, store->folder_fd, "");
+    }
+    store->write_failed = err != FP_OK;
+    return err;
+}
+
 enum fp_err
 store_append(struct store *store, const void *bytes, uint32_t size_bytes)
 {
@@ -802,7 +868,11 @@
         err = sync_fd(store, store->log_fd, store->log_name);
     }
     if (err != FP_OK) {
+        struct store_failure first = store->failure;
+
         store->write_failed = true;
+        truncate_log(store);
+        store->failure = first;
         return err;
     }
     store->next_frame++;
@@ -810,40 +880,89 @@
     return FP_OK;
 }
 
-enum fp_err
-store_write_snapshot(struct store *store, const struct raft_snapshot *snap,
-                     const void *bytes, uint32_t size_bytes)
+static char *
+snapshot_name(uint64_t last_index)
+{
+    return g_strdup_printf(SNAPSHOT_PREFIX "%020llu",
+                           (unsigned long long)last_index);
+}
+
+/* Writes the file of a snapshot, unless it is on disk. */
+static enum fp_err
+write_snapshot_file(struct store *store, const struct raft_snapshot *snap)
 {
     uint8_t header[SNAPSHOT_HEADER_BYTES];
     struct fp_blob blob = {NULL, 0};
-    char *name = NULL;
-    enum fp_err err = FP_ERR_DISK;
+    char *name;
+    enum fp_err err;
 
-    if (store->write_failed) {
-        return err;
+    if (snap->last_index == store->snapshot_index) {
+        return FP_OK;
     }
+    name = snapshot_name(snap->last_index);
     fp_encode(&SNAPSHOT_SCHEMA, snap, &blob);
     memcpy(header, SNAPSHOT_MAGIC, sizeof(SNAPSHOT_MAGIC));
     put_u64(header + 4, blob.size_bytes);
     put_u64(header + 12, XXH64(blob.data, blob.size_bytes, 0));
-    name =
-        g_strdup_printf("snap-%020llu", (unsigned long long)snap->last_index);
     err = write_file(store, name, header, sizeof(header), blob.data,
                      blob.size_bytes);
     if (err == FP_OK) {
-        err = create_log(store, bytes, size_bytes);
+        store->snapshot_index = snap->last_index;
+    }
+    g_free(name);
+    fp_blob_free(&blob);
+    return err;
+}
+
+/* Begins a log after the snapshot on disk and removes the older files. */
+static enum fp_err
+replace_log(struct store *store, const void *bytes, uint32_t size_bytes)
+{
+    char *name = snapshot_name(store->snapshot_index);
+    enum fp_err err = create_log(store, bytes, size_bytes);
+
+    if (err == FP_OK) {
+        remove_old_files(store, SNAPSHOT_PREFIX, name);
+        remove_old_files(store, LOG_PREFIX, store->log_name);
+    }
+    g_free(name);
+    store->write_failed = err != FP_OK;
+    return err;
+}
+
+enum fp_err
+store_write_snapshot(struct store *store, const struct raft_snapshot *snap,
+                     const void *bytes, uint32_t size_bytes)
+{
+    enum fp_err err;
+
+    if (store->write_failed) {
+        return FP_ERR_DISK;
+    }
+    err = write_snapshot_file(store, snap);
+    return err == FP_OK ? replace_log(store, bytes, size_bytes) : err;
+}
+
+enum fp_err
+store_rewrite(struct store *store, const struct raft_snapshot *snap,
+              const void *bytes, uint32_t size_bytes)
+{
+    enum fp_err err = write_identity(store);
+
+    if (err == FP_OK) {
+        err = write_snapshot_file(store, snap);
     }
     if (err != FP_OK) {
         store->write_failed = true;
-        goto done;
+        return err;
     }
-    remove_old_files(store, "snap-", name);
-    remove_old_files(store, "log-", store->log_name);
+    return replace_log(store, bytes, size_bytes);
+}
 
-done:
-    g_free(name);
-    fp_blob_free(&blob);
-    return err;
+bool
+store_has_failed(const struct store *store)
+{
+    return store->write_failed;
 }
 
 uint64_t
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -108,6 +108,13 @@
 node/store.c	if (valid_frame_follows(bytes, size, at)) {	if (false) {	Store.*
 node/store.c	if (valid_frame_follows(bytes, size, at)) {	if (!newest || valid_frame_follows(bytes, size, at)) {	Store.OlderLogThatReappearsWith*
 node/store.c	if (store->write_failed) {\n        return FP_ERR_DISK;	if (false) {\n        return FP_ERR_DISK;	Store.*
+node/store.c	        truncate_log(store);\n        store->failure	        store->failure	Store.AFrameWhoseSync*
+node/store.c	err = sync_fd(store, store->log_fd, store->log_name);\n    }\n    if (err == FP_OK) {\n        err = sync_fd(store, store->folder_fd	;\n    }\n    if (err == FP_OK) {\n        err = sync_fd(store, store->folder_fd	Store.AStartWithAFailing*
+node/store.c	store->write_failed = err != FP_OK;\n    return err;\n}\n\nenum fp_err\nstore_write_snapshot	return err;\n}\n\nenum fp_err\nstore_write_snapshot	Store.ARewriteEnds*
+node/store.c	g_error_matches(error, G_FILE_ERROR, G_FILE_ERROR_NOENT)	true	Store.AnIdentityThat*
+core/raft.c	        raft->disk_failed = false;	        ;	Raft.ReplicasVoteAgain*
+core/raft.c	if (raft->disk_failed) {\n        if (type == MSG_APPEND)	if (false) {\n        if (type == MSG_APPEND)	Raft.AReplicaWithAFullDisk*
+core/raft.c	raft->disk_failed = init->pending_write != 0;\n    raft->recovery_write = init->pending_write;\n    raft->last_write = init->pending_write;	;	Raft.AStartWithADisk*
 core/planlist.c	if (task_number == UINT32_MAX) {\n        step = NULL;	if (false) {\n        step = NULL;	Plan.*
 core/planinherit.c	plan->unlocated_of_any > 0 || job->pool->unlisted_targets > 0	plan->unlocated_of_any > 0	Plan.Inherited*
 core/planinherit.c	(job->held_mark == plan->held_mark ||	(false ||	Plan.ATargetThatWasOut*
--- a/tests/platform/lib.sh
+++ b/tests/platform/lib.sh
@@ -39,10 +39,23 @@
 
 start_node() { # HOST FIRST_START [DATA_FOLDER]
     print_settings "$@" >"$WORK/$1.yaml"
-    "$FP" node "$WORK/$1.yaml" >>"$WORK/$1.log" 2>>"$WORK/$1.err" &
+    env ${FAULTY_DISKS:+$(faulty_disk "$1")} "$FP" node "$WORK/$1.yaml" \
+        >>"$WORK/$1.log" 2>>"$WORK/$1.err" &
     PIDS[$1]=$!
 }
 
+# With FAULTY_DISKS=1, set_disk HOST MODE makes the disk of a host fail; the modes are
+# those of tests/faultdisk.c, "" for a sound disk.
+FAULTDISK=${FAULTDISK:-$(dirname "$FP")/faultdisk.so}
+faulty_disk() { # HOST: prints the environment of its process
+    echo "LD_PRELOAD=$PWD/$FAULTDISK FAULTDISK_FOLDER=$WORK/$1/ FAULTDISK_MODE=$WORK/$1.mode"
+    echo "ASAN_OPTIONS=verify_asan_link_order=0"
+}
+set_disk() { # HOST MODE
+    echo "$2" >"$WORK/$1.mode.new"
+    mv "$WORK/$1.mode.new" "$WORK/$1.mode"
+}
+
 start_fleet() {
     for host in $CORES; do
         mkdir -p "$WORK/$host"
@@ -65,6 +78,9 @@
     curl -s -m 2 "http://$1:$((BASE_PORT + 4))/metrics" | sed -n "s/^filbertpath_$2 //p"
 }
 
+disk_has_failed() { [ "$(metric "$1" disk_failed_ms)" -gt 0 ]; }
+disk_is_sound() { [ "$(metric "$1" disk_failed_ms)" = 0 ]; }
+
 leader() { # prints the address of the leading host
     for host in $CORES; do
         [ "$(metric "$host" leads)" = 1 ] && echo "$host"
--- a/tests/raft_test.cc
+++ b/tests/raft_test.cc
@@ -27,7 +27,10 @@
 {
     int number = (int)sim.random_below((uint32_t)count);
     Node *n = sim.nodes[number].get();
-    switch (sim.random_below(8)) {
+    switch (sim.random_below(9)) {
+    case 8: // a disk takes no bytes for a while
+        n->disk_full_until_ms = sim.now_ms + sim.random_below(8000);
+        break;
     case 6: // a slow disk, then a crash that loses unsynced writes
         n->sync_max_ms = 1500;
         sim.scheduled.push_back(
@@ -131,6 +134,7 @@
         n->resume_ms = 0;
         n->restart_ms = 0;
         n->sync_max_ms = 6;
+        n->disk_full_until_ms = 0;
     }
     uint64_t before = sim.proposed;
     if (sim.failure.empty() && !run_until_leader(sim, 30000)) {
@@ -524,4 +528,112 @@
     tear_down(sim);
 }
 
+// After one failed write a replica was out until its process ended: two full
+// disks in turn left the cell without a leader for good.
+TEST(Raft, ReplicasVoteAgainAfterFullDisksOnAllHostsInTurn)
+{
+    for (uint64_t seed = 1; seed <= 40; seed++) {
+        Simulation sim(seed);
+        ASSERT_TRUE(form_three_voters(sim));
+        for (int round = 0; round < 6 && sim.failure.empty(); round++) {
+            Node *n = sim.nodes[round % 3].get();
+            n->disk_full_until_ms = sim.now_ms + 2000;
+            for (int i = 0; i < 40; i++) {
+                propose(sim);
+                run_for(sim, 100);
+            }
+            EXPECT_FALSE(raft_awaits_disk(n->replica)) << "seed " << seed;
+        }
+        // One host has lost its disk for good: the others suffice.
+        crash(sim.nodes[seed % 3].get());
+        sim.nodes[seed % 3]->restart_ms = UINT64_MAX;
+        EXPECT_TRUE(run_until_leader(sim, 5000)) << "seed " << seed;
+        EXPECT_EQ(sim.failure, "") << "seed " << seed;
+        EXPECT_GE(sim.acked.size(), 150u) << "seed " << seed;
+        tear_down(sim);
+    }
+}
+
+// While its disk fails a replica sends nothing that tells of its log or its
+// vote: two replicas with full disks elect nobody and commit nothing.
+TEST(Raft, NothingIsVotedOrAcknowledgedWhileDisksFail)
+{
+    for (uint64_t seed = 1; seed <= 40; seed++) {
+        Simulation sim(seed);
+        ASSERT_TRUE(form_three_voters(sim));
+        Node *leader = current_leader(sim);
+        ASSERT_NE(leader, nullptr);
+        run_for(sim, 500);
+        for (auto &n : sim.nodes) {
+            if (n.get() != leader) {
+                n->disk_full_until_ms = sim.now_ms + 6000;
+            }
+        }
+        run_for(sim, 20);
+        uint64_t acked = sim.acked.size();
+        for (int i = 0; i < 40; i++) {
+            propose(sim);
+            run_for(sim, 100);
+            EXPECT_EQ(sim.acked.size(), acked) << "seed " << seed;
+        }
+        EXPECT_EQ(current_leader(sim), nullptr) << "seed " << seed;
+        ASSERT_TRUE(run_until_leader(sim, 5000)) << "seed " << seed;
+        EXPECT_EQ(sim.failure, "") << "seed " << seed;
+        tear_down(sim);
+    }
+}
+
+// A replica that cannot vote answers no pre-vote either: the one that asked
+// would start one election after the other and raise the term each time.
+TEST(Raft, AReplicaWithAFullDiskGrantsNoPreVote)
+{
+    Simulation sim(5);
+    ASSERT_TRUE(form_three_voters(sim));
+    Node *leader = current_leader(sim);
+    ASSERT_NE(leader, nullptr);
+    Node *full = sim.nodes[(leader->number + 1) % 3].get();
+    Node *sound = sim.nodes[(leader->number + 2) % 3].get();
+    full->disk_full_until_ms = sim.now_ms + 60000;
+    propose(sim);
+    run_for(sim, 500);
+    uint64_t term = raft_term(sound->replica);
+    crash(leader);
+    leader->restart_ms = UINT64_MAX;
+    run_for(sim, 10000);
+    EXPECT_EQ(raft_term(sound->replica), term);
+    EXPECT_EQ(sim.failure, "");
+    tear_down(sim);
+}
+
+// A replica that was killed may have read a log that is not on the disk yet.
+// While a disk that hangs, or is full, does not take it, the replica extends no
+// leader's lease.
+TEST(Raft, AStartWithADiskThatFailsExtendsNoLease)
+{
+    for (bool hangs : {true, false}) {
+        Simulation sim(6);
+        ASSERT_TRUE(form_three_voters(sim));
+        Node *leader = current_leader(sim);
+        ASSERT_NE(leader, nullptr);
+        run_for(sim, 1000);
+        for (auto &n : sim.nodes) {
+            if (n.get() != leader) {
+                crash(n.get());
+                n->restart_ms = UINT64_MAX;
+            }
+        }
+        Node *started = sim.nodes[(leader->number + 1) % 3].get();
+        started->sync_max_ms = hangs ? 100000 : 6;
+        started->disk_full_until_ms = hangs ? 0 : sim.now_ms + 10000;
+        started->restart_ms = 0;
+        run_for(sim, 3000);
+        EXPECT_TRUE(raft_awaits_disk(started->replica));
+        EXPECT_EQ(current_leader(sim), nullptr);
+        started->sync_max_ms = 6;
+        ASSERT_TRUE(run_until_leader(sim, 120000));
+        EXPECT_EQ(sim.failure, "");
+        tear_down(sim);
+    }
+}
+
 } // namespace
--- a/tests/raft_world.h
+++ b/tests/raft_world.h
@@ -35,6 +35,7 @@
 
 struct Write {
     uint64_t number;
+    bool is_rewrite = false;
     uint64_t at_ms; // when the sync completes
     bool has_vote = false;
     raft_vote vote = {};
@@ -95,6 +96,10 @@
     uint64_t restart_ms = 0;
     double clock_rate = 1.0;
     uint32_t sync_max_ms = 6; // a sync takes at most this long
+    uint64_t disk_full_until_ms = 0;
+    bool disk_failed = false;  // only a rewrite is tried
+    uint64_t retry_ms = 0;     // when to rewrite; 0: not due
+    std::deque<Write> on_disk; // failed writes that may be read after a crash
     std::map<uint64_t, std::string> state; // index to value, as applied
     uint64_t verified_term = 0; // last term in which it led and its state was
                                 // checked against all acknowledged entries
@@ -258,6 +263,10 @@
     return out;
 }
 
+inline uint64_t on_rewrite(void *ctx, const raft_snapshot *snap,
+                           const raft_vote *vote, const raft_entry *entries,
+                           uint32_t count);
+
 inline uint64_t on_write_snapshot(void *ctx, const raft_snapshot *snap,
                                   const raft_vote *vote,
                                   const raft_entry *entries, uint32_t count)
@@ -278,6 +287,18 @@
     return write.number;
 }
 
+inline uint64_t on_rewrite(void *ctx, const raft_snapshot *snap,
+                           const raft_vote *vote, const raft_entry *entries,
+                           uint32_t count)
+{
+    Node *n = static_cast<Node *>(ctx);
+    uint64_t number = on_write_snapshot(ctx, snap, vote, entries, count);
+    if (number != 0) {
+        n->writes.back().is_rewrite = true;
+    }
+    return number;
+}
+
 inline void record_committed(Node *n, uint64_t index, const std::string &value)
 {
     Simulation *sim = n->sim;
@@ -353,8 +374,9 @@
 {
     raft_init init = {};
     raft_ops ops = {on_send,           on_write_vote, on_write_entries,
-                    on_write_snapshot, on_apply,      on_restore,
-                    on_state_changed,  on_random,     n};
+                    on_write_snapshot, on_rewrite,    on_apply,
+                    on_restore,        on_state_changed,
+                    on_random,         n};
     if (n->disk.id == 0 || !n->has_disk) {
         n->disk = Disk();
         n->disk.id = n->sim->next_id++;
@@ -386,15 +408,26 @@
     n->writes.clear();
     n->last_write = 0;
     n->synced_write = 0;
+    n->disk_failed = false;
+    n->retry_ms = 0;
+    if (n->has_disk) {
+        // What was read is on disk once it has been synced again.
+        init.pending_write = new_write(n).number;
+    }
     n->replica = raft_new(&init, &n->sim->times, &ops, n->now());
 }
 
-// Stops the node. Of the unsynced writes, a random prefix survives on disk.
+// Stops the node. Of the unsynced writes, a random prefix survives on disk,
+// also of those that failed.
 inline void crash(Node *n)
 {
     if (n->replica == nullptr) {
         return;
     }
+    if (n->disk_failed) {
+        n->writes.swap(n->on_disk);
+    }
+    n->on_disk.clear();
     uint32_t survive = n->sim->random_below((uint32_t)n->writes.size() + 1);
     if (n->sync_max_ms > 5000) {
         survive = 0; // a disk this slow has written nothing yet
@@ -412,15 +445,46 @@
     n->paused = false;
 }
 
+inline void fail_disk(Node *n)
+{
+    n->disk_failed = true;
+    n->retry_ms = n->sim->now_ms + 100 + n->sim->random_below(300);
+    for (auto &unsynced : n->unsynced_messages) {
+        free_message(unsynced.message);
+    }
+    n->unsynced_messages.clear();
+    raft_disk_failed(n->replica, n->now());
+}
+
 inline void complete_due_syncs(Node *n)
 {
     bool any = false;
     while (!n->writes.empty() && n->writes.front().at_ms <= n->sim->now_ms) {
-        n->disk.apply(n->writes.front());
-        n->synced_write = n->writes.front().number;
+        Write write = n->writes.front();
         n->writes.pop_front();
+        if (n->sim->now_ms < n->disk_full_until_ms) {
+            if (!n->disk_failed) {
+                n->on_disk.assign(1, write);
+            }
+            if (!n->disk_failed || write.is_rewrite) {
+                fail_disk(n);
+            }
+            continue;
+        }
+        if (n->disk_failed && !write.is_rewrite) {
+            n->on_disk.push_back(write);
+            continue;
+        }
+        n->disk_failed = false;
+        n->on_disk.clear();
+        n->disk.apply(write);
+        n->synced_write = write.number;
         any = true;
     }
+    if (n->retry_ms != 0 && n->sim->now_ms >= n->retry_ms) {
+        n->retry_ms = 0;
+        raft_rewrite(n->replica);
+    }
     if (!any) {
         return;
     }
@@ -436,6 +500,9 @@
 inline void send_hello(Node *n)
 {
     msg_hello hello = {};
+    if (raft_awaits_disk(n->replica)) {
+        return;
+    }
     hello.from_id = raft_id(n->replica);
     g_strlcpy(hello.host, n->host.c_str(), sizeof(hello.host));
     hello.has_disk = n->has_disk;
--- a/tests/store_test.cc
+++ b/tests/store_test.cc
@@ -69,11 +69,15 @@
     raft_init init;
     char why[300] = "";
     enum fp_err err;
+    enum fp_err prepared = FP_ERR_DISK;
 
     explicit Opened(const Folder &f, const store_io *io = &STORE_IO)
     {
         memset(&init, 0, sizeof(init));
         err = store_open(f.path.c_str(), io, &s, &init, why, sizeof(why));
+        if (err == FP_OK) {
+            prepared = store_prepare(s);
+        }
     }
     ~Opened()
     {
@@ -86,6 +90,11 @@
         fp_record_free(&RAFT_MEMBERS_SCHEMA, &init.snapshot.members);
         store_close(s);
     }
+    void close()
+    {
+        store_close(s);
+        s = nullptr;
+    }
     enum fp_err append(uint64_t index, uint64_t term, const char *text)
     {
         fp_list bytes = {nullptr, 0};
@@ -302,6 +311,147 @@
     }
 }
 
+// Rewrites everything: a snapshot up to last_index (0: none), a vote and the
+// entries after it up to 6.
+fp_err rewrite(Opened &o, uint64_t last_index)
+{
+    raft_snapshot snap = {};
+    fp_list bytes = {nullptr, 0};
+    const raft_vote vote = {9, 7, 7};
+    snap.last_index = last_index;
+    snap.last_term = last_index > 0 ? 1 : 0;
+    snap.data = {(uint8_t *)"state", 5};
+    store_pack_vote(&bytes, &vote);
+    for (uint64_t i = last_index + 1; i <= 6; i++) {
+        std::string v = "v" + std::to_string(i);
+        raft_entry e = {i, 1, RAFT_CHANGE, {(uint8_t *)v.data(), 2}};
+        store_pack_entry(&bytes, &e);
+    }
+    fp_err err = store_rewrite(o.s, &snap, bytes.items, bytes.count);
+    g_free(bytes.items);
+    return err;
+}
+
+// A store that has failed takes writes again after a rewrite, whichever step
+// of it failed at first, and no entry is lost before or after.
+TEST(Store, ARewriteEndsAFailureAtAnyStep)
+{
+    for (int kind = 0; kind < 2; kind++) {
+        for (int step = 0; step < 7; step++) {
+            for (uint64_t snapshot : {0, 4}) {
+                Folder f;
+                fill(f, 6);
+                FaultyIo faulty;
+                store_io io = {faulty_write, faulty_sync, &faulty};
+                uint64_t id;
+                int *left = kind == 0 ? &faulty.writes_left
+                                      : &faulty.syncs_left;
+                {
+                    Opened o(f, &io);
+                    ASSERT_EQ(o.prepared, FP_OK);
+                    id = o.init.id;
+                    *left = 0;
+                    EXPECT_EQ(o.append(7, 1, "v7"), FP_ERR_DISK);
+                    *left = step;
+                    fp_err err = rewrite(o, snapshot);
+                    EXPECT_EQ(store_has_failed(o.s), err != FP_OK);
+                    *left = 1000;
+                    EXPECT_EQ(o.append(7, 2, "w7"), err);
+                }
+                Opened o(f, &io); // a restart instead of another rewrite
+                ASSERT_EQ(o.err, FP_OK) << o.why;
+                ASSERT_GE(o.init.entries.count, 1u);
+                EXPECT_EQ(((raft_entry *)o.init.entries.items)[0].index,
+                          o.init.snapshot.last_index + 1);
+                EXPECT_GE(o.init.snapshot.last_index + o.init.entries.count,
+                          6u);
+                EXPECT_EQ(o.init.id, id);
+                *left = 1000;
+                EXPECT_EQ(rewrite(o, snapshot), FP_OK);
+                EXPECT_EQ(o.append(7, 3, "x7"), FP_OK);
+                EXPECT_EQ(f.files("log-").size(), 1u);
+                EXPECT_EQ(f.files("").size(), snapshot > 0 ? 3u : 2u);
+                o.close();
+                Opened again(f);
+                ASSERT_EQ(again.err, FP_OK) << again.why;
+                EXPECT_EQ(again.init.vote.term, 9u);
+                EXPECT_EQ(again.text(again.init.entries.count - 1), "x7");
+            }
+        }
+    }
+}
+
+// A frame whose sync failed may be in the page cache and not on the disk: a
+// process that starts then must not take it for synced.
+TEST(Store, AFrameWhoseSyncFailedIsNotReadByALaterProcess)
+{
+    Folder f;
+    fill(f, 3);
+    FaultyIo faulty;
+    store_io io = {faulty_write, faulty_sync, &faulty};
+    {
+        Opened o(f, &io);
+        faulty.syncs_left = 0;
+        EXPECT_EQ(o.append(4, 1, "four"), FP_ERR_DISK);
+        EXPECT_STREQ(store_last_failure(o.s)->operation, "sync");
+    }
+    Opened o(f);
+    ASSERT_EQ(o.err, FP_OK) << o.why;
+    EXPECT_EQ(o.init.entries.count, 3u);
+}
+
+// What a killed process wrote last may be in the page cache only: it is synced
+// before the store takes writes, and a start with a disk that fails is no error.
+TEST(Store, AStartWithAFailingDiskReadsTheStateAndWaitsForARewrite)
+{
+    for (int kind = 0; kind < 3; kind++) {
+        Folder f;
+        FaultyIo faulty;
+        store_io io = {faulty_write, faulty_sync, &faulty};
+        if (kind < 2) {
+            fill(f, 6);
+        }
+        (kind == 1 ? faulty.syncs_left : faulty.writes_left) = 0;
+        faulty.syncs_left = kind == 0 ? 1 : faulty.syncs_left;
+        Opened o(f, &io);
+        ASSERT_EQ(o.err, FP_OK) << o.why;
+        EXPECT_EQ(o.prepared, FP_ERR_DISK) << "kind " << kind;
+        EXPECT_TRUE(store_has_failed(o.s));
+        EXPECT_EQ(o.init.entries.count, kind < 2 ? 6u : 0u);
+        EXPECT_EQ(o.append(7, 1, "v7"), FP_ERR_DISK);
+        faulty.syncs_left = faulty.writes_left = 1000;
+        EXPECT_EQ(o.append(7, 1, "v7"), FP_ERR_DISK);
+        EXPECT_EQ(rewrite(o, 0), FP_OK);
+        EXPECT_EQ(o.append(7, 1, "v7"), FP_OK);
+        o.close();
+        Opened again(f);
+        ASSERT_EQ(again.err, FP_OK) << again.why;
+        EXPECT_EQ(again.init.id, o.init.id);
+        EXPECT_EQ(again.init.entries.count, 7u);
+    }
+}
+
+// An identity file that can't be read now was taken for a missing one: the
+// replica lost its vote under its old identity.
+TEST(Store, AnIdentityThatCannotBeReadIsNotReplaced)
+{
+    Folder f;
+    fill(f, 1);
+    std::string path = f.path + "/identity";
+    std::string text = read_file(path);
+    g_unlink(path.c_str());
+    ASSERT_EQ(g_mkdir(path.c_str(), 0700), 0);
+    {
+        Opened o(f);
+        EXPECT_EQ(o.err, FP_ERR_DISK);
+    }
+    EXPECT_EQ(f.files("identity").size(), 1u);
+    g_rmdir(path.c_str());
+    write_file(path, text);
+    Opened o(f);
+    EXPECT_EQ(o.err, FP_OK);
+}
+
 // Writes a snapshot up to an index, and a new log with a vote.
 fp_err write_snapshot(Opened &o, uint64_t last_index)
 {
