Replica: the size of the log bounds the data folder

What callers could see: hosts whose disks fill up by themselves, all at about the same entry, since every replica has the same log.

An entry may carry 500 ends with checkpoints of 1,023 bytes: 20,000 of them do not fit on 128 MB.

Change: one is also due when the log takes an eighth of limits.disk_mb (new, from the platform's limits), 64 MB where that is not told, with a pause of 10 s after one that could not be written.

--- a/node/replica.c
+++ b/node/replica.c
@@ -17,6 +17,8 @@
 /* Pauses before a disk that failed is written again. */
 #define DISK_RETRY_MIN_MS 100u
 #define DISK_RETRY_MAX_MS 1000u
+#define LOG_DEFAULT_MAX_MB 64u
+#define LOG_DISK_DIVISOR 8u /* part of the disk that the log may take */
 #define OPEN_RETRY_MS 200u
 #define OPEN_REPORT_TRIES 50u
 #define SNAPSHOT_RETRY_MS 10000u /* after a snapshot that was not written */
@@ -154,7 +156,9 @@
     if (replica->disk == NULL) {
         return 0;
     }
-    return disk_write_snapshot(replica->disk, snap, vote, entries, count);
+    replica->snapshot_write =
+        disk_write_snapshot(replica->disk, snap, vote, entries, count);
+    return replica->snapshot_write;
 }
 
 static uint64_t
@@ -373,15 +377,45 @@
     send_hello(replica, NULL);
 }
 
-/* Takes a snapshot once the log has snapshot_entries entries. */
+/* Returns the size of the log at which a snapshot is due. While one is taken
+ * the folder holds two snapshots and two logs.
+ */
+static uint64_t
+log_bytes_max(const struct replica *replica)
+{
+    uint64_t disk_mb = replica->settings->limits.disk_mb;
+
+    return (disk_mb == 0 ? LOG_DEFAULT_MAX_MB : disk_mb / LOG_DISK_DIVISOR) *
+           1024 * 1024;
+}
+
+/* Load pattern: few entries that are large, such as ends with checkpoints or
+ * large configurations, fill a small disk long before snapshot_entries.
+ */
+static bool
+is_snapshot_due(const struct replica *replica, uint64_t now_ms)
+{
+    if (raft_awaits_disk(replica->raft) ||
+        now_ms < replica->snapshot_retry_ms) {
+        return false;
+    }
+    if (raft_log_length(replica->raft) >=
+        replica->settings->snapshot_entries) {
+        return true;
+    }
+    /* The size of the log falls once the last snapshot is written. */
+    return replica->disk != NULL &&
+           replica->synced_write >= replica->snapshot_write &&
+           disk_log_bytes(replica->disk) >= log_bytes_max(replica);
+}
+
 static void
-compact_if_due(struct replica *replica)
+compact_if_due(struct replica *replica, uint64_t now_ms)
 {
     uint64_t index = raft_applied_index(replica->raft);
     struct fp_blob state = {NULL, 0};
 
-    if (raft_log_length(replica->raft) < replica->settings->snapshot_entries ||
-        raft_awaits_disk(replica->raft)) {
+    if (!is_snapshot_due(replica, now_ms)) {
         return;
     }
     if (replica->disk != NULL) {
@@ -411,7 +445,7 @@
         raft_leader_host(replica->raft)[0] == '\0') {
         broadcast_hello(replica, now_ms);
     }
-    compact_if_due(replica);
+    compact_if_due(replica, now_ms);
 }
 
 /* Runs once in each iteration of the loop, so that the changes proposed in it
--- a/node/replicapriv.h
+++ b/node/replicapriv.h
@@ -84,6 +84,7 @@
     uint64_t disk_recovered_ms;    /* when it last took them again */
     uint64_t disk_retry_ms;        /* when to write again; 0: not due */
     uint64_t disk_pause_ms;        /* before the next retry */
+    uint64_t snapshot_write;       /* number of the last snapshot's write */
     uint64_t snapshot_failures;
     uint64_t snapshot_retry_ms; /* no snapshot before this time */
 };
--- a/node/settings.c
+++ b/node/settings.c
@@ -62,6 +62,8 @@
                      memory_mb),
     CYAML_FIELD_UINT("max_fds", CYAML_FLAG_OPTIONAL, struct settings_limits,
                      max_fds),
+    CYAML_FIELD_UINT("disk_mb", CYAML_FLAG_OPTIONAL, struct settings_limits,
+                     disk_mb),
     CYAML_FIELD_FLOAT("link_mbps", CYAML_FLAG_OPTIONAL, struct settings_limits,
                       link_mbps),
     CYAML_FIELD_END};
@@ -261,6 +263,7 @@
                      why_bytes) ||
         !check_limit("max_fds", limits->max_fds, 64, 1 << 24, why,
                      why_bytes) ||
+        !check_limit("disk_mb", limits->disk_mb, 8, 1 << 24, why, why_bytes) ||
         !check_limit("link_mbps", limits->link_mbps, 0.01, 1e6, why,
                      why_bytes)) {
         return false;
--- a/node/settings.h
+++ b/node/settings.h
@@ -55,6 +55,7 @@
 struct settings_limits {
     uint32_t memory_mb; /* 16 to 16777216 */
     uint32_t max_fds;   /* 64 to 16777216: open descriptors */
+    uint32_t disk_mb;   /* 8 to 16777216: room for the data folder */
     double link_mbps;   /* 0.01 to 1000000 */
     uint32_t link_kbps; /* set by settings_load() from link_mbps */
 };
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -493,7 +493,7 @@
     for i in range(1, len(steps)):
         steps[i]["after"] = [i - 1]
     spec = {"cpu": 2000, "ms": options.ms or 50 + rng.randrange(200),
-            "saves": True}
+            "saves": True, "padding": "x" * options.padding}
     for step in steps:
         step["checkpointing"] = True
     if options.deadly and rng.random() < options.deadly:
@@ -556,6 +556,8 @@
     parser.add_argument("--gap", type=float, default=0.02)
     parser.add_argument("--ms", type=int, default=0,
                         help="run time of each task; 0: 50 to 250")
+    parser.add_argument("--padding", type=int, default=0,
+                        help="bytes added to each job")
     parser.add_argument("--patience", type=float, default=20)
     parser.add_argument("--version", type=int, default=1)
     options = parser.parse_args()
--- a/tests/store_test.cc
+++ b/tests/store_test.cc
@@ -592,6 +592,7 @@
          "limits.memory_mb: 4 is outside 16"},
         {GOOD + "limits:\n  link_mbps: -1\n", "limits.link_mbps: -1"},
         {GOOD + "limits:\n  max_fds: 8\n", "limits.max_fds: 8 is outside"},
+        {GOOD + "limits:\n  disk_mb: 3\n", "limits.disk_mb: 3 is outside"},
         {GOOD + "limits:\n  cores: 2\n", "cores"},
         {GOOD + "log:\n  level: loud\n", "log.level: 'loud'"},
         {GOOD + "snapshot_entries: 5\n", "snapshot_entries: 5 is outside"},
