--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -6,7 +6,7 @@
 Runs three core hosts, two front ends, targets behind loopback proxies, callers
 and an operator. Faults are drawn from the seed and may overlap: processes are
 killed, paused, or stopped and restarted; data folders are lost or end in a torn
-record; connections to targets are delayed, reset, blocked, or blocked only for
+record, their disks refuse or hang (tests/faultdisk.c); connections to targets are delayed, reset, blocked, or blocked only for
 responses; targets restart. One of two zones is evacuated now and then. A queue
 moves between two services or is removed; hosts start with leases of unlike length.
 Some callers use their connections until the process is gone.
@@ -122,6 +122,20 @@
         self.first_start = True
         self.exit_expected = False
         self.fault_active = False
+        self.disk_faults = 0  # in progress, or ended just now
+
+    def set_disk(self, mode):
+        with open(self.folder + ".mode.new", "w") as out:
+            out.write(mode)
+        os.rename(self.folder + ".mode.new", self.folder + ".mode")
+
+    def environment(self):
+        library = os.path.join(os.path.dirname(self.soak.binary),
+                               "faultdisk.so")
+        return dict(os.environ, LD_PRELOAD=os.path.abspath(library),
+                    FAULTDISK_FOLDER=self.folder + "/",
+                    FAULTDISK_MODE=self.folder + ".mode",
+                    ASAN_OPTIONS="verify_asan_link_order=0")
 
     def settings(self):
         port = self.soak.port
@@ -145,7 +159,8 @@
         log = open(self.folder + ".log", "ab")
         self.process = await asyncio.create_subprocess_exec(
             self.soak.binary, "node", path, stdout=log,
-            stderr=open(self.folder + ".err", "ab"))
+            stderr=open(self.folder + ".err", "ab"),
+            env=self.environment() if self.is_core else None)
         log.close()
         asyncio.ensure_future(self.report_unexpected_exit(self.process))
 
@@ -349,6 +364,16 @@
         await asyncio.sleep(0.5)
         node.fault_active = False
 
+    async def inject_disk_fault(self, node, mode):
+        """Overlaps with faults of the process. The host votes again within a
+        second or two of the end."""
+        node.disk_faults += 1
+        node.set_disk(mode)
+        await asyncio.sleep(0.3 + 3 * self.rng.random())
+        node.set_disk("")
+        await asyncio.sleep(2.5)
+        node.disk_faults -= 1
+
     async def inject_link_fault(self, proxy, kind):
         if kind == "reset":
             proxy.reset_all()
@@ -360,7 +385,7 @@
         """Allows one lost disk in 12 s, so that the replica is replaced
         before the next, and only if no other core host has a fault."""
         now = time.monotonic()
-        if any(n.fault_active for n in self.nodes
+        if any(n.fault_active or n.disk_faults for n in self.nodes
                if n.is_core and n is not node):
             return False
         if now < self.last_disk_loss_s + 12:
@@ -380,6 +405,10 @@
                                                 self.may_lose_disk(node)):
                     kind = "kill"
                 asyncio.ensure_future(self.inject_node_fault(node, kind))
+            elif draw < 0.65 and node.is_core:
+                asyncio.ensure_future(self.inject_disk_fault(
+                    node, self.rng.choice(["full", "sync", "files", "stall",
+                                           "snapshot"])))
             elif draw < 0.9:
                 proxy = self.rng.choice(self.proxies)
                 asyncio.ensure_future(self.inject_link_fault(
@@ -439,7 +468,8 @@
                              self.run_evacuations(deadline),
                              self.inject_faults(deadline))
         self.calm = True
-        while any(node.fault_active for node in self.nodes):
+        while any(node.fault_active or node.disk_faults
+                  for node in self.nodes):
             await asyncio.sleep(0.2)
         for proxy in self.proxies:
             proxy.mode = "pass"
