Policy: the log tells what it answered, and what a step waits for

policy.answered has the asking host, the status, the bytes, the entries that could not be read and what the asking host waited; step.waits tells, of the targets named to the policy, those granted, refused, without an answer and with an expired ticket, and the tasks that the granted ones have room for; explain prints both. Metrics policy_failures_total, policy_unread_entries_total. The stand-in's policy can be slow, silent or busy, answer errors, cut bodies and unreadable rows, and its targets check the age of tickets; the soak uses it.

No change of placement.

--- a/base/event.c
+++ b/base/event.c
@@ -117,13 +117,23 @@
          "runs: none of them can run it"},
     [EVENT_STEP_WAITING] =
         {"step.waits", 100,
-         "id idle why waited_ms granted free_cpu free_accel beyond_share",
-         "a step has waited for more than a second"},
+         "id idle why waited_ms named granted refused asking expired fitting "
+         "free_cpu free_accel beyond_share",
+         "a step has waited for more than a second; of the targets named to "
+         "the "
+         "placement policy: granted, refused, without an answer yet, granted "
+         "with "
+         "a ticket that has expired; fitting: tasks that the granted ones "
+         "have "
+         "room for"},
     [EVENT_POLICY_ASKED] = {"policy.asked", 200, "id asker named expected_ms",
                             "the placement policy is asked about a step"},
     [EVENT_POLICY_ANSWERED] =
-        {"policy.answered", 200, "id granted error took_ms",
-         "the policy's answer arrived or the request failed"},
+        {"policy.answered", 200,
+         "id asker granted error status bytes unread took_ms policy_ms",
+         "the policy's answer arrived or the request failed; policy_ms is "
+         "what "
+         "the asking host waited for it"},
     [EVENT_RUN_START_ORDERED] =
         {"run.ordered", 500, "id run target waited_ms estimate_ms resumes",
          "a task was placed and its start was ordered"},
--- a/cli/explain.c
+++ b/cli/explain.c
@@ -36,6 +36,8 @@
     const struct log_line *run_failed;
     const struct log_line *longest_wait;
     const struct log_line *slowest_answer; /* of the placement policy */
+    const struct log_line *failed_answer;  /* of the same */
+    uint32_t failed_answer_count;
     uint32_t failed_run_count;
     uint32_t moved_count;
     uint32_t lost_suspect_count; /* lost runs that may have crashed a target */
@@ -124,11 +126,24 @@
     return history->accepted != NULL && history->ended == NULL;
 }
 
+/* Whether a line is an answer of the placement policy that could not be used.
+ */
+static bool
+is_failed_answer(const struct log_line *line)
+{
+    return strcmp(line->event, "policy.answered") == 0 &&
+           strcmp(string_field(line, "error"), "ok") != 0;
+}
+
 static void
 add_line(struct job_history *history, const struct log_line *line)
 {
     const char *event = line->event;
 
+    if (is_failed_answer(line)) {
+        history->failed_answer = line;
+        history->failed_answer_count++;
+    }
     if (strcmp(event, "job.accepted") == 0) {
         history->accepted = line;
     }
@@ -213,6 +228,31 @@
     printf("  [%s]\n", line->file_name);
 }
 
+/* What the placement policy had answered when a step waited longest. */
+static void
+print_policy_answers(const struct job_history *history)
+{
+    const struct log_line *wait = history->longest_wait;
+    const struct log_line *failed = history->failed_answer;
+
+    if (wait != NULL && integer_field(wait, "named") > 0) {
+        printf("The placement policy was asked about %lld targets: %lld "
+               "granted, %lld of them with a ticket that had expired, %lld "
+               "refused, %lld without an answer; the granted ones had room "
+               "for %lld tasks.\n",
+               integer_field(wait, "named"), integer_field(wait, "granted"),
+               integer_field(wait, "expired"), integer_field(wait, "refused"),
+               integer_field(wait, "asking"), integer_field(wait, "fitting"));
+    }
+    if (failed != NULL) {
+        printf("%u of its answers could not be used, the last one from %s: "
+               "%s, status %lld, %lld bytes.\n",
+               history->failed_answer_count, string_field(failed, "asker"),
+               string_field(failed, "error"), integer_field(failed, "status"),
+               integer_field(failed, "bytes"));
+    }
+}
+
 /* Prints why a completed job exceeded its objective: the first that applies of
  * the causes below, in order of precedence.
  */
@@ -325,6 +365,7 @@
         printf("The job was beyond its team's share: work within shares went "
                "before it.\n");
     }
+    print_policy_answers(history);
     if (history->ended != NULL) {
         print_ended_cause(history);
     }
--- a/core/fleetrec.c
+++ b/core/fleetrec.c
@@ -467,6 +467,10 @@
     LIST(call_answer, tickets, FLEET_QUERY_TARGETS_MAX, CALL_TICKET_SCHEMA),
     LIST(call_answer, evacuations, FLEET_DATA_CENTRES_MAX,
          CALL_EVACUATION_SCHEMA),
+    U32(call_answer, policy_status),
+    U32(call_answer, policy_bytes),
+    U32(call_answer, policy_unread),
+    U32(call_answer, policy_took_ms),
 };
 const struct fp_schema CALL_ANSWER_SCHEMA =
     SCHEMA("call-answer", 137, call_answer, CALL_ANSWER_FIELDS);
--- a/core/fleetrec.h
+++ b/core/fleetrec.h
@@ -423,6 +423,12 @@
     struct fp_list tickets;     /* struct call_ticket; CALL_ADVISE */
     struct fp_list evacuations; /* struct call_evacuation;
                                  * CALL_READ_EVACUATIONS */
+    /* CALL_ADVISE: the fields of struct policy_reply; all 0 from hosts of
+     * older versions. */
+    uint32_t policy_status;
+    uint32_t policy_bytes;
+    uint32_t policy_unread;
+    uint32_t policy_took_ms;
 };
 
 /* An evacuation in force. */
--- a/core/plan.c
+++ b/core/plan.c
@@ -529,11 +529,7 @@
         wait.free_accel =
             pool->capacity.accel - MIN(pool->used.accel, pool->capacity.accel);
     }
-    for (guint i = 0; step->tickets != NULL && i < step->tickets->len; i++) {
-        wait.granted +=
-            g_array_index(step->tickets, struct plan_ticket, i).state ==
-            TICKET_GRANTED;
-    }
+    plan_count_tickets(step, &wait, now_ms);
     plan->ops.on_step_waiting(plan->ops.ctx, &wait);
 }
 
--- a/core/plan.h
+++ b/core/plan.h
@@ -116,7 +116,13 @@
     struct fleet_task_id step;
     const char *reason; /* free text, for the log */
     uint32_t pending;   /* tasks that wait */
-    uint32_t granted;   /* targets that the policy allows */
+    /* Targets that were named to the policy, by its answer; 0 without one. */
+    uint32_t named;
+    uint32_t granted;
+    uint32_t refused;
+    uint32_t asking;  /* without an answer yet */
+    uint32_t expired; /* granted, but the ticket has expired */
+    uint32_t fitting; /* tasks that granted targets have room for */
     uint64_t waited_ms;
     uint64_t free_cpu_milli; /* on all usable targets of the service */
     uint64_t free_accel;     /* accelerators free on those targets */
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -483,6 +483,9 @@
 const char *plan_valid_ticket(const struct plan_step *step,
                               const struct plan_target *target,
                               uint64_t now_ms);
+/* Fills in what the policy has answered on the targets named so far. */
+void plan_count_tickets(const struct plan_step *step, struct plan_wait *wait,
+                        uint64_t now_ms);
 /* Marks a ticket as invalid; the grant remains. */
 void plan_expire_ticket(struct plan_step *step,
                         const struct plan_target *target);
--- a/core/planticket.c
+++ b/core/planticket.c
@@ -349,6 +349,24 @@
     return tasks;
 }
 
+void
+plan_count_tickets(const struct plan_step *step, struct plan_wait *wait,
+                   uint64_t now_ms)
+{
+    for (guint i = 0; step->tickets != NULL && i < step->tickets->len; i++) {
+        const struct plan_ticket *ticket =
+            &g_array_index(step->tickets, struct plan_ticket, i);
+
+        wait->named++;
+        wait->granted += ticket->state == TICKET_GRANTED;
+        wait->refused += ticket->state == TICKET_REFUSED;
+        wait->asking += ticket->state == TICKET_PENDING;
+        wait->expired += ticket->state == TICKET_GRANTED &&
+                         now_ms >= ticket->valid_until_ms;
+    }
+    wait->fitting = (uint32_t)MIN(granted_capacity(step, now_ms), UINT32_MAX);
+}
+
 /* Whether the granted targets have free capacity for the whole gang, or for
  * one task if the step is not a gang. */
 static bool
--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -660,7 +660,11 @@
     EVENT(EVENT_STEP_WAITING, EVENT_STR("id", id),
           EVENT_INT("idle", wait->pending), EVENT_STR("why", wait->reason),
           EVENT_INT("waited_ms", wait->waited_ms),
-          EVENT_INT("granted", wait->granted),
+          EVENT_INT("named", wait->named), EVENT_INT("granted", wait->granted),
+          EVENT_INT("refused", wait->refused),
+          EVENT_INT("asking", wait->asking),
+          EVENT_INT("expired", wait->expired),
+          EVENT_INT("fitting", wait->fitting),
           EVENT_INT("free_cpu", wait->free_cpu_milli),
           EVENT_INT("free_accel", wait->free_accel),
           EVENT_INT("beyond_share", wait->beyond_share));
@@ -774,6 +778,18 @@
     return plan_gauges(dispatch->plan);
 }
 
+uint64_t
+dispatch_policy_failures(const struct dispatch *dispatch)
+{
+    return dispatch->policy_failures;
+}
+
+uint64_t
+dispatch_policy_unread(const struct dispatch *dispatch)
+{
+    return dispatch->policy_unread;
+}
+
 uint64_t
 dispatch_checkpoints_refused(const struct dispatch *dispatch)
 {
--- a/node/dispatch.h
+++ b/node/dispatch.h
@@ -74,7 +74,11 @@
 const struct dispatch_times *dispatch_times(const struct dispatch *dispatch);
 const struct plan_counters *dispatch_counters(const struct dispatch *dispatch);
 struct plan_gauges dispatch_gauges(const struct dispatch *dispatch);
-/* Number of listed checkpoints that were too long to be stored. */
+/* Queries to the placement policy that failed, entries of its answers that
+ * could not be read, and listed checkpoints that were too long to be stored.
+ */
+uint64_t dispatch_policy_failures(const struct dispatch *dispatch);
+uint64_t dispatch_policy_unread(const struct dispatch *dispatch);
 uint64_t dispatch_checkpoints_refused(const struct dispatch *dispatch);
 
 /* The state for diagnosis; the caller owns the reference. */
--- a/node/dispatchask.c
+++ b/node/dispatchask.c
@@ -38,21 +38,36 @@
 }
 
 static void
-finish_policy_query(struct policy_query *query, enum fp_err err,
-                    const struct call_ticket *tickets, uint32_t count)
+log_policy_reply(const struct policy_query *query,
+                 const struct policy_reply *reply, uint64_t took_ms)
+{
+    char id[FLEET_TASK_ID_TEXT_BYTES];
+
+    fleet_step_id_text(&query->pending->task, id, sizeof(id));
+    EVENT(EVENT_POLICY_ANSWERED, EVENT_STR("id", id),
+          EVENT_STR("asker", query->host[0] != '\0' ? query->host : "here"),
+          EVENT_INT("granted", reply->count),
+          EVENT_STR("error", fp_err_row(reply->err)->name),
+          EVENT_INT("status", reply->status), EVENT_INT("bytes", reply->bytes),
+          EVENT_INT("unread", reply->unread), EVENT_INT("took_ms", took_ms),
+          EVENT_INT("policy_ms", reply->took_ms));
+}
+
+static void
+finish_policy_query(struct policy_query *query,
+                    const struct policy_reply *reply)
 {
     struct pending_request *pending = query->pending;
     struct dispatch *dispatch = pending->dispatch;
-    char id[FLEET_TASK_ID_TEXT_BYTES];
+    enum fp_err err = reply->err;
+    uint64_t now_ms = clock_mono_ms();
+    uint64_t took_ms = now_ms - pending->sent_ms;
 
     if (dispatch != NULL) {
-        histogram_add(&dispatch->times.policy_query_ms,
-                      clock_mono_ms() - pending->sent_ms);
-        fleet_step_id_text(&pending->task, id, sizeof(id));
-        EVENT(EVENT_POLICY_ANSWERED, EVENT_STR("id", id),
-              EVENT_INT("granted", count),
-              EVENT_STR("error", fp_err_row(err)->name),
-              EVENT_INT("took_ms", clock_mono_ms() - pending->sent_ms));
+        histogram_add(&dispatch->times.policy_query_ms, took_ms);
+        dispatch->policy_failures += err != FP_OK;
+        dispatch->policy_unread += reply->unread;
+        log_policy_reply(query, reply, took_ms);
     }
     if (dispatch != NULL) {
         struct policy_helper *helper =
@@ -67,8 +82,8 @@
         if (query->host[0] == '\0') {
             dispatch->local_query_pending = false;
         }
-        plan_policy_answered(dispatch->plan, &pending->task, err, tickets,
-                             count, clock_mono_ms());
+        plan_policy_answered(dispatch->plan, &pending->task, err,
+                             reply->tickets, reply->count, now_ms);
     }
     dispatch_drop_pending(pending);
     g_free(query);
@@ -78,18 +93,27 @@
 on_helper_answered(void *ctx, enum fp_err err,
                    const struct call_answer *answer)
 {
-    if (err == FP_OK && answer->err != FP_OK) {
-        err = answer->err;
+    struct policy_reply reply = {.err = err,
+                                 .tickets = answer->tickets.items,
+                                 .count = answer->tickets.count,
+                                 .status = answer->policy_status,
+                                 .bytes = answer->policy_bytes,
+                                 .unread = answer->policy_unread,
+                                 .took_ms = answer->policy_took_ms};
+
+    if (err == FP_OK) {
+        reply.err = answer->err;
+    }
+    if (reply.err != FP_OK) {
+        reply.count = 0;
     }
-    finish_policy_query(ctx, err, answer->tickets.items,
-                        err == FP_OK ? answer->tickets.count : 0);
+    finish_policy_query(ctx, &reply);
 }
 
 static void
-on_policy_answered(void *ctx, enum fp_err err,
-                   const struct call_ticket *tickets, uint32_t count)
+on_policy_answered(void *ctx, const struct policy_reply *reply)
 {
-    finish_policy_query(ctx, err, tickets, count);
+    finish_policy_query(ctx, reply);
 }
 
 /* Finds an idle helper; NULL when none is, or when the idle ones are reserved
--- a/node/fleetmetrics.c
+++ b/node/fleetmetrics.c
@@ -255,6 +255,10 @@
 
         add_plan_gauges(out, &gauges);
         add_plan_counters(out, dispatch_counters(sources->dispatch));
+        add_value(out, "policy_failures_total",
+                  dispatch_policy_failures(sources->dispatch));
+        add_value(out, "policy_unread_entries_total",
+                  dispatch_policy_unread(sources->dispatch));
         add_value(out, "checkpoints_refused_total",
                   dispatch_checkpoints_refused(sources->dispatch));
         add_lost_runs(out, sources->fleet);
--- a/node/fleetnode.c
+++ b/node/fleetnode.c
@@ -310,12 +310,17 @@
 };
 
 static void
-on_policy_answered(void *ctx, enum fp_err err,
-                   const struct call_ticket *tickets, uint32_t count)
+on_policy_answered(void *ctx, const struct policy_reply *reply)
 {
     struct pending_policy_query *pending = ctx;
     struct call_answer answer = {
-        .err = err, .tickets = {(void *)tickets, err == FP_OK ? count : 0}};
+        .err = reply->err,
+        .tickets = {(void *)reply->tickets,
+                    reply->err == FP_OK ? reply->count : 0},
+        .policy_status = reply->status,
+        .policy_bytes = reply->bytes,
+        .policy_unread = reply->unread,
+        .policy_took_ms = reply->took_ms};
 
     relay_answer(pending->relay, &pending->caller, FP_OK, &answer);
     g_free(pending);
--- a/node/orders.h
+++ b/node/orders.h
@@ -69,10 +69,19 @@
     void *channel;
 };
 
-/* Reports the end of a query to the placement policy. tickets is valid during
- * the call. */
-typedef void (*policy_done)(void *ctx, enum fp_err err,
-                            const struct call_ticket *tickets, uint32_t count);
+/* The placement policy's answer to a query, as the client received it. */
+struct policy_reply {
+    enum fp_err err;
+    const struct call_ticket *tickets;
+    uint32_t count;
+    uint32_t status;  /* of HTTP; 0: no answer */
+    uint32_t bytes;   /* of the answer's body */
+    uint32_t unread;  /* entries of the answer that could not be read */
+    uint32_t took_ms; /* from the query to the answer, at the client */
+};
+
+/* Called once for each query. reply is valid during the call. */
+typedef void (*policy_done)(void *ctx, const struct policy_reply *reply);
 
 /* A client of the placement policy, for one query at a time. */
 struct policy_client {
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -7,7 +7,8 @@
 and an operator. Faults are drawn from the seed and may overlap: processes are
 killed, paused, or stopped and restarted; data folders are lost or end in a torn
 record, their disks refuse or hang (tests/faultdisk.c); connections to targets are delayed, reset, blocked, or blocked only for
-responses; targets restart. One of two zones is evacuated now and then. A queue
+responses; targets restart. The placement policy is slow, silent, or answers
+with errors, cut bodies and rows that cannot be read. One of two zones is evacuated now and then. A queue
 moves between two services or is removed; hosts start with leases of unlike length.
 Some callers use their connections until the process is gone.
 
@@ -225,7 +226,8 @@
             self.proxies.append(proxy)
             asyncio.ensure_future(target.run())
         await standin.serve_policy("127.0.0.9:%d" % (self.port + 5),
-                                   self.options.invalid, self.options.seed)
+                                   self.options.invalid, self.options.seed,
+                                   self.options.policy_faults)
 
     def draw_config(self, version):
         """A configuration whose second queue may be on the other service, or,
@@ -517,6 +519,7 @@
     options.failures = options.resize = 0
     options.zones = 2
     options.invalid = 0.02
+    options.policy_faults = 0.1
     soak = Soak(options)
     # Targets listen on a port of their own, next to that of their proxies.
     options.port = options.port + 7
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -285,6 +285,9 @@
             return 409, {"clock_ms": self.clock_ms(), "reason": "old"}
         if body["deadline_ms"] <= self.clock_ms():
             return 409, {"clock_ms": self.clock_ms(), "reason": "late"}
+        if not ticket_is_valid(body.get("ticket", "%s@%d" % (self.id, 1 << 52)),
+                               self.id):
+            return 409, {"clock_ms": self.clock_ms(), "reason": "ticket"}
         where = "run %d on %s, %d ms after its start" % (run, self.id,
                                                          self.clock_ms())
         self.checker.check_evacuated(self, where)
@@ -416,17 +419,49 @@
             await asyncio.sleep(0.01)
 
 
-async def serve_policy(address, invalid=0.0, seed=1):
+TICKET_MS = 1500
+POLICY_FAULTS = ["slow", "busy", "status", "cut", "rows", "silent"]
+
+
+def ticket_is_valid(ticket, target):
+    """Tickets are "ID@TIME", with the time of their issue in milliseconds."""
+    name, _, issued_ms = ticket.partition("@")
+    return (name == target and
+            time.monotonic() * 1000 <= int(issued_ms) + TICKET_MS)
+
+
+async def serve_policy(address, invalid=0.0, seed=1, faults=0.0):
     """Serves a placement policy that grants about 7 of 10 targets to a step,
-    always the same ones. invalid: share of answers with an invalid entry."""
+    always the same ones and one of the first four. invalid: share of answers with an invalid entry;
+    faults: share of queries that meet one of POLICY_FAULTS."""
     rng = random.Random(seed)
 
     async def answer_query(_path, _fields, body):
         await asyncio.sleep(0.005 + 0.0002 * len(body["workers"]))
-        granted = [w for w in body["workers"]
-                   if zlib.crc32((body["step"][:18] + w).encode()) % 10 < 7]
-        answer = {"granted": [[w, "ticket-" + w] for w in granted],
-                  "valid_ms": 1500}
+        fault = rng.choice(POLICY_FAULTS) if rng.random() < faults else ""
+        if fault == "slow":
+            await asyncio.sleep(0.2 + 1.5 * rng.random())
+        issued_ms = int(time.monotonic() * 1000)
+        step = body["step"][:18]
+        sure = "t-%03d" % (zlib.crc32(step.encode()) % 4)
+        granted = [[w, "%s@%d" % (w, issued_ms)] for w in body["workers"]
+                   if w.startswith(sure) or
+                   zlib.crc32((step + w).encode()) % 10 < 7]
+        answer = {"granted": granted, "valid_ms": TICKET_MS}
+        if fault == "busy":
+            return 429, {}
+        if fault == "status":
+            return rng.choice([400, 404, 500, 503]), {}
+        if fault == "silent":
+            return None
+        if fault == "cut":
+            data = json.dumps(answer).encode()
+            return 200, data[:rng.randrange(len(data))]
+        if fault == "rows":  # the rows of some targets cannot be read
+            answer["granted"] = [row if rng.random() < 0.3 else
+                                 rng.choice([None, [5, row[1]], row[:1],
+                                             [row[0], None]])
+                                 for row in granted]
         if rng.random() < invalid:
             return 200, add_invalid_entries(answer, rng)
         return 200, answer
@@ -439,7 +474,7 @@
     targets = [Target(i, options, checker, rng) for i in range(options.count)]
 
     await serve_policy("127.0.0.9:%d" % options.port, options.invalid,
-                       options.seed)
+                       options.seed, options.policy_faults)
     for target in targets:
         asyncio.ensure_future(target.run())
     def deafen_half():
@@ -550,6 +585,9 @@
     parser.add_argument("--resize", type=float, default=0)
     parser.add_argument("--invalid", type=float, default=0,
                         help="share of lists with an invalid entry")
+    parser.add_argument("--policy-faults", type=float, default=0,
+                        help="share of queries that the policy answers late, "
+                        "oddly or not at all")
     parser.add_argument("--zones", type=int, default=1)
     parser.add_argument("--evacuated", default="")
     parser.add_argument("--deadly", type=float, default=0)
