Plan: an answer that was not all read refuses no target for good

Cause: a target that was named and has no ticket in the answer counted as refused, and nothing cleared that. One whose row could not be read has no ticket either. Once all targets are named the step waits for ever.

That the operators' policy answers so is not shown: their record shows one "corrupt" answer, whose status was not logged.

Change: such targets are named again after 0.1 s, doubled with each such answer in a row up to 6.4 s; refusals of a step to which nothing is granted are forgotten after 10 s.

--- a/bench/simlead.c
+++ b/bench/simlead.c
@@ -674,6 +674,17 @@
     return true;
 }
 
+static void
+on_policy_answer(struct sim *sim, const struct sim_event *event)
+{
+    const struct plan_policy_answer answer = {
+        event->unanswered ? FP_ERR_UNKNOWN_OUTCOME : FP_OK,
+        (const struct call_ticket *)(void *)event->tickets->data,
+        event->unanswered ? 0 : event->tickets->len, 0};
+
+    plan_policy_answered(sim->plan, &event->task, &answer, sim->now_ms);
+}
+
 void
 sim_on_leader_event(struct sim *sim, struct sim_event *event)
 {
@@ -691,11 +702,7 @@
         return;
     case SIM_POLICY_ANSWER:
         sim->busy_clients--;
-        plan_policy_answered(
-            sim->plan, &event->task,
-            event->unanswered ? FP_ERR_UNKNOWN_OUTCOME : FP_OK,
-            (const struct call_ticket *)(void *)event->tickets->data,
-            event->unanswered ? 0 : event->tickets->len, sim->now_ms);
+        on_policy_answer(sim, event);
         return;
     default:
         on_target_event(sim, event->target, event);
--- a/core/plan.h
+++ b/core/plan.h
@@ -332,11 +332,20 @@
                         const struct fleet_task_id *task, uint32_t run_number,
                         enum order_answer answer, uint64_t now_ms);
 
-/* The placement policy's answer to the query for a step. On an err other than
- * FP_OK the query is repeated. */
+/* The placement policy's answer to a query. */
+struct plan_policy_answer {
+    enum fp_err err; /* other than FP_OK: the query is repeated */
+    const struct call_ticket *tickets;
+    uint32_t count;
+    uint32_t unread; /* entries that could not be read: the targets without a
+                      * ticket may have been granted, and are named again */
+};
+
+/* The placement policy answered the query for a step, or no answer came.
+ * answer is needed during the call only. */
 void plan_policy_answered(struct plan *plan, const struct fleet_task_id *step,
-                          enum fp_err err, const struct call_ticket *tickets,
-                          uint32_t count, uint64_t now_ms);
+                          const struct plan_policy_answer *answer,
+                          uint64_t now_ms);
 
 /* Runs a scheduling pass: issues all orders that are possible now. Returns at
  * once when nothing changed and nothing is due. wall_ms: wall clock, since
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -109,15 +109,17 @@
 /* The placement policy's answer on one target for one step. */
 enum plan_ticket_state {
     TICKET_PENDING, /* no answer yet */
-    TICKET_REFUSED, /* the target may never run the step */
+    TICKET_REFUSED, /* the target may not run the step */
     TICKET_GRANTED  /* it may, with a ticket that is valid for a while */
 };
 
 struct plan_ticket {
     struct plan_target *target; /* a reference; it may be removed */
     enum plan_ticket_state state;
-    char *ticket;            /* NULL until one is granted */
-    uint64_t valid_until_ms; /* 0: no valid ticket */
+    char *ticket;              /* NULL until one is granted */
+    uint64_t valid_until_ms;   /* 0: no valid ticket */
+    bool doubtful;             /* refused by an answer that was not all read */
+    uint64_t refused_until_ms; /* then the target may be named again */
 };
 
 /* Classes of steps in scheduling order; by PLAN_POLICY_FIFO all steps are in
@@ -154,6 +156,7 @@
     bool is_trial;            /* its starts are trials; set before placement */
     uint64_t next_query_ms;   /* no policy query before this */
     uint32_t query_failures;  /* in a row; each doubles the timeout */
+    uint32_t unread_answers;  /* in a row, with entries that were unreadable */
     GArray *tickets;          /* struct plan_ticket; NULL: none */
     GHashTable *ticket_index; /* struct plan_target to its index in tickets,
                                * plus 1 */
--- a/core/planticket.c
+++ b/core/planticket.c
@@ -28,6 +28,15 @@
  * SHORT_QUERY_CLIENTS_MIN of them and never more than half. */
 #define SHORT_QUERY_CLIENTS_DIVISOR 4u
 #define SHORT_QUERY_CLIENTS_MIN 2u
+/* Workload: an answer whose rows can't all be read. A target without a
+ * readable row is named again after this, which doubles with each such answer
+ * in a row, up to so many times, as they may never be readable. */
+#define UNREAD_RETRY_MS 100u
+#define UNREAD_RETRY_DOUBLINGS_MAX 6u
+/* Workload: a step to which the policy has granted nothing. Its refusals stand
+ * for good by the policy's promise; without this a single wrong answer would
+ * keep the step from running for ever. */
+#define REFUSALS_KEPT_MS 10000u
 /* Subtracted from a ticket's validity, for network delay and clock skew. */
 #define TICKET_MARGIN_MS 250u
 /* A target counts as free soon if it is by this long after the answer. */
@@ -231,15 +240,40 @@
     return MIN(count, FLEET_QUERY_TARGETS_MAX);
 }
 
+/* Whether a target that could run the step is granted to it. */
+static bool
+has_grant(const struct plan_step *step)
+{
+    for (guint i = 0; step->tickets != NULL && i < step->tickets->len; i++) {
+        const struct plan_ticket *ticket =
+            &g_array_index(step->tickets, struct plan_ticket, i);
+
+        if (ticket->state == TICKET_GRANTED && !ticket->target->removed) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Gives each target that the step has named in a query the mark plan->mark, so
- * that a scan of all targets needs no look-up for each. */
+ * that a scan of all targets needs no look-up for each. Refused targets that
+ * may be named again get none. */
 static void
-mark_named_targets(struct plan *plan, const struct plan_step *step)
+mark_named_targets(struct plan *plan, const struct plan_step *step,
+                   uint64_t now_ms)
 {
+    bool granted = has_grant(step);
+
     plan->mark++;
     for (guint i = 0; step->tickets != NULL && i < step->tickets->len; i++) {
-        g_array_index(step->tickets, struct plan_ticket, i).target->mark =
-            plan->mark;
+        const struct plan_ticket *ticket =
+            &g_array_index(step->tickets, struct plan_ticket, i);
+
+        if (ticket->state != TICKET_REFUSED ||
+            (granted && !ticket->doubtful) ||
+            now_ms < ticket->refused_until_ms) {
+            ticket->target->mark = plan->mark;
+        }
     }
 }
 
@@ -276,14 +310,14 @@
  * capacity, largest first. answer_ms: see rank_by_room(). */
 static GArray *
 list_unqueried(struct plan *plan, const struct plan_step *step,
-               uint64_t answer_ms)
+               uint64_t answer_ms, uint64_t now_ms)
 {
     const GPtrArray *targets = step->job->pool->targets;
     GArray *list = g_array_new(FALSE, FALSE, sizeof(struct candidate));
     const struct fleet_resources size = plan_task_size(step->def);
     uint32_t max = plan_query_targets(plan, step->def);
 
-    mark_named_targets(plan, step);
+    mark_named_targets(plan, step, now_ms);
     for (guint i = 0; i < targets->len; i++) {
         struct plan_target *target = targets->pdata[i];
         struct candidate candidate = {target, 0};
@@ -412,7 +446,8 @@
 
     if (!is_granted_capacity_enough(step, now_ms)) {
         GArray *unqueried = list_unqueried(
-            plan, step, query_ms < PLAN_SHORT_QUERY_MS ? 0 : answer_ms);
+            plan, step, query_ms < PLAN_SHORT_QUERY_MS ? 0 : answer_ms,
+            now_ms);
 
         g_array_append_vals(list, unqueried->data, unqueried->len);
         g_array_free(unqueried, TRUE);
@@ -431,9 +466,14 @@
         struct plan_target *target =
             g_array_index(list, struct candidate, i).target;
 
-        if (find_ticket(step, target) == NULL) {
+        struct plan_ticket *ticket = find_ticket(step, target);
+
+        if (ticket == NULL) {
             add_ticket(step, target);
         }
+        else if (ticket->state == TICKET_REFUSED) {
+            ticket->state = TICKET_PENDING;
+        }
     }
     step->query_in_flight = true;
 }
@@ -459,10 +499,10 @@
 }
 
 /* Ends a query. Targets that an answer did not grant are refused; without an
- * answer, targets named for the first time are forgotten, so that they can be
- * named again. */
+ * answer they are forgotten, so that they can be named again. */
 static void
-resolve_queried(struct plan_step *step, bool answered)
+resolve_queried(struct plan_step *step, bool answered, bool doubtful,
+                uint64_t refused_until_ms)
 {
     for (guint i = step->tickets->len; i > 0; i--) {
         struct plan_ticket *ticket =
@@ -470,6 +510,8 @@
 
         if (ticket->state == TICKET_PENDING && answered) {
             ticket->state = TICKET_REFUSED;
+            ticket->doubtful = doubtful;
+            ticket->refused_until_ms = refused_until_ms;
         }
         else if (ticket->state == TICKET_PENDING) {
             remove_ticket(step, i - 1);
@@ -515,17 +557,31 @@
             plan->long_queries_blocked = true;
             plan->queries_blocked = query_ms < PLAN_SHORT_QUERY_MS;
             step->query_in_flight = false;
-            resolve_queried(step, false);
+            resolve_queried(step, false, false, 0);
         }
     }
     g_array_free(list, TRUE);
 }
 
+/* How long the targets that an answer did not grant are not named again. */
+static uint64_t
+refusal_ms(struct plan_step *step, const struct plan_policy_answer *answer)
+{
+    if (answer->unread == 0) {
+        step->unread_answers = 0;
+        return REFUSALS_KEPT_MS;
+    }
+    step->unread_answers++;
+    return (uint64_t)UNREAD_RETRY_MS
+           << MIN(step->unread_answers - 1, UNREAD_RETRY_DOUBLINGS_MAX);
+}
+
 void
 plan_policy_answered(struct plan *plan, const struct fleet_task_id *id,
-                     enum fp_err err, const struct call_ticket *tickets,
-                     uint32_t count, uint64_t now_ms)
+                     const struct plan_policy_answer *answer, uint64_t now_ms)
 {
+    enum fp_err err = answer->err;
+    const struct call_ticket *tickets = answer->tickets;
     struct fleet_job *job = fleet_find_job(plan->fleet, id->job_id);
     struct plan_job *pjob = job != NULL ? job->plan : NULL;
     uint32_t index;
@@ -541,7 +597,7 @@
     step = &pjob->steps[index];
     step->query_in_flight = false;
     plan->dirty = true;
-    for (uint32_t i = 0; err == FP_OK && i < count; i++) {
+    for (uint32_t i = 0; err == FP_OK && i < answer->count; i++) {
         struct fleet_target *target =
             fleet_find_target(plan->fleet, tickets[i].id);
         struct plan_ticket *ticket =
@@ -556,9 +612,13 @@
             ticket->ticket = g_strdup(tickets[i].ticket);
         }
     }
-    resolve_queried(step, err == FP_OK);
-    step->query_failures = err == FP_OK ? 0 : step->query_failures + 1;
     if (err != FP_OK) {
+        resolve_queried(step, false, false, 0);
+        step->query_failures++;
         step->next_query_ms = now_ms + QUERY_RETRY_MS;
+        return;
     }
+    resolve_queried(step, true, answer->unread > 0,
+                    now_ms + refusal_ms(step, answer));
+    step->query_failures = 0;
 }
--- a/node/dispatchask.c
+++ b/node/dispatchask.c
@@ -62,6 +62,8 @@
     enum fp_err err = reply->err;
     uint64_t now_ms = clock_mono_ms();
     uint64_t took_ms = now_ms - pending->sent_ms;
+    const struct plan_policy_answer answer = {err, reply->tickets,
+                                              reply->count, reply->unread};
 
     if (dispatch != NULL) {
         histogram_add(&dispatch->times.policy_query_ms, took_ms);
@@ -82,8 +84,7 @@
         if (query->host[0] == '\0') {
             dispatch->local_query_pending = false;
         }
-        plan_policy_answered(dispatch->plan, &pending->task, err,
-                             reply->tickets, reply->count, now_ms);
+        plan_policy_answered(dispatch->plan, &pending->task, &answer, now_ms);
     }
     dispatch_drop_pending(pending);
     g_free(query);
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -50,6 +50,9 @@
         MISSED=$((MISSED + 1))
     fi
 done <<'LIST'
+core/planticket.c	(granted && !ticket->doubtful) ||	true ||	Plan.ATargetWhoseRow*
+core/planticket.c	(granted && !ticket->doubtful) ||	false ||	Plan.RefusalsOf*
+core/planticket.c	<< MIN(step->unread_answers - 1, UNREAD_RETRY_DOUBLINGS_MAX)	<< 0	Plan.ATargetWhoseRow*
 core/pick.c	return host != NULL || refused_count == 0	return false	Pick.*
 core/cellwork.c	task->restarts >= RESTARTS_MAX	false	Cell.ATaskUnder*
 core/plancrash.c	            evidence = CRASH_UNSURE;	            ;	Crash.ACrashBeforeAStart*
--- a/tests/plan_ticket_test.cc
+++ b/tests/plan_ticket_test.cc
@@ -63,6 +63,60 @@
     EXPECT_EQ(sim.queries[1].targets, sim.queries[0].targets);
 }
 
+// A target whose row of an answer could not be read was refused for good: with
+// all targets named, the step never ran. The pause doubles while answers stay
+// unreadable, so that the policy isn't asked without end.
+TEST(Plan, ATargetWhoseRowCannotBeReadIsNamedAgain)
+{
+    FleetSim sim;
+    sim.configure({"q"}, true);
+    sim.put_target("t1");
+    sim.put_target("t2");
+    sim.become_leader();
+    sim.submit(1, {{.count = 1}});
+    sim.run_pass();
+    for (size_t i = 0; i < 5; i++) {
+        ASSERT_EQ(sim.queries.size(), i + 1);
+        EXPECT_EQ(sim.queries[i].targets.size(), 2u);
+        sim.answer_query(sim.queries[i], {}, FP_OK, 1);
+        sim.run_pass((100u << i) - 10);
+        EXPECT_EQ(sim.queries.size(), i + 1) << "after its pause only";
+        for (int k = 0; k < 20 && sim.queries.size() == i + 1; k++) {
+            sim.run_pass(10);
+        }
+    }
+    ASSERT_EQ(sim.queries.size(), 6u);
+    sim.answer_query(sim.queries[5], {"t2"}, FP_OK, 1);
+    sim.run_pass(1);
+    ASSERT_EQ(sim.start_orders.size(), 1u);
+    EXPECT_EQ(sim.start_orders[0].target, "t2");
+}
+
+// A step to which nothing is granted is asked about again after some time, one
+// that has a grant is not.
+TEST(Plan, RefusalsOfAllTargetsDoNotStandForGood)
+{
+    FleetSim sim;
+    sim.configure({"q"}, true);
+    sim.put_target("t1");
+    sim.put_target("t2");
+    sim.become_leader();
+    sim.submit(1, {{.count = 1}});
+    sim.run_pass();
+    sim.answer_query(sim.queries[0], {});
+    sim.run_pass(9000);
+    EXPECT_EQ(sim.queries.size(), 1u);
+    sim.run_pass(1100);
+    ASSERT_EQ(sim.queries.size(), 2u);
+    EXPECT_EQ(sim.queries[1].targets.size(), 2u);
+    sim.set_usable("t1", false);
+    sim.answer_query(sim.queries[1], {"t1"});
+    sim.run_pass(11000);
+    for (size_t i = 2; i < sim.queries.size(); i++) {
+        EXPECT_EQ(sim.queries[i].targets, std::vector<std::string>{"t1"});
+    }
+}
+
 // A query to a policy client that is gone fails before advise() returns.
 TEST(Plan, AQueryThatFailsInsideTheCallIsRetried)
 {
@@ -75,8 +129,8 @@
                                  bool) -> bool {
         FleetSim *self = (FleetSim *)ctx;
         self->queries.push_back({*step, {}, false});
-        plan_policy_answered(self->planner, step, FP_ERR_NOT_CONNECTED, nullptr, 0,
-                     self->now_ms);
+        const plan_policy_answer answer = {FP_ERR_NOT_CONNECTED, nullptr, 0, 0};
+        plan_policy_answered(self->planner, step, &answer, self->now_ms);
         return true;
     };
     sim.submit(1, {{.count = 1}});
--- a/tests/plan_world.h
+++ b/tests/plan_world.h
@@ -367,7 +367,7 @@
     // The policy answers a query: it grants these targets, or fails with err.
     void answer_query(const PolicyQuery &query,
                       const std::vector<std::string> &granted_ids,
-                      fp_err err = FP_OK)
+                      fp_err err = FP_OK, uint32_t unread = 0)
     {
         std::vector<call_ticket> tickets(granted_ids.size());
         for (size_t i = 0; i < granted_ids.size(); i++) {
@@ -376,8 +376,9 @@
             g_strlcpy(tickets[i].ticket, ("t-" + granted_ids[i]).c_str(),
                       FLEET_TICKET_BYTES);
         }
-        plan_policy_answered(planner, &query.step, err, tickets.data(),
-                     (uint32_t)tickets.size(), now_ms);
+        const plan_policy_answer answer = {
+            err, tickets.data(), (uint32_t)tickets.size(), unread};
+        plan_policy_answered(planner, &query.step, &answer, now_ms);
     }
     uint64_t used_cpu_milli(const std::string &id)
     {
