Policy: queries go to hosts that reach the placement policy

What callers saw: work on queues with a placement policy that waits for its ticket although the policy answers others.

Cause: the last idle host in the order of a table was chosen for a query. One that cannot reach the policy fails at once and is idle again first. A query that was given up freed its host too, although it still occupied the host's turn at the policy.

Of the idle hosts one with the fewest failures in a row is chosen; a host pauses after a failure, and after a query without an answer for as long as that may occupy its turn.

--- a/filbertpath.h
+++ b/filbertpath.h
@@ -19,6 +19,7 @@
  *   core/fleet.h    the replicated state of a fleet: configuration, targets,
  *                   jobs
  *   core/plan.h     the fleet's scheduler: placement of tasks on targets
+ *   core/helpers.h  which host queries the placement policy
  *   core/members.h  rules for adding and removing members of a fleet's cell
  *
  * Conventions:
@@ -38,6 +39,7 @@
 #include "core/cell.h"
 #include "core/change.h"
 #include "core/fleet.h"
+#include "core/helpers.h"
 #include "core/members.h"
 #include "core/msg.h"
 #include "core/pick.h"
--- a/node/dispatchask.c
+++ b/node/dispatchask.c
@@ -8,8 +8,6 @@
 #include "base/event.h"
 #include "node/dispatchpriv.h"
 
-/* A helper whose last ping is older is not used. */
-#define HELPER_TIMEOUT_MS 1500u
 #define QUERY_TIMEOUT_MARGIN_MS 200u /* on top of twice the expected time */
 /* Bounds the timeout however slow the policy has been, because the helper may
  * have failed while the step waits. About twice the time of the longest query:
@@ -20,6 +18,7 @@
 struct policy_query {
     struct pending_request *pending;
     char host[MSG_HOST_BYTES]; /* host of the helper; "": this host */
+    uint32_t expected_ms;
 };
 
 void
@@ -53,6 +52,21 @@
           EVENT_INT("policy_ms", reply->took_ms));
 }
 
+static enum helper_result
+helper_result(enum fp_err err)
+{
+    switch (err) {
+    case FP_OK:
+        return HELPER_ANSWERED;
+    case FP_ERR_UNKNOWN_OUTCOME: /* of the helper */
+    case FP_ERR_MAY_HAVE_RUN:    /* of the policy */
+    case FP_ERR_TRUNCATED:
+        return HELPER_TIMEOUT;
+    default:
+        return HELPER_FAILED;
+    }
+}
+
 static void
 finish_policy_query(struct policy_query *query,
                     const struct policy_reply *reply)
@@ -76,7 +90,8 @@
             g_hash_table_lookup(dispatch->helpers, query->host);
 
         if (helper != NULL) {
-            helper->busy = false;
+            helper_finish(helper, helper_result(err), query->expected_ms,
+                          now_ms);
             if (err == FP_ERR_NO_LEADER || err == FP_ERR_UNKNOWN_OUTCOME) {
                 helper->last_ping_ms = 0; /* not used before its next ping */
             }
@@ -117,31 +132,20 @@
     finish_policy_query(ctx, reply);
 }
 
-/* Finds an idle helper; NULL when none is, or when the idle ones are reserved
- * for short queries. */
 static struct policy_helper *
 find_helper(struct dispatch *dispatch, bool short_query, uint64_t now_ms)
 {
-    struct policy_helper *found = NULL;
-    GHashTableIter iter;
-    struct policy_helper *helper;
-    uint32_t idle = 0;
-    uint32_t live = 0;
-
-    g_hash_table_iter_init(&iter, dispatch->helpers);
-    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&helper)) {
-        if (now_ms > helper->last_ping_ms + HELPER_TIMEOUT_MS) {
-            continue;
-        }
-        live++;
-        if (!helper->busy) {
-            idle++;
-            found = helper;
-        }
-    }
-    if (!short_query && idle <= plan_reserved_policy_clients(live)) {
-        return NULL;
+    guint count;
+    gpointer *hosts =
+        g_hash_table_get_keys_as_array(dispatch->helpers, &count);
+    struct policy_helper *found;
+
+    for (guint i = 0; i < count; i++) {
+        hosts[i] = g_hash_table_lookup(dispatch->helpers, hosts[i]);
     }
+    found = helper_choose((struct policy_helper *const *)hosts, count,
+                          short_query, now_ms);
+    g_free(hosts);
     return found;
 }
 
@@ -175,6 +179,7 @@
     query->pending = dispatch_add_pending(dispatch, NULL);
     query->pending->task = *step;
     query->pending->sent_ms = clock_mono_ms();
+    query->expected_ms = expected_ms;
     fleet_step_id_text(step, id, sizeof(id));
     EVENT(EVENT_POLICY_ASKED, EVENT_STR("id", id),
           EVENT_STR("asker", helper != NULL ? helper->host : "here"),
--- a/node/dispatchpriv.h
+++ b/node/dispatchpriv.h
@@ -12,6 +12,7 @@
 
 #include <glib.h>
 
+#include "core/helpers.h"
 #include "core/ends.h"
 #include "node/dispatch.h"
 
@@ -63,13 +64,6 @@
     struct fp_blob spec;
 };
 
-/* A host that queries the placement policy on the leader's behalf. */
-struct policy_helper {
-    char host[MSG_HOST_BYTES];
-    uint64_t last_ping_ms; /* 0: not to be used before its next ping */
-    bool busy;
-};
-
 struct dispatch {
     struct dispatch_deps deps;
     struct plan *plan;
--- /dev/null
+++ b/tests/helpers_test.cc
@@ -0,0 +1,112 @@
+// Tests of the choice of the host that queries the placement policy.
+
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <vector>
+
+extern "C" {
+#include "core/helpers.h"
+}
+
+namespace {
+
+struct Helpers {
+    std::vector<policy_helper> list;
+    uint64_t now_ms = 10000;
+
+    explicit Helpers(size_t count) : list(count)
+    {
+        memset(list.data(), 0, count * sizeof(list[0]));
+        ping();
+    }
+    void ping()
+    {
+        for (auto &helper : list) {
+            helper.last_ping_ms = now_ms;
+        }
+    }
+    policy_helper *choose(bool short_query = true)
+    {
+        std::vector<policy_helper *> pointers;
+        for (auto &helper : list) {
+            pointers.push_back(&helper);
+        }
+        return helper_choose(pointers.data(), (uint32_t)pointers.size(),
+                             short_query, now_ms);
+    }
+};
+
+// Helpers that cannot reach the policy fail at once and were idle again first,
+// so that nearly all queries went to them.
+TEST(Helpers, AHelperThatFailsIsUsedOnlyWhenNoOtherIsIdle)
+{
+    Helpers helpers(4);
+    int failed = 0;
+    int answered = 0;
+    for (int i = 0; i < 1000; i++) {
+        helpers.now_ms += 10;
+        helpers.ping();
+        policy_helper *helper = helpers.choose();
+        ASSERT_NE(helper, nullptr);
+        bool fails = helper == &helpers.list[1] || helper == &helpers.list[3];
+        (fails ? failed : answered)++;
+        helper_finish(helper, fails ? HELPER_FAILED : HELPER_ANSWERED, 10,
+                      helpers.now_ms);
+    }
+    EXPECT_LE(failed, 2) << "others are idle";
+    EXPECT_GE(answered, 998);
+}
+
+// When all fail, each is tried again within a second: the policy may be back.
+TEST(Helpers, AllAreTriedAgainSoonWhenAllFail)
+{
+    Helpers helpers(3);
+    uint64_t last_ms = helpers.now_ms;
+    for (int i = 0; i < 1000; i++) {
+        helpers.now_ms += 10;
+        helpers.ping();
+        policy_helper *helper = helpers.choose();
+        if (helper != nullptr) {
+            helper_finish(helper, HELPER_FAILED, 10, helpers.now_ms);
+            EXPECT_LE(helpers.now_ms, last_ms + 1000);
+            last_ms = helpers.now_ms;
+        }
+    }
+    EXPECT_LE(helpers.now_ms, last_ms + 1000);
+}
+
+// A query that was given up occupies its helper's turn at the policy for about
+// as long as it was expected to take.
+TEST(Helpers, AQueryThatWasGivenUpOccupiesItsTurn)
+{
+    Helpers helpers(1);
+    helper_finish(helpers.choose(), HELPER_TIMEOUT, 600, helpers.now_ms);
+    helpers.now_ms += 590;
+    EXPECT_EQ(helpers.choose(), nullptr);
+    helpers.now_ms += 20;
+    ASSERT_NE(helpers.choose(), nullptr);
+    helper_finish(helpers.choose(), HELPER_TIMEOUT, 60000, helpers.now_ms);
+    helpers.now_ms += 1000;
+    helpers.ping();
+    EXPECT_NE(helpers.choose(), nullptr) << "a second at most";
+    helper_finish(helpers.choose(), HELPER_ANSWERED, 600, helpers.now_ms);
+    EXPECT_NE(helpers.choose(), nullptr);
+}
+
+// Two of four idle helpers are kept for short queries; silent ones aren't used.
+TEST(Helpers, IdleOnesAreKeptForShortQueries)
+{
+    Helpers helpers(4);
+    for (int i = 0; i < 2; i++) {
+        policy_helper *helper = helpers.choose(false);
+        ASSERT_NE(helper, nullptr);
+        helper->busy = true;
+    }
+    EXPECT_EQ(helpers.choose(false), nullptr);
+    EXPECT_NE(helpers.choose(true), nullptr);
+    helpers.now_ms += 1600;
+    EXPECT_EQ(helpers.choose(true), nullptr);
+}
+
+} // namespace
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -50,6 +50,9 @@
         MISSED=$((MISSED + 1))
     fi
 done <<'LIST'
+core/helpers.c	now_ms < helper->resume_ms	false	Helpers.*
+core/helpers.c	helper->failures <= found->failures	true	Helpers.AHelperThatFails*
+core/helpers.c	MAX(pause_ms, MIN(expected_ms, TURN_MAX_MS))	pause_ms	Helpers.AQueryThat*
 core/planticket.c	(granted && !ticket->doubtful) ||	true ||	Plan.ATargetWhoseRow*
 core/planticket.c	(granted && !ticket->doubtful) ||	false ||	Plan.RefusalsOf*
 core/planticket.c	<< MIN(step->unread_answers - 1, UNREAD_RETRY_DOUBLINGS_MAX)	<< 0	Plan.ATargetWhoseRow*
--- a/tests/platform/lib.sh
+++ b/tests/platform/lib.sh
@@ -25,7 +25,7 @@
   $([ -n "${3:-}" ] && echo "control: \"$1:$((BASE_PORT + 1))\"" || echo "clients: \"$1:$((BASE_PORT + 2))\"")
   readiness: "$1:$((BASE_PORT + 3))"
   metrics: "$1:$((BASE_PORT + 4))"
-  advice: "127.0.0.9:$((BASE_PORT + 5))"
+  advice: "127.0.0.9:$((BASE_PORT + $([[ " ${NO_POLICY:-} " == *" $1 "* ]] && echo 9 || echo 5)))"
   data_centre: "z1"
   first_start: $2
   bus_port: $((BASE_PORT + 6))
