Plan: the age of a ticket counts from the policy's answer

What callers could see: starts that targets refuse because their ticket has expired, again and again where a busy host passes the policy's answers on.

Cause: the validity was counted from the answer's arrival at the leader, less 250 ms, however long the host that asked had held the answer back.

Change: that host tells what it waited for the policy; the rest of what the query took is the answer's age, at most, and is taken off the validity. Hosts of older versions do not tell: as before.

Test: Plan.ATicketThatWasHeldBack*, failing before; a mutant caught.

--- a/core/plan.h
+++ b/core/plan.h
@@ -339,6 +339,8 @@
     uint32_t count;
     uint32_t unread; /* entries that could not be read: the targets without a
                       * ticket may have been granted, and are named again */
+    uint32_t age_ms; /* since the policy answered, at most; without the network
+                      * between the policy and the host that asked it */
 };
 
 /* The placement policy answered the query for a step, or no answer came.
--- a/core/planticket.c
+++ b/core/planticket.c
@@ -37,7 +37,8 @@
  * for good by the policy's promise; without this a single wrong answer would
  * keep the step from running for ever. */
 #define REFUSALS_KEPT_MS 10000u
-/* Subtracted from a ticket's validity, for network delay and clock skew. */
+/* Subtracted from a ticket's validity, for what its age does not hold: network
+ * delay between the policy and the host that asked it, and to the target. */
 #define TICKET_MARGIN_MS 250u
 /* A target counts as free soon if it is by this long after the answer. */
 #define FREE_SOON_MS 500u
@@ -607,7 +608,8 @@
         if (ticket != NULL) {
             ticket->state = TICKET_GRANTED;
             ticket->valid_until_ms =
-                now_ms + valid_ms - MIN(valid_ms, TICKET_MARGIN_MS);
+                now_ms + valid_ms -
+                MIN(valid_ms, TICKET_MARGIN_MS + answer->age_ms);
             g_free(ticket->ticket);
             ticket->ticket = g_strdup(tickets[i].ticket);
         }
--- a/node/dispatchask.c
+++ b/node/dispatchask.c
@@ -52,6 +52,18 @@
           EVENT_INT("policy_ms", reply->took_ms));
 }
 
+/* How old an answer is at most: what the query took here beyond what the
+ * helper waited for the policy was spent on the way there and back, or in a
+ * busy helper. Helpers of older versions do not tell.
+ */
+static uint32_t
+answer_age_ms(const struct policy_reply *reply, uint64_t took_ms)
+{
+    return reply->took_ms == 0
+               ? 0
+               : (uint32_t)(took_ms - MIN(took_ms, reply->took_ms));
+}
+
 static enum helper_result
 helper_result(enum fp_err err)
 {
@@ -77,7 +89,8 @@
     uint64_t now_ms = clock_mono_ms();
     uint64_t took_ms = now_ms - pending->sent_ms;
     const struct plan_policy_answer answer = {err, reply->tickets,
-                                              reply->count, reply->unread};
+                                              reply->count, reply->unread,
+                                              answer_age_ms(reply, took_ms)};
 
     if (dispatch != NULL) {
         histogram_add(&dispatch->times.policy_query_ms, took_ms);
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -50,6 +50,7 @@
         MISSED=$((MISSED + 1))
     fi
 done <<'LIST'
+core/planticket.c	TICKET_MARGIN_MS + answer->age_ms	TICKET_MARGIN_MS	Plan.ATicketThatWas*
 core/helpers.c	now_ms < helper->resume_ms	false	Helpers.*
 core/helpers.c	helper->failures <= found->failures	true	Helpers.AHelperThatFails*
 core/helpers.c	MAX(pause_ms, MIN(expected_ms, TURN_MAX_MS))	pause_ms	Helpers.AQueryThat*
--- a/tests/plan_ticket_test.cc
+++ b/tests/plan_ticket_test.cc
@@ -92,6 +92,28 @@
     EXPECT_EQ(sim.start_orders[0].target, "t2");
 }
 
+// The validity of a ticket was counted from the answer's arrival at the leader:
+// one that a busy host had held back was used after its end, and refused.
+TEST(Plan, ATicketThatWasHeldBackIsValidForLess)
+{
+    for (uint32_t age_ms : {0u, 1500u}) {
+        FleetSim sim;
+        sim.configure({"q"}, true);
+        sim.put_target("t1");
+        sim.become_leader();
+        sim.submit(1, {{.count = 1}});
+        sim.run_pass();
+        sim.answer_query(sim.queries[0], {"t1"}, FP_OK, 0, age_ms);
+        sim.set_usable("t1", false);
+        sim.run_pass(400);
+        sim.set_usable("t1", true);
+        sim.run_pass(10);
+        EXPECT_EQ(sim.start_orders.size(), age_ms == 0 ? 1u : 0u);
+        sim.run_pass(100);
+        EXPECT_EQ(sim.queries.size(), age_ms == 0 ? 1u : 2u);
+    }
+}
+
 // A step to which nothing is granted is asked about again after some time, one
 // that has a grant is not.
 TEST(Plan, RefusalsOfAllTargetsDoNotStandForGood)
@@ -129,7 +151,8 @@
                                  bool) -> bool {
         FleetSim *self = (FleetSim *)ctx;
         self->queries.push_back({*step, {}, false});
-        const plan_policy_answer answer = {FP_ERR_NOT_CONNECTED, nullptr, 0, 0};
+        const plan_policy_answer answer = {FP_ERR_NOT_CONNECTED, nullptr, 0, 0,
+                                           0};
         plan_policy_answered(self->planner, step, &answer, self->now_ms);
         return true;
     };
--- a/tests/plan_world.h
+++ b/tests/plan_world.h
@@ -367,7 +367,8 @@
     // The policy answers a query: it grants these targets, or fails with err.
     void answer_query(const PolicyQuery &query,
                       const std::vector<std::string> &granted_ids,
-                      fp_err err = FP_OK, uint32_t unread = 0)
+                      fp_err err = FP_OK, uint32_t unread = 0,
+                      uint32_t age_ms = 0)
     {
         std::vector<call_ticket> tickets(granted_ids.size());
         for (size_t i = 0; i < granted_ids.size(); i++) {
@@ -377,7 +378,7 @@
                       FLEET_TICKET_BYTES);
         }
         const plan_policy_answer answer = {
-            err, tickets.data(), (uint32_t)tickets.size(), unread};
+            err, tickets.data(), (uint32_t)tickets.size(), unread, age_ms};
         plan_policy_answered(planner, &query.step, &answer, now_ms);
     }
     uint64_t used_cpu_milli(const std::string &id)
