--- a/node/replica.c
+++ b/node/replica.c
@@ -17,11 +17,15 @@
 /* Pauses before a disk that failed is written again. */
 #define DISK_RETRY_MIN_MS 100u
 #define DISK_RETRY_MAX_MS 1000u
-#define LOG_DEFAULT_MAX_MB 64u
-#define LOG_DISK_DIVISOR 8u /* part of the disk that the log may take */
+#define SNAPSHOT_RETRY_MS 10000u /* after a snapshot that was not written */
+/* A folder that cannot be read at the start is tried again after a pause; the
+ * first of so many tries is logged. */
 #define OPEN_RETRY_MS 200u
 #define OPEN_REPORT_TRIES 50u
-#define SNAPSHOT_RETRY_MS 10000u /* after a snapshot that was not written */
+/* Size of the log at which a snapshot is due: a part of the disk, or this
+ * where the size of the disk is not known. */
+#define LOG_DISK_DIVISOR 8u
+#define LOG_DEFAULT_MAX_MB 64u
 
 static void
 free_deferred(struct deferred_message *deferred)
