Plan: a ticket takes no more memory than before

The time until which a refusal stands takes the place of a grant's validity; passing now. An order that is refused for its ticket changes granted ones only.

--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -116,10 +116,12 @@
 struct plan_ticket {
     struct plan_target *target; /* a reference; it may be removed */
     enum plan_ticket_state state;
-    char *ticket;              /* NULL until one is granted */
-    uint64_t valid_until_ms;   /* 0: no valid ticket */
-    bool doubtful;             /* refused by an answer that was not all read */
-    uint64_t refused_until_ms; /* then the target may be named again */
+    bool doubtful; /* refused by an answer that was not all read */
+    char *ticket;  /* NULL until one is granted */
+    union {
+        uint64_t valid_until_ms;   /* granted; 0: no valid ticket */
+        uint64_t refused_until_ms; /* refused; then it may be named again */
+    };
 };
 
 /* Classes of steps in scheduling order; by PLAN_POLICY_FIFO all steps are in
--- a/core/planticket.c
+++ b/core/planticket.c
@@ -144,7 +144,7 @@
 {
     struct plan_ticket *ticket = find_ticket(step, target);
 
-    if (ticket != NULL) {
+    if (ticket != NULL && ticket->state == TICKET_GRANTED) {
         ticket->valid_until_ms = 0;
     }
 }
