Test: a gang behind others that can never be placed

One cause needs no slow policy. Gangs to which the policy grants fewer targets than they have members renew their tickets for ever. Once they and the others have expired, they go first, being older, and each renewal takes a host's turn at the policy: with 9 hosts, of which 2 are kept for short queries, 30 take all turns. A step behind them is never asked about.

The test runs the plan in virtual time beside a policy that takes 380 ms and 5.4 ms a target for a query of one host, with tickets of 2 s.

--- /dev/null
+++ b/tests/liveness_test.cc
@@ -0,0 +1,61 @@
+// Tests of the plan's liveness: what could run does run, whatever waits beside
+// it and whatever failed before.
+
+#include "tests/policy_hosts.h"
+
+using namespace plan_sim;
+
+namespace {
+
+// Rule LOST: what could run has nothing running for this long.
+const uint64_t IDLE_MAX_MS = 3000;
+
+// How long a gang of four waits once its 30 targets are free, behind others to
+// which the policy grants fewer targets than they have members. All have
+// expired by then.
+uint64_t wait_behind_hopeless_gangs(const plan_policy *policy,
+                                    uint64_t hopeless)
+{
+    FleetSim sim;
+    sim.advice_us = 380000;
+    sim.advice_each_us = 5400;
+    sim.configure({"q"}, true);
+    for (int i = 0; i < 30; i++) {
+        sim.put_target("t" + std::to_string(i));
+    }
+    sim.become_leader(1024, policy);
+    PolicyHosts hosts(sim, 9, 40);
+    for (uint64_t i = 0; i < hopeless; i++) {
+        sim.submit(100 + i, {{.count = 20, .cpu_milli = 5000,
+                              .estimate_ms = 5000, .gang = true}});
+    }
+    hosts.run_until(10000, [] { return false; });
+    for (int i = 0; i < 30; i++) {
+        sim.set_usable("t" + std::to_string(i), false);
+    }
+    sim.submit(1, {{.count = 4, .cpu_milli = 5000, .estimate_ms = 5000,
+                    .gang = true}});
+    hosts.run_until(60000, [] { return false; });
+    for (int i = 0; i < 30; i++) {
+        sim.set_usable("t" + std::to_string(i));
+    }
+    uint64_t free_ms = sim.now_ms;
+    hosts.run_until(60000, [&] { return hosts.started.count(1) > 0; });
+    return sim.now_ms - free_ms;
+}
+
+// Gangs that can never be placed renewed their tickets for ever, and took all
+// hosts' turns at the policy from the steps behind them.
+TEST(Liveness, AGangStartsBehindOthersThatCanNeverBePlaced)
+{
+    for (const plan_policy *policy :
+         {&PLAN_POLICY_DEFAULT, &PLAN_POLICY_CONTENDED}) {
+        for (uint64_t hopeless : {0, 10, 30, 60}) {
+            EXPECT_LE(wait_behind_hopeless_gangs(policy, hopeless),
+                      IDLE_MAX_MS)
+                << policy->name << ", " << hopeless << " before it";
+        }
+    }
+}
+
+} // namespace
--- a/tests/plan_world.h
+++ b/tests/plan_world.h
@@ -57,7 +57,10 @@
     std::vector<std::pair<uint64_t, uint32_t>> released_jobs;
     std::vector<std::string> wait_reasons;
     bool policy_client_free = true; // false: queries cannot be sent
+    void *policy_hosts = nullptr;   // see policy_hosts.h
     uint64_t config_version = 0;
+    // How long the policy takes for a query, and for each target in it.
+    uint32_t advice_us = 20000, advice_each_us = 1000;
     // Services of queues that are on another one than configure() says.
     std::map<std::string, std::string> queue_services;
 
@@ -125,8 +128,8 @@
             queue->max_attempts = 3;
             queue->open = true;
             queue->advised = advised;
-            queue->advice_us = 20000;
-            queue->advice_each_us = 1000;
+            queue->advice_us = advice_us;
+            queue->advice_each_us = advice_each_us;
             queue->ticket_ms = 2000;
         }
         for (const char *name : {"svc", "alt"}) {
