Plan: the log says why a step with grants waits, metrics what queries were for

The line could not tell expired tickets from full targets, targets that are too small for the gang, or room that is reserved for others; nor whether the step's query was under way, paused or had no free host. place_gang() returned without a reason while members still had a run, so that the line kept the reason of an earlier wait.

Change, without a change of any decision: step.waits names the case, and has kept, holding, running, query, query_ms and next_query_ms. Metrics: queries by purpose, queries given up (turns wasted), queries under way, stated and measured time, tickets replaced without a start.

Tests: Plan.TheWaitOfAStepWithGrantsSaysWhatIsMissing and Plan.TheWaitOfAGangWithARunNamesTheRun read fields that did not exist.

--- a/base/event.c
+++ b/base/event.c
@@ -118,14 +118,18 @@
     [EVENT_STEP_WAITING] =
         {"step.waits", 100,
          "id idle why waited_ms named granted refused asking expired fitting "
-         "free_cpu free_accel beyond_share",
+         "kept holding running query query_ms next_query_ms free_cpu "
+         "free_accel beyond_share",
          "a step has waited for more than a second; of the targets named to "
          "the "
          "placement policy: granted, refused, without an answer yet, granted "
          "with "
          "a ticket that has expired; fitting: tasks that the granted ones "
          "have "
-         "room for"},
+         "room for; kept: more that would fit but for reservations and "
+         "pauses; holding: that they could hold if empty; running: tasks that "
+         "still have a run; query: the state of its queries, time since the "
+         "last and until the next"},
     [EVENT_POLICY_ASKED] = {"policy.asked", 200, "id asker named expected_ms",
                             "the placement policy is asked about a step"},
     [EVENT_POLICY_ANSWERED] =
--- a/core/plan.h
+++ b/core/plan.h
@@ -120,9 +120,16 @@
     uint32_t named;
     uint32_t granted;
     uint32_t refused;
-    uint32_t asking;  /* without an answer yet */
-    uint32_t expired; /* granted, but the ticket has expired */
-    uint32_t fitting; /* tasks that granted targets have room for */
+    uint32_t asking;   /* without an answer yet */
+    uint32_t expired;  /* granted, but the ticket has expired */
+    uint32_t fitting;  /* tasks that granted targets have room for */
+    uint32_t kept;     /* tasks that would fit there besides, but for what is
+                        * reserved for others or takes no starts now */
+    uint32_t holding;  /* tasks that granted targets could hold if empty */
+    uint32_t running;  /* tasks that still have a run */
+    const char *query; /* state of its queries, for the log */
+    uint64_t query_ms; /* since its last query was sent; 0: none was */
+    uint64_t next_query_ms; /* until its next query is due; 0: it is */
     uint64_t waited_ms;
     uint64_t free_cpu_milli; /* on all usable targets of the service */
     uint64_t free_accel;     /* accelerators free on those targets */
@@ -236,6 +243,17 @@
     uint64_t wall_ms;  /* wall clock, at the now_ms of plan_new() */
 };
 
+/* What a query to the placement policy is for. */
+enum query_purpose {
+    QUERY_RENEWAL, /* valid tickets for targets that have room for the step */
+    QUERY_FIRST,   /* targets for a step that has named none */
+    QUERY_MORE,    /* further targets */
+    QUERY_AHEAD,   /* tickets for a step that cannot be placed now */
+    QUERY_PURPOSE_COUNT
+};
+
+extern const char *const QUERY_PURPOSE_NAMES[QUERY_PURPOSE_COUNT];
+
 struct plan_counters {
     uint64_t starts;
     uint64_t starts_refused; /* starts that targets refused */
@@ -256,6 +274,8 @@
                                   * first run overtook, thousandths of a core
                                   * times s */
     uint64_t policy_queries;
+    uint64_t policy_queries_for[QUERY_PURPOSE_COUNT]; /* the same by purpose */
+    uint64_t tickets_unused; /* replaced by a new one without a start */
     uint64_t jobs_rejected;
     uint64_t passes;
 };
--- a/core/planfit.c
+++ b/core/planfit.c
@@ -317,6 +317,7 @@
     const char *ticket =
         plan_needs_ticket(step) ? plan_valid_ticket(step, target, now_ms) : "";
 
+    plan_use_ticket(step, target);
     return plan_start_run(plan, step, index, run_number, target, ticket,
                           now_ms);
 }
@@ -333,6 +334,25 @@
             task->failures.count < max_attempts);
 }
 
+/* Why may_start_task() is false for a task without a run. */
+static const char *
+no_start_reason(const struct plan_step *step, uint32_t number, uint64_t now_ms)
+{
+    const struct plan_task *task = &step->job->tasks[number];
+
+    if (task->done) {
+        return "some of its gang are done";
+    }
+    if (task->runs > 0) {
+        return "some of its gang have a run";
+    }
+    if (now_ms < task->not_before_ms) {
+        return "a pause after a failed or refused start";
+    }
+    return plan_may_crash_again(task) ? "its attempts are used up"
+                                      : "a task may crash its target";
+}
+
 /* Why no target was found; the texts appear in step.waits events. */
 static const char *
 no_target_reason(const struct plan *plan, const struct plan_step *step,
@@ -344,8 +364,7 @@
     if (!plan_leaves_headroom(plan, step, size)) {
         return "the room left is kept for tighter work";
     }
-    return plan_needs_ticket(step) ? "no room on a target with a good ticket"
-                                   : "no room";
+    return plan_needs_ticket(step) ? PLAN_NO_TICKET_REASON : "no room";
 }
 
 /* Finds a target for each task of a gang, on the given rack only unless it is
@@ -467,6 +486,10 @@
         struct plan_target *target;
 
         if (!may_start_task(step, number, now_ms)) {
+            if (step->job->tasks[number].runs == 0 &&
+                !step->job->tasks[number].done) {
+                step->wait_reason = no_start_reason(step, number, now_ms);
+            }
             continue;
         }
         if (!is_team_within_limit(plan, step->job->job->team, &size)) {
@@ -501,10 +524,15 @@
 
     if (step->pending != step->def->count ||
         step->unfinished != step->def->count) {
+        step->wait_reason = step->unfinished != step->def->count
+                                ? "some of its gang are done"
+                                : "some of its gang have a run";
         return;
     }
     for (uint32_t i = 0; i < step->def->count; i++) {
         if (!may_start_task(step, step->first_task + i, now_ms)) {
+            step->wait_reason =
+                no_start_reason(step, step->first_task + i, now_ms);
             return;
         }
         run_number =
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -117,6 +117,7 @@
     struct plan_target *target; /* a reference; it may be removed */
     enum plan_ticket_state state;
     bool doubtful; /* refused by an answer that was not all read */
+    bool used;     /* a start was ordered with the ticket */
     char *ticket;  /* NULL until one is granted */
     union {
         uint64_t valid_until_ms;   /* granted; 0: no valid ticket */
@@ -152,6 +153,8 @@
     uint64_t partial_since_ms; /* of a gang: only some members have a run;
                                 * 0: all or none have */
     bool query_in_flight;
+    bool query_blocked;       /* no policy client was free in the last pass */
+    uint64_t query_sent_ms;   /* when its last query was sent; 0: none was */
     uint64_t expected_end_ms; /* when its last run should end */
     uint32_t ended_runs;      /* learned by plancopy.c */
     uint32_t ended_permille;  /* sum of their run times, of the estimate */
@@ -488,9 +491,16 @@
 const char *plan_valid_ticket(const struct plan_step *step,
                               const struct plan_target *target,
                               uint64_t now_ms);
-/* Fills in what the policy has answered on the targets named so far. */
+/* Reason of the wait of a step for which no granted target was found; its
+ * report says more. */
+#define PLAN_NO_TICKET_REASON "no room on a target with a good ticket"
+/* Fills in what the policy has answered on the targets named so far, and the
+ * state of the step's queries; a reason that is PLAN_NO_TICKET_REASON becomes
+ * a more precise one. */
 void plan_count_tickets(const struct plan_step *step, struct plan_wait *wait,
                         uint64_t now_ms);
+/* A start was ordered with the ticket for the target. */
+void plan_use_ticket(struct plan_step *step, const struct plan_target *target);
 /* Marks a ticket as invalid; the grant remains. */
 void plan_expire_ticket(struct plan_step *step,
                         const struct plan_target *target);
--- a/core/planticket.c
+++ b/core/planticket.c
@@ -46,6 +46,9 @@
  * equals. */
 #define SLOW_TO_NAME_PERMILLE 1300u
 
+const char *const QUERY_PURPOSE_NAMES[QUERY_PURPOSE_COUNT] = {
+    "renewal", "first", "more", "ahead"};
+
 uint32_t
 plan_reserved_policy_clients(uint32_t clients)
 {
@@ -139,6 +142,16 @@
                : NULL;
 }
 
+void
+plan_use_ticket(struct plan_step *step, const struct plan_target *target)
+{
+    struct plan_ticket *ticket = find_ticket(step, target);
+
+    if (ticket != NULL) {
+        ticket->used = true;
+    }
+}
+
 void
 plan_expire_ticket(struct plan_step *step, const struct plan_target *target)
 {
@@ -384,6 +397,70 @@
     return tasks;
 }
 
+/* Number of tasks of the step for which granted targets have room, or would
+ * have it if they were empty. */
+static uint64_t
+granted_room(const struct plan_step *step, bool if_empty)
+{
+    const struct fleet_resources size = plan_task_size(step->def);
+    const struct fleet_resources empty = {0, 0, 0};
+    uint64_t tasks = 0;
+
+    for (guint i = 0; step->tickets != NULL && i < step->tickets->len; i++) {
+        const struct plan_ticket *ticket =
+            &g_array_index(step->tickets, struct plan_ticket, i);
+        const struct plan_target *target = ticket->target;
+        uint64_t fitting;
+
+        if (target->removed || ticket->state != TICKET_GRANTED ||
+            !plan_takes_starts(target) || !plan_could_fit(target, step)) {
+            continue;
+        }
+        fitting = plan_count_fitting(target, if_empty ? &empty : &target->used,
+                                     &size);
+        if (step->def->spread > 0) {
+            fitting = MIN(fitting, step->def->spread);
+        }
+        tasks += fitting;
+    }
+    return tasks;
+}
+
+/* The state of the step's queries, for the log. */
+static const char *
+query_state(const struct plan_step *step, uint64_t now_ms)
+{
+    if (step->query_in_flight) {
+        return "under way";
+    }
+    if (now_ms < step->next_query_ms) {
+        return "paused";
+    }
+    return step->query_blocked ? "no host is free" : "none due";
+}
+
+/* Why no granted target was found for the step. */
+static const char *
+ticket_reason(const struct plan_step *step, const struct plan_wait *wait)
+{
+    uint32_t needed = step->def->gang ? step->def->count : 1;
+
+    if (wait->granted == 0) {
+        return wait->asking > 0 ? "the placement policy has not answered"
+                                : "no target is granted";
+    }
+    if (wait->holding < needed) {
+        return "its granted targets are too small";
+    }
+    if (wait->fitting + wait->kept < needed) {
+        return "its granted targets are full";
+    }
+    if (wait->fitting < needed) {
+        return "its granted targets are kept for others, or pause";
+    }
+    return wait->expired > 0 ? "its tickets have expired" : wait->reason;
+}
+
 void
 plan_count_tickets(const struct plan_step *step, struct plan_wait *wait,
                    uint64_t now_ms)
@@ -400,6 +477,23 @@
                          now_ms >= ticket->valid_until_ms;
     }
     wait->fitting = (uint32_t)MIN(granted_capacity(step, now_ms), UINT32_MAX);
+    wait->kept =
+        (uint32_t)MIN(granted_room(step, false) -
+                          MIN(granted_room(step, false), wait->fitting),
+                      UINT32_MAX);
+    wait->holding = (uint32_t)MIN(granted_room(step, true), UINT32_MAX);
+    wait->running = step->unfinished - step->pending;
+    if (!plan_needs_ticket(step)) {
+        return;
+    }
+    wait->query = query_state(step, now_ms);
+    wait->query_ms =
+        step->query_sent_ms == 0 ? 0 : now_ms - step->query_sent_ms;
+    wait->next_query_ms =
+        step->next_query_ms - MIN(step->next_query_ms, now_ms);
+    if (g_strcmp0(wait->reason, PLAN_NO_TICKET_REASON) == 0) {
+        wait->reason = ticket_reason(step, wait);
+    }
 }
 
 /* Whether the granted targets have free capacity for the whole gang, or for
@@ -459,6 +553,28 @@
     return list;
 }
 
+/* What a query that names these targets is for. */
+static enum query_purpose
+purpose_of_query(const struct plan_step *step, const GArray *list,
+                 uint64_t now_ms)
+{
+    if (step->tickets == NULL || step->tickets->len == 0) {
+        return QUERY_FIRST;
+    }
+    if (is_granted_capacity_enough(step, now_ms)) {
+        return QUERY_RENEWAL;
+    }
+    for (guint i = 0; i < list->len; i++) {
+        const struct plan_ticket *ticket =
+            find_ticket(step, g_array_index(list, struct candidate, i).target);
+
+        if (ticket == NULL || ticket->state != TICKET_GRANTED) {
+            return QUERY_MORE;
+        }
+    }
+    return QUERY_AHEAD;
+}
+
 /* Records the targets as named in a query that is in progress. */
 static void
 mark_queried(struct plan_step *step, const GArray *list)
@@ -530,10 +646,13 @@
     uint32_t query_ms = expected_query_ms(conf, QUERY_TARGETS_MIN);
     GArray *list;
 
-    if (step->query_in_flight || now_ms < step->next_query_ms ||
+    if (step->query_in_flight || now_ms < step->next_query_ms) {
+        return;
+    }
+    step->query_blocked =
         plan->queries_blocked ||
-        (plan->long_queries_blocked && query_ms >= PLAN_SHORT_QUERY_MS) ||
-        is_too_early(step, query_ms, now_ms)) {
+        (plan->long_queries_blocked && query_ms >= PLAN_SHORT_QUERY_MS);
+    if (step->query_blocked || is_too_early(step, query_ms, now_ms)) {
         return;
     }
     list = choose_query_targets(plan, step, query_ms, now_ms);
@@ -545,16 +664,25 @@
         step->next_query_ms = now_ms + QUERY_RETRY_MS;
     }
     else {
+        const enum query_purpose purpose =
+            purpose_of_query(step, list, now_ms);
+        const uint64_t sent_ms = step->query_sent_ms;
+
         /* Before the call: the answer may come before query_policy() returns.
          */
+        step->query_sent_ms = now_ms;
         mark_queried(step, list);
         plan->counters.policy_queries++;
+        plan->counters.policy_queries_for[purpose]++;
         if (!plan->ops.query_policy(plan->ops.ctx, &id, targets, list->len,
                                     query_ms
                                         << MIN(step->query_failures,
                                                QUERY_TIMEOUT_DOUBLINGS_MAX),
                                     query_ms < PLAN_SHORT_QUERY_MS)) {
             plan->counters.policy_queries--;
+            plan->counters.policy_queries_for[purpose]--;
+            step->query_sent_ms = sent_ms;
+            step->query_blocked = true;
             plan->long_queries_blocked = true;
             plan->queries_blocked = query_ms < PLAN_SHORT_QUERY_MS;
             step->query_in_flight = false;
@@ -606,6 +734,9 @@
         uint32_t valid_ms = job->queue->conf.ticket_ms;
 
         if (ticket != NULL) {
+            plan->counters.tickets_unused +=
+                ticket->state == TICKET_GRANTED && !ticket->used;
+            ticket->used = false;
             ticket->state = TICKET_GRANTED;
             ticket->valid_until_ms =
                 now_ms + valid_ms -
--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -664,7 +664,12 @@
           EVENT_INT("refused", wait->refused),
           EVENT_INT("asking", wait->asking),
           EVENT_INT("expired", wait->expired),
-          EVENT_INT("fitting", wait->fitting),
+          EVENT_INT("fitting", wait->fitting), EVENT_INT("kept", wait->kept),
+          EVENT_INT("holding", wait->holding),
+          EVENT_INT("running", wait->running),
+          EVENT_STR("query", wait->query != NULL ? wait->query : ""),
+          EVENT_INT("query_ms", wait->query_ms),
+          EVENT_INT("next_query_ms", wait->next_query_ms),
           EVENT_INT("free_cpu", wait->free_cpu_milli),
           EVENT_INT("free_accel", wait->free_accel),
           EVENT_INT("beyond_share", wait->beyond_share));
@@ -778,16 +783,10 @@
     return plan_gauges(dispatch->plan);
 }
 
-uint64_t
-dispatch_policy_failures(const struct dispatch *dispatch)
-{
-    return dispatch->policy_failures;
-}
-
-uint64_t
-dispatch_policy_unread(const struct dispatch *dispatch)
+const struct dispatch_policy_counters *
+dispatch_policy_counters(const struct dispatch *dispatch)
 {
-    return dispatch->policy_unread;
+    return &dispatch->policy;
 }
 
 uint64_t
--- a/node/dispatch.h
+++ b/node/dispatch.h
@@ -30,6 +30,18 @@
     struct histogram completion_permille;
 };
 
+/* Queries to the placement policy since this host became leader. */
+struct dispatch_policy_counters {
+    uint64_t failures;    /* without a usable answer */
+    uint64_t given_up;    /* of them, whose turn at the policy was wasted:
+                           * it had no answer in time */
+    uint64_t unread;      /* entries of answers that could not be read */
+    uint64_t stated_ms;   /* what the answered ones should have taken, as
+                           * the configuration states it */
+    uint64_t measured_ms; /* what they took, at the host that asked */
+    uint32_t under_way;
+};
+
 /* What dispatch_new() needs; all of it must outlive the dispatch. */
 struct dispatch_deps {
     struct replica *replica;
@@ -74,11 +86,9 @@
 const struct dispatch_times *dispatch_times(const struct dispatch *dispatch);
 const struct plan_counters *dispatch_counters(const struct dispatch *dispatch);
 struct plan_gauges dispatch_gauges(const struct dispatch *dispatch);
-/* Queries to the placement policy that failed, entries of its answers that
- * could not be read, and listed checkpoints that were too long to be stored.
- */
-uint64_t dispatch_policy_failures(const struct dispatch *dispatch);
-uint64_t dispatch_policy_unread(const struct dispatch *dispatch);
+const struct dispatch_policy_counters *
+dispatch_policy_counters(const struct dispatch *dispatch);
+/* Listed checkpoints that were too long to be stored. */
 uint64_t dispatch_checkpoints_refused(const struct dispatch *dispatch);
 
 /* The state for diagnosis; the caller owns the reference. */
--- a/node/dispatchask.c
+++ b/node/dispatchask.c
@@ -79,6 +79,22 @@
     }
 }
 
+static void
+count_policy_reply(struct dispatch_policy_counters *counters,
+                   const struct policy_query *query,
+                   const struct policy_reply *reply, uint64_t took_ms)
+{
+    counters->under_way--;
+    counters->failures += reply->err != FP_OK;
+    counters->given_up += helper_result(reply->err) == HELPER_TIMEOUT;
+    counters->unread += reply->unread;
+    if (reply->err == FP_OK) {
+        counters->stated_ms += query->expected_ms;
+        counters->measured_ms +=
+            reply->took_ms != 0 ? reply->took_ms : took_ms;
+    }
+}
+
 static void
 finish_policy_query(struct policy_query *query,
                     const struct policy_reply *reply)
@@ -94,8 +110,7 @@
 
     if (dispatch != NULL) {
         histogram_add(&dispatch->times.policy_query_ms, took_ms);
-        dispatch->policy_failures += err != FP_OK;
-        dispatch->policy_unread += reply->unread;
+        count_policy_reply(&dispatch->policy, query, reply, took_ms);
         log_policy_reply(query, reply, took_ms);
     }
     if (dispatch != NULL) {
@@ -193,6 +208,7 @@
     query->pending->task = *step;
     query->pending->sent_ms = clock_mono_ms();
     query->expected_ms = expected_ms;
+    dispatch->policy.under_way++;
     fleet_step_id_text(step, id, sizeof(id));
     EVENT(EVENT_POLICY_ASKED, EVENT_STR("id", id),
           EVENT_STR("asker", helper != NULL ? helper->host : "here"),
--- a/node/dispatchpriv.h
+++ b/node/dispatchpriv.h
@@ -70,11 +70,10 @@
     uint64_t term_start_ms; /* when this host became leader */
     bool reconciled;        /* plan_reconciled() was called */
     bool lease_in_flight; /* a proposal of their length is not answered yet */
-    uint64_t next_lease_ms;   /* no such proposal before this */
-    GHashTable *sessions;     /* target ID to struct target_session */
-    GHashTable *helpers;      /* host to struct policy_helper */
-    uint64_t policy_failures; /* queries without a usable answer */
-    uint64_t policy_unread;   /* entries of answers that were unreadable */
+    uint64_t next_lease_ms; /* no such proposal before this */
+    GHashTable *sessions;   /* target ID to struct target_session */
+    GHashTable *helpers;    /* host to struct policy_helper */
+    struct dispatch_policy_counters policy;
     GHashTable *host_data_centres; /* set of the names of those that have
                                     * hosts of this system */
     GHashTable *pending;           /* set of struct pending_request */
--- a/node/fleetmetrics.c
+++ b/node/fleetmetrics.c
@@ -94,6 +94,13 @@
     add_value(out, "copies_wasted_core_ms_total",
               counters->copy_waste_milli_s);
     add_value(out, "policy_questions_total", counters->policy_queries);
+    for (int i = 0; i < QUERY_PURPOSE_COUNT; i++) {
+        g_string_append_printf(
+            out, "filbertpath_policy_queries_total{purpose=\"%s\"} %llu\n",
+            QUERY_PURPOSE_NAMES[i],
+            (unsigned long long)counters->policy_queries_for[i]);
+    }
+    add_value(out, "policy_tickets_unused_total", counters->tickets_unused);
     add_value(out, "jobs_rejected_total", counters->jobs_rejected);
     add_value(out, "plan_passes_total", counters->passes);
     for (int i = 0; i < RUN_OUTCOME_COUNT; i++) {
@@ -197,6 +204,18 @@
                           "completion_permille_of_objective", "", out);
 }
 
+static void
+add_policy_counters(GString *out,
+                    const struct dispatch_policy_counters *counters)
+{
+    add_value(out, "policy_failures_total", counters->failures);
+    add_value(out, "policy_given_up_total", counters->given_up);
+    add_value(out, "policy_unread_entries_total", counters->unread);
+    add_value(out, "policy_stated_ms_total", counters->stated_ms);
+    add_value(out, "policy_measured_ms_total", counters->measured_ms);
+    add_value(out, "policy_queries_under_way", counters->under_way);
+}
+
 static void
 add_evacuations(GString *out, const struct fleet *fleet)
 {
@@ -255,10 +274,7 @@
 
         add_plan_gauges(out, &gauges);
         add_plan_counters(out, dispatch_counters(sources->dispatch));
-        add_value(out, "policy_failures_total",
-                  dispatch_policy_failures(sources->dispatch));
-        add_value(out, "policy_unread_entries_total",
-                  dispatch_policy_unread(sources->dispatch));
+        add_policy_counters(out, dispatch_policy_counters(sources->dispatch));
         add_value(out, "checkpoints_refused_total",
                   dispatch_checkpoints_refused(sources->dispatch));
         add_lost_runs(out, sources->fleet);
--- a/tests/plan_ticket_test.cc
+++ b/tests/plan_ticket_test.cc
@@ -204,4 +204,57 @@
         << "the step does not wait for the policy";
 }
 
+// A step whose tickets had expired, whose targets were full and whose targets
+// were kept for others waited for the same reason in the log.
+TEST(Plan, TheWaitOfAStepWithGrantsSaysWhatIsMissing)
+{
+    FleetSim sim;
+    sim.configure({"q"}, true);
+    sim.put_target("t1", 4000);
+    sim.put_target("t2", 4000);
+    sim.become_leader();
+    sim.submit(1, {{.count = 4, .cpu_milli = 2000, .gang = true}});
+    sim.run_pass();
+    sim.policy_client_free = false;
+    sim.run_pass(1100);
+    EXPECT_STREQ(sim.last_wait.reason, "the placement policy has not answered");
+    EXPECT_STREQ(sim.last_wait.query, "under way");
+    EXPECT_EQ(sim.last_wait.query_ms, 1100u);
+    sim.answer_query(sim.queries[0], {"t1"});
+    sim.run_pass(1100);
+    EXPECT_STREQ(sim.last_wait.reason, "its granted targets are too small");
+    sim.submit(2, {{.count = 2, .cpu_milli = 2000, .gang = true}});
+    sim.policy_client_free = true;
+    sim.run_pass();
+    sim.policy_client_free = false;
+    sim.cancel_job(1);
+    sim.set_usable("t1", false);
+    sim.answer_query(sim.queries.back(), {"t1"}, FP_OK, 0, 5000);
+    sim.set_usable("t1", true);
+    sim.run_pass(1100);
+    EXPECT_STREQ(sim.last_wait.reason, "its tickets have expired");
+    EXPECT_STREQ(sim.last_wait.query, "no host is free");
+    EXPECT_EQ(sim.last_wait.fitting, 2u);
+    EXPECT_EQ(sim.last_wait.holding, 2u);
+}
+
+// A gang that had been stopped kept the reason of its wait before its start.
+TEST(Plan, TheWaitOfAGangWithARunNamesTheRun)
+{
+    FleetSim sim;
+    sim.configure({"q"});
+    sim.put_target("t1");
+    sim.become_leader();
+    sim.submit(1, {{.count = 2, .gang = true}});
+    sim.run_pass();
+    ASSERT_EQ(sim.start_orders.size(), 2u);
+    sim.confirm_starts();
+    sim.end_run(sim.start_orders[0], RUN_STOPPED);
+    sim.run_pass(1);
+    sim.run_pass(1100);
+    ASSERT_FALSE(sim.wait_reasons.empty());
+    EXPECT_EQ(sim.wait_reasons.back(), "some of its gang have a run");
+    EXPECT_EQ(sim.last_wait.running, 1u);
+}
+
 } // namespace
--- a/tests/plan_world.h
+++ b/tests/plan_world.h
@@ -56,6 +56,7 @@
     // Jobs released while targets had not listed their runs, and how many.
     std::vector<std::pair<uint64_t, uint32_t>> released_jobs;
     std::vector<std::string> wait_reasons;
+    plan_wait last_wait = {};
     bool policy_client_free = true; // false: queries cannot be sent
     void *policy_hosts = nullptr;   // see policy_hosts.h
     uint64_t config_version = 0;
@@ -466,6 +467,7 @@
     static void on_step_waiting(void *ctx, const plan_wait *wait)
     {
         self(ctx)->wait_reasons.push_back(wait->reason);
+        self(ctx)->last_wait = *wait;
     }
     static void on_run_lost(void *ctx, const plan_lost_run *lost)
     {
