Test: a fleet beside a policy that takes all hosts for one asker

The stand-ins get a site of 48 targets with three queues that all have a placement policy, of unlike speed. policy.py is that policy in a process of its own: one query of each asking host at a time, in turn, 429 with 32 waiting; a query whose asker has gone still takes its turn; phases in which it is slow or silent. It tells hosts apart by the address that they call, or takes them all for one asker. Targets let the members of a gang wait for each other: they work once all are present, end together, end "broken" with the first one that ends otherwise, and "alone" after 3 s. A ticket names its step, and one of another step is refused.

--- a/tests/platform/lib.sh
+++ b/tests/platform/lib.sh
@@ -25,7 +25,7 @@
   $([ -n "${3:-}" ] && echo "control: \"$1:$((BASE_PORT + 1))\"" || echo "clients: \"$1:$((BASE_PORT + 2))\"")
   readiness: "$1:$((BASE_PORT + 3))"
   metrics: "$1:$((BASE_PORT + 4))"
-  advice: "127.0.0.9:$((BASE_PORT + $([[ " ${NO_POLICY:-} " == *" $1 "* ]] && echo 9 || echo 5)))"
+  advice: "127.0.${YARD:+9.${1##*.}}$([ -n "${YARD:-}" ] || echo 0.9):$((BASE_PORT + $([[ " ${NO_POLICY:-} " == *" $1 "* ]] && echo 9 || echo 5)))"
   data_centre: "z1"
   first_start: $2
   bus_port: $((BASE_PORT + 6))
@@ -71,6 +71,36 @@
     PIDS[targets]=$!
 }
 
+# With YARD=1, a site whose targets all need tickets of a policy that is a process of
+# its own (policy.py); each host calls it at an address of its own.
+start_policy() { # OPTION...
+    python3 tests/platform/policy.py --port $((BASE_PORT + 5)) "$@" \
+        >"$WORK/policy" 2>"$WORK/policy.err" &
+    PIDS[policy]=$!
+}
+
+start_yard() { # OPTION...: the policy and 9 hosts; options are those of the policy
+    start_policy "$@"
+    start_fleet
+    for host in 127.0.0.6 127.0.0.7 127.0.0.8 127.0.0.11 127.0.0.12; do
+        start_node "$host" false
+        FRONT_END=$FRONT_END,$host:$((BASE_PORT + 2))
+    done
+    configure --site yard --version 1
+    expect_state "the front end is ready" 10 is_ready 127.0.0.5
+}
+
+start_yard_targets() { start_targets --site yard --count 48 --zones 3 --seconds 60 --seed 1; }
+
+end_yard() { # prints the violations
+    kill "${PIDS[policy]}"
+    wait_for_exit policy
+    kill -USR2 "${PIDS[targets]}"
+    wait_for_exit targets
+    cat "$WORK/targets"
+    [ -z "${KEEP:-}" ] || cp "$WORK"/*.log "$WORK"/*.err "$WORK/policy" "$KEEP"
+}
+
 configure() { python3 $STANDIN configure --control "$SEEDS" "$@"; }
 
 submit_jobs() { python3 $STANDIN jobs --front "$FRONT_END" "$@"; }
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -520,6 +520,7 @@
     options.zones = 2
     options.invalid = 0.02
     options.policy_faults = 0.1
+    options.site = "shop"
     soak = Soak(options)
     # Targets listen on a port of their own, next to that of their proxies.
     options.port = options.port + 7
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -8,13 +8,20 @@
   standin.py configure --control HOST:PORT,... --version N
   standin.py jobs --front HOST:PORT,... --count N [--deadly SHARE] [--seed N]
 
+With "--site yard", "configure" and "jobs" play a site of YARD_TARGETS targets whose
+three queues all have a placement policy, of unlike speed, that grants few targets;
+policy.py is that policy. "jobs" then prints how many of the jobs that could run
+were not completed in time.
+
 "targets" checks the invariants of all targets and prints each violation: no
 task runs twice at once or starts again after its end was acknowledged, no target
 runs more than its capacity, and no task that crashes its targets is started three
 times more after three crashes, and none resumes from a checkpoint that it has not
-saved. Nor is one started in a zone that a line "ZONE
+saved, a gang from one of any member. The members of a gang wait GANG_MS for each other
+and end together. Nor is one started in a zone that a line "ZONE
 SECONDS" of FILE calls evacuated, later than EVACUATION_S after that time. On
-SIGUSR1 every other target stops answering for some seconds, and runs on.
+SIGUSR1 every other target stops answering for some seconds, and runs on. SIGUSR2 ends
+the run early.
 """
 import argparse
 import asyncio
@@ -47,6 +54,53 @@
 }
 
 
+YARD_TARGETS = 48
+YARD_TICKET_MS = 2000
+# By the first digit of a job's ID: the queue, the policy's time for a query and for
+# each target in milliseconds, and the share of targets that it grants.
+YARD_QUEUES = {
+    "1": {"name": "long", "decide_ms": 380.0, "each_ms": 5.4, "granted": 30,
+          "priority": 1, "target_latency_ms": 1000, "stretch": 2.2,
+          "max_attempts": 2},
+    "2": {"name": "medium", "decide_ms": 50.0, "each_ms": 0.71, "granted": 45,
+          "priority": 2, "target_latency_ms": 3000, "stretch": 4.0,
+          "max_attempts": 3},
+    "3": {"name": "short", "decide_ms": 5.6, "each_ms": 0.08, "granted": 70,
+          "priority": 0, "target_latency_ms": 250, "stretch": 1.5,
+          "max_attempts": 3},
+}
+# The second digit of the ID of a job for which only HOPELESS_TARGETS are granted,
+# too few for its gang.
+HOPELESS_DIGIT = "f"
+HOPELESS_TARGETS = 2
+
+
+def yard_config():
+    routes = []
+    for queue in YARD_QUEUES.values():
+        route = {name: queue[name] for name in (
+            "name", "priority", "target_latency_ms", "stretch",
+            "max_attempts")}
+        route["advice"] = {"decide_ms": queue["decide_ms"],
+                           "each_ms": queue["each_ms"],
+                           "valid_ms": YARD_TICKET_MS}
+        route.update(host="shop.example", type="unsafe", timeout_ms=3000,
+                     path_prefix="/%s/" % queue["name"], service="store",
+                     allow_anonymous=False)
+        routes.append(route)
+    return dict(CONFIG, routes=routes)
+
+
+def yard_grants(step, target):
+    """Whether the yard's policy lets this target run a step; that never changes."""
+    number = zlib.crc32((step + target).encode())
+    if step[1] == HOPELESS_DIGIT:
+        first = zlib.crc32(step.encode()) % YARD_TARGETS
+        return target in ["t-%03d" % ((first + i) % YARD_TARGETS)
+                          for i in range(HOPELESS_TARGETS)]
+    return number % 100 < YARD_QUEUES[step[0]]["granted"]
+
+
 async def request(address, method, path, body=None, headers=None, timeout=2):
     """Sends a request; returns (status, object), or (0, None) if no response
     came."""
@@ -78,10 +132,10 @@
         return int(head.split()[1]), None
 
 
-async def serve(address, handler, writers=None):
+async def serve(address, handler, writers=None, on_lost=None):
     """Serves HTTP. handler(path, headers, object) returns (status, object or
     bytes), or None to leave the request unanswered. Open connections are added to the
-    set writers."""
+    set writers. on_lost() is called for an answer whose caller has gone."""
     async def on_connection(reader, writer):
         if writers is not None:
             writers.add(writer)
@@ -97,6 +151,8 @@
                                        json.loads(body) if body else {})
                 if answer is None:
                     await asyncio.sleep(3600)
+                if on_lost is not None and reader.at_eof():
+                    on_lost()
                 status, obj = answer
                 data = (obj if isinstance(obj, bytes)
                         else json.dumps(obj).encode())
@@ -131,6 +187,16 @@
 
 
 EVACUATION_S = 5.0  # from the acknowledgement of an evacuation
+GANG_MS = 3000  # a member waits this long for the others
+
+
+class Gang:
+    """One run of a gang. Its members work from the moment when all are present."""
+
+    def __init__(self, checkpoint):
+        self.checkpoint = checkpoint
+        self.targets = {}  # task -> its target
+        self.is_working = False
 
 
 class InvariantChecker:
@@ -140,7 +206,8 @@
         self.running_tasks = {}  # task -> (target, run)
         self.acknowledged_tasks = set()  # tasks with an acknowledged "done"
         self.started_jobs = set()  # jobs with at least one started task
-        self.checkpoints = {}  # task -> checkpoints that it has saved
+        self.checkpoints = {}  # task or gang -> checkpoints that it has saved
+        self.gangs = {}  # (step, run) -> Gang
         self.crash_counts = {}  # task -> targets that it has crashed
         self.late_starts = {}  # task -> starts after three crashes
         self.evacuated = {}  # zone -> when that was acknowledged
@@ -155,6 +222,29 @@
                 self.report_violation("%s crashes its targets and is started "
                                       "again: %s" % (task, where))
 
+    def join_gang(self, target, task, run, size, checkpoint, work_ms):
+        step = task.rpartition(".")[0]
+        gang = self.gangs.setdefault((step, run), Gang(checkpoint))
+        if checkpoint != gang.checkpoint:
+            self.report_violation("members of run %d of %s start from '%s' and "
+                                  "'%s'" % (run, step, checkpoint,
+                                            gang.checkpoint))
+        gang.targets[task] = target
+        if len(gang.targets) == size:
+            gang.is_working = True
+            for member, its_target in gang.targets.items():
+                its_target.runs[member][1] = its_target.clock_ms() + work_ms
+
+    def leave_gang(self, task, run, outcome):
+        """Ends the other members with the first one that ends."""
+        gang = self.gangs.pop((task.rpartition(".")[0], run), None)
+        if gang is None:
+            return
+        for member, target in gang.targets.items():
+            if member != task and member in target.runs:
+                target.end_run(member,
+                               "done" if outcome == "done" else "broken")
+
     def check_checkpoint(self, task, checkpoint, where):
         if checkpoint and checkpoint not in self.checkpoints.get(task, ()):
             self.report_violation("%s starts from '%s', which it has not "
@@ -205,13 +295,15 @@
         for writer in self.writers:
             writer.transport.abort()
         self.writers.clear()
-        for task in getattr(self, "runs", {}):
+        lost_runs = getattr(self, "runs", {})
+        self.runs = {}  # task -> [run, end time in ms, spec]
+        for task in lost_runs:
             self.checker.running_tasks.pop(task, None)
+            self.checker.leave_gang(task, lost_runs[task][0], "lost")
         self.born_ms = int(time.time() * 1000)
         self.start_time = time.monotonic()
         self.fencing_token = 0
         self.lease_end_ms = 0
-        self.runs = {}   # task -> [run, end time in ms, spec]
         self.highest_run = {}
         self.ended_runs = []
         self.next_end_number = 1
@@ -248,12 +340,16 @@
         run, end_ms, spec = self.runs[task]
         if not json.loads(spec).get("saves"):
             return ""
+        gang = self.checker.gangs.get((task.rpartition(".")[0], run))
+        if gang is not None and not gang.is_working:
+            return gang.checkpoint
         length = zlib.crc32(task.encode()) % 950
         if length % 20 == 0:
             length += 1000
         text = "saves/%s/run-%d/%s/%d" % (
             task, run, "p" * length, (end_ms - self.clock_ms()) // 50)
-        self.checker.checkpoints.setdefault(task, set()).add(text)
+        saver = task if gang is None else task.rpartition(".")[0]
+        self.checker.checkpoints.setdefault(saver, set()).add(text)
         return text
 
     def end_run(self, task, outcome):
@@ -267,15 +363,32 @@
         self.checker.end_counts[outcome] = (
             self.checker.end_counts.get(outcome, 0) + 1)
         self.run_ended.set()
+        self.checker.leave_gang(task, run, outcome)
+
+    def due_outcome(self, task):
+        gang = self.checker.gangs.get((task.rpartition(".")[0],
+                                       self.runs[task][0]))
+        if gang is not None and not gang.is_working:
+            return "alone"
+        return ("failed" if self.rng.random() < self.options.failures
+                else "done")
 
     def end_due_runs(self):
         now = self.clock_ms()
         for task in list(self.runs):
+            if task not in self.runs:
+                continue  # ended with another member of its gang
             if self.lease_end_ms <= now:
                 self.end_run(task, "lapsed")
             elif self.runs[task][1] <= now:
-                failed = self.rng.random() < self.options.failures
-                self.end_run(task, "failed" if failed else "done")
+                self.end_run(task, self.due_outcome(task))
+
+    def is_admitted(self, task, ticket):
+        if ticket is None:  # a queue without a policy
+            return self.options.site != "yard"
+        return ticket_is_valid(
+            ticket, self.id, task.rpartition(".")[0],
+            YARD_TICKET_MS if self.options.site == "yard" else TICKET_MS)
 
     def start_run(self, body):
         task, run = body["task"], body["run"]
@@ -285,26 +398,33 @@
             return 409, {"clock_ms": self.clock_ms(), "reason": "old"}
         if body["deadline_ms"] <= self.clock_ms():
             return 409, {"clock_ms": self.clock_ms(), "reason": "late"}
-        if not ticket_is_valid(body.get("ticket", "%s@%d" % (self.id, 1 << 52)),
-                               self.id):
+        if not self.is_admitted(task, body.get("ticket")):
             return 409, {"clock_ms": self.clock_ms(), "reason": "ticket"}
         where = "run %d on %s, %d ms after its start" % (run, self.id,
                                                          self.clock_ms())
         self.checker.check_evacuated(self, where)
-        self.checker.check_checkpoint(task, body.get("checkpoint"), where)
+        spec = json.loads(body["spec"])
+        gang_size = spec.get("gangs", {}).get(task.split(".")[2], 0)
+        self.checker.check_checkpoint(
+            task.rpartition(".")[0] if gang_size else task,
+            body.get("checkpoint"), where)
         if task in self.checker.running_tasks:
             self.checker.report_violation("%s runs twice: %s and %s" % (
                 task, where, self.checker.running_tasks[task]))
         if task in self.checker.acknowledged_tasks:
             self.checker.report_violation(
                 "%s starts after its end was acknowledged: %s" % (task, where))
-        spec = json.loads(body["spec"])
         used = sum(self.cpu_of(entry[2]) for entry in self.runs.values())
         if used + spec["cpu"] > self.enforced_cpu():
             self.checker.report_violation(
                 "%s runs more than its capacity" % self.id)
-        self.runs[task] = [run, self.clock_ms() + spec["ms"], body["spec"]]
+        self.runs[task] = [run, self.clock_ms() +
+                           (GANG_MS if gang_size else spec["ms"]),
+                           body["spec"]]
         self.checker.running_tasks[task] = (self.id, run)
+        if gang_size:
+            self.checker.join_gang(self, task, run, gang_size,
+                                   body.get("checkpoint", ""), spec["ms"])
         self.checker.start_count += 1
         if spec.get("deadly") and task.endswith(".0.0.0"):
             self.checker.count_deadly_start(task, where)
@@ -423,11 +543,16 @@
 POLICY_FAULTS = ["slow", "busy", "status", "cut", "rows", "silent"]
 
 
-def ticket_is_valid(ticket, target):
-    """Tickets are "ID@TIME", with the time of their issue in milliseconds."""
+def make_ticket(target, step):
+    """Tickets are "TARGET/STEP@TIME", with the millisecond of their issue; without
+    a step they hold for all."""
+    return "%s/%s@%d" % (target, step, time.monotonic() * 1000)
+
+
+def ticket_is_valid(ticket, target, step, valid_ms):
     name, _, issued_ms = ticket.partition("@")
-    return (name == target and
-            time.monotonic() * 1000 <= int(issued_ms) + TICKET_MS)
+    return (name in (target, "%s/%s" % (target, step)) and
+            time.monotonic() * 1000 <= int(issued_ms) + valid_ms)
 
 
 async def serve_policy(address, invalid=0.0, seed=1, faults=0.0):
@@ -441,10 +566,10 @@
         fault = rng.choice(POLICY_FAULTS) if rng.random() < faults else ""
         if fault == "slow":
             await asyncio.sleep(0.2 + 1.5 * rng.random())
-        issued_ms = int(time.monotonic() * 1000)
         step = body["step"][:18]
         sure = "t-%03d" % (zlib.crc32(step.encode()) % 4)
-        granted = [[w, "%s@%d" % (w, issued_ms)] for w in body["workers"]
+        granted = [[w, make_ticket(w, body["step"])]
+                   for w in body["workers"]
                    if w.startswith(sure) or
                    zlib.crc32((step + w).encode()) % 10 < 7]
         answer = {"granted": granted, "valid_ms": TICKET_MS}
@@ -473,8 +598,9 @@
     checker = InvariantChecker()
     targets = [Target(i, options, checker, rng) for i in range(options.count)]
 
-    await serve_policy("127.0.0.9:%d" % options.port, options.invalid,
-                       options.seed, options.policy_faults)
+    if options.site == "shop":  # that of the yard is a process of its own
+        await serve_policy("127.0.0.9:%d" % options.port, options.invalid,
+                           options.seed, options.policy_faults)
     for target in targets:
         asyncio.ensure_future(target.run())
     def deafen_half():
@@ -482,11 +608,13 @@
             target.deaf_until = time.monotonic() + options.deaf_for
 
     asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, deafen_half)
+    ended = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGUSR2, ended.set)
     deadline = time.monotonic() + options.seconds
     next_restart = time.monotonic() + (options.restart or 1e9)
     next_resize = time.monotonic() + (options.resize or 1e9)
     next_deaf = time.monotonic() + (options.deaf or 1e9)
-    while time.monotonic() < deadline:
+    while time.monotonic() < deadline and not ended.is_set():
         await asyncio.sleep(0.1)
         checker.read_evacuated(options.evacuated)
         if time.monotonic() >= next_restart:
@@ -505,7 +633,8 @@
 
 
 async def run_configure(options):
-    config = dict(CONFIG, version=options.version)
+    config = dict(CONFIG if options.site == "shop" else yard_config(),
+                  version=options.version)
     for _ in range(100):
         for address in options.control.split(","):
             status, _ = await request(address, "PUT", "/filbertpath/config",
@@ -555,10 +684,82 @@
     results[state] = results.get(state, 0) + 1
 
 
+FINISH_S = 14.0  # from the end of the traffic until each job must have a turn
+IDLE_S = 3.0     # for which a job that could run may have nothing running
+
+
+def count_places(step, cpu):
+    """Tasks of this size that fit on the empty targets granted to a step."""
+    return 16000 // cpu * sum(yard_grants(step, "t-%03d" % i)
+                              for i in range(YARD_TARGETS))
+
+
+def draw_yard_job(options, rng, number):
+    """Returns the first digit, the ID and the body of a job. A gang that is not
+    hopeless fits twice on the targets that are granted to it."""
+    hopeless = number < options.hopeless
+    draw = rng.random()
+    digit = ("1" if hopeless or draw < options.long else
+             "2" if draw < options.long + 0.1 else "3")
+    name = "%s%s%014x" % (digit, HOPELESS_DIGIT if hopeless else "0",
+                          options.seed * 1000000 + number)
+    cpu, ms = {"1": (4500, 500), "2": (980, 900), "3": (1400, 300)}[digit]
+    cpu = int(cpu * (0.6 + 0.8 * rng.random()))
+    ms = int(ms * (0.5 + rng.random()))
+    mean, most = {"1": (8, 20), "2": (8, 20), "3": (2, 12)}[digit]
+    count = max(1, min(most, int(rng.expovariate(1 / mean))))
+    if hopeless:
+        count = count_places(name + ".0.0", cpu) + 1 + count
+    elif digit == "1":
+        count = max(1, min(count, count_places(name + ".0.0", cpu) // 2))
+    step = {"count": count, "cpu": cpu, "mem_mb": 64, "estimated_ms": ms,
+            "checkpointing": True}
+    spec = {"cpu": cpu, "ms": ms, "saves": True}
+    if digit == "1":
+        step["gang"] = True
+        spec["gangs"] = {"0": count}
+    return digit, name, {"spec": json.dumps(spec), "steps": [step]}
+
+
+async def run_yard_job(options, rng, number, results):
+    start_s = time.monotonic()
+    digit, name, body = draw_yard_job(options, rng, number)
+    path = "/%s/%s" % (YARD_QUEUES[digit]["name"], name)
+    fronts = options.front.split(",")
+    headers = {"Host": "shop.example", "Authorization": "Bearer key-shops"}
+    work_s = json.loads(body["spec"])["ms"] / 1000
+    deadline = (start_s + max((options.count - 1) * options.gap,
+                              options.sound_after) +
+                FINISH_S + IDLE_S + work_s)
+    await asyncio.sleep(number * options.gap)
+    state = ""
+    while state not in ("completed", "failed") and time.monotonic() < deadline:
+        if not state:
+            status, _ = await request(rng.choice(fronts), "POST", path, body,
+                                      headers, timeout=3)
+            state = "accepted" if status == 200 else ""
+            await asyncio.sleep(0.3 if status else 0.1)
+            continue
+        _, answer = await request(rng.choice(fronts), "GET", path, None,
+                                  headers, timeout=3)
+        state = (answer or {}).get("state", state)
+        await asyncio.sleep(0.5)
+    if name[1] == HOPELESS_DIGIT:
+        state = "hopeless"
+    elif state != "completed":
+        print("UNFINISHED: %s, %s %.1f s after it came: %s" % (
+            name, state or "not accepted",
+            time.monotonic() - start_s - number * options.gap,
+            json.dumps(body["steps"])), file=sys.stderr, flush=True)
+        state = "%s unfinished" % YARD_QUEUES[digit]["name"]
+    results[state] = results.get(state, 0) + 1
+
+
 async def run_jobs(options):
     rng = random.Random(options.seed)
     results = {}
-    await asyncio.gather(*(run_job(options, rng, i, results)
+    run = run_job if options.site == "shop" else run_yard_job
+    await asyncio.gather(*(run(options, rng, i, results)
                            for i in range(options.count)))
     for state in sorted(results):
         print("%s: %d" % (state, results[state]))
@@ -592,6 +793,13 @@
     parser.add_argument("--evacuated", default="")
     parser.add_argument("--deadly", type=float, default=0)
     parser.add_argument("--gap", type=float, default=0.02)
+    parser.add_argument("--site", choices=["shop", "yard"], default="shop")
+    parser.add_argument("--long", type=float, default=0.08,
+                        help="share of gangs among the jobs of the yard")
+    parser.add_argument("--sound-after", type=float, default=0,
+                        help="seconds until the yard has no fault any more")
+    parser.add_argument("--hopeless", type=int, default=0,
+                        help="number of the yard's first jobs that never fit")
     parser.add_argument("--ms", type=int, default=0,
                         help="run time of each task; 0: 50 to 250")
     parser.add_argument("--padding", type=int, default=0,
