Test: a step whose queue moves to another service

A queue that moves to another service leaves grants on targets of the former one. If these have room, no target of the new service is named, and the old grants are renewed for ever.

In the test ten targets of each service are free.

--- a/tests/liveness_test.cc
+++ b/tests/liveness_test.cc
@@ -58,4 +58,33 @@
     }
 }
 
+// Room on granted targets of the queue's former service counted as enough, so
+// that targets of the new one were never named.
+TEST(Liveness, AStepStartsOnTheServiceThatItsQueueMovedTo)
+{
+    for (const plan_policy *policy :
+         {&PLAN_POLICY_DEFAULT, &PLAN_POLICY_CONTENDED}) {
+        FleetSim sim;
+        sim.advice_us = 380000;
+        sim.advice_each_us = 5400;
+        sim.configure({"q", "spare"}, true);
+        for (int i = 0; i < 10; i++) {
+            sim.put_target("s" + std::to_string(i));
+            sim.put_target("a" + std::to_string(i), 8000, 0, "r1", false, 1, 0,
+                           "alt");
+        }
+        sim.become_leader(1024, policy);
+        PolicyHosts hosts(sim, 9, 100);
+        sim.submit(1, {{.count = 4, .cpu_milli = 3000, .gang = true}});
+        sim.submit(2, {{.count = 1, .cpu_milli = 3000}});
+        hosts.run_until(100, [] { return false; });
+        ASSERT_TRUE(hosts.started.empty()) << "the policy has not answered";
+        sim.queue_services["q"] = "alt";
+        sim.configure({"q", "spare"}, true);
+        EXPECT_TRUE(hosts.run_until(IDLE_MAX_MS,
+                                    [&] { return hosts.started.size() == 2; }))
+            << policy->name;
+    }
+}
+
 } // namespace
