--- a/tests/faultdisk.c
+++ b/tests/faultdisk.c
@@ -1,4 +1,5 @@
-/* faultdisk.c -- a disk that refuses or hangs, for tests with real processes
+/* faultdisk.c -- a disk that refuses or hangs, and that knows what was synced,
+ * for tests with real processes
  *
  * A library to be preloaded into a host. It replaces the calls by which the
  * host writes its data folder, FAULTDISK_FOLDER (with a slash at the end). The
@@ -8,7 +9,16 @@
  *   sync      syncs fail with EIO
  *   files     no file can be opened (EMFILE)
  *   stall     writes and syncs wait until the mode changes
+ *
+ * With FAULTDISK_SYNCED, a folder, it keeps a record of what was synced there,
+ * from which tests/platform/powerloss.py makes what a loss of power leaves:
+ *   INODE     a link to each file that was synced
+ *   sizes     lines INODE SIZE: the size of a file at its last sync
+ *   names     lines INODE NAME: the data folder at its last sync
+ *   dir-N     the folder on the way to the data folder whose path has N bytes
+ *             was synced
  */
+#include <dirent.h>
 #include <dlfcn.h>
 #include <errno.h>
 #include <fcntl.h>
@@ -18,6 +28,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <sys/syscall.h>
 #include <unistd.h>
 
@@ -99,15 +110,105 @@
     return next(fd, data, size_bytes);
 }
 
-int
-fsync(int fd)
+/* Writes a path in the record. Returns false when no record is kept. */
+static bool
+record_path(char *path, const char *name)
+{
+    const char *folder = getenv("FAULTDISK_SYNCED");
+
+    return folder != NULL &&
+           snprintf(path, PATH_MAX, "%s/%s", folder, name) < PATH_MAX;
+}
+
+static void
+record_names(int folder_fd)
 {
-    static int (*next)(int);
     char path[PATH_MAX];
+    char new_path[PATH_MAX];
+    DIR *dir =
+        fdopendir(openat(folder_fd, ".", O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+    const struct dirent *entry;
+    FILE *out;
 
-    if (next == NULL) {
-        *(void **)&next = dlsym(RTLD_NEXT, "fsync");
+    if (dir == NULL || !record_path(path, "names") ||
+        !record_path(new_path, "names.new")) {
+        abort();
+    }
+    out = fopen(new_path, "we");
+    while ((entry = readdir(dir)) != NULL) {
+        if (entry->d_name[0] != '.') {
+            fprintf(out, "%llu %s\n", (unsigned long long)entry->d_ino,
+                    entry->d_name);
+        }
+    }
+    fclose(out);
+    closedir(dir);
+    rename(new_path, path);
+}
+
+static void
+record_file(int fd, const struct stat *status)
+{
+    char name[32];
+    char source[64];
+    char path[PATH_MAX];
+    FILE *out;
+
+    snprintf(name, sizeof(name), "%llu", (unsigned long long)status->st_ino);
+    snprintf(source, sizeof(source), "/proc/self/fd/%d", fd);
+    if (record_path(path, name)) {
+        linkat(AT_FDCWD, source, AT_FDCWD, path, AT_SYMLINK_FOLLOW);
+    }
+    if (record_path(path, "sizes") && (out = fopen(path, "ae")) != NULL) {
+        fprintf(out, "%s %lld\n", name, (long long)status->st_size);
+        fclose(out);
+    }
+}
+
+static void
+record_holding_folder(const char *folder)
+{
+    char name[32];
+    char path[PATH_MAX];
+    FILE *out;
+
+    snprintf(name, sizeof(name), "dir-%zu", strlen(folder) - 1);
+    if (record_path(path, name) && (out = fopen(path, "we")) != NULL) {
+        fclose(out);
     }
+}
+
+/* path: of fd, with a slash at the end. */
+static void
+record_sync(int fd, const char *path)
+{
+    const char *folder = getenv("FAULTDISK_FOLDER");
+    struct stat status;
+
+    if (getenv("FAULTDISK_SYNCED") == NULL || folder == NULL ||
+        fstat(fd, &status) != 0) {
+        return;
+    }
+    if (S_ISDIR(status.st_mode) && strcmp(path, folder) == 0) {
+        record_names(fd);
+    }
+    else if (S_ISDIR(status.st_mode) &&
+             strncmp(folder, path, strlen(path)) == 0) {
+        record_holding_folder(path);
+    }
+    else if (S_ISREG(status.st_mode) && in_folder(path)) {
+        record_file(fd, &status);
+    }
+}
+
+static int
+sync_by(const char *name, int fd)
+{
+    int (*next)(int);
+    char path[PATH_MAX] = "";
+    int rc;
+
+    *(void **)&next = dlsym(RTLD_NEXT, name);
     if (is_data(fd, path, sizeof(path))) {
         wait_while_stalled();
         if (mode_is("sync")) {
@@ -115,7 +216,23 @@
             return -1;
         }
     }
-    return next(fd);
+    rc = next(fd);
+    if (rc == 0) {
+        record_sync(fd, path);
+    }
+    return rc;
+}
+
+int
+fsync(int fd)
+{
+    return sync_by("fsync", fd);
+}
+
+int
+fdatasync(int fd)
+{
+    return sync_by("fdatasync", fd);
 }
 
 static int
