Sync the folders that hold a new data folder

After a loss of power on all hosts at once callers got 503 for every read of the configuration: acknowledged configurations and accepted jobs were gone.

Cause: store_open() creates the data folder, but the folder that holds it was never synced, so that a loss of power took the data folder with all that was synced in it, on all hosts alike. A folder that was there long before has no such fault.

Change: before a host writes its identity it syncs the folders above the data folder, up to the root of the file system.

--- a/node/store.c
+++ b/node/store.c
@@ -560,6 +560,43 @@
     return err;
 }
 
+/* Syncs the folders that hold the data folder, as far as its file system goes.
+ * This process, or one that was killed, may have created any of them, and a
+ * loss of power would otherwise undo that.
+ */
+static enum fp_err
+sync_holding_folders(struct store *store)
+{
+    int below_fd = dup(store->folder_fd);
+    int fd = -1;
+    enum fp_err err = FP_OK;
+
+    while (err == FP_OK &&
+           (fd = openat(below_fd, "..", O_RDONLY | O_DIRECTORY | O_CLOEXEC)) >=
+               0) {
+        struct stat below;
+        struct stat status;
+
+        if (fstat(below_fd, &below) != 0 || fstat(fd, &status) != 0 ||
+            status.st_dev != below.st_dev || status.st_ino == below.st_ino) {
+            break;
+        }
+        err = sync_fd(store, fd, "..");
+        close(below_fd);
+        below_fd = fd;
+        fd = -1;
+    }
+    /* What can't be opened wasn't created by this host. */
+    if (fd >= 0) {
+        close(fd);
+    }
+    if (below_fd >= 0) {
+        close(below_fd);
+    }
+    return err;
+}
+
+/* The identity shows that the folder and those that hold it are durable. */
 static enum fp_err
 write_identity(struct store *store)
 {
@@ -569,6 +606,10 @@
     if (store->has_identity_file) {
         return FP_OK;
     }
+    err = sync_holding_folders(store);
+    if (err != FP_OK) {
+        return err;
+    }
     snprintf(line, sizeof(line), "%016llx\n", (unsigned long long)store->id);
     err = write_file(store, "identity", line, strlen(line), "", 0);
     store->has_identity_file = err == FP_OK;
--- a/tests/store_test.cc
+++ b/tests/store_test.cc
@@ -9,12 +9,14 @@
 #include <cstring>
 #include <fstream>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
 extern "C" {
 #include "node/settings.h"
 #include "node/store.h"
+#include <sys/stat.h>
 #include <unistd.h>
 }
 
@@ -431,6 +433,68 @@
     }
 }
 
+// Remembers what was synced, by inode; fails while a number of syncs is left.
+struct SyncedFolders {
+    std::set<ino_t> inodes;
+    int failures_left = 0;
+};
+
+int remember_sync(void *ctx, int fd)
+{
+    auto *synced = (SyncedFolders *)ctx;
+    struct stat status;
+    if (synced->failures_left-- > 0) {
+        errno = EIO;
+        return -1;
+    }
+    if (fstat(fd, &status) == 0) {
+        synced->inodes.insert(status.st_ino);
+    }
+    return fsync(fd);
+}
+
+ssize_t plain_write(void *, int fd, const void *data, size_t size)
+{
+    return write(fd, data, size);
+}
+
+// A data folder that the host had created itself was gone after a loss of power,
+// with all that was synced in it: the folder that holds it had not been synced.
+TEST(Store, AFolderThatTheHostCreatesIsSyncedInTheOneThatHoldsIt)
+{
+    for (int failures = 0; failures < 3; failures++) {
+        Folder top;
+        Folder f;
+        std::string own_path = f.path;
+        SyncedFolders synced;
+        synced.failures_left = failures;
+        store_io io = {plain_write, remember_sync, &synced};
+        f.path = top.path + "/disk/cell";
+        {
+            Opened o(f, &io);
+            ASSERT_EQ(o.err, FP_OK) << o.why;
+            if (failures > 0) {
+                EXPECT_EQ(o.prepared, FP_ERR_DISK);
+                synced.failures_left = 0;
+                EXPECT_EQ(rewrite(o, 0), FP_OK);
+            }
+            EXPECT_EQ(o.append(1, 1, "v1"), FP_OK);
+        }
+        for (const char *holding : {"", "/disk"}) {
+            struct stat status;
+            ASSERT_EQ(stat((top.path + holding).c_str(), &status), 0);
+            EXPECT_EQ(synced.inodes.count(status.st_ino), 1u)
+                << "'" << holding << "' after " << failures << " failures";
+        }
+        for (const auto &name : f.files("")) {
+            g_unlink((f.path + "/" + name).c_str());
+        }
+        g_rmdir(f.path.c_str());
+        g_rmdir((top.path + "/disk").c_str());
+        f.path = own_path;
+    }
+}
+
 // An identity file that can't be read now was taken for a missing one: the
 // replica lost its vote under its old identity.
 TEST(Store, AnIdentityThatCannotBeReadIsNotReplaced)
