Relay: a slow leader does not get each call again and again

Cause: a call to the leader was sent again every 450 ms, whatever the leader's answers usually took. A copy of a change that was still being stored was proposed to the log once more (a submission with its whole job, a configuration with its whole text), and a copy of a read was answered twice. Longer waits made more copies and copies made longer waits.

Evidence, by the tests of this commit with the safeguards removed: 100 submissions that the leader takes 1.1 s to store were handled 200 times. In a model of a host with 60% of its time in use that stands still for 1, 2 or 4 s, 0 of 1,000 calls are answered 20 s later, with 7,000 copies: six repeats a call.

Change: a host that gets a call again while it handles it answers once, unless it no longer leads. The pause before a repeat follows the measured time of answers of the same kind and is doubled with each copy (core/resend.c); the least one stays 450 ms, and a new leader's announcement still sends waiting calls at once. A call that ends without an answer counts as one that took that long. The histograms of answer times began at the boot of the machine instead of at the call. calls_repeated_total counts the copies that were recognized.

Tests: Relay.* and Resend.* fail before (handled 200 instead of 100; 20 repeats of 20 calls to a leader that takes 800 ms; 0 of 1,000 calls answered) and pass after (100; at most 5; at least 990 after each pause). build/unit: 324 passed, 1 known failure (Copy.ReplayOfStragglers...).

--- a/node/fleetmetrics.c
+++ b/node/fleetmetrics.c
@@ -25,6 +25,7 @@
     add_value(out, "call_retries_total", counters->retried);
     add_value(out, "call_timeouts_total", counters->timed_out);
     add_value(out, "calls_answered_total", counters->answered);
+    add_value(out, "calls_repeated_total", counters->repeated);
     add_value(out, "calls_in_flight", relay_in_flight(relay));
 }
 
--- a/node/relay.c
+++ b/node/relay.c
@@ -5,9 +5,9 @@
 #include <string.h>
 
 #include "base/event.h"
+#include "core/resend.h"
 
 #define TICK_INTERVAL_MS 10u
-#define RESEND_DELAY_MS 450u    /* until an unanswered call is sent again */
 #define NOT_LEADER_DELAY_MS 40u /* before another host is called */
 #define KNOWN_HOSTS_MAX 64u
 #define CALLERS_MAX 4096u
@@ -28,7 +28,8 @@
     struct fp_blob body;
     bool single_host;          /* sent to one given host, without retries */
     char host[MSG_HOST_BYTES]; /* last host that a copy was sent to */
-    uint32_t open_copies;      /* copies that may still be processed */
+    char first_host[MSG_HOST_BYTES]; /* to which the first copy was sent */
+    uint32_t open_copies;            /* copies that may still be processed */
     uint32_t sent_copies;
     uint64_t start_ms;
     uint64_t resend_ms; /* when to send the next copy */
@@ -47,6 +48,9 @@
     guint next_host;
     GHashTable *calls;   /* request ID to struct outgoing_call */
     GHashTable *callers; /* set of the hosts that have called this one */
+    GHashTable *handled; /* set of struct relay_caller: calls on this host that
+                          * are not answered yet */
+    struct resend_times answer_times[CALL_KIND_COUNT]; /* of the leader */
     uint64_t last_request_id;
     uint64_t started_ms;
     uint64_t leader_heard_ms; /* 0: never */
@@ -109,6 +113,41 @@
     return relay->hosts->pdata[relay->next_host++ % relay->hosts->len];
 }
 
+static guint
+hash_caller(gconstpointer item)
+{
+    const struct relay_caller *caller = item;
+
+    return g_str_hash(caller->host) ^ g_int64_hash(&caller->request_id);
+}
+
+static gboolean
+equal_callers(gconstpointer a, gconstpointer b)
+{
+    const struct relay_caller *caller = a;
+    const struct relay_caller *other = b;
+
+    return caller->request_id == other->request_id &&
+           strcmp(caller->host, other->host) == 0;
+}
+
+/* Workload: changes take long to be stored, and each is sent again meanwhile.
+ * A copy of a call that is being handled would be one more change to store;
+ * the answer to the first copy answers it too. A host that no longer leads
+ * refuses the copy. */
+static void
+handle_call(struct relay *relay, const struct relay_caller *caller,
+            uint32_t kind, const struct fp_blob *body)
+{
+    if (g_hash_table_contains(relay->handled, caller) &&
+        strcmp(relay_leader(relay), relay->own_host) == 0) {
+        relay->counters.repeated++;
+        return;
+    }
+    g_hash_table_add(relay->handled, g_memdup2(caller, sizeof(*caller)));
+    relay->ops.on_call(relay->ops.ctx, caller, kind, body);
+}
+
 static void
 handle_locally(struct relay *relay, const struct outgoing_call *call)
 {
@@ -116,7 +155,31 @@
     struct fp_blob body = call->body;
 
     g_strlcpy(caller.host, relay->own_host, sizeof(caller.host));
-    relay->ops.on_call(relay->ops.ctx, &caller, call->kind, &body);
+    handle_call(relay, &caller, call->kind, &body);
+}
+
+static uint32_t
+pause_ms(const struct relay *relay, const struct outgoing_call *call)
+{
+    static const struct resend_times unmeasured;
+    const struct resend_times *times = call->kind < CALL_KIND_COUNT
+                                           ? &relay->answer_times[call->kind]
+                                           : &unmeasured;
+
+    return resend_pause_ms(times, call->open_copies);
+}
+
+/* Records how long a host has taken for a call, or has had it so far. A call
+ * that went to another host first says little about this one. */
+static void
+note_answer_time(struct relay *relay, const struct outgoing_call *call,
+                 const char *host, uint64_t now_ms)
+{
+    if (call->kind < CALL_KIND_COUNT && !call->single_host &&
+        strcmp(call->first_host, host) == 0) {
+        resend_note_answer(&relay->answer_times[call->kind],
+                           now_ms - call->start_ms);
+    }
 }
 
 /* Sends one copy of a call. A copy to this host itself may be answered, and
@@ -139,18 +202,21 @@
     }
     relay->counters.sent++;
     relay->counters.retried += call->sent_copies > 0;
+    if (call->sent_copies == 0) {
+        g_strlcpy(call->first_host, call->host, sizeof(call->first_host));
+    }
     call->sent_copies++;
-    call->resend_ms = now_ms + RESEND_DELAY_MS;
     if (strcmp(call->host, relay->own_host) == 0) {
         call->open_copies++;
+        call->resend_ms = now_ms + pause_ms(relay, call);
         handle_locally(relay, call);
     }
     else if (bus_send(relay->bus, call->host, &MSG_FORWARD_SCHEMA, &msg) ==
              FP_OK) {
         call->open_copies++;
+        call->resend_ms = now_ms + pause_ms(relay, call);
     }
     else if (call->single_host) {
-        call->start_ms = clock_mono_ms();
         call->deadline_ms = now_ms; /* the next tick ends the call */
     }
     else {
@@ -174,6 +240,9 @@
 {
     if (now_ms >= call->deadline_ms || should_fail_fast(relay, call, now_ms)) {
         relay->counters.timed_out++;
+        if (now_ms >= call->deadline_ms && call->open_copies > 0) {
+            note_answer_time(relay, call, call->host, now_ms);
+        }
         finish_call(relay, call,
                     call->open_copies > 0 ? FP_ERR_UNKNOWN_OUTCOME
                                           : FP_ERR_NO_LEADER,
@@ -216,6 +285,8 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_call);
     relay->callers =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    relay->handled =
+        g_hash_table_new_full(hash_caller, equal_callers, g_free, NULL);
     /* Request IDs must not repeat those of an earlier process on this host,
      * whose answers may still arrive. */
     relay->last_request_id = clock_wall_ms() << 16;
@@ -245,6 +316,7 @@
     g_list_free(all);
     g_hash_table_destroy(relay->calls);
     g_hash_table_destroy(relay->callers);
+    g_hash_table_destroy(relay->handled);
     g_ptr_array_free(relay->hosts, TRUE);
     g_free(relay);
 }
@@ -273,7 +345,8 @@
     call->request_id = ++relay->last_request_id;
     call->kind = kind;
     fp_encode(schema, record, &call->body);
-    call->deadline_ms = clock_mono_ms() + timeout_ms;
+    call->start_ms = clock_mono_ms();
+    call->deadline_ms = call->start_ms + timeout_ms;
     call->done = done;
     call->ctx = ctx;
     relay->counters.calls++;
@@ -387,12 +460,13 @@
     relay->leader_heard_ms = now_ms;
     if (strcmp(relay->leader, host) != 0) {
         g_strlcpy(relay->leader, host, sizeof(relay->leader));
+        memset(relay->answer_times, 0, sizeof(relay->answer_times));
     }
     return is_new;
 }
 
 /* Workload: the leader or all hosts are lost with calls under way, each of
- * which would be sent again only RESEND_DELAY_MS after its last copy. The next
+ * which would be sent again only after its pause. The next
  * tick sends them: a call that is handled on this host ends within
  * advance_call(), and its answer may come from there. */
 static void
@@ -439,6 +513,7 @@
         note_leader(relay, from)) {
         hasten_waiting_calls(relay, from);
     }
+    note_answer_time(relay, call, from, clock_mono_ms());
     call->open_copies -= MIN(call->open_copies, 1);
     /* A refused submission may still be accepted through another copy. */
     if (call->kind == CALL_SUBMIT && answer.err != FP_OK &&
@@ -458,6 +533,7 @@
     struct msg_forward_reply reply = {.request_id = caller->request_id,
                                       .err = err};
 
+    g_hash_table_remove(relay->handled, caller);
     if (err == FP_ERR_NO_LEADER) {
         g_strlcpy(reply.leader_host, relay_leader(relay),
                   sizeof(reply.leader_host));
@@ -493,7 +569,7 @@
         !g_hash_table_contains(relay->callers, from)) {
         g_hash_table_add(relay->callers, g_strdup(from));
     }
-    relay->ops.on_call(relay->ops.ctx, &caller, forward->kind, &forward->body);
+    handle_call(relay, &caller, forward->kind, &forward->body);
 }
 
 uint64_t
--- a/node/relay.h
+++ b/node/relay.h
@@ -4,7 +4,9 @@
  * lead refuses the call, which is then sent to another one; a host that begins
  * to lead says so, and gets the calls that wait. All calls are
  * idempotent (jobs by their ID, configurations by their version), so a call
- * that is not answered in time is sent again, to another host if one is known.
+ * that is not answered in time is sent again, to another host if one is known;
+ * core/resend.h says when. A host that gets a call again while it handles it
+ * answers once.
  * The error of a call without an answer depends on all copies that were sent:
  * "not run" only when each copy was refused or was never sent.
  */
@@ -41,6 +43,7 @@
     uint64_t retried;   /* copies after the first */
     uint64_t timed_out; /* calls that ended without an answer */
     uint64_t answered;  /* calls of other hosts */
+    uint64_t repeated;  /* copies that came while the call was handled */
     /* Time from a call to its answer, by kind; answered calls only. */
     struct histogram latency_ms[CALL_KIND_COUNT];
 };
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -231,6 +231,9 @@
 core/lease.c	(configured_ms < stored_ms && are_earlier_over)	(configured_ms < stored_ms)	Lease.NoLeaseOutlives*
 core/cellconf.c	cell->now_ms < cell->former_until_ms	false	Cell.RequestsLast*
 core/fleetsave.c	    fleet_save_services(job, &saved.services);\n		Inherit.EachService*
+node/relay.c	if (g_hash_table_contains(relay->handled, caller) &&	if (false &&	Relay.ACallThatIsBeing*
+core/resend.c	(times->mean_us + spread_us) / 1000	spread_us * 0	Resend.AHost*
+core/resend.c	while (open_copies > 1 &&	while (open_copies > 9 &&	Resend.ThePause*
 LIST
 echo "$CAUGHT passed, $MISSED failed"
 [ "$MISSED" = 0 ]
