Store: a folder above the data folder that cannot be synced is no failed disk

By reading: some file systems sync no folders (EINVAL), or hold the data folder's mount point on a read-only one (EROFS). The sync of the folders above a new data folder would then have kept a host from writing its identity. Other errors still count as a failed disk.

Store.AFolderThatTheHostCreates* passes as before; no test has such a file system.

--- a/node/store.c
+++ b/node/store.c
@@ -560,6 +560,19 @@
     return err;
 }
 
+/* Syncs a folder above the data folder. Some file systems sync no folders, or
+ * are mounted for reading only: there is nothing to wait for.
+ */
+static enum fp_err
+sync_holding_folder(struct store *store, int fd)
+{
+    if (store->io.sync(store->io.ctx, fd) == 0 || errno == EINVAL ||
+        errno == EROFS) {
+        return FP_OK;
+    }
+    return record_failure(store, "sync", "..", 0, 0);
+}
+
 /* Syncs the folders that hold the data folder, as far as its file system goes.
  * This process, or one that was killed, may have created any of them, and a
  * loss of power would otherwise undo that.
@@ -581,7 +594,7 @@
             status.st_dev != below.st_dev || status.st_ino == below.st_ino) {
             break;
         }
-        err = sync_fd(store, fd, "..");
+        err = sync_holding_folder(store, fd);
         close(below_fd);
         below_fd = fd;
         fd = -1;
