Plan: reserved capacity of a little used service is held briefly

A gang that lacks room near its latest start reserves targets until the runs there are expected to end, and no longer work starts in the reserved capacity. That is meant for services that are nearly full.

A reservation now holds against a step for 1.5 s only while less than half of the service's processors, memory and accelerators are in use: within the time for which work may wait there, and long enough for a gang that gets room soon. On a service in use nothing changes.

WorkWaitsBrieflyForReservedCapacityOfALittleUsedService fails before (6 of 12 starts) and passes; WorkWaitsForReservedCapacityOfAServiceInUse holds before and after.

--- a/core/planhold.c
+++ b/core/planhold.c
@@ -11,6 +11,10 @@
  * it could be placed on empty targets, so that work that can never run
  * reserves nothing. Short tasks may run in reserved capacity (backfill) if
  * they are expected to end before the reservation starts.
+ *
+ * While little of a service is in use, a reservation delays other work only
+ * briefly: targets that some long runs keep partly busy would else stand
+ * mostly idle until these end.
  */
 #include "core/planpriv.h"
 
@@ -21,6 +25,10 @@
 /* Time that a backfill task must have before the reservation starts, per mille
  * of its estimated run time: estimates may be too short. */
 #define BACKFILL_TIME_PERMILLE 1500u
+/* How long a step waits for reserved capacity of a service of which less than
+ * LITTLE_USED_PERCENT is in use. */
+#define IDLE_RESERVED_MAX_MS 1500u
+#define LITTLE_USED_PERCENT 50u
 
 /* Capacity on a target for one member of a gang, or for a single task. */
 struct slot {
@@ -319,6 +327,23 @@
     }
 }
 
+static bool
+is_below(uint64_t used, uint64_t capacity, uint32_t percent)
+{
+    return capacity == 0 || used * 100 < capacity * percent;
+}
+
+static bool
+is_little_used(const struct plan_pool *pool)
+{
+    return is_below(pool->used.cpu_milli, pool->capacity.cpu_milli,
+                    LITTLE_USED_PERCENT) &&
+           is_below(pool->used.memory_mb, pool->capacity.memory_mb,
+                    LITTLE_USED_PERCENT) &&
+           is_below(pool->used.accel, pool->capacity.accel,
+                    LITTLE_USED_PERCENT);
+}
+
 bool
 plan_is_reserved_for_other(const struct plan_target *target,
                            const struct plan_step *step, uint64_t now_ms)
@@ -331,7 +356,9 @@
 
     if (target->reserved_for == NULL || target->reserved_for == step ||
         now_ms >= target->reserved_until_ms ||
-        gives_way(target->reserved_for, step)) {
+        gives_way(target->reserved_for, step) ||
+        (now_ms >= step->opened_ms + IDLE_RESERVED_MAX_MS &&
+         is_little_used(target->pool))) {
         return false;
     }
     return step->def->lasting ||
--- a/core/planorder.c
+++ b/core/planorder.c
@@ -286,8 +286,10 @@
 
         if (plan_takes_starts(target)) {
             target->pool->capacity.cpu_milli += target->capacity.cpu_milli;
+            target->pool->capacity.memory_mb += target->capacity.memory_mb;
             target->pool->capacity.accel += target->capacity.accel;
             target->pool->used.cpu_milli += target->used.cpu_milli;
+            target->pool->used.memory_mb += target->used.memory_mb;
             target->pool->used.accel += target->used.accel;
         }
     }
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -174,6 +174,8 @@
 core/planage.c	    return now_ms - MIN(age_ms, now_ms);	    return now_ms;	ShareOrder.Inherited*
 core/planage.c	plan->fleet->now_ms + TERM_GAP_MAX_MS	UINT64_MAX	ShareOrder.AWallClock*
 core/planage.c	pool->overdue_job->turns++;	;	ShareOrder.EvenWork*
+core/planhold.c	(now_ms >= step->opened_ms + IDLE_RESERVED_MAX_MS &&\n         is_little_used(target->pool))	false	Plan.WorkWaitsBriefly*
+core/planhold.c	is_little_used(target->pool))) {	true)) {	Plan.WorkWaitsFor*
 core/planhold.c	return reserved_for->sort_key[0] >= CLASS_BEYOND_SHARE &&	return false &&	ShareOrder.AReservation*
 core/planfit.c	if (plan->params.policy->packs_all) {	if (false) {	Pack.AScanGoes*
 core/planticket.c	candidate.rank = plan->params.policy->packs_all	candidate.rank = false	Pack.AQueryNamesTargetsWith*
--- a/tests/plan_gang_test.cc
+++ b/tests/plan_gang_test.cc
@@ -166,4 +166,55 @@
     EXPECT_EQ(sim.start_orders[1].task.job_id, 3u);
 }
 
+// Targets that long runs kept partly busy were reserved for a gang until these
+// ended, and other work waited beside a service that was mostly free.
+TEST(Plan, WorkWaitsBrieflyForReservedCapacityOfALittleUsedService)
+{
+    FleetSim sim;
+    sim.configure({"big", "small"});
+    for (int i = 1; i <= 6; i++) {
+        sim.put_target("t" + std::to_string(i));
+    }
+    sim.become_leader();
+    for (uint64_t i = 0; i < 6; i++) {
+        sim.submit(100 + i, {{.cpu_milli = 3000, .estimate_ms = 30000}},
+                   "small");
+    }
+    sim.run_pass();
+    sim.confirm_starts();
+    sim.submit(1, {{.count = 6, .cpu_milli = 8000, .gang = true}}, "big");
+    sim.run_pass(1200); // its latest start is near
+    sim.submit(2, {{.count = 2, .cpu_milli = 500, .estimate_ms = 60000}},
+               "small");
+    sim.submit(3, {{.count = 4, .cpu_milli = 500, .estimate_ms = 60000,
+                    .gang = true}}, "small");
+    sim.run_pass(5);
+    EXPECT_EQ(sim.start_orders.size(), 6u) << "a gang may get room soon";
+    for (int i = 0; i < 25; i++) {
+        sim.run_pass(100);
+    }
+    EXPECT_EQ(sim.start_orders.size(), 12u);
+}
+
+// More than half is in use: the reservation holds.
+TEST(Plan, WorkWaitsForReservedCapacityOfAServiceInUse)
+{
+    FleetSim sim;
+    sim.configure({"big", "small"});
+    sim.put_target("t1");
+    sim.put_target("t2");
+    sim.become_leader();
+    sim.submit(9, {{.count = 2, .cpu_milli = 5000, .estimate_ms = 30000,
+                    .spread = 1}}, "small");
+    sim.run_pass();
+    sim.confirm_starts();
+    sim.submit(1, {{.count = 2, .cpu_milli = 8000, .gang = true}}, "big");
+    sim.run_pass(1200); // its latest start is near
+    sim.submit(2, {{.cpu_milli = 500, .estimate_ms = 60000}}, "small");
+    for (int i = 0; i < 25; i++) {
+        sim.run_pass(100);
+    }
+    EXPECT_EQ(sim.start_orders.size(), 2u);
+}
+
 } // namespace
