Plan: failures on most targets keep no other work from running

A target on which two or more runs in a row failed gets no starts for 1.5 s for each of them, up to 8 s. That is for targets on which all work fails.

Failures on more than half of a service's targets, and on more than one, are now taken to be due to the work: all targets get starts then.

WorkStartsBesideJobsThatFailOnAllTargets fails before and passes; AFewTargetsOnWhichWorkFailsGetNoStarts, and ATargetWithRepeatedFailuresGetsNoStartsForAWhile of before, hold that a few such targets get no starts.

--- a/core/plan.c
+++ b/core/plan.c
@@ -161,6 +161,7 @@
     target->usable = false;
     target->failures_in_row = 0;
     target->backoff_until_ms = 0;
+    target->failing_until_ms = 0;
     target->slowdown_permille = 1000;
     plan_forget_speed(target);
     target->silent_ms = 0;
--- a/core/planfit.c
+++ b/core/planfit.c
@@ -110,6 +110,8 @@
     }
     return plan_takes_starts(target) && !plan_is_too_cold(target, now_ms) &&
            now_ms >= target->backoff_until_ms &&
+           (now_ms >= target->failing_until_ms ||
+            target->pool->most_are_failing) &&
            plan_is_apart(target, step, now_ms) &&
            size->cpu_milli <= free_capacity(target->capacity.cpu_milli,
                                             target->used.cpu_milli,
--- a/core/planorder.c
+++ b/core/planorder.c
@@ -8,6 +8,9 @@
 
 /* Targets per policy query that a job's objective allows time for. */
 #define OBJECTIVE_QUERY_TARGETS 30u
+/* Of a service's targets, so many, and one at least, may get no starts because
+ * of failures. */
+#define FAILING_MAX_PERCENT 50u
 
 /* Time of the longest chain of dependent steps, in ms, with one policy query
  * for each step when the queue uses the policy. */
@@ -268,6 +271,27 @@
     }
 }
 
+/* Workload: jobs whose tasks fail wherever they start, beside a few targets on
+ * which all work fails. Targets that get no starts because of failures must
+ * not be so many that other work finds no room. */
+static void
+survey_failing_targets(struct plan_pool *pool, uint64_t now_ms)
+{
+    uint32_t usable = 0;
+    uint32_t failing = 0;
+
+    for (guint i = 0; i < pool->targets->len; i++) {
+        const struct plan_target *target = pool->targets->pdata[i];
+
+        if (plan_takes_starts(target)) {
+            usable++;
+            failing += now_ms < target->failing_until_ms;
+        }
+    }
+    pool->most_are_failing =
+        failing > 1 && failing * 100 > usable * FAILING_MAX_PERCENT;
+}
+
 /* Sums up each service's capacity and usage over its usable targets. */
 void
 plan_update_pools(struct plan *plan, uint64_t now_ms)
@@ -280,6 +304,7 @@
         memset(&pool->capacity, 0, sizeof(pool->capacity));
         memset(&pool->used, 0, sizeof(pool->used));
         decay_peak(pool, now_ms);
+        survey_failing_targets(pool, now_ms);
     }
     for (guint i = 0; i < plan->targets->len; i++) {
         const struct plan_target *target = plan->targets->pdata[i];
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -64,6 +64,8 @@
                                       * sent to the service may run */
     struct plan_job *overdue_job; /* whose turn it is, see planorder.c; set by
                                    * each pass; NULL: none */
+    bool most_are_failing; /* set by each pass: runs failed on most of the
+                            * targets, which is due to the work */
     struct fleet_resources tight_used; /* by runs of tight jobs */
     struct fleet_resources tight_peak; /* decaying peak of tight_used */
     uint64_t peak_decayed_ms;          /* when tight_peak last decayed */
@@ -93,10 +95,12 @@
     uint64_t leaves_ms; /* may be gone from then on; 0: it is not leaving */
     bool evacuated;     /* the runs that would be lost there were stopped */
     bool in_evacuation; /* its data centre is evacuated */
-    uint64_t cold_until_ms;     /* slow after its start; 0: it is not */
-    uint64_t last_start_ms;     /* when a start was last ordered; 0: never */
-    uint64_t backoff_until_ms;  /* no starts before this */
-    uint32_t failures_in_row;   /* failed runs since the last success */
+    uint64_t cold_until_ms;    /* slow after its start; 0: it is not */
+    uint64_t last_start_ms;    /* when a start was last ordered; 0: never */
+    uint64_t backoff_until_ms; /* no starts before this */
+    uint64_t failing_until_ms; /* the same, as its runs failed; unless those of
+                                * most targets do */
+    uint32_t failures_in_row;  /* failed runs since the last success */
     uint32_t slowdown_permille; /* smoothed run time, of the estimate; without
                                  * learns_speeds of the policy */
     struct plan_speed speed;    /* with it */
--- a/core/planrun.c
+++ b/core/planrun.c
@@ -447,7 +447,7 @@
                 (target->failures_in_row - FAILURES_TOLERATED);
 
             backoff_ms = MIN(backoff_ms, BACKOFF_MAX_MS);
-            target->backoff_until_ms = now_ms + backoff_ms;
+            target->failing_until_ms = now_ms + backoff_ms;
             if (plan->ops.on_target_backoff != NULL) {
                 plan->ops.on_target_backoff(plan->ops.ctx, target->target,
                                             backoff_ms,
--- a/tests/liveness_test.cc
+++ b/tests/liveness_test.cc
@@ -87,4 +87,62 @@
     }
 }
 
+// Each target on which two runs in a row had failed got no starts for up to 8
+// s: work that failed everywhere kept all others from running.
+TEST(Liveness, WorkStartsBesideJobsThatFailOnAllTargets)
+{
+    FleetSim sim;
+    sim.configure({"q"});
+    for (int i = 0; i < 6; i++) {
+        sim.put_target("t" + std::to_string(i));
+    }
+    sim.become_leader();
+    sim.submit(1, {{.count = 12, .cpu_milli = 4000}});
+    sim.submit(2, {{.count = 12, .cpu_milli = 4000}});
+    size_t answered = 0;
+    bool started = false;
+    uint64_t begin_ms = sim.now_ms;
+    while (sim.now_ms < begin_ms + 2000 + IDLE_MAX_MS && !started) {
+        if (sim.now_ms >= begin_ms + 2000 && !sim.find_job(3)) {
+            sim.submit(3, {{.count = 2, .gang = true}});
+        }
+        sim.run_pass(10);
+        for (; answered < sim.start_orders.size(); answered++) {
+            const RunOrder order = sim.start_orders[answered];
+            sim.confirm_start(order);
+            started = started || order.task.job_id == 3;
+            if (order.task.job_id < 3) {
+                sim.end_run(order, RUN_FAILED);
+            }
+        }
+    }
+    EXPECT_TRUE(started);
+}
+
+// Targets on which all work fails get no starts while they are few.
+TEST(Liveness, AFewTargetsOnWhichWorkFailsGetNoStarts)
+{
+    FleetSim sim;
+    sim.configure({"q"});
+    for (int i = 0; i < 6; i++) {
+        sim.put_target("t" + std::to_string(i));
+    }
+    sim.become_leader();
+    std::map<std::string, int> starts;
+    size_t answered = 0;
+    for (uint64_t i = 0; i < 100; i++) {
+        sim.submit(10 + i, {{.count = 6, .cpu_milli = 8000}});
+        sim.run_pass(20);
+        for (; answered < sim.start_orders.size(); answered++) {
+            const RunOrder order = sim.start_orders[answered];
+            sim.confirm_start(order);
+            sim.end_run(order, order.target == "t1" || order.target == "t4"
+                                   ? RUN_FAILED
+                                   : RUN_DONE);
+            starts[order.target]++;
+        }
+    }
+    EXPECT_LE(starts["t1"] + starts["t4"], 8);
+}
+
 } // namespace
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -176,6 +176,8 @@
 core/planage.c	pool->overdue_job->turns++;	;	ShareOrder.EvenWork*
 core/planhold.c	(now_ms >= step->opened_ms + IDLE_RESERVED_MAX_MS &&\n         is_little_used(target->pool))	false	Plan.WorkWaitsBriefly*
 core/planhold.c	is_little_used(target->pool))) {	true)) {	Plan.WorkWaitsFor*
+core/planfit.c	(now_ms >= target->failing_until_ms ||\n            target->pool->most_are_failing) &&	now_ms >= target->failing_until_ms &&	Liveness.WorkStartsBeside*
+core/planorder.c	failing > 1 && failing * 100 > usable * FAILING_MAX_PERCENT	failing > 1	Liveness.AFewTargets*
 core/planhold.c	return reserved_for->sort_key[0] >= CLASS_BEYOND_SHARE &&	return false &&	ShareOrder.AReservation*
 core/planfit.c	if (plan->params.policy->packs_all) {	if (false) {	Pack.AScanGoes*
 core/planticket.c	candidate.rank = plan->params.policy->packs_all	candidate.rank = false	Pack.AQueryNamesTargetsWith*
