Plan: a target that changes its service leaves no headroom behind

Of the recent peak of work with little slack a service keeps 70 % of free for more of it. What such work uses now was added to the service of its target when it started, and subtracted from the one that the target had when it ended. A target that came back in another service with such runs left their size in the former one for the rest of the term: work with slack then found "the room left is kept for tighter work" for ever.

What the runs of a target use now moves with it.

ATargetThatChangesItsServiceLeavesNoHeadroomBehind fails before (an empty target gets no start 10 s later) and passes.

--- a/core/plan.c
+++ b/core/plan.c
@@ -87,6 +87,20 @@
     }
 }
 
+/* What runs of tight jobs use counts in the target's new pool. */
+static void
+move_tight_used(const struct plan_target *target, struct plan_pool *to)
+{
+    for (guint i = 0; i < target->runs->len; i++) {
+        const struct plan_run *run = target->runs->pdata[i];
+
+        if (run->step != NULL && run->step->job->tight) {
+            plan_subtract_size(&target->pool->tight_used, &run->size);
+            plan_add_size(&to->tight_used, &run->size);
+        }
+    }
+}
+
 static void
 set_pool(struct plan_target *target, struct plan_pool *pool)
 {
@@ -94,6 +108,7 @@
         return;
     }
     if (target->pool != NULL) {
+        move_tight_used(target, pool);
         g_ptr_array_remove_fast(target->pool->targets, target);
     }
     target->pool = pool;
--- a/tests/liveness_test.cc
+++ b/tests/liveness_test.cc
@@ -145,4 +145,36 @@
     EXPECT_LE(starts["t1"] + starts["t4"], 8);
 }
 
+// Tight work on a target that came back in another service counted in the
+// former one for ever: room was kept free there for more of it.
+TEST(Liveness, ATargetThatChangesItsServiceLeavesNoHeadroomBehind)
+{
+    FleetSim sim;
+    sim.configure({"q"});
+    for (const char *id : {"t1", "t2"}) {
+        sim.put_target(id);
+    }
+    sim.become_leader();
+    sim.submit(1, {{.count = 2, .cpu_milli = 8000, .estimate_ms = 100}});
+    sim.run_pass();
+    ASSERT_EQ(sim.start_orders.size(), 2u);
+    sim.confirm_starts();
+    for (const char *id : {"t1", "t2"}) {
+        plan_runs_listed(sim.planner, sim.find_target(id), nullptr, 0, false,
+                         sim.now_ms, sim.now_ms);
+        sim.put_target(id, 8000, 0, "r1", false, 2, 0, "alt");
+        plan_target_lost(sim.planner, sim.find_target(id), LOSS_CRASHED,
+                         sim.now_ms);
+    }
+    sim.cancel_job(1);
+    sim.put_target("t3");
+    sim.set_usable("t3");
+    for (int i = 0; i < 100; i++) {
+        sim.run_pass(100);
+    }
+    sim.submit(2, {{.cpu_milli = 8000, .estimate_ms = 10000}});
+    sim.run_pass(5);
+    EXPECT_EQ(sim.start_orders.size(), 3u);
+}
+
 } // namespace
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -178,6 +178,7 @@
 core/planhold.c	is_little_used(target->pool))) {	true)) {	Plan.WorkWaitsFor*
 core/planfit.c	(now_ms >= target->failing_until_ms ||\n            target->pool->most_are_failing) &&	now_ms >= target->failing_until_ms &&	Liveness.WorkStartsBeside*
 core/planorder.c	failing > 1 && failing * 100 > usable * FAILING_MAX_PERCENT	failing > 1	Liveness.AFewTargets*
+core/plan.c	move_tight_used(target, pool);	(void)move_tight_used;	Liveness.ATargetThatChanges*
 core/planhold.c	return reserved_for->sort_key[0] >= CLASS_BEYOND_SHARE &&	return false &&	ShareOrder.AReservation*
 core/planfit.c	if (plan->params.policy->packs_all) {	if (false) {	Pack.AScanGoes*
 core/planticket.c	candidate.rank = plan->params.policy->packs_all	candidate.rank = false	Pack.AQueryNamesTargetsWith*
