Test: a soak with gangs that never fit and a policy that takes turns

The policy takes one query of each host, or of all hosts, at a time, and is slow or silent for some seconds now and then. Without these options the runs are as before.

--- a/tests/platform/policy.py
+++ b/tests/platform/policy.py
@@ -28,12 +28,13 @@
 
 class TurnsPolicy:
     """query_ms(step, targets): for how long a query takes a turn. grants(step,
-    target): whether a target is granted."""
+    target): whether a target is granted. make_answer(rows) is awaited for the
+    response, outside the turn."""
 
-    def __init__(self, query_ms, grants, valid_ms, shared):
+    def __init__(self, query_ms, grants, make_answer, shared):
         self.query_ms = query_ms
         self.grants = grants
-        self.valid_ms = valid_ms
+        self.make_answer = make_answer
         self.shared = shared
         self.phases = []  # (from, until, times), in seconds from the first query
         self.first_query_s = None
@@ -44,6 +45,12 @@
         self.busy_s = 0.0
         self.first_busy_s = {}  # step -> time of its first query
 
+    def start_phase(self, seconds, times):
+        """times: how much slower it is; 0: silent."""
+        if self.first_query_s is not None:
+            now = time.monotonic() - self.first_query_s
+            self.phases.append((now, now + seconds, times))
+
     def slowness(self):
         now = time.monotonic()
         if self.first_query_s is None:
@@ -76,9 +83,9 @@
             self.busy_s += busy_s
             self.first_busy_s.setdefault(step, busy_s)
         self.counts["answered"] += 1
-        return 200, {"valid_ms": self.valid_ms, "granted": [
+        return await self.make_answer([
             [w, standin.make_ticket(w, step)]
-            for w in body["workers"] if self.grants(step, w)]}
+            for w in body["workers"] if self.grants(step, w)])
 
     async def serve(self, address):
         await standin.serve(address,
@@ -86,6 +93,10 @@
                             on_lost=self.count_wasted)
 
 
+async def make_yard_answer(granted):
+    return 200, {"valid_ms": standin.YARD_TICKET_MS, "granted": granted}
+
+
 def yard_query_ms(step, targets):
     queue = standin.YARD_QUEUES[step[0]]
     return queue["decide_ms"] + queue["each_ms"] * len(targets)
@@ -93,7 +104,7 @@
 
 async def run(options):
     policy = TurnsPolicy(yard_query_ms, standin.yard_grants,
-                         standin.YARD_TICKET_MS, options.turns == "shared")
+                         make_yard_answer, options.turns == "shared")
     for phase in options.phase:
         from_s, seconds, times = (float(part) for part in phase.split(":"))
         policy.phases.append((from_s, from_s + seconds, times))
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -1,7 +1,8 @@
 #!/usr/bin/env python3
 """Randomized soak test of a fleet of real processes on loopback.
 
-  soak.py --seed N [--seconds S] [--port BASE]
+  soak.py --seed N [--seconds S] [--port BASE] [--turns own|shared]
+          [--targets N] [--fronts N]
 
 Runs three core hosts, two front ends, targets behind loopback proxies, callers
 and an operator. Faults are drawn from the seed and may overlap: processes are
@@ -12,12 +13,18 @@
 moves between two services or is removed; hosts start with leases of unlike length.
 Some callers use their connections until the process is gone.
 
+With --turns, gangs come too, whose members wait for each other, and gangs that never fit
+on the targets granted to them; the policy takes one query of each host (own) or of
+all hosts (shared) at a time, and has phases in which it is slow or silent.
+
 Checks, from what callers and targets observe:
 - no task runs twice at once or starts after its end was acknowledged;
 - no target runs more than its capacity;
 - no task resumes from a checkpoint that it has not saved;
 - every job answered with 200 completes;
-- a job that was refused on every attempt never starts;
+- a job that was refused on every attempt never starts, nor one that never fits,
+  which can be cancelled;
+- all members of a gang start from the same checkpoint;
 - no task starts in an evacuated zone later than 5 s after the acknowledgement;
 - the configuration read back is not older than the newest acknowledged one;
 - no process exits unless this script stopped it.
@@ -26,6 +33,7 @@
 """
 import argparse
 import asyncio
+import functools
 import json
 import os
 import random
@@ -36,10 +44,15 @@
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import policy  # noqa: E402
 import standin  # noqa: E402
 
 CORES = ["127.0.0.1", "127.0.0.2", "127.0.0.3"]
-FRONTS = ["127.0.0.5", "127.0.0.6"]
+# 127.0.0.9 is the policy.
+FRONTS = ["127.0.0.%d" % n for n in range(5, 250) if n != 9]
+CONNECTED_FRONTS = 2  # with callers that keep their connections
+GANG_DIGIT = "1"  # the first of a gang's ID; the second one as in standin.py
+GANG_POLICY = {"decide_ms": 100.0, "each_ms": 1.5, "valid_ms": 1500}
 SETTINGS = """host: "{host}"
 {data}trusted_network: true
 snapshot_entries: 400
@@ -47,7 +60,7 @@
 fleet:
   {role}: "{host}:{port}"
   readiness: "{host}:{ready}"
-  advice: "127.0.0.9:{policy}"
+  advice: "{policy}"
   data_centre: "z1"
   first_start: {first}
   bus_port: {bus}
@@ -144,7 +157,8 @@
             host=self.host, role="control" if self.is_core else "clients",
             data='data_folder: "%s"\n' % self.folder if self.is_core else "",
             port=port + (1 if self.is_core else 2), ready=port + 3,
-            policy=port + 5, bus=port + 6,
+            policy="%s:%d" % (self.soak.policy_address(self.host), port + 5),
+            bus=port + 6,
             first="true" if self.first_start else "false",
             lease=self.soak.rng.choice([3000, 6000]),
             seeds=", ".join('"%s:%d"' % (c, port + 1) for c in CORES))
@@ -201,6 +215,9 @@
         self.acked_version = 0
         self.accepted = {}  # job ID -> state
         self.refused = set()
+        self.hopeless = set()
+        self.gang_rng = random.Random(options.seed)
+        self.fronts = FRONTS[:options.fronts]
         self.last_disk_loss_s = -100
 
     def report_failure(self, text):
@@ -214,29 +231,106 @@
                                         for c in CORES)
         self.targets = []
         self.proxies = []
-        for number in range(12):
+        for number in range(self.options.targets):
             target = standin.Target(number, self.options, self.checker,
                                     random.Random(self.options.seed + number))
             proxy = Proxy("127.0.2.%d:%d" % (number + 1, self.port + 5),
                           target.address)
             target.announced_address = proxy.address
-            target.service = "store" if number < 8 else "other"
+            target.service = ("store" if number * 3 < self.options.targets * 2
+                              else "other")
             await proxy.serve()
             self.targets.append(target)
             self.proxies.append(proxy)
             asyncio.ensure_future(target.run())
-        await standin.serve_policy("127.0.0.9:%d" % (self.port + 5),
-                                   self.options.invalid, self.options.seed,
-                                   self.options.policy_faults)
+        if self.options.turns:
+            await self.start_turns_policy()
+        else:
+            await standin.serve_policy("127.0.0.9:%d" % (self.port + 5),
+                                       self.options.invalid, self.options.seed,
+                                       self.options.policy_faults)
+
+    def policy_address(self, host):
+        if not self.options.turns:
+            return "127.0.0.9"
+        return "127.0.9.%s" % host.rpartition(".")[2]
+
+    async def start_turns_policy(self):
+        def query_ms(step, targets):
+            if step[0] == GANG_DIGIT:
+                return (GANG_POLICY["decide_ms"] +
+                        GANG_POLICY["each_ms"] * len(targets))
+            return 5 + 0.2 * len(targets)
+
+        def grants(step, target):
+            if step[:2] == GANG_DIGIT + standin.HOPELESS_DIGIT:
+                return target == "t-000"
+            return standin.shop_grants(step, target)
+
+        self.policy = policy.TurnsPolicy(
+            query_ms, grants, functools.partial(
+                standin.answer_with_faults, rng=random.Random(self.options.seed),
+                faults=self.options.policy_faults,
+                invalid=self.options.invalid),
+            self.options.turns == "shared")
+        for node in self.nodes:
+            await self.policy.serve("%s:%d" % (self.policy_address(node.host),
+                                               self.port + 5))
+
+    async def run_gangs(self, deadline):
+        """Gangs of up to 16 cores fit on one target, and one target is granted to
+        each; six members that need 4 cores each do not. The policy is slow, up to
+        ten times, or silent now and then."""
+        number = 0
+        while time.monotonic() < deadline:
+            number += 1
+            hopeless = self.gang_rng.random() < 0.5
+            count = 6 if hopeless else self.gang_rng.randrange(2, 5)
+            name = "%s%s%014x" % (
+                GANG_DIGIT, standin.HOPELESS_DIGIT if hopeless else "0",
+                self.options.seed * 1000000 + number)
+            step = {"count": count, "cpu": 4000, "mem_mb": 256, "gang": True,
+                    "estimated_ms": 300, "checkpointing": True}
+            spec = json.dumps({"cpu": 4000, "saves": True, "ms": 300,
+                               "gangs": {"0": count}})
+            if hopeless:
+                self.hopeless.add(name)
+            asyncio.ensure_future(self.submit_job(
+                name, "/gangs/", {"spec": spec, "steps": [step]}))
+            if self.gang_rng.random() < 0.06:
+                self.policy.start_phase(0.5 + 3 * self.gang_rng.random(),
+                                        self.gang_rng.choice([0, 4, 10]))
+            await asyncio.sleep(0.4)
+
+    async def cancel_hopeless(self):
+        for name in sorted(self.hopeless & set(self.accepted)):
+            if name in self.checker.started_jobs:
+                self.report_failure("job %s never fits, and ran" % name)
+            status = 0
+            for _ in range(10):
+                status, _ = await standin.request(
+                    "%s:%d" % (FRONTS[0], self.port + 2), "DELETE",
+                    "/gangs/" + name, None, self.headers, timeout=3)
+                if 200 <= status < 300:
+                    break
+                await asyncio.sleep(0.3)
+            else:
+                self.report_failure("the cancelling of %s was answered with "
+                                    "status %d" % (name, status))
 
     def draw_config(self, version):
         """A configuration whose second queue may be on the other service, or,
         while faults are injected, missing."""
         config = json.loads(json.dumps(dict(standin.CONFIG, version=version)))
         config["services"].append(dict(config["services"][0], name="other"))
+        if self.options.turns:
+            config["routes"].insert(0, dict(
+                config["routes"][0], name="gangs", path_prefix="/gangs/",
+                priority=1, target_latency_ms=1000, stretch=2.2,
+                advice=GANG_POLICY))
         draw = self.rng.random()
         if draw < 0.5:
-            config["routes"][1]["service"] = "other"
+            config["routes"][-1]["service"] = "other"
         elif draw < 0.6 and not self.calm:
             config["routes"].pop()
         return config
@@ -286,7 +380,7 @@
         """Submits one job, with retries, and records the outcome."""
         statuses = []
         for _ in range(6):
-            front = self.rng.choice(FRONTS)
+            front = self.rng.choice(self.fronts)
             status, _ = await standin.request(
                 "%s:%d" % (front, self.port + 2), "POST", queue + name, body,
                 self.headers, timeout=3)
@@ -422,7 +516,8 @@
     # ---- checks
 
     async def check_jobs(self, timeout_s):
-        pending = dict(self.accepted)
+        pending = {name: queue for name, queue in self.accepted.items()
+                   if name not in self.hopeless}
         deadline = time.monotonic() + timeout_s
         while pending and time.monotonic() < deadline:
             for name, queue in list(pending.items()):
@@ -455,7 +550,7 @@
 
     async def run(self):
         self.nodes = [Node(self, host, True) for host in CORES]
-        self.nodes += [Node(self, host, False) for host in FRONTS]
+        self.nodes += [Node(self, host, False) for host in self.fronts]
         for node in self.nodes:
             await node.start()
         await self.start_environment()
@@ -466,7 +561,10 @@
         deadline = time.monotonic() + self.options.seconds
         await asyncio.gather(self.run_callers(deadline),
                              *(self.use_connection(front, deadline)
-                               for front in FRONTS for _ in range(4)),
+                               for front in self.fronts[:CONNECTED_FRONTS]
+                               for _ in range(4)),
+                             *([self.run_gangs(deadline)]
+                               if self.options.turns else []),
                              self.run_evacuations(deadline),
                              self.inject_faults(deadline))
         self.calm = True
@@ -479,6 +577,7 @@
         self.final_version = self.acked_version
         operator.cancel()
         await self.check_jobs(45)
+        await self.cancel_hopeless()
         await self.check_config()
         self.finished = True
         for node in self.nodes:
@@ -489,6 +588,7 @@
             self.options.seed, len(self.accepted), len(self.refused),
             self.checker.start_count,
             "FAILED, logs in " + self.work if self.failures else "ok"))
+        print("ends: %s" % self.checker.end_counts, file=sys.stderr)
         if not self.failures:
             shutil.rmtree(self.work, ignore_errors=True)
         return 1 if self.failures else 0
@@ -514,6 +614,9 @@
     parser.add_argument("--port", type=int, default=24100)
     parser.add_argument("--binary", default=os.environ.get(
         "FP", "build/filbertpath"))
+    parser.add_argument("--turns", choices=["own", "shared"])
+    parser.add_argument("--targets", type=int, default=12)
+    parser.add_argument("--fronts", type=int, default=2)
     options = parser.parse_args()
     options.late = options.lost = 0.01
     options.failures = options.resize = 0
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -197,6 +197,7 @@
         self.checkpoint = checkpoint
         self.targets = {}  # task -> its target
         self.is_working = False
+        self.is_ending = False
 
 
 class InvariantChecker:
@@ -208,6 +209,7 @@
         self.started_jobs = set()  # jobs with at least one started task
         self.checkpoints = {}  # task or gang -> checkpoints that it has saved
         self.gangs = {}  # (step, run) -> Gang
+        self.gang_steps = set()
         self.crash_counts = {}  # task -> targets that it has crashed
         self.late_starts = {}  # task -> starts after three crashes
         self.evacuated = {}  # zone -> when that was acknowledged
@@ -225,6 +227,7 @@
     def join_gang(self, target, task, run, size, checkpoint, work_ms):
         step = task.rpartition(".")[0]
         gang = self.gangs.setdefault((step, run), Gang(checkpoint))
+        self.gang_steps.add(step)
         if checkpoint != gang.checkpoint:
             self.report_violation("members of run %d of %s start from '%s' and "
                                   "'%s'" % (run, step, checkpoint,
@@ -235,15 +238,24 @@
             for member, its_target in gang.targets.items():
                 its_target.runs[member][1] = its_target.clock_ms() + work_ms
 
+    def acknowledge(self, task):
+        """One end of a gang represents all its members."""
+        step = task.rpartition(".")[0]
+        self.acknowledged_tasks |= {task, step} if step in self.gang_steps \
+            else {task}
+
     def leave_gang(self, task, run, outcome):
         """Ends the other members with the first one that ends."""
-        gang = self.gangs.pop((task.rpartition(".")[0], run), None)
-        if gang is None:
+        key = (task.rpartition(".")[0], run)
+        gang = self.gangs.get(key)
+        if gang is None or gang.is_ending:
             return
+        gang.is_ending = True
         for member, target in gang.targets.items():
             if member != task and member in target.runs:
                 target.end_run(member,
                                "done" if outcome == "done" else "broken")
+        del self.gangs[key]
 
     def check_checkpoint(self, task, checkpoint, where):
         if checkpoint and checkpoint not in self.checkpoints.get(task, ()):
@@ -411,7 +423,7 @@
         if task in self.checker.running_tasks:
             self.checker.report_violation("%s runs twice: %s and %s" % (
                 task, where, self.checker.running_tasks[task]))
-        if task in self.checker.acknowledged_tasks:
+        if self.checker.acknowledged_tasks & {task, task.rpartition(".")[0]}:
             self.checker.report_violation(
                 "%s starts after its end was acknowledged: %s" % (task, where))
         used = sum(self.cpu_of(entry[2]) for entry in self.runs.values())
@@ -447,7 +459,7 @@
                 % (self.id, body["last_seen"]))
         for end in self.ended_runs:
             if end[0] <= body["last_seen"] and end[3] == "done":
-                self.checker.acknowledged_tasks.add(end[1])
+                self.checker.acknowledge(end[1])
         self.ended_runs = [e for e in self.ended_runs
                            if e[0] > body["last_seen"]]
         deadline = time.monotonic() + body.get("wait_ms", 0) / 1000
@@ -563,36 +575,43 @@
 
     async def answer_query(_path, _fields, body):
         await asyncio.sleep(0.005 + 0.0002 * len(body["workers"]))
-        fault = rng.choice(POLICY_FAULTS) if rng.random() < faults else ""
-        if fault == "slow":
-            await asyncio.sleep(0.2 + 1.5 * rng.random())
-        step = body["step"][:18]
-        sure = "t-%03d" % (zlib.crc32(step.encode()) % 4)
-        granted = [[w, make_ticket(w, body["step"])]
-                   for w in body["workers"]
-                   if w.startswith(sure) or
-                   zlib.crc32((step + w).encode()) % 10 < 7]
-        answer = {"granted": granted, "valid_ms": TICKET_MS}
-        if fault == "busy":
-            return 429, {}
-        if fault == "status":
-            return rng.choice([400, 404, 500, 503]), {}
-        if fault == "silent":
-            return None
-        if fault == "cut":
-            data = json.dumps(answer).encode()
-            return 200, data[:rng.randrange(len(data))]
-        if fault == "rows":  # the rows of some targets cannot be read
-            answer["granted"] = [row if rng.random() < 0.3 else
-                                 rng.choice([None, [5, row[1]], row[:1],
-                                             [row[0], None]])
-                                 for row in granted]
-        if rng.random() < invalid:
-            return 200, add_invalid_entries(answer, rng)
-        return 200, answer
+        return await answer_with_faults(
+            [[w, make_ticket(w, body["step"])] for w in body["workers"]
+             if shop_grants(body["step"], w)], rng, faults, invalid)
     await serve(address, answer_query)
 
 
+def shop_grants(step, target):
+    step = step[:18]
+    sure = "t-%03d" % (zlib.crc32(step.encode()) % 4)
+    return (target.startswith(sure) or
+            zlib.crc32((step + target).encode()) % 10 < 7)
+
+
+async def answer_with_faults(granted, rng, faults, invalid):
+    fault = rng.choice(POLICY_FAULTS) if rng.random() < faults else ""
+    if fault == "slow":
+        await asyncio.sleep(0.2 + 1.5 * rng.random())
+    answer = {"granted": granted, "valid_ms": TICKET_MS}
+    if fault == "busy":
+        return 429, {}
+    if fault == "status":
+        return rng.choice([400, 404, 500, 503]), {}
+    if fault == "silent":
+        return None
+    if fault == "cut":
+        data = json.dumps(answer).encode()
+        return 200, data[:rng.randrange(len(data))]
+    if fault == "rows":  # the rows of some targets cannot be read
+        answer["granted"] = [row if rng.random() < 0.3 else
+                             rng.choice([None, [5, row[1]], row[:1],
+                                         [row[0], None]])
+                             for row in granted]
+    if rng.random() < invalid:
+        return 200, add_invalid_entries(answer, rng)
+    return 200, answer
+
+
 async def run_targets(options):
     rng = random.Random(options.seed)
     checker = InvariantChecker()
