Found a cell only where most of the seeds hold nothing

The first seed loses its disk while all other hosts lose power, and the settings still say first_start: afterwards all accepted jobs were answered with 410, or no configuration could be read.

Cause: a seed founded a cell as soon as its folder was empty, whatever the other seeds held.

Change: a hello says whether its sender holds anything; a cell is founded once more than half of the seeds hold nothing, and not once any host has said that it holds data. A cell needed a majority of its seeds before it accepted anything before. Hosts of earlier versions don't say what they hold: beside those no cell is founded.

Members.ACellIsFounded* is new.

--- a/core/members.c
+++ b/core/members.c
@@ -112,3 +112,9 @@
     change.host = joining->host;
     return change;
 }
+
+bool
+membership_may_found(const struct founding_view *view)
+{
+    return !view->data_seen && view->empty_seeds * 2 > view->seeds;
+}
--- a/core/members.h
+++ b/core/members.h
@@ -6,6 +6,11 @@
  * a replica to add, a silent voter is removed only where the cell then
  * tolerates more failures: one silent voter of an even number, or one of two
  * silent voters of five or more. Otherwise it stays, since it may come back.
+ *
+ * A cell is founded by the first of its seeds, once more than half of them say
+ * that they hold nothing. Load pattern: the first seed loses its disk while
+ * all other hosts lose power. A seed that founds a cell then takes the others
+ * into it as they come back, and what they hold is gone.
  */
 #ifndef FP_MEMBERS_H
 #define FP_MEMBERS_H
@@ -22,6 +27,13 @@
     uint64_t heard_ms; /* last message from it; the leader itself: now */
 };
 
+/* What a host that may found a cell knows of the seeds, itself included. */
+struct founding_view {
+    uint32_t seeds;
+    uint32_t empty_seeds; /* that have said lately that they hold nothing */
+    bool data_seen;       /* some host has said that it holds data */
+};
+
 enum membership_action { MEMBER_NONE, MEMBER_ADD, MEMBER_REMOVE };
 
 struct membership_change {
@@ -37,4 +49,6 @@
 membership_next_change(const struct replica_status *replicas, uint32_t count,
                        uint64_t now_ms);
 
+bool membership_may_found(const struct founding_view *view);
+
 #endif /* FP_MEMBERS_H */
--- a/core/msg.h
+++ b/core/msg.h
@@ -65,12 +65,20 @@
     struct fp_blob data;
 };
 
+/* What a replica holds; hosts of earlier versions don't say. */
+enum hello_holds {
+    HELLO_HOLDS_UNKNOWN,
+    HELLO_HOLDS_NOTHING,
+    HELLO_HOLDS_DATA
+};
+
 /* Announces a diskless or new host to the leader, which then sends it the
  * log. */
 struct msg_hello {
     uint64_t from_id;
     char host[MSG_HOST_BYTES];
     bool has_disk;
+    uint32_t holds; /* enum hello_holds */
 };
 
 /* AppendEntries of Raft; without entries, a heartbeat. */
--- a/core/raft.c
+++ b/core/raft.c
@@ -696,6 +696,13 @@
     g_free(raft);
 }
 
+bool
+raft_is_empty(const struct raft *raft)
+{
+    return raftlog_last_index(&raft->log) == 0 && raft->term == 0 &&
+           raft->leader_id == 0;
+}
+
 enum fp_err
 raft_bootstrap(struct raft *raft, uint64_t now_ms)
 {
@@ -706,8 +713,7 @@
     if (!raft->has_disk) {
         return FP_ERR_DISK;
     }
-    if (raftlog_last_index(&raft->log) != 0 || raft->term != 0 ||
-        raft->leader_id != 0) {
+    if (!raft_is_empty(raft)) {
         return FP_ERR_STALE;
     }
     member = fp_list_add(&members.list, sizeof(*member));
--- a/core/raft.h
+++ b/core/raft.h
@@ -196,12 +196,14 @@
 
 /* Queries; results are valid until the next call that changes the replica.
  * raft_leader_host() returns "" when no leader is known; raft_entry_at()
- * returns NULL for an entry that is not in memory; raft_log_length() counts
+ * returns NULL for an entry that is not in memory; raft_is_empty(): it has
+ * neither entries, nor a term, nor a leader; raft_log_length() counts
  * the entries in memory.
  */
 enum raft_state raft_state(const struct raft *raft);
 uint64_t raft_term(const struct raft *raft);
 uint64_t raft_id(const struct raft *raft);
+bool raft_is_empty(const struct raft *raft);
 uint64_t raft_commit_index(const struct raft *raft);
 uint64_t raft_applied_index(const struct raft *raft);
 uint64_t raft_last_index(const struct raft *raft);
--- a/node/fleetnode.c
+++ b/node/fleetnode.c
@@ -30,6 +30,8 @@
 /* Time without requests in flight that ends STAGE_LISTENER_CLOSED. */
 #define DRAIN_IDLE_MS 200u
 #define REPLICAS_MAX 64u
+/* How long a seed counts as empty after it has said so. */
+#define EMPTY_SEED_HEARD_MS 1500u
 
 enum drain_stage {
     STAGE_SERVING,
@@ -51,6 +53,10 @@
     struct replica *replica;   /* NULL on a front host */
     struct fleet *fleet;       /* NULL on a front host */
     struct dispatch *dispatch; /* NULL unless this host leads */
+    GHashTable *empty_seeds;   /* host to when it last said that it holds
+                                * nothing; NULL unless this host may found a
+                                * cell */
+    bool data_seen;            /* some host holds data */
     struct relay *relay;
     /* A server is NULL when the settings have no address for it. */
     struct httpd *client_httpd;
@@ -275,10 +281,10 @@
     }
 }
 
-/* Reports whether this host is to bootstrap the cell. Hosts that start with
- * the same seeds agree: it is the one with the lowest address among them. */
+/* Reports whether this host may found the cell. Hosts that start with the same
+ * seeds agree: it is the one with the lowest address among them. */
 static bool
-should_bootstrap(const struct settings *settings)
+is_founder(const struct settings *settings)
 {
     const struct settings_fleet *fleet = settings->fleet;
     uint32_t lowest = UINT32_MAX;
@@ -301,6 +307,67 @@
     return fleet->may_bootstrap && own != 0 && own == lowest;
 }
 
+static void
+found_if_due(struct fleetnode *node, uint64_t now_ms)
+{
+    struct founding_view view = {.seeds = node->settings->fleet->seeds_count,
+                                 .empty_seeds = 1,
+                                 .data_seen = node->data_seen};
+    GHashTableIter iter;
+    const uint64_t *heard_ms;
+
+    if (node->empty_seeds == NULL) {
+        return;
+    }
+    g_hash_table_iter_init(&iter, node->empty_seeds);
+    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&heard_ms)) {
+        view.empty_seeds += now_ms <= *heard_ms + EMPTY_SEED_HEARD_MS;
+    }
+    if (membership_may_found(&view) &&
+        replica_bootstrap(node->replica) == FP_OK) {
+        log_notice(LOG_RAFT, "bootstrapped a new cell");
+    }
+}
+
+static bool
+is_seed(const struct settings_fleet *fleet, const char *host)
+{
+    for (unsigned i = 0; i < fleet->seeds_count; i++) {
+        char ip[64];
+        uint16_t port;
+
+        if (settings_parse_address(fleet->seeds[i], ip, sizeof(ip), &port) &&
+            strcmp(ip, host) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+on_hello(void *ctx, const struct msg_hello *msg)
+{
+    struct fleetnode *node = ctx;
+    uint64_t now_ms = clock_mono_ms();
+
+    if (node->empty_seeds == NULL ||
+        strcmp(msg->host, node->settings->host) == 0) {
+        return;
+    }
+    if (msg->holds == HELLO_HOLDS_NOTHING &&
+        is_seed(node->settings->fleet, msg->host)) {
+        g_hash_table_replace(node->empty_seeds, g_strdup(msg->host),
+                             g_memdup2(&now_ms, sizeof(now_ms)));
+        found_if_due(node, now_ms);
+    }
+    else if (msg->holds == HELLO_HOLDS_DATA && !node->data_seen &&
+             raft_is_empty(replica_raft(node->replica))) {
+        node->data_seen = true;
+        log_notice(LOG_RAFT, "host %s holds data: no new cell is founded",
+                   msg->host);
+    }
+}
+
 /* ---- calls -------------------------------------------------------------- */
 
 /* A query to the placement policy that another host waits for. */
@@ -701,6 +768,7 @@
                                         on_leadership_changed,
                                     .on_state_replaced = on_state_replaced,
                                     .on_message = on_bus_message,
+                                    .on_hello = on_hello,
                                     .ctx = node};
     const struct fleet_ops fleet_ops = {
         on_config_changed,     on_target_changed,
@@ -719,9 +787,11 @@
     if (err != FP_OK) {
         return err;
     }
-    if (should_bootstrap(node->settings) &&
-        replica_bootstrap(node->replica) == FP_OK) {
-        log_notice(LOG_RAFT, "bootstrapped a new cell");
+    if (is_founder(node->settings) &&
+        raft_is_empty(replica_raft(node->replica))) {
+        node->empty_seeds =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+        found_if_due(node, clock_mono_ms());
     }
     return FP_OK;
 }
@@ -852,6 +922,9 @@
     }
     uv_loop_close(&node->loop);
     fleet_free(node->fleet);
+    if (node->empty_seeds != NULL) {
+        g_hash_table_destroy(node->empty_seeds);
+    }
     httpd_free(node->client_httpd);
     httpd_free(node->control_httpd);
     httpd_free(node->readiness_httpd);
--- a/node/replica.c
+++ b/node/replica.c
@@ -354,7 +354,10 @@
 send_hello(struct replica *replica, const char *host)
 {
     struct msg_hello msg = {.from_id = raft_id(replica->raft),
-                            .has_disk = replica->disk != NULL};
+                            .has_disk = replica->disk != NULL,
+                            .holds = raft_is_empty(replica->raft)
+                                         ? HELLO_HOLDS_NOTHING
+                                         : HELLO_HOLDS_DATA};
 
     if (raft_awaits_disk(replica->raft)) {
         return;
@@ -473,6 +476,9 @@
     const uint64_t *ids = msg;
 
     record_host(replica, ids[0], from);
+    if (type == MSG_HELLO && replica->ops.on_hello != NULL) {
+        replica->ops.on_hello(replica->ops.ctx, msg);
+    }
     if (type != MSG_HELLO && ids[1] != raft_id(replica->raft)) {
         return;
     }
--- a/node/replica.h
+++ b/node/replica.h
@@ -57,6 +57,8 @@
      * during the call only. */
     void (*on_message)(void *ctx, const char *from, uint32_t type,
                        const void *msg);
+    /* A host has announced its replica. May be NULL. */
+    void (*on_hello)(void *ctx, const struct msg_hello *msg);
     /* A query, on the leader only; to be answered by replica_reply(), during
      * the call or later. body is NULL if it isn't valid JSON. */
     void (*on_query)(void *ctx, uint64_t query_id, const char *route,
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -368,6 +368,23 @@
     EXPECT_EQ(step.id, 9u);
 }
 
+// A first seed that had lost its disk founded a cell while the others were
+// down, and took them into it with all that they held gone.
+TEST(Members, ACellIsFoundedOnlyByAMajorityOfEmptySeeds)
+{
+    auto may_found = [](uint32_t seeds, uint32_t empty, bool data_seen) {
+        founding_view view = {seeds, empty, data_seen};
+        return membership_may_found(&view);
+    };
+    EXPECT_TRUE(may_found(1, 1, false));
+    EXPECT_FALSE(may_found(2, 1, false));
+    EXPECT_FALSE(may_found(3, 1, false));
+    EXPECT_TRUE(may_found(3, 2, false));
+    EXPECT_FALSE(may_found(3, 2, true));
+    EXPECT_FALSE(may_found(5, 2, false));
+    EXPECT_TRUE(may_found(5, 3, false));
+}
+
 TEST(Members, ANewHostReplacesASilentVoter)
 {
     replica_status views[] = {{1, "a", true, true, 9000},
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -119,6 +119,8 @@
 node/store.c	err = sync_fd(store, store->log_fd, store->log_name);\n    }\n    if (err == FP_OK) {\n        err = sync_fd(store, store->folder_fd	;\n    }\n    if (err == FP_OK) {\n        err = sync_fd(store, store->folder_fd	Store.AStartWithAFailing*
 node/store.c	store->write_failed = err != FP_OK;\n    return err;\n}\n\nenum fp_err\nstore_write_snapshot	return err;\n}\n\nenum fp_err\nstore_write_snapshot	Store.ARewriteEnds*
 node/store.c	g_error_matches(error, G_FILE_ERROR, G_FILE_ERROR_NOENT)	true	Store.AnIdentityThat*
+core/members.c	!view->data_seen && view->empty_seeds * 2 > view->seeds	!view->data_seen && view->empty_seeds > 0	Members.ACellIsFounded*
+core/members.c	!view->data_seen && view->empty_seeds * 2	view->empty_seeds * 2	Members.ACellIsFounded*
 node/store.c	        err = sync_holding_folder(store, fd);	        err = FP_OK;	Store.AFolderThatTheHostCreates*
 core/raft.c	        raft->disk_failed = false;	        ;	Raft.ReplicasVoteAgain*
 core/raft.c	if (raft->disk_failed) {\n        if (type == MSG_APPEND)	if (false) {\n        if (type == MSG_APPEND)	Raft.AReplicaWithAFullDisk*
--- a/tests/platform/operators.py
+++ b/tests/platform/operators.py
@@ -200,6 +200,7 @@
     async def start(self):
         await asyncio.sleep(0.01)  # the former process is reported as ended
         await super().start()
+        self.first_start = self.soak.options.first_start
         self.incarnation += 1
 
     def begin_fault(self):
@@ -614,8 +615,11 @@
                 await node.start()
                 node.end_fault()
         elif self.options.end != "calm":
-            wiped = (self.rng.choice(self.core())
-                     if self.options.end == "wipe" else None)
+            wiped = None
+            if self.options.end == "wipe":
+                wiped = self.rng.choice(
+                    [n for n in self.core()
+                     if self.options.wiped in ("", n.host)])
             await self.lose_power(self.nodes, wiped)
 
     # ---- start and end
@@ -731,6 +735,10 @@
                         choices=["calm", "kill", "power", "wipe"])
     parser.add_argument("--snapshot-entries", type=int, default=400)
     parser.add_argument("--strict", action="store_true")
+    parser.add_argument("--wiped", default="", choices=[""] + soak.CORES,
+                        help="the host that loses its disk; else any")
+    parser.add_argument("--first-start", action="store_true",
+                        help="the settings let a cell be founded all the time")
     options = parser.parse_args()
     options.late = options.lost = options.invalid = 0.0
     options.failures = options.resize = 0
