Policy queries come from the host's own address

What callers saw: nothing that is proven.

Cause: connections were not bound, so that the kernel chose their source: with several hosts on one machine (aliases of the loopback interface), or a host with several addresses, not the address by which a host is known. All hosts then had one turn between them.

An address that is not local is not used; after two connections in a row that could not be opened from it, the next is opened from any address, and one that succeeds is kept to until one fails. Both are logged once. With a policy whose address is a name (libcurl), an address that is not local is left out; that the policy cannot be reached from a local one is not noticed there.

--- a/node/fetch.c
+++ b/node/fetch.c
@@ -3,7 +3,9 @@
 #include "node/fetch.h"
 
 #include <curl/curl.h>
+#include <errno.h>
 #include <glib.h>
+#include <netinet/in.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -51,6 +53,7 @@
     bool self_delimiting;    /* the response states its length or is chunked */
     bool request_id_differs; /* the response has another X-Request-Id */
     bool opened_connection;  /* a connection was opened for this transfer */
+    struct sockaddr_in source; /* of a new connection; zero: any */
     uint64_t opened_before_ms;
     uint64_t started_ms;
     fetch_done done;
@@ -497,11 +500,18 @@
 open_socket(void *ctx, curlsocktype purpose, struct curl_sockaddr *address)
 {
     struct transfer *transfer = ctx;
+    const struct sockaddr *source = (const struct sockaddr *)&transfer->source;
+    curl_socket_t fd = socket(
+        address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
 
     (void)purpose;
     transfer->opened_connection = true;
-    return socket(address->family, address->socktype | SOCK_CLOEXEC,
-                  address->protocol);
+    if (fd >= 0 && source->sa_family == address->family &&
+        bind(fd, source, sizeof(transfer->source)) != 0) {
+        log_info(LOG_HTTP, "a connection comes from any address: %s",
+                 g_strerror(errno));
+    }
+    return fd;
 }
 
 /* Called by libcurl before it sends the request, with the chosen connection:
@@ -559,6 +569,9 @@
     transfer->request_id = g_strdup(request->request_id);
     transfer->started_ms = clock_mono_ms();
     transfer->opened_before_ms = request->opened_before_ms;
+    if (request->source != NULL) {
+        uv_ip4_addr(request->source, 0, &transfer->source);
+    }
     transfer->done = done;
     transfer->ctx = ctx;
     curl_easy_setopt(easy, CURLOPT_URL, request->url);
--- a/node/fetch.h
+++ b/node/fetch.h
@@ -21,6 +21,10 @@
     const char *request_id;     /* sent as X-Request-Id; NULL: none */
     const char *bearer_token;   /* sent as Authorization; NULL: none */
     const char *const *headers; /* name, value, ..., NULL; NULL: none */
+    /* IPv4 address that a new connection comes from, for servers that tell
+     * their callers apart by it; NULL: any. An address that is not local, or
+     * from which the server cannot be reached, is not used. */
+    const char *source;
     const void *body;
     size_t body_bytes;
     uint64_t timeout_ms;         /* for the whole exchange */
--- a/node/fetchplain.c
+++ b/node/fetchplain.c
@@ -19,6 +19,7 @@
 #define IDLE_PER_SERVER_PERMILLE 1300u
 #define IDLE_BASE 64u
 #define READ_BUFFER_BYTES 65536u
+#define SOURCE_FAILURES_MAX 2u
 
 /* A server, by its address. */
 struct server {
@@ -40,6 +41,8 @@
     bool response_too_large;
     bool request_id_differs; /* the response has another X-Request-Id */
     bool closed;             /* the peer ended the connection */
+    bool has_source;         /* a new connection comes from source */
+    struct sockaddr_storage source;
     uint64_t started_ms;
     uint64_t deadline_ms; /* end of the time for the whole exchange */
     fetch_done done;
@@ -69,6 +72,7 @@
     GString *header_name;
     GString *header_value;
     bool in_header_value;
+    bool is_bound; /* to the source address of its first request */
 };
 
 struct plain_client {
@@ -80,6 +84,10 @@
                               * used first */
     uint32_t in_flight;
     uint64_t opened;
+    /* Connections in a row that could not be opened from a request's source
+     * address; from SOURCE_FAILURES_MAX on, any address is used. */
+    uint32_t source_failures;
+    bool source_logged;
     bool is_freed; /* freed once the last connection is closed */
     uint32_t closing;
     char read_buffer[READ_BUFFER_BYTES];
@@ -213,6 +221,17 @@
     free_exchange(exchange);
 }
 
+/* A server that cannot be reached from any address either is probably down:
+ * the next connections come from the source address again. */
+static void
+note_connect_failed(const struct connection *connection)
+{
+    struct plain_client *client = connection->client;
+
+    client->source_failures =
+        connection->is_bound ? client->source_failures + 1 : 0;
+}
+
 /* Ends an exchange without a complete response. */
 static void
 fail_exchange(struct connection *connection, bool timed_out)
@@ -220,6 +239,9 @@
     struct exchange *exchange = connection->exchange;
     enum fp_err err = FP_ERR_MAY_HAVE_RUN;
 
+    if (connection->opened_ms == 0 && exchange->has_source) {
+        note_connect_failed(connection);
+    }
     exchange->closed = !timed_out;
     if (!exchange->is_sent) {
         err = timed_out ? FP_ERR_DEADLINE_EXCEEDED : FP_ERR_NOT_CONNECTED;
@@ -522,6 +544,41 @@
                    expires_ms > now_ms ? expires_ms - now_ms : 0, 0);
 }
 
+static void
+log_source_unused(struct plain_client *client, const char *server,
+                  const char *why)
+{
+    if (!client->source_logged) {
+        log_notice(LOG_HTTP,
+                   "connections to %s come from any address of this host: %s",
+                   server, why);
+        client->source_logged = true;
+    }
+}
+
+/* Binds a connection to the source address of its request, unless this has
+ * failed. */
+static void
+bind_source(struct connection *connection)
+{
+    struct plain_client *client = connection->client;
+    const struct exchange *exchange = connection->exchange;
+    int rc;
+
+    if (!exchange->has_source ||
+        client->source_failures >= SOURCE_FAILURES_MAX) {
+        return;
+    }
+    rc = uv_tcp_bind(&connection->tcp,
+                     (const struct sockaddr *)&exchange->source, 0);
+    connection->is_bound = rc == 0;
+    if (rc != 0) {
+        client->source_failures = SOURCE_FAILURES_MAX;
+        log_source_unused(client, connection->server->address,
+                          uv_strerror(rc));
+    }
+}
+
 static void
 on_connected(uv_connect_t *connecting, int status)
 {
@@ -535,6 +592,13 @@
         return;
     }
     connection->opened_ms = clock_mono_ms();
+    if (connection->is_bound) {
+        connection->client->source_failures = 0;
+    }
+    else if (connection->exchange->has_source) {
+        log_source_unused(connection->client, connection->server->address,
+                          "it cannot be reached from the host's own");
+    }
     uv_tcp_nodelay(&connection->tcp, 1);
     uv_read_start((uv_stream_t *)&connection->tcp, on_alloc, on_read);
     set_timer(connection, connection->exchange->deadline_ms,
@@ -572,9 +636,12 @@
 {
     struct connection *connection = new_connection(client, server, exchange);
     uint64_t expires_ms = exchange->deadline_ms;
-    int rc = uv_tcp_connect(&connection->connecting, &connection->tcp,
-                            (const struct sockaddr *)&server->socket_address,
-                            on_connected);
+    int rc;
+
+    bind_source(connection);
+    rc = uv_tcp_connect(&connection->connecting, &connection->tcp,
+                        (const struct sockaddr *)&server->socket_address,
+                        on_connected);
 
     if (rc != 0) {
         log_info(LOG_HTTP, "cannot connect to %s: %s", server->address,
@@ -711,6 +778,10 @@
     exchange->body = g_byte_array_new();
     exchange->body_max_bytes = request->response_max_bytes;
     exchange->is_head = strcmp(request->method, "HEAD") == 0;
+    exchange->has_source =
+        request->source != NULL &&
+        uv_ip4_addr(request->source, 0,
+                    (struct sockaddr_in *)&exchange->source) == 0;
     exchange->started_ms = now_ms;
     exchange->deadline_ms = now_ms + MAX(request->timeout_ms, 1);
     exchange->done = done;
--- a/tests/fetch_test.cc
+++ b/tests/fetch_test.cc
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <cstring>
 #include <string>
 #include <thread>
 #include <vector>
@@ -60,16 +61,19 @@
         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
     bool closes = false; // each connection after one response
     int delay_ms = 0;    // before each response
-    std::string last_request;
+    std::string last_request, last_client; // the client's address
     std::atomic<int> connections{0}, requests{0};
     std::thread thread;
-    Server()
+    explicit Server(uint16_t port = 0)
     {
         sockaddr_in addr = {};
         socklen_t bytes = sizeof(addr);
         addr.sin_family = AF_INET;
+        addr.sin_port = htons(port);
         inet_pton(AF_INET, "127.0.0.1", &addr.sin_addr);
+        const int on = 1;
         fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
         bind(fd, (sockaddr *)&addr, sizeof(addr));
         listen(fd, 8);
         getsockname(fd, (sockaddr *)&addr, &bytes);
@@ -80,7 +84,13 @@
     {
         std::vector<std::thread> threads;
         int client_fd;
-        while ((client_fd = accept(fd, nullptr, nullptr)) >= 0) {
+        sockaddr_in client = {};
+        socklen_t client_bytes = sizeof(client);
+        char text[INET_ADDRSTRLEN];
+        while ((client_fd = accept(fd, (sockaddr *)&client, &client_bytes)) >=
+               0) {
+            last_client = inet_ntop(AF_INET, &client.sin_addr, text,
+                                    sizeof(text));
             connections++;
             threads.emplace_back([this, client_fd] { serve(client_fd); });
         }
@@ -382,6 +392,73 @@
     }
 }
 
+// The hosts of one machine were one asker to the placement policy.
+TEST(Fetch, AConnectionComesFromTheGivenAddress)
+{
+    Server server, again;
+    std::string by_name = again.url;
+    by_name.replace(by_name.find("127.0.0.1"), strlen("127.0.0.1"),
+                    "localhost");
+    for (const std::string &url : {server.url, by_name}) {
+        Client client;
+        fetch_request request = {};
+        Server &asked = url == by_name ? again : server;
+        request.source = "127.0.0.77";
+        EXPECT_EQ(client.request(url, request), FP_OK);
+        EXPECT_EQ(asked.last_client, "127.0.0.77") << url;
+        request.no_resend = true; // opens another connection
+        EXPECT_EQ(client.request(url, request), FP_OK);
+        EXPECT_EQ(asked.connections, 2) << url;
+        EXPECT_EQ(asked.last_client, "127.0.0.77") << url;
+    }
+}
+
+TEST(Fetch, ASourceAddressThatIsNotLocalIsNotUsed)
+{
+    Server server, again;
+    std::string by_name = again.url;
+    by_name.replace(by_name.find("127.0.0.1"), strlen("127.0.0.1"),
+                    "localhost");
+    for (const std::string &url : {server.url, by_name}) {
+        for (const char *source : {"192.0.2.1", "host-1", "::1", ""}) {
+            Client client;
+            fetch_request request = {};
+            request.source = source;
+            EXPECT_EQ(client.request(url, request), FP_OK) << source;
+        }
+    }
+    EXPECT_EQ(server.last_client, "127.0.0.1");
+    EXPECT_EQ(again.last_client, "127.0.0.1");
+}
+
+TEST(Fetch, AServerOutOfReachOfTheSourceAddressIsReachedFromAnother)
+{
+    Client client;
+    fetch_request request = {};
+    std::string url;
+    uint16_t port;
+    {
+        Server server;
+        url = server.url;
+        port = (uint16_t)std::stoi(url.substr(url.rfind(':') + 1));
+    }
+    request.source = "127.0.0.77";
+    request.no_resend = true;
+    EXPECT_EQ(client.request(url, request), FP_ERR_NOT_CONNECTED);
+    EXPECT_EQ(client.request(url, request), FP_ERR_NOT_CONNECTED);
+    {
+        Server server(port);
+        server.closes = true;
+        EXPECT_EQ(client.request(url, request), FP_OK);
+        EXPECT_EQ(server.last_client, "127.0.0.1");
+    }
+    EXPECT_EQ(client.request(url, request), FP_ERR_NOT_CONNECTED);
+    Server server(port);
+    server.closes = true;
+    EXPECT_EQ(client.request(url, request), FP_OK);
+    EXPECT_EQ(server.last_client, "127.0.0.77");
+}
+
 // Cancelling requests calls no callbacks and leaves no handles open.
 TEST(Fetch, RequestsInFlightAreCancelled)
 {
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -241,6 +241,9 @@
 node/relay.c	if (g_hash_table_contains(relay->handled, caller) &&	if (false &&	Relay.ACallThatIsBeing*
 core/resend.c	(times->mean_us + spread_us) / 1000	spread_us * 0	Resend.AHost*
 core/resend.c	while (open_copies > 1 &&	while (open_copies > 9 &&	Resend.ThePause*
+node/fetchplain.c	request->source != NULL &&	false &&	Fetch.AConnectionComes*
+node/fetchplain.c	client->source_failures >= SOURCE_FAILURES_MAX	false	Fetch.AServerOutOfReach*
+node/fetch.c	source->sa_family == address->family &&	false &&	Fetch.AConnectionComes*
 LIST
 echo "$CAUGHT passed, $MISSED failed"
 [ "$MISSED" = 0 ]
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -145,6 +145,7 @@
                 lines = head.split("\r\n")
                 fields = dict(line.lower().split(": ", 1)
                               for line in lines[1:] if ": " in line)
+                fields["client-address"] = writer.get_extra_info("peername")[0]
                 body = await reader.readexactly(
                     int(fields.get("content-length", 0)))
                 answer = await handler(lines[0].split()[1], fields,
