Test: no member of a gang waits alone where all orders are carried out

The stand-in targets ended such runs, and nothing failed. Now one is a violation where targets are not told to lose, delay or ignore orders or to restart.

--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -294,6 +294,8 @@
         self.checker = checker
         self.rng = rng
         self.capacity = {"cpu": 16000, "mem_mb": 32768, "gpu": 0}
+        self.obeys_orders = not (options.late or options.lost or
+                                 options.restart or options.deaf)
         self.allowed_cpu = []  # (until, cpu) of earlier capacities
         self.old_announcement = None
         self.down_until = 0
@@ -382,6 +384,10 @@
         gang = self.checker.gangs.get((task.rpartition(".")[0],
                                        self.runs[task][0]))
         if gang is not None and not gang.is_working:
+            if self.obeys_orders:
+                self.checker.report_violation(
+                    "%s waits alone: %d of its members are present" % (
+                        task, len(gang.targets)))
             return "alone"
         return ("failed" if self.rng.random() < self.options.failures
                 else "done")
