--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -265,7 +265,10 @@
         def grants(step, target):
             if step[:2] == GANG_DIGIT + standin.HOPELESS_DIGIT:
                 return target == "t-000"
-            return standin.shop_grants(step, target)
+            # At least one of the first four, and of each further four.
+            first = "t-%03d" % (int(target[2:]) % 4)
+            return (standin.shop_grants(step, target) or
+                    standin.shop_grants(step, first))
 
         self.policy = policy.TurnsPolicy(
             query_ms, grants, functools.partial(
@@ -327,7 +330,8 @@
             config["routes"].insert(0, dict(
                 config["routes"][0], name="gangs", path_prefix="/gangs/",
                 priority=1, target_latency_ms=1000, stretch=2.2,
-                advice=GANG_POLICY))
+                advice=GANG_POLICY,
+                service=self.gang_rng.choice(["store", "other"])))
         draw = self.rng.random()
         if draw < 0.5:
             config["routes"][-1]["service"] = "other"
