--- a/tests/faultdisk.c
+++ b/tests/faultdisk.c
@@ -17,6 +17,10 @@
  *   names     lines INODE NAME: the data folder at its last sync
  *   dir-N     the folder on the way to the data folder whose path has N bytes
  *             was synced
+ *
+ * With FAULTNET_PORT and FAULTNET_NETWORK, such as 127.0.101, connections to
+ * that port of 127.0.0.N go to FAULTNET_NETWORK.N instead, where a proxy may
+ * cut them.
  */
 #include <dirent.h>
 #include <dlfcn.h>
@@ -28,6 +32,9 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/syscall.h>
 #include <unistd.h>
@@ -277,3 +284,27 @@
     va_end(arguments);
     return open_unless_refused("open64", path, flags, mode);
 }
+
+int
+connect(int fd, const struct sockaddr *address, socklen_t size_bytes)
+{
+    int (*next)(int, const struct sockaddr *, socklen_t);
+    const char *port = getenv("FAULTNET_PORT");
+    const char *network = getenv("FAULTNET_NETWORK");
+    struct sockaddr_in to;
+    char text[32];
+
+    *(void **)&next = dlsym(RTLD_NEXT, "connect");
+    if (port == NULL || network == NULL || address->sa_family != AF_INET ||
+        size_bytes < sizeof(to)) {
+        return next(fd, address, size_bytes);
+    }
+    memcpy(&to, address, sizeof(to));
+    if (ntohs(to.sin_port) == atoi(port) &&
+        ntohl(to.sin_addr.s_addr) >> 8 == INADDR_LOOPBACK >> 8) {
+        snprintf(text, sizeof(text), "%s.%u", network,
+                 ntohl(to.sin_addr.s_addr) & 0xff);
+        inet_pton(AF_INET, text, &to.sin_addr);
+    }
+    return next(fd, (const struct sockaddr *)&to, sizeof(to));
+}
--- a/tests/platform/operators.py
+++ b/tests/platform/operators.py
@@ -8,9 +8,9 @@
 Up to eight orders are under way at once. They add and remove routes and keys,
 move a queue to another service, add 350 routes at once, lose their
 acknowledgements, are sent again unchanged to other hosts, are overtaken, come in
-pairs with the same version, or are invalid. Hosts are paused, killed, restarted
-and told to read their settings again; with --faults power all core hosts lose
-power now and then. --end is the final fault: nothing; all processes are killed;
+pairs with the same version, or are invalid. Hosts are paused, killed, restarted,
+cut off from each other in one direction or both, and told to read their settings
+again; with --faults power core hosts lose power, alone or together, or a disk. --end is the final fault: nothing; all processes are killed;
 all hosts lose power; or one core host loses its disk while all others lose power,
 5 to 400 ms after an acknowledgement.
 
@@ -51,6 +51,7 @@
 CONTACT_S = 3.0
 ACK_S = 4.0
 STRETCH_S = 5.0
+WIPE_PAUSE_S = 9.0  # between two lost disks
 ORDERS_MAX = 8
 HOST = "shop.example"
 KEY = "key-shops"
@@ -189,8 +190,22 @@
         self.faults = []  # [start, end or None]
         self.incarnation = 0
 
-    def environment(self):
-        return self.disk.environment(self.soak.binary)
+    def process_environment(self):
+        return dict(self.disk.environment(self.soak.binary),
+                    FAULTNET_PORT=str(self.soak.port + 6),
+                    FAULTNET_NETWORK=self.network())
+
+    def network(self):
+        """Where the proxies for its connections to other hosts listen."""
+        return "127.0.%d" % (100 + int(self.host.split(".")[3]))
+
+    async def serve_proxies(self):
+        self.proxies = {}
+        for core in soak.CORES:
+            address = "%s:%d" % (core, self.soak.port + 6)
+            self.proxies[core] = soak.Proxy(
+                address.replace("127.0.0", self.network()), address)
+            await self.proxies[core].serve()
 
     def settings(self):
         text = super().settings().replace(self.folder, self.disk.folder)
@@ -205,9 +220,10 @@
 
     def begin_fault(self):
         self.faults.append([time.monotonic(), None])
+        return self.faults[-1]
 
-    def end_fault(self):
-        self.faults[-1][1] = time.monotonic()
+    def has_fault(self):
+        return any(end is None for _, end in self.faults)
 
     def is_calm(self, since_s, until_s):
         return not any(start <= until_s and (end is None or end >= since_s)
@@ -501,8 +517,8 @@
             return
         sent_s, bound_s = self.jobs[job]
         now_s = time.monotonic()
-        if bound_s is None or not all(n.is_calm(sent_s - CONTACT_S, now_s)
-                                      for n in self.core()):
+        if bound_s is None or not (self.options.strict or all(
+                n.is_calm(sent_s - CONTACT_S, now_s) for n in self.core())):
             return
         floor = self.ledger.floor(sent_s - bound_s)
         allowed = self.ledger.candidates(floor, now_s)
@@ -540,7 +556,7 @@
     # ---- faults
 
     async def inject_node_fault(self, node, kind):
-        node.begin_fault()
+        fault = node.begin_fault()
         duration_s = 0.1 + 2 * self.rng.random() ** 2
         if kind == "hangup":
             node.process.send_signal(signal.SIGHUP)
@@ -553,46 +569,92 @@
                             else signal.SIGKILL)
             if kind == "power":
                 node.disk.lose_power(self.rng)
+            elif kind == "wipe":
+                node.disk.wipe()
             await asyncio.sleep(duration_s)
             await node.start()
-        node.end_fault()
+        fault[1] = time.monotonic()
+
+    async def inject_cut(self, one, other):
+        """Cuts the links between two hosts, in one direction or both. The link
+        to a front does not belong to the core."""
+        faults = [node.begin_fault() for node in (one, other)
+                  if one.is_core or node is one]
+        mode = self.rng.choice(["silent", "one-way", "one-way-to"])
+        back = {"one-way": "one-way-to", "one-way-to": "one-way"}
+        one.proxies[other.host].mode = mode
+        if one.is_core:
+            other.proxies[one.host].mode = back.get(mode, mode)
+        await asyncio.sleep(0.2 + 3 * self.rng.random() ** 2)
+        one.proxies[other.host].mode = "pass"
+        if one.is_core:
+            other.proxies[one.host].mode = "pass"
+        for fault in faults:
+            fault[1] = time.monotonic()
+
+    async def slow_down(self, node, stopped_s, running_s):
+        """Lets a process run for a part of the time only."""
+        while not self.finished:
+            process = node.process
+            if process.returncode is None and not node.has_fault():
+                process.send_signal(signal.SIGSTOP)
+                await asyncio.sleep(stopped_s)
+                if process.returncode is None:
+                    process.send_signal(signal.SIGCONT)
+            await asyncio.sleep(running_s)
 
     async def lose_power(self, nodes, wiped=None):
         """All nodes lose power at the same moment; wiped its disk as well."""
+        faults = [node.begin_fault() for node in nodes]
         for node in nodes:
-            node.begin_fault()
             node.exit_expected = True
             node.process.kill()
         for node in nodes:
             await node.process.wait()
-            if node.is_core and node is wiped:
+            if node is wiped:
                 node.disk.wipe()
-            elif node.is_core:
+            elif node.is_core and self.options.end != "kill":
                 node.disk.lose_power(self.rng)
         await asyncio.sleep(0.2 + 0.5 * self.rng.random())
         for node in nodes:
             await node.start()
-            node.end_fault()
+        for fault in faults:
+            fault[1] = time.monotonic()
 
-    async def inject_faults(self, deadline):
-        kinds = ["pause", "kill", "stop", "hangup"]
+    async def inject_fault(self, last_wipe_s):
+        """Injects one fault; returns when a disk was lost last."""
+        node = self.rng.choice(self.nodes)
+        kinds = ["pause", "kill", "stop", "hangup", "cut", "cut"]
         if self.options.faults == "power":
-            kinds = ["pause", "kill", "power", "power"]
+            kinds = ["pause", "kill", "power", "wipe", "all", "cut"]
+        kind = self.rng.choice(kinds)
+        others = [n for n in self.core() if n is not node]
+        calm_core = not any(n.has_fault() for n in others)
+        now_s = time.monotonic()
+        if kind == "cut":
+            asyncio.ensure_future(self.inject_cut(node,
+                                                  self.rng.choice(others)))
+        elif kind == "all":
+            if not any(n.has_fault() for n in self.nodes):
+                await self.lose_power(self.core())
+        elif not node.has_fault():
+            if kind in ("power", "wipe") and not node.is_core:
+                kind = "kill"
+            if kind == "wipe":
+                if not calm_core or now_s < last_wipe_s + WIPE_PAUSE_S:
+                    kind = "power"
+                else:
+                    last_wipe_s = now_s
+            asyncio.ensure_future(self.inject_node_fault(node, kind))
+        self.count(kind)
+        return last_wipe_s
+
+    async def inject_faults(self, deadline):
+        last_wipe_s = time.monotonic() - WIPE_PAUSE_S
         while time.monotonic() < deadline:
             await asyncio.sleep(self.rng.choice([0.2, 1.0, 5.0]) *
                                 self.rng.random())
-            if self.options.faults == "power" and self.rng.random() < 0.4:
-                if not any(n.faults and n.faults[-1][1] is None
-                           for n in self.nodes):
-                    await self.lose_power(self.core())
-                continue
-            node = self.rng.choice(self.nodes)
-            if not node.faults or node.faults[-1][1] is not None:
-                kind = self.rng.choice(kinds)
-                if kind == "power" and not node.is_core:
-                    kind = "kill"
-                self.count(kind)
-                asyncio.ensure_future(self.inject_node_fault(node, kind))
+            last_wipe_s = await self.inject_fault(last_wipe_s)
 
     async def wait_for_ack(self):
         """Ends just after an acknowledgement: 5 to 400 ms."""
@@ -605,16 +667,7 @@
 
     async def final_fault(self):
         await self.wait_for_ack()
-        if self.options.end == "kill":
-            for node in self.nodes:
-                node.begin_fault()
-                node.exit_expected = True
-                node.process.kill()
-            for node in self.nodes:
-                await node.process.wait()
-                await node.start()
-                node.end_fault()
-        elif self.options.end != "calm":
+        if self.options.end != "calm":
             wiped = None
             if self.options.end == "wipe":
                 wiped = self.rng.choice(
@@ -674,9 +727,10 @@
         self.nodes = [Node(self, host, True) for host in soak.CORES]
         self.nodes += [Node(self, host, False) for host in soak.FRONTS]
         for node in self.nodes:
-            node.begin_fault()
+            fault = node.begin_fault()
+            await node.serve_proxies()
             await node.start()
-            node.end_fault()
+            fault[1] = time.monotonic()
         await self.start_targets()
         self.version = 1
         await self.send_change(self.add_change(Change(self.current_config())))
@@ -689,8 +743,13 @@
         if self.options.faults != "none":
             tasks.append(self.inject_faults(deadline))
         tasks = [asyncio.ensure_future(task) for task in tasks]
+        for node in self.nodes:
+            if self.options.slow and not node.is_core:
+                asyncio.ensure_future(self.slow_down(node, 0.075, 0.025))
+            elif self.options.slow:
+                asyncio.ensure_future(self.slow_down(node, 0.05, 0.05))
         await asyncio.wait(tasks[1:])
-        while any(n.faults[-1][1] is None for n in self.nodes):
+        while any(n.has_fault() for n in self.nodes):
             await asyncio.sleep(0.05)
         await self.final_fault()
         self.finished = True  # no more orders
@@ -734,6 +793,9 @@
     parser.add_argument("--end", default="calm",
                         choices=["calm", "kill", "power", "wipe"])
     parser.add_argument("--snapshot-entries", type=int, default=400)
+    parser.add_argument("--slow", action="store_true",
+                        help="core hosts run for half of the time, fronts for a "
+                        "quarter, in turns of 100 ms")
     parser.add_argument("--strict", action="store_true")
     parser.add_argument("--wiped", default="", choices=[""] + soak.CORES,
                         help="the host that loses its disk; else any")
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -90,8 +90,9 @@
                     break
                 if self.mode == "slow":
                     await asyncio.sleep(0.3)
-                while self.mode == "silent" or (self.mode == "one-way" and
-                                                is_response):
+                while self.mode == "silent" or (
+                        self.mode == "one-way" and is_response) or (
+                            self.mode == "one-way-to" and not is_response):
                     await asyncio.sleep(0.1)
                 writer.write(data)
                 await writer.drain()
@@ -151,6 +152,9 @@
                     FAULTDISK_MODE=self.folder + ".mode",
                     ASAN_OPTIONS="verify_asan_link_order=0")
 
+    def process_environment(self):
+        return self.environment() if self.is_core else None
+
     def settings(self):
         port = self.soak.port
         return SETTINGS.format(
@@ -175,7 +179,7 @@
         self.process = await asyncio.create_subprocess_exec(
             self.soak.binary, "node", path, stdout=log,
             stderr=open(self.folder + ".err", "ab"),
-            env=self.environment() if self.is_core else None)
+            env=self.process_environment())
         log.close()
         asyncio.ensure_future(self.report_unexpected_exit(self.process))
 
