Plan: a gang starts on cold targets that take small work

A target that is still cold after its start gets one start in 0.4 s. Small work takes that turn on each target as it comes.

A gang that has waited for 1.5 s now starts on cold targets whatever has just started there. Small work keeps to its one start, so that the targets still fill by degrees.

AGangStartsOnColdTargetsThatTakeSmallWork fails before and passes.

--- a/core/planevac.c
+++ b/core/planevac.c
@@ -26,6 +26,9 @@
 /* A cold target gets one start in this time, and is used after others. */
 #define COLD_START_INTERVAL_MS 400u
 #define COLD_COST (1ull << 49)
+/* A gang that waits for longer than this starts on cold targets whatever has
+ * just started there. */
+#define COLD_GANG_WAIT_MS 1500u
 
 /* ---- evacuated data centres --------------------------------------------- */
 
@@ -226,12 +229,15 @@
 
 /* Workload: many targets return at once and are slow at first. Others are
  * preferred; with none, each cold one gets starts one by one, so that it
- * fills as it gets warm. */
+ * fills as it gets warm. Small work takes each target's turn as it comes, and
+ * a gang would need those of several targets at the same time. */
 bool
-plan_is_too_cold(const struct plan_target *target, uint64_t now_ms)
+plan_is_too_cold(const struct plan_target *target,
+                 const struct plan_step *step, uint64_t now_ms)
 {
     return now_ms < target->cold_until_ms && target->last_start_ms != 0 &&
-           now_ms < target->last_start_ms + COLD_START_INTERVAL_MS;
+           now_ms < target->last_start_ms + COLD_START_INTERVAL_MS &&
+           (!step->def->gang || now_ms < step->opened_ms + COLD_GANG_WAIT_MS);
 }
 
 uint64_t
--- a/core/planfit.c
+++ b/core/planfit.c
@@ -108,7 +108,8 @@
     if (plan_is_reserved_for_other(target, step, now_ms)) {
         reserved = target->reserved;
     }
-    return plan_takes_starts(target) && !plan_is_too_cold(target, now_ms) &&
+    return plan_takes_starts(target) &&
+           !plan_is_too_cold(target, step, now_ms) &&
            now_ms >= target->backoff_until_ms &&
            (now_ms >= target->failing_until_ms ||
             target->pool->most_are_failing) &&
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -455,8 +455,10 @@
 /* Whether the step's service has targets, and all of them are in evacuated
  * data centres. */
 bool plan_is_all_evacuated(const struct plan_step *step);
-/* Whether a target that is still cold has had its share of starts. */
-bool plan_is_too_cold(const struct plan_target *target, uint64_t now_ms);
+/* Whether a target that is still cold has had its share of starts, as far as
+ * the step goes. */
+bool plan_is_too_cold(const struct plan_target *target,
+                      const struct plan_step *step, uint64_t now_ms);
 /* Added to the cost of a placement. */
 uint64_t plan_cold_cost(const struct plan_target *target, uint64_t now_ms);
 
--- a/tests/evac_test.cc
+++ b/tests/evac_test.cc
@@ -8,6 +8,7 @@
 namespace {
 
 using plan_sim::FleetSim;
+using plan_sim::RunOrder;
 using plan_sim::StepSpec;
 
 struct EvacSim : FleetSim {
@@ -465,6 +466,46 @@
     EXPECT_EQ(sim.starts_on('w'), 8u);
 }
 
+// Small work took the turn of each cold target as it came: a gang, which needs
+// several at the same time, waited until they were warm.
+TEST(Evac, AGangStartsOnColdTargetsThatTakeSmallWork)
+{
+    EvacSim sim;
+    sim.configure({"small", "q"});
+    for (int i = 0; i < 8; i++) {
+        sim.put_in("w" + std::to_string(i), "west", 1000000 + 20000);
+    }
+    sim.become_leader();
+    plan_reconciled(sim.planner);
+    std::map<uint64_t, std::vector<RunOrder>> ending;
+    uint64_t begin_ms = sim.now_ms, started_ms = 0;
+    size_t seen = 0;
+    for (uint64_t i = 0; i < 500 && started_ms == 0; i++) {
+        if (i % 5 == 0) {
+            sim.submit(100 + i, {{.cpu_milli = 500, .estimate_ms = 200}},
+                       "small");
+        }
+        if (i == 100) {
+            sim.submit(1, {{.count = 6, .cpu_milli = 5000, .gang = true}});
+        }
+        sim.run_pass(10);
+        for (; seen < sim.start_orders.size(); seen++) {
+            const RunOrder order = sim.start_orders[seen];
+            sim.confirm_start(order);
+            ending[sim.now_ms + 200].push_back(order);
+            started_ms = order.task.job_id == 1 ? sim.now_ms : started_ms;
+        }
+        while (!ending.empty() && ending.begin()->first <= sim.now_ms) {
+            for (const auto &order : ending.begin()->second) {
+                sim.end_run(order, RUN_DONE);
+            }
+            ending.erase(ending.begin());
+        }
+    }
+    ASSERT_NE(started_ms, 0u);
+    EXPECT_LE(started_ms, begin_ms + 1000 + 3000) << "rule LOST";
+}
+
 TEST(Evac, AnAnnouncementOfAColdTargetIsRecordedOnce)
 {
     EvacSim sim;
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -160,6 +160,7 @@
 core/planevac.c	return count_away(step, now_ms) < away_limit(step->def);	return true;	Evac.LastingTasksAreMoved*
 core/planevac.c	                has_room_elsewhere(plan, run->step, now_ms)	                has_room_elsewhere != NULL	Evac.ALastingTaskWithoutRoom*
 core/planevac.c	           run->expected_end_ms > now_ms + FINISH_MAX_MS;	           true;	Evac.WorkThatEnds*
+core/planevac.c	(!step->def->gang || now_ms < step->opened_ms + COLD_GANG_WAIT_MS)	true	Evac.AGangStartsOnCold*
 core/planevac.c	    return now_ms < target->cold_until_ms && target->last_start_ms != 0 &&	    return false &&	Evac.ColdTargets*
 core/fleetevac.c	    if (g_queue_find_custom(&data_centre->orders, change_id, compare_ids) !=\n        NULL) {	    if (compare_ids == NULL) {	Evac.ALateCopy*
 core/fleetevac.c	    data_centre->evacuated = saved->evacuated;	    ;	Evac.ASnapshotKeeps*
