--- a/core/raftlead.c
+++ b/core/raftlead.c
@@ -11,6 +11,9 @@
 #define MEMBER_HEARD_HEARTBEATS 2u
 
 #define TRANSFER_TIMEOUT_MS 2000u
+/* Bounds the pause before a chunk of a snapshot is sent again, as a multiple
+ * of resend_ms. */
+#define SNAPSHOT_PAUSE_FACTOR_MAX 16u
 
 static struct follower *
 find_follower(const struct raft *raft, uint64_t id)
@@ -156,6 +159,7 @@
 {
     follower->sending_snapshot = true;
     follower->snap_offset_bytes = 0;
+    follower->snap_pause_ms = raft->timing.resend_ms;
     send_snapshot_chunk(raft, follower, now_ms);
 }
 
@@ -364,7 +368,7 @@
     bool lagging = follower->match_index + 1 < follower->next_index;
 
     if (follower->sending_snapshot) {
-        if (now_ms >= follower->snap_sent_ms + raft->timing.resend_ms) {
+        if (now_ms >= follower->snap_sent_ms + follower->snap_pause_ms) {
             send_snapshot_chunk(raft, follower, now_ms);
         }
         return;
@@ -536,7 +540,16 @@
         start_snapshot_transfer(raft, follower, now_ms);
         return;
     }
+    if (msg->received_bytes == follower->snap_offset_bytes &&
+        msg->received_bytes < raft->snapshot.data.size_bytes) {
+        return; /* it got an earlier chunk again */
+    }
     follower->snap_offset_bytes = msg->received_bytes;
+    /* Workload: a chunk takes long over a slow link. Repeats of each chunk
+     * would take most of the link. */
+    follower->snap_pause_ms =
+        CLAMP((now_ms - msg->echo_sent_ms) * 2, raft->timing.resend_ms,
+              raft->timing.resend_ms * SNAPSHOT_PAUSE_FACTOR_MAX);
     if (msg->received_bytes < raft->snapshot.data.size_bytes) {
         send_snapshot_chunk(raft, follower, now_ms);
         return;
--- a/core/raftpriv.h
+++ b/core/raftpriv.h
@@ -35,6 +35,7 @@
     bool sending_snapshot;      /* no appends until it has the snapshot */
     uint64_t snap_offset_bytes; /* bytes of the snapshot it has received */
     uint64_t snap_sent_ms;      /* last chunk sent */
+    uint64_t snap_pause_ms;     /* until the chunk is sent again */
 };
 
 /* A durable write that is not synced yet. */
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -245,6 +245,8 @@
 node/fetchplain.c	request->source != NULL &&	false &&	Fetch.AConnectionComes*
 node/fetchplain.c	client->source_failures >= SOURCE_FAILURES_MAX	false	Fetch.AServerOutOfReach*
 node/fetch.c	source->sa_family == address->family &&	false &&	Fetch.AConnectionComes*
+core/raftlead.c	msg->received_bytes == follower->snap_offset_bytes &&	false &&	Raft.ASnapshotCrosses*
+core/raftlead.c	(now_ms - msg->echo_sent_ms) * 2	now_ms % 2	Raft.ASnapshotCrosses*
 LIST
 echo "$CAUGHT passed, $MISSED failed"
 [ "$MISSED" = 0 ]
--- a/tests/raft_test.cc
+++ b/tests/raft_test.cc
@@ -459,6 +459,65 @@
     tear_down(sim);
 }
 
+// Each chunk that was repeated over a slow link made one more stream of chunks.
+TEST(Raft, ASnapshotCrossesASlowLinkOnce)
+{
+    const uint64_t link_ms = 800;
+    Simulation sim(5);
+    sim.lossy = false;
+    ASSERT_TRUE(form_three_voters(sim));
+    run_for(sim, 500);
+    Node *leader = current_leader(sim);
+    ASSERT_NE(leader, nullptr);
+    Node *slow = sim.nodes[(leader->number + 1) % 3].get();
+    crash(slow);
+    slow->restart_ms = UINT64_MAX;
+    for (int i = 0; i < 40; i++) {
+        std::string value(60000, (char)('a' + i % 26));
+        uint64_t index;
+        ASSERT_EQ(raft_propose(leader->replica, value.data(),
+                               (uint32_t)value.size(), &index),
+                  FP_OK);
+        run_for(sim, 20);
+    }
+    for (int i = 0; i < 1100; i++) { // more than are kept behind a snapshot
+        propose(sim);
+        if (i % 50 == 0) {
+            run_for(sim, 20);
+        }
+    }
+    run_for(sim, 200);
+    std::string text = save_state(leader->state);
+    fp_blob blob = {(uint8_t *)text.data(), (uint32_t)text.size()};
+    raft_compact(leader->replica, &blob);
+    run_for(sim, 100);
+    slow->restart_ms = sim.now_ms;
+    const uint64_t chunks =
+        (text.size() + MSG_SNAPSHOT_CHUNK_BYTES - 1) / MSG_SNAPSHOT_CHUNK_BYTES;
+    uint64_t sent = 0;
+    std::set<const void *> delayed;
+    const uint64_t end_ms = sim.now_ms + (chunks + 4) * (link_ms + 100);
+    while (sim.now_ms < end_ms && slow->state.size() < leader->state.size()) {
+        std::set<const void *> under_way;
+        step(sim);
+        for (Message &m : sim.network) {
+            if (m.type == MSG_SNAPSHOT) {
+                under_way.insert(m.record);
+                if (delayed.count(m.record) == 0) {
+                    m.at_ms += link_ms;
+                    sent++;
+                }
+            }
+        }
+        delayed = under_way;
+    }
+    EXPECT_EQ(slow->state.size(), leader->state.size());
+    EXPECT_GE(chunks, 9u);
+    EXPECT_LE(sent, chunks + 4);
+    EXPECT_EQ(sim.failure, "");
+    tear_down(sim);
+}
+
 // The leader's disk is slow. An entry that one follower has synced and the
 // leader has not is on one disk of three, and must not be acknowledged.
 TEST(Raft, LeaderCountsItselfOnlyOnceSynced)
