Test: the soak counts its unfinished jobs and stops all hosts at once

With many hosts the end of a run took minutes, as hosts were stopped one after the other, and of the unfinished jobs only the first five were named, without their number.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -535,6 +535,9 @@
                 if (answer or {}).get("state") == "completed":
                     del pending[name]
             await asyncio.sleep(0.3)
+        if len(pending) > 5:
+            print("%d jobs have not completed" % len(pending),
+                  file=sys.stderr)
         for name in sorted(pending)[:5]:
             self.report_failure(
                 "job %s was accepted and has not completed" % name)
@@ -588,8 +591,8 @@
         await self.cancel_hopeless()
         await self.check_config()
         self.finished = True
-        for node in self.nodes:
-            await node.stop(signal.SIGTERM)
+        await asyncio.gather(*(node.stop(signal.SIGTERM)
+                               for node in self.nodes))
         if self.checker.violations:
             self.failures.append("violations")
         print("seed %d: %d accepted, %d refused, %d starts, %s" % (
