--- a/tests/platform/operators.py
+++ b/tests/platform/operators.py
@@ -53,6 +53,8 @@
 STRETCH_S = 5.0
 WIPE_PAUSE_S = 9.0  # between two lost disks
 ORDERS_MAX = 8
+FRONTS = ["127.0.0.5", "127.0.0.6"]
+POLICY = "127.0.0.9"
 HOST = "shop.example"
 KEY = "key-shops"
 QUEUE = "/batches/"
@@ -294,8 +296,8 @@
         if draw < 0.35:
             for _ in range(rng.randrange(1, 4)):
                 self.number += 1
-                self.extra.append(rng.choice(["/x%d/", QUEUE + "sub%d/"])
-                                  % self.number)
+                self.extra.append(rng.choice(
+                    ["/x%d/", QUEUE + "sub%d/"]) % self.number)
         elif draw < 0.5 and self.extra:
             self.gone.append(self.extra.pop(rng.randrange(len(self.extra))))
         elif draw < 0.65:
@@ -677,6 +679,10 @@
 
     # ---- start and end
 
+    @staticmethod
+    def policy_address(_host):
+        return POLICY
+
     async def start_targets(self):
         self.options.control = ",".join("%s:%d" % (c, self.port + 1)
                                         for c in soak.CORES)
@@ -686,7 +692,7 @@
             target.service = "store" if number < 3 else "other"
             target.on_start = self.note_start
             asyncio.ensure_future(target.run())
-        await standin.serve_policy("127.0.0.9:%d" % (self.port + 5))
+        await standin.serve_policy("%s:%d" % (POLICY, self.port + 5))
 
     async def check_end(self):
         """The configuration is read back within 10 s, and for CONTACT_S at any
@@ -725,7 +731,7 @@
     async def run(self):
         self.start_s = time.monotonic()
         self.nodes = [Node(self, host, True) for host in soak.CORES]
-        self.nodes += [Node(self, host, False) for host in soak.FRONTS]
+        self.nodes += [Node(self, host, False) for host in FRONTS]
         for node in self.nodes:
             fault = node.begin_fault()
             await node.serve_proxies()
@@ -803,7 +809,7 @@
                         help="the settings let a cell be founded all the time")
     options = parser.parse_args()
     options.late = options.lost = options.invalid = 0.0
-    options.failures = options.resize = 0
+    options.failures = options.resize = options.restart = options.deaf = 0
     options.zones = 1
     test = Test(options)
     options.port = options.port + 7  # of the targets
