A count of a queue whose prefix has no slash at its end

A count (GET PREFIX) was answered with 404 by every front, though route and key are there, where the configured prefix doesn't end with a slash.

Cause: the front took a path with a slash at its end for a count, and any other for a job's state, for which the leader then found no ID.

--- a/tests/platform/operators.py
+++ b/tests/platform/operators.py
@@ -297,7 +297,7 @@
             for _ in range(rng.randrange(1, 4)):
                 self.number += 1
                 self.extra.append(rng.choice(
-                    ["/x%d/", QUEUE + "sub%d/"]) % self.number)
+                    ["/x%d/", "/y%d", QUEUE + "sub%d/"]) % self.number)
         elif draw < 0.5 and self.extra:
             self.gone.append(self.extra.pop(rng.randrange(len(self.extra))))
         elif draw < 0.65:
