Plan: cold targets that are mostly free keep no work waiting for long

A cold target gets one start in 0.4 s, so that it fills by degrees. Work that comes faster waited, the longer the more there was of it, although the targets were mostly free: of 50 tasks of 0.6 s a second on eight cold targets 200 of 500 had started after 10 s.

Work that has waited for 1.5 s now starts there whatever has just started, while less than half of the service is in use. Above that the targets fill by degrees as before.

NoWorkWaitsLongBesideColdTargetsThatAreMostlyFree fails before (200 starts, where 350 are to come) and passes; ColdTargetsFillByDegrees holds.

--- a/core/planevac.c
+++ b/core/planevac.c
@@ -26,9 +26,9 @@
 /* A cold target gets one start in this time, and is used after others. */
 #define COLD_START_INTERVAL_MS 400u
 #define COLD_COST (1ull << 49)
-/* A gang that waits for longer than this starts on cold targets whatever has
- * just started there. */
-#define COLD_GANG_WAIT_MS 1500u
+/* What waits for longer than this starts on cold targets whatever has just
+ * started there, if it is a gang or little of its service is in use. */
+#define COLD_WAIT_MAX_MS 1500u
 
 /* ---- evacuated data centres --------------------------------------------- */
 
@@ -237,7 +237,8 @@
 {
     return now_ms < target->cold_until_ms && target->last_start_ms != 0 &&
            now_ms < target->last_start_ms + COLD_START_INTERVAL_MS &&
-           (!step->def->gang || now_ms < step->opened_ms + COLD_GANG_WAIT_MS);
+           (now_ms < step->opened_ms + COLD_WAIT_MAX_MS ||
+            (!step->def->gang && !plan_is_little_used(target->pool)));
 }
 
 uint64_t
--- a/core/planhold.c
+++ b/core/planhold.c
@@ -333,8 +333,8 @@
     return capacity == 0 || used * 100 < capacity * percent;
 }
 
-static bool
-is_little_used(const struct plan_pool *pool)
+bool
+plan_is_little_used(const struct plan_pool *pool)
 {
     return is_below(pool->used.cpu_milli, pool->capacity.cpu_milli,
                     LITTLE_USED_PERCENT) &&
@@ -358,7 +358,7 @@
         now_ms >= target->reserved_until_ms ||
         gives_way(target->reserved_for, step) ||
         (now_ms >= step->opened_ms + IDLE_RESERVED_MAX_MS &&
-         is_little_used(target->pool))) {
+         plan_is_little_used(target->pool))) {
         return false;
     }
     return step->def->lasting ||
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -387,6 +387,9 @@
  * would not be done before that starts. */
 bool plan_is_reserved_for_other(const struct plan_target *target,
                                 const struct plan_step *step, uint64_t now_ms);
+/* Whether less than half of a service is in use: nothing should wait for long
+ * there. */
+bool plan_is_little_used(const struct plan_pool *pool);
 void plan_reserve_capacity(struct plan *plan, struct plan_step *step,
                            const struct fleet_resources *size,
                            uint64_t now_ms);
--- a/tests/evac_test.cc
+++ b/tests/evac_test.cc
@@ -506,6 +506,46 @@
     EXPECT_LE(started_ms, begin_ms + 1000 + 3000) << "rule LOST";
 }
 
+// Tasks that came faster than one in 0.4 s for each cold target waited beside
+// targets that were mostly free, the longer the more of them.
+TEST(Evac, NoWorkWaitsLongBesideColdTargetsThatAreMostlyFree)
+{
+    EvacSim sim;
+    sim.configure({"q"});
+    for (int i = 0; i < 8; i++) {
+        sim.put_in("w" + std::to_string(i), "west", 1000000 + 20000);
+    }
+    sim.become_leader();
+    plan_reconciled(sim.planner);
+    std::map<uint64_t, std::vector<RunOrder>> ending;
+    std::map<uint64_t, uint64_t> submitted_ms;
+    uint64_t longest_ms = 0;
+    size_t seen = 0;
+    for (uint64_t i = 0; i < 1000; i++) {
+        if (i % 2 == 0) {
+            sim.submit(100 + i, {{.cpu_milli = 500, .estimate_ms = 600}});
+            submitted_ms[100 + i] = sim.now_ms;
+        }
+        sim.run_pass(10);
+        for (; seen < sim.start_orders.size(); seen++) {
+            const RunOrder order = sim.start_orders[seen];
+            sim.confirm_start(order);
+            ending[sim.now_ms + 600].push_back(order);
+            longest_ms =
+                std::max(longest_ms,
+                         sim.now_ms - submitted_ms[order.task.job_id]);
+        }
+        while (!ending.empty() && ending.begin()->first <= sim.now_ms) {
+            for (const auto &order : ending.begin()->second) {
+                sim.end_run(order, RUN_DONE);
+            }
+            ending.erase(ending.begin());
+        }
+    }
+    EXPECT_GE(seen, 500u - 150u) << "all but those of the last 3 s";
+    EXPECT_LE(longest_ms, 3000u) << "rule LOST";
+}
+
 TEST(Evac, AnAnnouncementOfAColdTargetIsRecordedOnce)
 {
     EvacSim sim;
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -160,7 +160,8 @@
 core/planevac.c	return count_away(step, now_ms) < away_limit(step->def);	return true;	Evac.LastingTasksAreMoved*
 core/planevac.c	                has_room_elsewhere(plan, run->step, now_ms)	                has_room_elsewhere != NULL	Evac.ALastingTaskWithoutRoom*
 core/planevac.c	           run->expected_end_ms > now_ms + FINISH_MAX_MS;	           true;	Evac.WorkThatEnds*
-core/planevac.c	(!step->def->gang || now_ms < step->opened_ms + COLD_GANG_WAIT_MS)	true	Evac.AGangStartsOnCold*
+core/planevac.c	(now_ms < step->opened_ms + COLD_WAIT_MAX_MS ||	(true ||	Evac.AGangStartsOnCold*
+core/planevac.c	(!step->def->gang && !plan_is_little_used(target->pool))	!step->def->gang	Evac.NoWorkWaitsLong*
 core/planevac.c	    return now_ms < target->cold_until_ms && target->last_start_ms != 0 &&	    return false &&	Evac.ColdTargets*
 core/fleetevac.c	    if (g_queue_find_custom(&data_centre->orders, change_id, compare_ids) !=\n        NULL) {	    if (compare_ids == NULL) {	Evac.ALateCopy*
 core/fleetevac.c	    data_centre->evacuated = saved->evacuated;	    ;	Evac.ASnapshotKeeps*
@@ -177,8 +178,8 @@
 core/planage.c	    return now_ms - MIN(age_ms, now_ms);	    return now_ms;	ShareOrder.Inherited*
 core/planage.c	plan->fleet->now_ms + TERM_GAP_MAX_MS	UINT64_MAX	ShareOrder.AWallClock*
 core/planage.c	pool->overdue_job->turns++;	;	ShareOrder.EvenWork*
-core/planhold.c	(now_ms >= step->opened_ms + IDLE_RESERVED_MAX_MS &&\n         is_little_used(target->pool))	false	Plan.WorkWaitsBriefly*
-core/planhold.c	is_little_used(target->pool))) {	true)) {	Plan.WorkWaitsFor*
+core/planhold.c	(now_ms >= step->opened_ms + IDLE_RESERVED_MAX_MS &&\n         plan_is_little_used(target->pool))	false	Plan.WorkWaitsBriefly*
+core/planhold.c	plan_is_little_used(target->pool))) {	true)) {	Plan.WorkWaitsFor*
 core/planfit.c	(now_ms >= target->failing_until_ms ||\n            target->pool->most_are_failing) &&	now_ms >= target->failing_until_ms &&	Liveness.WorkStartsBeside*
 core/planorder.c	failing > 1 && failing * 100 > usable * FAILING_MAX_PERCENT	failing > 1	Liveness.AFewTargets*
 core/plan.c	move_tight_used(target, pool);	(void)move_tight_used;	Liveness.ATargetThatChanges*
