Relay: calls wait for a leader without asking all the time

Cause: a call that a host refused since it does not lead was sent again after 40 ms, to the next host, for as long as there was no leader. With some hundred calls in flight that was several thousand copies a second from one front end.

Evidence: 100 calls in flight for a second without a leader made 2,311 copies.

Change: after three refusals the pause doubles, from 40 up to 320 ms. The first call or ping that a leader answers still sends all others at once.

Test: Relay.CallsWaitForALeaderWithoutAskingAllTheTime, 2,311 copies before, at most 900 after, and all calls answered within 400 ms of the leader's return.

--- a/core/resend.c
+++ b/core/resend.c
@@ -4,6 +4,10 @@
 /* Bounds of the pause. A lost answer costs at least the first one. */
 #define PAUSE_MIN_MS 450u
 #define PAUSE_MAX_MS 3600u
+/* Bounds of the pause after a refusal, and refusals before it grows. */
+#define REFUSED_MIN_MS 40u
+#define REFUSED_MAX_MS 320u
+#define REFUSALS_QUICK 3u
 /* Longer times count as this one. */
 #define ANSWER_MAX_MS 10000u
 /* Weights of the old averages; a new value counts 1. The deviation follows
@@ -44,3 +48,15 @@
     }
     return (uint32_t)(pause_ms < PAUSE_MAX_MS ? pause_ms : PAUSE_MAX_MS);
 }
+
+uint32_t
+resend_refused_pause_ms(uint32_t refusals)
+{
+    uint32_t pause_ms = REFUSED_MIN_MS;
+
+    while (refusals > REFUSALS_QUICK && pause_ms < REFUSED_MAX_MS) {
+        pause_ms *= 2;
+        refusals--;
+    }
+    return pause_ms;
+}
--- a/core/resend.h
+++ b/core/resend.h
@@ -27,4 +27,10 @@
 uint32_t resend_pause_ms(const struct resend_times *times,
                          uint32_t open_copies);
 
+/* The pause after a call was refused by a host that does not lead, refusals
+ * times so far. The first refusals lead to a leader that has moved. While
+ * there is none all calls are refused, and the first that is answered tells
+ * the others: they need not all try often. */
+uint32_t resend_refused_pause_ms(uint32_t refusals);
+
 #endif /* FP_RESEND_H */
--- a/node/relay.c
+++ b/node/relay.c
@@ -8,7 +8,7 @@
 #include "core/resend.h"
 
 #define TICK_INTERVAL_MS 10u
-#define NOT_LEADER_DELAY_MS 40u /* before another host is called */
+#define NOT_SENT_DELAY_MS 40u /* before another host is called */
 #define KNOWN_HOSTS_MAX 64u
 #define CALLERS_MAX 4096u
 #define INTRODUCTION_TIMEOUT_MS 1000u
@@ -31,6 +31,8 @@
     char first_host[MSG_HOST_BYTES]; /* to which the first copy was sent */
     uint32_t open_copies;            /* copies that may still be processed */
     uint32_t sent_copies;
+    uint32_t
+        refusals; /* by hosts that do not lead, since a leader was found */
     uint64_t start_ms;
     uint64_t resend_ms; /* when to send the next copy */
     uint64_t deadline_ms;
@@ -194,7 +196,7 @@
                               .body = call->body};
 
     if (host[0] == '\0') {
-        call->resend_ms = now_ms + NOT_LEADER_DELAY_MS;
+        call->resend_ms = now_ms + NOT_SENT_DELAY_MS;
         return;
     }
     if (host != call->host) {
@@ -220,7 +222,7 @@
         call->deadline_ms = now_ms; /* the next tick ends the call */
     }
     else {
-        call->resend_ms = now_ms + NOT_LEADER_DELAY_MS;
+        call->resend_ms = now_ms + NOT_SENT_DELAY_MS;
     }
 }
 
@@ -436,8 +438,10 @@
         finish_call(relay, call, FP_ERR_NO_LEADER, NULL);
         return;
     }
+    call->refusals++;
     call->resend_ms =
-        MIN(call->resend_ms, clock_mono_ms() + NOT_LEADER_DELAY_MS);
+        MIN(call->resend_ms,
+            clock_mono_ms() + resend_refused_pause_ms(call->refusals));
     /* The same host may be called again: it may lead by then. */
     call->host[0] = '\0';
 }
@@ -480,6 +484,7 @@
     while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&call)) {
         if (!call->single_host && strcmp(call->host, host) != 0) {
             call->resend_ms = now_ms;
+            call->refusals = 0;
         }
     }
 }
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -248,6 +248,7 @@
 node/fetch.c	source->sa_family == address->family &&	false &&	Fetch.AConnectionComes*
 core/raftlead.c	msg->received_bytes == follower->snap_offset_bytes &&	false &&	Raft.ASnapshotCrosses*
 core/raftlead.c	(now_ms - msg->echo_sent_ms) * 2	now_ms % 2	Raft.ASnapshotCrosses*
+core/resend.c	while (refusals > REFUSALS_QUICK	while (refusals > 1000000	Relay.CallsWait*
 LIST
 echo "$CAUGHT passed, $MISSED failed"
 [ "$MISSED" = 0 ]
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -43,7 +43,7 @@
     struct bus *bus = nullptr;
     struct relay *relay = nullptr;
     struct timers *timers;
-    bool leads;
+    bool leads, refuses = false;
     uint64_t answers_after_ms = 0;
     std::deque<std::pair<uint64_t, relay_caller>> waiting;
     uint32_t handled = 0;
@@ -97,6 +97,10 @@
         (void)kind;
         (void)body;
         host->handled++;
+        if (host->refuses) {
+            relay_answer(host->relay, caller, FP_ERR_NO_LEADER, nullptr);
+            return;
+        }
         host->waiting.push_back(
             {clock_mono_ms() + host->answers_after_ms, *caller});
     }
@@ -200,6 +204,22 @@
     EXPECT_LE(pair.retried(), 5u);
 }
 
+// While no host led each of many calls was sent every 40 ms.
+TEST(Relay, CallsWaitForALeaderWithoutAskingAllTheTime)
+{
+    Pair pair;
+    pair.leader->refuses = true;
+    for (int i = 0; i < 100; i++) {
+        pair.call(CALL_STATE, 3000);
+    }
+    pair.run_until([&] { return pair.failed > 0; }, 1000);
+    EXPECT_EQ(pair.failed, 0u);
+    EXPECT_LE(pair.leader->handled, 900u);
+    pair.leader->refuses = false;
+    pair.run_until([&] { return pair.answered == 100; }, 400);
+    EXPECT_EQ(pair.answered, 100u);
+}
+
 namespace {
 
 // Callers of a host that handles one copy of a call at a time, as it comes.
