Plan: turns at the placement policy go first to steps that can be placed

Cause: queries were sent in scheduling order, and the first long query without a free host blocked all later ones of the pass. Steps in front that could not be placed, or never could, renewed their tickets for ever; those behind them, whose targets were free, kept expired tickets or were never asked about. And granted_capacity() counted room that is reserved for others, so that a step whose granted targets were reserved named no others.

Change: queries are sent after placement, in order of use: first steps that can be placed once they have an answer (their granted targets have room beside what is reserved for others, and the team's limit and the headroom allow it), then the others in scheduling order, then upcoming steps. Tickets of steps that cannot be placed are renewed ahead of need at a pace that falls after four in a row, or faster where turns are idle; not at all if the granted targets could not hold the step when empty. Every half second the step that had no turn for longest, and for 4 s, goes first.

--- a/core/plan.c
+++ b/core/plan.c
@@ -561,21 +561,6 @@
     }
 }
 
-/* Queries the placement policy for upcoming steps, of jobs beyond their
- * teams' shares or of the others. */
-static void
-query_ahead(struct plan *plan, bool beyond_share, uint64_t now_ms)
-{
-    for (guint i = 0; i < plan->upcoming_steps->len; i++) {
-        struct plan_step *step = plan->upcoming_steps->pdata[i];
-
-        if ((plan->params.policy->by_share && step->job->job->beyond_share) ==
-            beyond_share) {
-            plan_query_policy(plan, step, now_ms);
-        }
-    }
-}
-
 void
 plan_pass(struct plan *plan, uint64_t now_ms, uint64_t wall_ms)
 {
@@ -607,20 +592,20 @@
             continue;
         }
         if (plan_hold_step(plan, step)) {
-            report_wait(plan, step, now_ms);
             continue;
         }
         if (plan_needs_ticket(step)) {
-            plan_query_policy(plan, step, now_ms);
+            plan_want_query(plan, step);
         }
         if (step->def->gang) {
             stop_partial_gang(plan, step, now_ms);
         }
         plan_place_step(plan, step, now_ms);
-        report_wait(plan, step, now_ms);
     }
-    query_ahead(plan, false, now_ms);
-    query_ahead(plan, true, now_ms);
+    plan_send_queries(plan, now_ms);
+    for (guint i = 0; i < plan->open_steps->len; i++) {
+        report_wait(plan, plan->open_steps->pdata[i], now_ms);
+    }
     plan_start_copies(plan, now_ms);
 }
 
@@ -647,6 +632,7 @@
     plan->ended_jobs = g_ptr_array_new();
     plan->open_steps = g_ptr_array_new();
     plan->upcoming_steps = g_ptr_array_new();
+    plan->querying_steps = g_ptr_array_new();
     plan->targets = g_ptr_array_new();
     plan->silences = g_array_new(FALSE, FALSE, sizeof(struct plan_silence));
     plan->pools =
@@ -700,6 +686,7 @@
     }
     g_ptr_array_free(plan->open_steps, TRUE);
     g_ptr_array_free(plan->upcoming_steps, TRUE);
+    g_ptr_array_free(plan->querying_steps, TRUE);
     g_ptr_array_free(plan->targets, TRUE);
     g_array_free(plan->silences, TRUE);
     g_free(plan->evidence.items);
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -164,7 +164,10 @@
     uint32_t ended_permille;  /* sum of their run times, of the estimate */
     bool is_trial;            /* its starts are trials; set before placement */
     uint64_t next_query_ms;   /* no policy query before this */
-    uint32_t query_failures;  /* in a row; each doubles the timeout */
+    uint64_t all_named_until_ms; /* no further target to name before this */
+    uint64_t ahead_ms;           /* no renewal ahead of need before this */
+    uint32_t ahead_queries;      /* in a row */
+    uint32_t query_failures;     /* in a row; each doubles the timeout */
     uint32_t unread_answers;  /* in a row, with entries that were unreadable */
     GArray *tickets;          /* struct plan_ticket; NULL: none */
     GHashTable *ticket_index; /* struct plan_target to its index in tickets,
@@ -237,6 +240,7 @@
     GPtrArray *upcoming_steps; /* struct plan_step whose predecessors all run
                                 * or are done; their tickets are requested
                                 * ahead */
+    GPtrArray *querying_steps; /* struct plan_step; see plan_want_query() */
     GPtrArray *targets;        /* struct plan_target */
     GHashTable *pools;         /* service to struct plan_pool */
     GHashTable *queue_ratios;  /* struct fleet_queue to struct plan_speed: run
@@ -258,6 +262,9 @@
                                  * long queries */
     bool queries_blocked;       /* in this pass: no policy client is free
                                  * at all */
+    uint64_t starved_turn_ms;   /* no turn out of order before this */
+    uint64_t turn_refused_ms;   /* when there was last none for a query that
+                                 * was of use at once */
     bool has_cold;              /* a target may be cold */
     uint64_t next_move_ms;      /* see planevac.c */
     bool reconciled;
@@ -516,8 +523,15 @@
 /* How many targets the first query for a step of this kind names. */
 uint32_t plan_query_targets(const struct plan *plan,
                             const struct fleet_step *def);
-/* Queries the placement policy for a step, if that is useful now. */
+/* Queries the placement policy for a step whose runs are to be moved or
+ * copied, if that is useful now. */
 void plan_query_policy(struct plan *plan, struct plan_step *step,
                        uint64_t now_ms);
+/* The step may use a query to the placement policy in this pass. Call in
+ * scheduling order. */
+void plan_want_query(struct plan *plan, struct plan_step *step);
+/* Queries the placement policy for these steps and for upcoming ones, the most
+ * useful queries first. Call after the steps were placed. */
+void plan_send_queries(struct plan *plan, uint64_t now_ms);
 
 #endif /* FP_PLANPRIV_H */
--- a/core/planticket.c
+++ b/core/planticket.c
@@ -3,8 +3,16 @@
  * Workload: the policy answers one query of each client at a time, a short one
  * in tens of milliseconds, a long one in most of a second, and a ticket is
  * valid for a second or two. So a query names only targets that may have free
- * capacity, queries are sent in scheduling order, and grants are kept: for
- * granted targets only a new ticket is requested.
+ * capacity, and grants are kept: for granted targets only a new ticket is
+ * requested.
+ *
+ * Workload: more steps wait than the policy can be asked about, among them
+ * gangs that cannot be placed for long, or never. Turns at the policy go first
+ * to steps that can be placed once they have an answer, then in scheduling
+ * order to the others, then to steps that will open soon. Tickets of steps
+ * that cannot be placed now are renewed, so that they start without a query
+ * once there is room, but ever more slowly while turns are short, and not at
+ * all if their targets could not hold them.
  */
 #include <string.h>
 
@@ -20,6 +28,20 @@
 #define QUERY_GANG_TARGETS_MIN 30u
 /* Delay after a failed query, or when there is no target to query. */
 #define QUERY_RETRY_MS 50u
+/* Of the steps that could use a turn at the policy, and had none for this
+ * long, the one that had none for longest goes first, once in this interval;
+ * all others go in scheduling order. */
+#define QUERY_STARVED_MS 4000u
+#define STARVED_INTERVAL_MS 500u
+/* Turns at the policy are short for this long after a step that could use one
+ * got none. */
+#define TURNS_SHORT_MS 4000u
+/* While they are, time between two queries for a step that cannot be placed:
+ * half of the validity of its tickets, for so many in a row, then doubled with
+ * each, up to AHEAD_PAUSE_MAX_MS. */
+#define AHEAD_AT_FULL_PACE 4u
+#define AHEAD_PAUSE_MAX_MS 6000u
+#define AHEAD_DOUBLINGS_MAX 8u
 /* In case the policy is slow, the expected duration of a query, and with it
  * the timeout, doubles with each failure in a row, up to this many times. */
 #define QUERY_TIMEOUT_DOUBLINGS_MAX 6u
@@ -150,6 +172,8 @@
     if (ticket != NULL) {
         ticket->used = true;
     }
+    step->ahead_queries = 0;
+    step->ahead_ms = 0;
 }
 
 void
@@ -371,7 +395,8 @@
     return list;
 }
 
-/* Number of tasks of the step that fit now on the granted targets. */
+/* Number of tasks of the step that fit now on the granted targets, beside what
+ * is reserved there for others. */
 static uint64_t
 granted_capacity(const struct plan_step *step, uint64_t now_ms)
 {
@@ -382,13 +407,18 @@
         const struct plan_ticket *ticket =
             &g_array_index(step->tickets, struct plan_ticket, i);
         const struct plan_target *target = ticket->target;
+        struct fleet_resources used = target->used;
         uint64_t fitting;
 
         if (target->removed || ticket->state != TICKET_GRANTED ||
+            !plan_could_fit(target, step) ||
             !plan_fits(target, &size, step, now_ms)) {
             continue;
         }
-        fitting = plan_count_fitting(target, &target->used, &size);
+        if (plan_is_reserved_for_other(target, step, now_ms)) {
+            plan_add_size(&used, &target->reserved);
+        }
+        fitting = plan_count_fitting(target, &used, &size);
         if (step->def->spread > 0) {
             fitting = MIN(fitting, step->def->spread);
         }
@@ -529,21 +559,25 @@
     return latest_end_ms;
 }
 
-/* Chooses the targets to name in a query: granted ones whose tickets are about
- * to expire and, unless the granted ones have enough free capacity, also some
- * that were not named yet. */
+/* Lists the targets to name in a query: granted ones whose tickets are about
+ * to expire and, if the query is for more, some that were not named yet; none
+ * if there is none of these. */
 static GArray *
 choose_query_targets(struct plan *plan, const struct plan_step *step,
-                     uint32_t query_ms, uint64_t now_ms)
+                     enum query_purpose purpose, uint32_t query_ms,
+                     uint64_t now_ms)
 {
     uint64_t answer_ms = now_ms + query_ms + QUERY_ROUND_TRIP_MS;
     GArray *list = list_expiring_grants(step, answer_ms);
 
-    if (!is_granted_capacity_enough(step, now_ms)) {
+    if (purpose == QUERY_FIRST || purpose == QUERY_MORE) {
         GArray *unqueried = list_unqueried(
             plan, step, query_ms < PLAN_SHORT_QUERY_MS ? 0 : answer_ms,
             now_ms);
 
+        if (unqueried->len == 0) {
+            g_array_set_size(list, 0);
+        }
         g_array_append_vals(list, unqueried->data, unqueried->len);
         g_array_free(unqueried, TRUE);
     }
@@ -553,28 +587,6 @@
     return list;
 }
 
-/* What a query that names these targets is for. */
-static enum query_purpose
-purpose_of_query(const struct plan_step *step, const GArray *list,
-                 uint64_t now_ms)
-{
-    if (step->tickets == NULL || step->tickets->len == 0) {
-        return QUERY_FIRST;
-    }
-    if (is_granted_capacity_enough(step, now_ms)) {
-        return QUERY_RENEWAL;
-    }
-    for (guint i = 0; i < list->len; i++) {
-        const struct plan_ticket *ticket =
-            find_ticket(step, g_array_index(list, struct candidate, i).target);
-
-        if (ticket == NULL || ticket->state != TICKET_GRANTED) {
-            return QUERY_MORE;
-        }
-    }
-    return QUERY_AHEAD;
-}
-
 /* Records the targets as named in a query that is in progress. */
 static void
 mark_queried(struct plan_step *step, const GArray *list)
@@ -636,45 +648,112 @@
     }
 }
 
-void
-plan_query_policy(struct plan *plan, struct plan_step *step, uint64_t now_ms)
+/* Whether the step, or all of it if it is a gang, could start if it had valid
+ * tickets for the targets that are granted. */
+static bool
+is_placeable(const struct plan *plan, const struct plan_step *step,
+             uint64_t now_ms)
+{
+    const struct fleet_resources size = plan_task_size(step->def);
+    const uint32_t count = step->def->gang ? step->def->count : 1;
+    const struct fleet_resources all = {
+        size.cpu_milli * count, size.memory_mb * count, size.accel * count};
+
+    return (!step->def->gang || step->pending == count) &&
+           is_granted_capacity_enough(step, now_ms) &&
+           plan_team_allows(plan, step->job->job->team, &all) &&
+           plan_leaves_headroom(plan, step, &size);
+}
+
+/* Whether the granted targets could hold the step, or all of it if it is a
+ * gang, if they were empty. */
+static bool
+could_hold(const struct plan_step *step)
+{
+    return granted_room(step, true) >=
+           (step->def->gang ? step->def->count : 1);
+}
+
+static enum query_purpose
+purpose_of_query(const struct plan *plan, const struct plan_step *step,
+                 uint64_t now_ms)
+{
+    if (step->tickets == NULL || step->tickets->len == 0) {
+        return QUERY_FIRST;
+    }
+    if (!step->is_open) {
+        return QUERY_AHEAD;
+    }
+    if (is_placeable(plan, step, now_ms)) {
+        return QUERY_RENEWAL;
+    }
+    return is_granted_capacity_enough(step, now_ms) ||
+                   now_ms < step->all_named_until_ms
+               ? QUERY_AHEAD
+               : QUERY_MORE;
+}
+
+static void
+pause_ahead(struct plan_step *step, uint64_t now_ms)
+{
+    const uint32_t doublings =
+        step->ahead_queries - MIN(step->ahead_queries, AHEAD_AT_FULL_PACE);
+    const uint64_t pause_ms =
+        (uint64_t)step->job->job->queue->conf.ticket_ms / 2
+        << MIN(doublings, AHEAD_DOUBLINGS_MAX);
+
+    step->ahead_queries++;
+    step->ahead_ms = now_ms + MIN(pause_ms, AHEAD_PAUSE_MAX_MS);
+}
+
+static void
+note_refused_turn(struct plan *plan, enum query_purpose purpose,
+                  uint64_t now_ms)
+{
+    if (purpose != QUERY_AHEAD) {
+        plan->turn_refused_ms = now_ms;
+    }
+}
+
+/* Sends a query for the step, unless there is no target to name or no policy
+ * client is free. Returns whether there was a target to name. */
+static bool
+send_query(struct plan *plan, struct plan_step *step,
+           enum query_purpose purpose, uint64_t now_ms)
 {
     const struct fleet_queue_conf *conf = &step->job->job->queue->conf;
     struct fleet_task_id id = {step->job->job->submit.id, step->occurrence,
                                step->index, 0};
     struct fleet_target *targets[FLEET_QUERY_TARGETS_MAX];
     uint32_t query_ms = expected_query_ms(conf, QUERY_TARGETS_MIN);
+    const uint64_t sent_ms = step->query_sent_ms;
     GArray *list;
+    guint count;
 
-    if (step->query_in_flight || now_ms < step->next_query_ms) {
-        return;
-    }
     step->query_blocked =
         plan->queries_blocked ||
         (plan->long_queries_blocked && query_ms >= PLAN_SHORT_QUERY_MS);
-    if (step->query_blocked || is_too_early(step, query_ms, now_ms)) {
-        return;
+    if (is_too_early(step, query_ms, now_ms)) {
+        return true;
     }
-    list = choose_query_targets(plan, step, query_ms, now_ms);
-    for (guint i = 0; i < list->len; i++) {
-        targets[i] = g_array_index(list, struct candidate, i).target->target;
+    if (step->query_blocked) {
+        note_refused_turn(plan, purpose, now_ms);
+        return true;
     }
-    query_ms = expected_query_ms(conf, list->len);
-    if (list->len == 0) {
-        step->next_query_ms = now_ms + QUERY_RETRY_MS;
+    list = choose_query_targets(plan, step, purpose, query_ms, now_ms);
+    count = list->len;
+    for (guint i = 0; i < count; i++) {
+        targets[i] = g_array_index(list, struct candidate, i).target->target;
     }
-    else {
-        const enum query_purpose purpose =
-            purpose_of_query(step, list, now_ms);
-        const uint64_t sent_ms = step->query_sent_ms;
-
+    query_ms = expected_query_ms(conf, count);
+    if (count > 0) {
         /* Before the call: the answer may come before query_policy() returns.
          */
         step->query_sent_ms = now_ms;
         mark_queried(step, list);
         plan->counters.policy_queries++;
         plan->counters.policy_queries_for[purpose]++;
-        if (!plan->ops.query_policy(plan->ops.ctx, &id, targets, list->len,
+        if (!plan->ops.query_policy(plan->ops.ctx, &id, targets, count,
                                     query_ms
                                         << MIN(step->query_failures,
                                                QUERY_TIMEOUT_DOUBLINGS_MAX),
@@ -687,9 +766,199 @@
             plan->queries_blocked = query_ms < PLAN_SHORT_QUERY_MS;
             step->query_in_flight = false;
             resolve_queried(step, false, false, 0);
+            note_refused_turn(plan, purpose, now_ms);
+        }
+        else if (purpose == QUERY_AHEAD) {
+            pause_ahead(step, now_ms);
         }
     }
     g_array_free(list, TRUE);
+    return count > 0;
+}
+
+/* A step that may be queried about. */
+struct query_wish {
+    struct plan_step *step;
+    enum query_purpose purpose;
+    uint64_t unserved_ms; /* since it last had a turn, or was opened */
+    bool goes_first;
+    guint place; /* in scheduling order */
+};
+
+static gint
+compare_wishes(gconstpointer a, gconstpointer b)
+{
+    const struct query_wish *x = a;
+    const struct query_wish *y = b;
+    const bool x_places = x->purpose == QUERY_RENEWAL;
+    const bool y_places = y->purpose == QUERY_RENEWAL;
+
+    if (x->goes_first != y->goes_first) {
+        return x->goes_first ? -1 : 1;
+    }
+    if (x_places != y_places) {
+        return x_places ? -1 : 1;
+    }
+    return x->place < y->place ? -1 : 1;
+}
+
+/* Lets the step that had no turn for longest go first, if it is its time. */
+static void
+promote_starved(const struct plan *plan, GArray *wishes, uint64_t now_ms)
+{
+    struct query_wish *longest = NULL;
+
+    for (guint i = 0; i < wishes->len; i++) {
+        struct query_wish *wish = &g_array_index(wishes, struct query_wish, i);
+
+        if (wish->purpose != QUERY_AHEAD &&
+            wish->unserved_ms >= QUERY_STARVED_MS &&
+            (longest == NULL || wish->unserved_ms > longest->unserved_ms)) {
+            longest = wish;
+        }
+    }
+    if (longest != NULL && now_ms >= plan->starved_turn_ms) {
+        longest->goes_first = true;
+    }
+}
+
+void
+plan_want_query(struct plan *plan, struct plan_step *step)
+{
+    g_ptr_array_add(plan->querying_steps, step);
+}
+
+static bool
+may_query(const struct plan_step *step, uint64_t now_ms)
+{
+    return !step->query_in_flight && now_ms >= step->next_query_ms;
+}
+
+void
+plan_query_policy(struct plan *plan, struct plan_step *step, uint64_t now_ms)
+{
+    enum query_purpose purpose = QUERY_MORE;
+
+    if (!may_query(step, now_ms)) {
+        return;
+    }
+    if (step->tickets == NULL || step->tickets->len == 0) {
+        purpose = QUERY_FIRST;
+    }
+    else if (is_granted_capacity_enough(step, now_ms)) {
+        purpose = QUERY_RENEWAL;
+    }
+    if (!send_query(plan, step, purpose, now_ms) &&
+        (purpose != QUERY_MORE ||
+         !send_query(plan, step, QUERY_RENEWAL, now_ms))) {
+        step->next_query_ms = now_ms + QUERY_RETRY_MS;
+    }
+}
+
+/* Fills in the steps that want a query. */
+static void
+collect_wishes(const struct plan *plan, GArray *wishes, uint64_t now_ms)
+{
+    for (guint i = 0; i < plan->querying_steps->len; i++) {
+        struct query_wish wish = {.step = plan->querying_steps->pdata[i],
+                                  .place = i};
+
+        if (wish.step->pending == 0 || !may_query(wish.step, now_ms)) {
+            continue;
+        }
+        wish.unserved_ms =
+            now_ms - MAX(wish.step->query_sent_ms, wish.step->opened_ms);
+        wish.purpose = purpose_of_query(plan, wish.step, now_ms);
+        g_array_append_val(wishes, wish);
+    }
+    promote_starved(plan, wishes, now_ms);
+    g_array_sort(wishes, compare_wishes);
+}
+
+/* Renews tickets of a step that cannot be placed at their pace; beyond it,
+ * ahead takes up the step. */
+static void
+renew_ahead(struct plan *plan, struct plan_step *step, GPtrArray *ahead,
+            uint64_t now_ms)
+{
+    if (!could_hold(step)) {
+        return;
+    }
+    if (now_ms < step->ahead_ms) {
+        g_ptr_array_add(ahead, step);
+    }
+    else {
+        send_query(plan, step, QUERY_AHEAD, now_ms);
+    }
+}
+
+/* Queries about upcoming steps, of jobs beyond their teams' shares or of the
+ * others. */
+static void
+query_upcoming(struct plan *plan, bool beyond_share, GPtrArray *ahead,
+               uint64_t now_ms)
+{
+    for (guint i = 0; i < plan->upcoming_steps->len; i++) {
+        struct plan_step *step = plan->upcoming_steps->pdata[i];
+
+        if ((plan->params.policy->by_share && step->job->job->beyond_share) !=
+                beyond_share ||
+            !may_query(step, now_ms)) {
+            continue;
+        }
+        if (purpose_of_query(plan, step, now_ms) == QUERY_AHEAD) {
+            renew_ahead(plan, step, ahead, now_ms);
+        }
+        else {
+            send_query(plan, step, QUERY_FIRST, now_ms);
+        }
+    }
+}
+
+/* Queries for a step by its purpose. If that is to renew tickets ahead of
+ * need, or there is no further target to name, see renew_ahead(). */
+static void
+serve_wish(struct plan *plan, const struct query_wish *wish, GPtrArray *ahead,
+           uint64_t now_ms)
+{
+    struct plan_step *step = wish->step;
+
+    if (wish->purpose != QUERY_AHEAD) {
+        if (send_query(plan, step, wish->purpose, now_ms) ||
+            wish->purpose == QUERY_RENEWAL) {
+            if (wish->goes_first && step->query_sent_ms == now_ms) {
+                plan->starved_turn_ms = now_ms + STARVED_INTERVAL_MS;
+            }
+            return;
+        }
+        step->all_named_until_ms = now_ms + QUERY_RETRY_MS;
+    }
+    renew_ahead(plan, step, ahead, now_ms);
+}
+
+void
+plan_send_queries(struct plan *plan, uint64_t now_ms)
+{
+    GArray *wishes = g_array_new(FALSE, FALSE, sizeof(struct query_wish));
+    GPtrArray *ahead = g_ptr_array_new();
+
+    collect_wishes(plan, wishes, now_ms);
+    for (guint i = 0; i < wishes->len; i++) {
+        serve_wish(plan, &g_array_index(wishes, struct query_wish, i), ahead,
+                   now_ms);
+    }
+    query_upcoming(plan, false, ahead, now_ms);
+    query_upcoming(plan, true, ahead, now_ms);
+    for (guint i = 0; i < ahead->len; i++) {
+        struct plan_step *step = ahead->pdata[i];
+
+        if (now_ms >= plan->turn_refused_ms + TURNS_SHORT_MS) {
+            send_query(plan, step, QUERY_AHEAD, now_ms);
+        }
+    }
+    g_ptr_array_set_size(plan->querying_steps, 0);
+    g_ptr_array_free(ahead, TRUE);
+    g_array_free(wishes, TRUE);
 }
 
 /* How long the targets that an answer did not grant are not named again. */
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -54,6 +54,11 @@
 core/helpers.c	now_ms < helper->resume_ms	false	Helpers.*
 core/helpers.c	helper->failures <= found->failures	true	Helpers.AHelperThatFails*
 core/helpers.c	MAX(pause_ms, MIN(expected_ms, TURN_MAX_MS))	pause_ms	Helpers.AQueryThat*
+core/planticket.c	if (!could_hold(step)) {	if (false) {	Plan.TicketsForAGangThat*
+core/planticket.c	return x_places ? -1 : 1;	return x_places ? 1 : -1;	Plan.AGangThatHasRoom*
+core/planticket.c	longest->goes_first = true;	longest->goes_first = false;	Plan.AStepThatHadNoTurn*
+core/planticket.c	plan_add_size(&used, &target->reserved);	(void)used;	Plan.ReservedRoom*
+core/planticket.c	<< MIN(doublings, AHEAD_DOUBLINGS_MAX)	<< 0	Plan.RenewalsFor*
 core/planticket.c	(granted && !ticket->doubtful) ||	true ||	Plan.ATargetWhoseRow*
 core/planticket.c	(granted && !ticket->doubtful) ||	false ||	Plan.RefusalsOf*
 core/planticket.c	<< MIN(step->unread_answers - 1, UNREAD_RETRY_DOUBLINGS_MAX)	<< 0	Plan.ATargetWhoseRow*
@@ -217,7 +222,7 @@
 core/planfit.c	    if (run_ms <= in_time_ms) {	    if (true) {	Speed.WorkWithoutSlack*
 core/planspeed.c	        run_ms = typical_run_ms(plan, step);	        run_ms = step->def->estimate_ms;	Speed.ExpectedEnds*
 core/plan.c	        if (pjob->runs.head == NULL) {\n            plan_job_removed(plan, pjob->job);	        if (pjob->job == NULL) {\n            plan_job_removed(plan, pjob->job);	Memory.Ended*
-core/plan.c	plan->params.policy->by_share && step->job->job->beyond_share	false	ShareOrder.ThePolicyIs*
+core/planticket.c	plan->params.policy->by_share && step->job->job->beyond_share	false	ShareOrder.ThePolicyIs*
 core/planinherit.c	        if (has_unlisted_target(plan, former->pdata[i])) {	        if (false) {	Inherit.WorkOfAMovedQueue*
 core/planinherit.c	plan->unlocated_of_any > 0 || 		Inherit.ATargetThatChanged*
 core/fleetservices.c	    job->any_service = list->count == 0;	    job->any_service = false;	Inherit.WorkFromAnOlder*
--- a/tests/plan_ticket_test.cc
+++ b/tests/plan_ticket_test.cc
@@ -257,4 +257,185 @@
     EXPECT_EQ(sim.last_wait.running, 1u);
 }
 
+// Submits gangs that wait with expired tickets for targets of theirs, in this
+// order: their answers grant one target each.
+struct WaitingGangs {
+    FleetSim sim;
+
+    explicit WaitingGangs(const std::vector<uint32_t> &members)
+    {
+        sim.configure({"q"}, true);
+        for (size_t i = 0; i < members.size(); i++) {
+            sim.put_target("t" + std::to_string(i), 4000);
+        }
+        sim.become_leader();
+        sim.run_pass();
+        for (size_t i = 0; i < members.size(); i++) {
+            sim.submit(i + 1, {{.count = members[i], .gang = true}});
+        }
+        sim.run_pass();
+    }
+    // Answers all queries so far with tickets that are of no use any more.
+    void answer_late()
+    {
+        for (const auto &query : sim.queries) {
+            sim.answer_query(
+                query, {"t" + std::to_string(query.step.job_id - 1)}, FP_OK, 0,
+                5000);
+        }
+        sim.queries.clear();
+    }
+    size_t count_queries(uint64_t job)
+    {
+        return (size_t)std::count_if(
+            sim.queries.begin(), sim.queries.end(),
+            [job](const PolicyQuery &query) { return query.step.job_id == job; });
+    }
+};
+
+// Gangs that no set of granted targets can hold renewed their tickets for ever,
+// each time for a turn at the policy.
+TEST(Plan, TicketsForAGangThatItsTargetsCannotHoldAreNotRenewed)
+{
+    WaitingGangs gangs({9, 4});
+    gangs.answer_late();
+    gangs.sim.run_pass(100);
+    EXPECT_EQ(gangs.count_queries(1), 0u) << "8 fit on both targets";
+    EXPECT_EQ(gangs.count_queries(2), 1u);
+    gangs.answer_late();
+    for (int i = 0; i < 100; i++) {
+        gangs.sim.run_pass(100);
+    }
+    EXPECT_EQ(gangs.count_queries(1), 0u);
+    gangs.sim.put_target("t0", 9000);
+    gangs.sim.run_pass(100);
+    EXPECT_EQ(gangs.count_queries(1), 1u) << "its target can hold it now";
+}
+
+// Gangs without room stood before others in scheduling order and took each turn
+// at the policy, so that those that had room did not start.
+TEST(Plan, AGangThatHasRoomIsQueriedAboutBeforeOneThatHasNone)
+{
+    WaitingGangs gangs({4, 4, 4, 4});
+    FleetSim &sim = gangs.sim;
+    sim.submit(5, {{.count = 1, .cpu_milli = 4000}});
+    sim.run_pass();
+    sim.answer_query(sim.queries.back(), {"t0"});
+    sim.run_pass(10);
+    ASSERT_EQ(sim.start_orders.size(), 1u) << "t0 is full";
+    gangs.answer_late();
+    static int free_clients;
+    free_clients = 1;
+    sim.planner->ops.query_policy =
+        [](void *ctx, const fleet_task_id *step, fleet_target *const *,
+           uint32_t, uint32_t, bool) -> bool {
+        if (free_clients == 0) {
+            return false;
+        }
+        free_clients--;
+        ((FleetSim *)ctx)->queries.push_back({*step, {}, false});
+        return true;
+    };
+    sim.run_pass(10);
+    ASSERT_EQ(sim.queries.size(), 1u);
+    EXPECT_NE(sim.queries[0].step.job_id, 1u) << "its target is full";
+    free_clients = 100;
+    sim.run_pass(100);
+    EXPECT_EQ(gangs.count_queries(1), 1u) << "turns that nothing else wants";
+}
+
+// While turns at the policy are short, renewals for a gang without room become
+// rare, until it has room.
+TEST(Plan, RenewalsForAGangWithoutRoomBecomeRareUntilItHasRoom)
+{
+    WaitingGangs gangs({4});
+    FleetSim &sim = gangs.sim;
+    sim.submit(2, {{.count = 1, .cpu_milli = 4000}});
+    sim.run_pass();
+    sim.answer_query(sim.queries.back(), {"t0"});
+    sim.run_pass(10);
+    ASSERT_EQ(sim.start_orders.size(), 1u);
+    sim.confirm_starts();
+    gangs.answer_late();
+    size_t answered = 0;
+    for (int i = 0; i < 300; i++) {
+        sim.planner->turn_refused_ms = sim.now_ms;
+        sim.run_pass(100);
+        if (sim.queries.size() > answered) {
+            answered = sim.queries.size();
+            sim.answer_query(sim.queries.back(), {"t0"});
+        }
+    }
+    EXPECT_GE(gangs.count_queries(1), 4u);
+    EXPECT_LE(gangs.count_queries(1), 10u) << "30 s, of tickets of 2 s";
+    sim.run_pass(2500);
+    if (sim.queries.size() > answered) {
+        sim.answer_query(sim.queries.back(), {"t0"}, FP_OK, 0, 5000);
+    }
+    const size_t before = gangs.count_queries(1);
+    sim.end_run(sim.start_orders[0], RUN_DONE);
+    sim.run_pass(10);
+    EXPECT_EQ(gangs.count_queries(1), before + 1) << "it has room: at once";
+}
+
+// A step that stands behind others in scheduling order had no turn at the
+// policy while these could use one.
+TEST(Plan, AStepThatHadNoTurnForLongIsQueriedAboutFirst)
+{
+    FleetSim sim;
+    sim.configure({"high", "q"}, true);
+    sim.put_target("t1", 4000);
+    sim.become_leader();
+    sim.policy_client_free = false;
+    sim.submit(1, {{.count = 1}}, "q");
+    sim.run_pass();
+    sim.run_pass(5000);
+    sim.submit(2, {{.count = 1}}, "high");
+    static int free_clients;
+    free_clients = 1;
+    sim.planner->ops.query_policy =
+        [](void *ctx, const fleet_task_id *step, fleet_target *const *,
+           uint32_t, uint32_t, bool) -> bool {
+        if (free_clients == 0) {
+            return false;
+        }
+        free_clients--;
+        ((FleetSim *)ctx)->queries.push_back({*step, {}, false});
+        return true;
+    };
+    sim.run_pass(10);
+    ASSERT_EQ(sim.queries.size(), 1u);
+    EXPECT_EQ(sim.queries[0].step.job_id, 1u);
+}
+
+// Room that is reserved for another step counted as room on granted targets: no
+// further target was named, and the step waited beside free targets.
+TEST(Plan, ReservedRoomOnGrantedTargetsMakesAStepNameOthers)
+{
+    FleetSim sim;
+    sim.configure({"q"}, true);
+    for (int i = 0; i < 20; i++) {
+        sim.put_target("t" + std::to_string(i), 4000);
+    }
+    sim.become_leader();
+    sim.submit(1, {{.count = 2, .estimate_ms = 5000, .gang = true}});
+    sim.submit(2, {{.count = 1}});
+    sim.run_pass();
+    ASSERT_EQ(sim.queries.size(), 2u);
+    const PolicyQuery query =
+        sim.queries[sim.queries[0].step.job_id == 1 ? 0 : 1];
+    const std::string granted = query.targets[0];
+    auto *target = (plan_target *)sim.find_target(granted)->plan;
+    target->reserved_for = &((plan_job *)sim.find_job(2)->plan)->steps[0];
+    target->reserved_for->reserved_targets++;
+    target->reserved = {3000, 0, 0};
+    target->reserved_from_ms = sim.now_ms;
+    target->reserved_until_ms = sim.now_ms + 60000;
+    sim.answer_query(query, {granted});
+    sim.run_pass(10);
+    EXPECT_TRUE(sim.start_orders.empty());
+    ASSERT_GE(sim.queries.size(), 3u);
+    EXPECT_EQ(sim.queries[2].step.job_id, 1u);
+}
+
 } // namespace
