Policy: queries under way and their timeouts follow what the policy bears

Cause: a query was given up after twice its stated time, however long the policy took. The policy worked on it all the same: the turn was spent, its answer thrown away, and the next query of that host waited behind it and was given up too. The timeout grew with the failures of one step only, so that each new step began with queries that failed. A congestion collapse.

Change: core/querypace.[ch], pure, learns the measured time against the stated one. The number of long queries under way falls by a part when answers are late or refused, once for those under way, and rises by one for each round in time; one is under way while short ones are late. Timeouts are smoothed time and four deviations over the stated time, never below twice the stated time. A query is waited for until its answer may come no more, three timeouts, 3 to 10 s; its host gets no other until then. Its step is queried about again only if that host is silent or later queries through others were answered; a late answer is used, by its age. Hosts that answer soon are preferred. Metrics for all of it.

--- a/base/event.c
+++ b/base/event.c
@@ -134,10 +134,12 @@
                             "the placement policy is asked about a step"},
     [EVENT_POLICY_ANSWERED] =
         {"policy.answered", 200,
-         "id asker granted error status bytes unread took_ms policy_ms",
+         "id asker granted error status bytes unread took_ms policy_ms "
+         "late",
          "the policy's answer arrived or the request failed; policy_ms is "
          "what "
-         "the asking host waited for it"},
+         "the asking host waited for it; late: its step was queried about "
+         "again before"},
     [EVENT_RUN_START_ORDERED] =
         {"run.ordered", 500, "id run target waited_ms estimate_ms resumes",
          "a task was placed and its start was ordered"},
--- a/bench/simlead.c
+++ b/bench/simlead.c
@@ -680,7 +680,10 @@
     const struct plan_policy_answer answer = {
         event->unanswered ? FP_ERR_UNKNOWN_OUTCOME : FP_OK,
         (const struct call_ticket *)(void *)event->tickets->data,
-        event->unanswered ? 0 : event->tickets->len, 0, 0};
+        event->unanswered ? 0 : event->tickets->len,
+        0,
+        0,
+        false};
 
     plan_policy_answered(sim->plan, &event->task, &answer, sim->now_ms);
 }
--- a/core/helpers.c
+++ b/core/helpers.c
@@ -12,6 +12,9 @@
  * PAUSE_DOUBLINGS_MAX times. */
 #define PAUSE_MS 50u
 #define PAUSE_DOUBLINGS_MAX 4u
+/* Smoothing of the delay, and differences that do not count. */
+#define DELAY_WEIGHT 8u
+#define DELAY_STEP_MS 100u
 /* Longest pause for a query that may still occupy the helper's turn. */
 #define TURN_MAX_MS 1000u
 
@@ -36,31 +39,75 @@
     helper->resume_ms = now_ms + pause_ms;
 }
 
+void
+helper_measure(struct policy_helper *helper, uint32_t delay_ms)
+{
+    helper->delay_ms =
+        (helper->delay_ms * (DELAY_WEIGHT - 1) + delay_ms) / DELAY_WEIGHT;
+}
+
+bool
+helper_is_silent(const struct policy_helper *helper, uint64_t now_ms)
+{
+    return now_ms > helper->last_ping_ms + PING_TIMEOUT_MS;
+}
+
+static bool
+is_usable(const struct policy_helper *helper, uint64_t now_ms)
+{
+    return !helper_is_silent(helper, now_ms) && now_ms >= helper->resume_ms;
+}
+
+uint32_t
+helper_count_usable(struct policy_helper *const *helpers, uint32_t count,
+                    uint64_t now_ms)
+{
+    uint32_t usable = 0;
+
+    for (uint32_t i = 0; i < count; i++) {
+        usable += is_usable(helpers[i], now_ms);
+    }
+    return usable;
+}
+
+static bool
+is_better(const struct policy_helper *helper,
+          const struct policy_helper *found)
+{
+    if (helper->failures == found->failures) {
+        return helper->delay_ms / DELAY_STEP_MS <=
+               found->delay_ms / DELAY_STEP_MS;
+    }
+    return helper->failures < found->failures;
+}
+
 struct policy_helper *
 helper_choose(struct policy_helper *const *helpers, uint32_t count,
-              bool short_query, uint64_t now_ms)
+              const struct query_pace *pace, bool short_query, uint64_t now_ms)
 {
+    const uint32_t usable = helper_count_usable(helpers, count, now_ms);
+    const uint32_t limit = query_pace_limit(pace, usable);
     struct policy_helper *found = NULL;
+    uint32_t busy_long = 0;
     uint32_t idle = 0;
-    uint32_t live = 0;
 
     for (uint32_t i = 0; i < count; i++) {
         struct policy_helper *helper = helpers[i];
 
-        if (now_ms > helper->last_ping_ms + PING_TIMEOUT_MS ||
-            now_ms < helper->resume_ms) {
+        if (!is_usable(helper, now_ms)) {
             continue;
         }
-        live++;
+        busy_long += helper->busy && helper->is_long;
         if (helper->busy) {
             continue;
         }
         idle++;
-        if (found == NULL || helper->failures <= found->failures) {
+        if (found == NULL || is_better(helper, found)) {
             found = helper;
         }
     }
-    if (!short_query && idle <= plan_reserved_policy_clients(live)) {
+    if (!short_query &&
+        (idle <= plan_reserved_policy_clients(usable) || busy_long >= limit)) {
         return NULL;
     }
     return found;
--- a/core/plan.h
+++ b/core/plan.h
@@ -361,6 +361,7 @@
                       * ticket may have been granted, and are named again */
     uint32_t age_ms; /* since the policy answered, at most; without the network
                       * between the policy and the host that asked it */
+    bool is_late;    /* plan_give_up_query() was called before */
 };
 
 /* The placement policy answered the query for a step, or no answer came.
@@ -369,6 +370,10 @@
                           const struct plan_policy_answer *answer,
                           uint64_t now_ms);
 
+/* The query for a step has no answer yet, and the step may be queried about
+ * again. The answer is of use when it comes. */
+void plan_give_up_query(struct plan *plan, const struct fleet_task_id *step);
+
 /* Runs a scheduling pass: issues all orders that are possible now. Returns at
  * once when nothing changed and nothing is due. wall_ms: wall clock, since
  * 1970, for the due times of occurrences. */
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -167,7 +167,6 @@
     uint64_t all_named_until_ms; /* no further target to name before this */
     uint64_t ahead_ms;           /* no renewal ahead of need before this */
     uint32_t ahead_queries;      /* in a row */
-    uint32_t query_failures;     /* in a row; each doubles the timeout */
     uint32_t unread_answers;  /* in a row, with entries that were unreadable */
     GArray *tickets;          /* struct plan_ticket; NULL: none */
     GHashTable *ticket_index; /* struct plan_target to its index in tickets,
--- a/core/planticket.c
+++ b/core/planticket.c
@@ -42,9 +42,6 @@
 #define AHEAD_AT_FULL_PACE 4u
 #define AHEAD_PAUSE_MAX_MS 6000u
 #define AHEAD_DOUBLINGS_MAX 8u
-/* In case the policy is slow, the expected duration of a query, and with it
- * the timeout, doubles with each failure in a row, up to this many times. */
-#define QUERY_TIMEOUT_DOUBLINGS_MAX 6u
 #define QUERY_ROUND_TRIP_MS 60u /* network time to and from the policy */
 /* One in this many policy clients is kept for short queries, but at least
  * SHORT_QUERY_CLIENTS_MIN of them and never more than half. */
@@ -754,9 +751,7 @@
         plan->counters.policy_queries++;
         plan->counters.policy_queries_for[purpose]++;
         if (!plan->ops.query_policy(plan->ops.ctx, &id, targets, count,
-                                    query_ms
-                                        << MIN(step->query_failures,
-                                               QUERY_TIMEOUT_DOUBLINGS_MAX),
+                                    query_ms,
                                     query_ms < PLAN_SHORT_QUERY_MS)) {
             plan->counters.policy_queries--;
             plan->counters.policy_queries_for[purpose]--;
@@ -974,34 +969,24 @@
            << MIN(step->unread_answers - 1, UNREAD_RETRY_DOUBLINGS_MAX);
 }
 
-void
-plan_policy_answered(struct plan *plan, const struct fleet_task_id *id,
-                     const struct plan_policy_answer *answer, uint64_t now_ms)
+/* Takes over what the policy has granted. An answer that comes after the query
+ * was given up is as good, by its age; its targets may have been forgotten. */
+static void
+take_grants(struct plan *plan, struct plan_step *step,
+            const struct plan_policy_answer *answer, uint64_t now_ms)
 {
-    enum fp_err err = answer->err;
-    const struct call_ticket *tickets = answer->tickets;
-    struct fleet_job *job = fleet_find_job(plan->fleet, id->job_id);
-    struct plan_job *pjob = job != NULL ? job->plan : NULL;
-    uint32_t index;
-    struct plan_step *step;
+    const uint32_t valid_ms = step->job->job->queue->conf.ticket_ms;
 
-    if (pjob == NULL) {
-        return;
-    }
-    index = id->occurrence * job->step_count + id->step;
-    if (index >= pjob->step_count || pjob->steps[index].tickets == NULL) {
-        return;
-    }
-    step = &pjob->steps[index];
-    step->query_in_flight = false;
-    plan->dirty = true;
-    for (uint32_t i = 0; err == FP_OK && i < answer->count; i++) {
+    for (uint32_t i = 0; i < answer->count; i++) {
         struct fleet_target *target =
-            fleet_find_target(plan->fleet, tickets[i].id);
+            fleet_find_target(plan->fleet, answer->tickets[i].id);
         struct plan_ticket *ticket =
             target != NULL ? find_ticket(step, target->plan) : NULL;
-        uint32_t valid_ms = job->queue->conf.ticket_ms;
 
+        if (ticket == NULL && answer->is_late && target != NULL) {
+            add_ticket(step, target->plan);
+            ticket = find_ticket(step, target->plan);
+        }
         if (ticket != NULL) {
             plan->counters.tickets_unused +=
                 ticket->state == TICKET_GRANTED && !ticket->used;
@@ -1011,16 +996,56 @@
                 now_ms + valid_ms -
                 MIN(valid_ms, TICKET_MARGIN_MS + answer->age_ms);
             g_free(ticket->ticket);
-            ticket->ticket = g_strdup(tickets[i].ticket);
+            ticket->ticket = g_strdup(answer->tickets[i].ticket);
         }
     }
-    if (err != FP_OK) {
+}
+
+static struct plan_step *
+find_queried_step(const struct plan *plan, const struct fleet_task_id *id)
+{
+    struct fleet_job *job = fleet_find_job(plan->fleet, id->job_id);
+    struct plan_step *step = job != NULL && job->plan != NULL
+                                 ? plan_find_step(job->plan, id)
+                                 : NULL;
+
+    return step != NULL && step->tickets != NULL ? step : NULL;
+}
+
+void
+plan_policy_answered(struct plan *plan, const struct fleet_task_id *id,
+                     const struct plan_policy_answer *answer, uint64_t now_ms)
+{
+    struct plan_step *step = find_queried_step(plan, id);
+
+    if (step == NULL) {
+        return;
+    }
+    plan->dirty = true;
+    if (answer->err == FP_OK) {
+        take_grants(plan, step, answer, now_ms);
+    }
+    if (answer->is_late) {
+        return;
+    }
+    step->query_in_flight = false;
+    if (answer->err != FP_OK) {
         resolve_queried(step, false, false, 0);
-        step->query_failures++;
         step->next_query_ms = now_ms + QUERY_RETRY_MS;
         return;
     }
     resolve_queried(step, true, answer->unread > 0,
                     now_ms + refusal_ms(step, answer));
-    step->query_failures = 0;
+}
+
+void
+plan_give_up_query(struct plan *plan, const struct fleet_task_id *id)
+{
+    struct plan_step *step = find_queried_step(plan, id);
+
+    if (step != NULL && step->query_in_flight) {
+        step->query_in_flight = false;
+        resolve_queried(step, false, false, 0);
+        plan->dirty = true;
+    }
 }
--- /dev/null
+++ b/core/querypace.c
@@ -0,0 +1,124 @@
+/* querypace.c -- how many queries to the placement policy are under way, and
+ * how long one is waited for
+ */
+#include "core/querypace.h"
+
+#include <glib.h>
+
+/* Time on the way, beside the policy's own. */
+#define ROUND_TRIP_MS 60u
+/* An answer is in time within this many times the stated time, and late after
+ * the other. */
+#define IN_TIME_FACTOR 2u
+#define LATE_FACTOR 3u
+/* The limit after late answers, and after refusals, per mille of what it was.
+ * Late answers to long queries leave one for the policy to work on, and one
+ * that waits. */
+#define LATE_PERMILLE 750u
+#define REFUSED_PERMILLE 500u
+#define LATE_LIMIT_MIN_MILLI 2000u
+#define LIMIT_MIN_MILLI 1000u
+/* As of TCP's retransmission timer. */
+#define DELAY_DIVISOR 8u
+#define DEVIATION_DIVISOR 4u
+#define DEVIATIONS 4u
+#define TIMEOUT_MARGIN_MS 200u
+#define TIMEOUT_MAX_MS 6000u
+/* An answer is waited for this many timeouts, within bounds. */
+#define WAIT_TIMEOUTS 3u
+#define WAIT_MIN_MS 3000u
+#define WAIT_MAX_MS 10000u
+
+uint32_t
+query_pace_limit(const struct query_pace *pace, uint32_t hosts)
+{
+    if (pace->limit_milli == 0) {
+        return hosts;
+    }
+    return MIN(hosts, MAX(pace->limit_milli / 1000, 1));
+}
+
+uint32_t
+query_pace_timeout_ms(const struct query_pace *pace, uint32_t stated_ms)
+{
+    const uint32_t least_ms = 2 * stated_ms + TIMEOUT_MARGIN_MS;
+    const uint32_t measured_ms =
+        stated_ms + pace->delay_ms + DEVIATIONS * pace->deviation_ms;
+
+    return MIN(MAX(least_ms, measured_ms), MAX(least_ms, TIMEOUT_MAX_MS));
+}
+
+uint32_t
+query_pace_wait_ms(const struct query_pace *pace, uint32_t stated_ms)
+{
+    const uint32_t timeout_ms = query_pace_timeout_ms(pace, stated_ms);
+
+    return MAX(timeout_ms,
+               CLAMP(WAIT_TIMEOUTS * timeout_ms, WAIT_MIN_MS, WAIT_MAX_MS));
+}
+
+static void
+decrease(struct query_pace *pace, uint64_t sent_ms, uint32_t permille,
+         uint32_t min_milli, uint32_t hosts, uint64_t now_ms)
+{
+    uint32_t limit_milli = hosts * 1000;
+
+    if (sent_ms < pace->decreased_ms) {
+        return;
+    }
+    if (pace->limit_milli != 0) {
+        limit_milli = MIN(limit_milli, pace->limit_milli);
+    }
+    pace->limit_milli =
+        MIN(limit_milli, MAX(limit_milli * permille / 1000, min_milli));
+    pace->limit_milli = MAX(pace->limit_milli, LIMIT_MIN_MILLI);
+    pace->decreased_ms = now_ms;
+}
+
+static void
+measure(struct query_pace *pace, uint32_t delay_ms)
+{
+    const int64_t error_ms = (int64_t)delay_ms - pace->delay_ms;
+
+    if (!pace->is_measured) {
+        pace->is_measured = true;
+        pace->delay_ms = delay_ms;
+        pace->deviation_ms = delay_ms / 2;
+        return;
+    }
+    pace->delay_ms =
+        (uint32_t)((int64_t)pace->delay_ms + error_ms / DELAY_DIVISOR);
+    pace->deviation_ms =
+        (uint32_t)((int64_t)pace->deviation_ms +
+                   (ABS(error_ms) - (int64_t)pace->deviation_ms) /
+                       (int64_t)DEVIATION_DIVISOR);
+}
+
+void
+query_pace_answered(struct query_pace *pace, uint64_t sent_ms,
+                    bool short_query, uint32_t stated_ms, uint32_t took_ms,
+                    uint32_t hosts, uint64_t now_ms)
+{
+    const uint64_t usual_ms = (uint64_t)stated_ms + ROUND_TRIP_MS;
+
+    measure(pace, took_ms - MIN(took_ms, stated_ms));
+    if (took_ms > LATE_FACTOR * usual_ms) {
+        decrease(pace, sent_ms, LATE_PERMILLE,
+                 short_query ? LIMIT_MIN_MILLI : LATE_LIMIT_MIN_MILLI, hosts,
+                 now_ms);
+    }
+    else if (!short_query && took_ms <= IN_TIME_FACTOR * usual_ms &&
+             pace->limit_milli != 0) {
+        pace->limit_milli += 1000000 / pace->limit_milli;
+        if (pace->limit_milli >= hosts * 1000) {
+            pace->limit_milli = 0;
+        }
+    }
+}
+
+void
+query_pace_refused(struct query_pace *pace, uint64_t sent_ms, uint32_t hosts,
+                   uint64_t now_ms)
+{
+    decrease(pace, sent_ms, REFUSED_PERMILLE, LIMIT_MIN_MILLI, hosts, now_ms);
+}
--- /dev/null
+++ b/core/querypace.h
@@ -0,0 +1,49 @@
+/* querypace.h -- how many long queries to the placement policy are under way,
+ * and how long one is waited for
+ *
+ * Pure decisions. Load pattern: a policy that is slower than the configuration
+ * states, or answers several hosts in one turn. A query that is given up is
+ * still worked on; the next ones wait behind it, and are given up too. So the
+ * limit follows the measured times: it falls by a part when answers are late
+ * or refused, once for the queries under way at that time, and rises by one
+ * query for each round of answers in time. Short queries have no limit, as
+ * they take little of a turn; but a single long one is under way when they
+ * wait for long ones.
+ */
+#ifndef FP_QUERYPACE_H
+#define FP_QUERYPACE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* All zero at first: no limit is known. */
+struct query_pace {
+    uint32_t limit_milli;  /* long queries under way, thousandths; 0: no
+                            * limit */
+    uint64_t decreased_ms; /* when the limit last fell */
+    bool is_measured;
+    uint32_t delay_ms;     /* smoothed time beyond the stated one */
+    uint32_t deviation_ms; /* smoothed, of the delay */
+};
+
+/* How many long queries may be under way, of at most hosts. */
+uint32_t query_pace_limit(const struct query_pace *pace, uint32_t hosts);
+
+/* When a query that should take stated_ms is late. */
+uint32_t query_pace_timeout_ms(const struct query_pace *pace,
+                               uint32_t stated_ms);
+
+/* How long an answer to it is waited for: it is of use then too. */
+uint32_t query_pace_wait_ms(const struct query_pace *pace, uint32_t stated_ms);
+
+/* The policy answered a query of sent_ms after took_ms. */
+void query_pace_answered(struct query_pace *pace, uint64_t sent_ms,
+                         bool short_query, uint32_t stated_ms,
+                         uint32_t took_ms, uint32_t hosts, uint64_t now_ms);
+
+/* The policy refused a query of sent_ms because it had too many, or did not
+ * answer it. */
+void query_pace_refused(struct query_pace *pace, uint64_t sent_ms,
+                        uint32_t hosts, uint64_t now_ms);
+
+#endif /* FP_QUERYPACE_H */
--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -599,6 +599,7 @@
 dispatch_tick(struct dispatch *dispatch, uint64_t now_ms)
 {
     dispatch_tick_sessions(dispatch, now_ms);
+    dispatch_tick_queries(dispatch, now_ms);
 }
 
 void
@@ -726,6 +727,7 @@
     dispatch->term_start_ms = clock_mono_ms();
     dispatch->sessions =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    dispatch->policy_queries = g_ptr_array_new();
     dispatch->helpers =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     dispatch->host_data_centres =
@@ -766,6 +768,7 @@
     g_hash_table_destroy(dispatch->pending);
     g_hash_table_destroy(dispatch->sessions);
     g_hash_table_destroy(dispatch->helpers);
+    g_ptr_array_free(dispatch->policy_queries, TRUE);
     g_hash_table_destroy(dispatch->host_data_centres);
     g_hash_table_destroy(dispatch->submitting);
     g_free(dispatch);
--- a/node/dispatch.h
+++ b/node/dispatch.h
@@ -33,13 +33,18 @@
 /* Queries to the placement policy since this host became leader. */
 struct dispatch_policy_counters {
     uint64_t failures;    /* without a usable answer */
-    uint64_t given_up;    /* of them, whose turn at the policy was wasted:
-                           * it had no answer in time */
+    uint64_t given_up;    /* of them, without an answer for as long as it is
+                           * waited for: their turns at the policy are wasted */
+    uint64_t late;        /* answers that took longer than measured so far */
+    uint64_t repeated;    /* late ones; their steps were queried about again */
+    uint64_t late_used;   /* answers to these */
     uint64_t unread;      /* entries of answers that could not be read */
     uint64_t stated_ms;   /* what the answered ones should have taken, as
                            * the configuration states it */
     uint64_t measured_ms; /* what they took, at the host that asked */
     uint32_t under_way;
+    uint32_t limit; /* of those, by what the policy bears */
+    uint32_t hosts; /* that could ask */
 };
 
 /* What dispatch_new() needs; all of it must outlive the dispatch. */
--- a/node/dispatchask.c
+++ b/node/dispatchask.c
@@ -2,23 +2,27 @@
  *
  * The policy answers one query of each host at a time. Long queries leave some
  * hosts idle, so that a short query need not wait.
+ *
+ * A query that is given up occupies its turn all the same. So each is waited
+ * for as long as an answer may come, and its host gets no other one. Its step
+ * is queried about again only if that host is silent, or queries that were
+ * sent later through other hosts have been answered.
  */
 #include <string.h>
 
 #include "base/event.h"
 #include "node/dispatchpriv.h"
 
-#define QUERY_TIMEOUT_MARGIN_MS 200u /* on top of twice the expected time */
-/* Bounds the timeout however slow the policy has been, because the helper may
- * have failed while the step waits. About twice the time of the longest query:
- * 560 ms, and 8 ms for each of 100 targets. */
-#define QUERY_TIMEOUT_MAX_MS 3000u
+#define POLICY_BUSY_STATUS 503u /* of HTTP, beside 429 */
 
 /* A query that has not been answered. */
 struct policy_query {
     struct pending_request *pending;
     char host[MSG_HOST_BYTES]; /* host of the helper; "": this host */
     uint32_t expected_ms;
+    bool is_short;
+    uint64_t late_ms; /* when it will be late */
+    bool is_given_up; /* its step may be queried about again */
 };
 
 void
@@ -36,6 +40,12 @@
     helper->last_ping_ms = now_ms;
 }
 
+static struct policy_helper *
+helper_of(const struct dispatch *dispatch, const struct policy_query *query)
+{
+    return g_hash_table_lookup(dispatch->helpers, query->host);
+}
+
 static void
 log_policy_reply(const struct policy_query *query,
                  const struct policy_reply *reply, uint64_t took_ms)
@@ -49,7 +59,8 @@
           EVENT_STR("error", fp_err_row(reply->err)->name),
           EVENT_INT("status", reply->status), EVENT_INT("bytes", reply->bytes),
           EVENT_INT("unread", reply->unread), EVENT_INT("took_ms", took_ms),
-          EVENT_INT("policy_ms", reply->took_ms));
+          EVENT_INT("policy_ms", reply->took_ms),
+          EVENT_INT("late", query->is_given_up));
 }
 
 /* How old an answer is at most: what the query took here beyond what the
@@ -82,16 +93,52 @@
 static void
 count_policy_reply(struct dispatch_policy_counters *counters,
                    const struct policy_query *query,
-                   const struct policy_reply *reply, uint64_t took_ms)
+                   const struct policy_reply *reply, uint32_t policy_ms)
 {
     counters->under_way--;
     counters->failures += reply->err != FP_OK;
     counters->given_up += helper_result(reply->err) == HELPER_TIMEOUT;
     counters->unread += reply->unread;
     if (reply->err == FP_OK) {
+        counters->late += clock_mono_ms() >= query->late_ms;
+        counters->late_used += query->is_given_up;
         counters->stated_ms += query->expected_ms;
-        counters->measured_ms +=
-            reply->took_ms != 0 ? reply->took_ms : took_ms;
+        counters->measured_ms += policy_ms;
+    }
+}
+
+/* Lets the pace and the choice of hosts learn from the end of a query. */
+static void
+learn_from_reply(struct dispatch *dispatch, const struct policy_query *query,
+                 const struct policy_reply *reply, uint32_t policy_ms,
+                 uint64_t now_ms)
+{
+    const uint64_t sent_ms = query->pending->sent_ms;
+    const enum helper_result result = helper_result(reply->err);
+    struct policy_helper *helper = helper_of(dispatch, query);
+
+    if (reply->err == FP_OK) {
+        dispatch->last_answered_query_ms =
+            MAX(dispatch->last_answered_query_ms, sent_ms);
+        query_pace_answered(&dispatch->pace, sent_ms, query->is_short,
+                            query->expected_ms, policy_ms,
+                            dispatch->policy.hosts, now_ms);
+    }
+    else if (reply->status == POLICY_BUSY_STATUS ||
+             reply->err == FP_ERR_BUSY || result == HELPER_TIMEOUT) {
+        query_pace_refused(&dispatch->pace, sent_ms, dispatch->policy.hosts,
+                           now_ms);
+    }
+    if (helper == NULL) {
+        return;
+    }
+    helper_finish(helper, result, query->expected_ms, now_ms);
+    if (reply->err == FP_OK) {
+        helper_measure(helper, policy_ms - MIN(policy_ms, query->expected_ms));
+    }
+    if (reply->err == FP_ERR_NO_LEADER ||
+        reply->err == FP_ERR_UNKNOWN_OUTCOME) {
+        helper->last_ping_ms = 0; /* not used before its next ping */
     }
 }
 
@@ -101,29 +148,23 @@
 {
     struct pending_request *pending = query->pending;
     struct dispatch *dispatch = pending->dispatch;
-    enum fp_err err = reply->err;
     uint64_t now_ms = clock_mono_ms();
     uint64_t took_ms = now_ms - pending->sent_ms;
-    const struct plan_policy_answer answer = {err, reply->tickets,
-                                              reply->count, reply->unread,
-                                              answer_age_ms(reply, took_ms)};
+    uint32_t policy_ms =
+        reply->took_ms != 0 ? reply->took_ms : (uint32_t)took_ms;
+    const struct plan_policy_answer answer = {reply->err,
+                                              reply->tickets,
+                                              reply->count,
+                                              reply->unread,
+                                              answer_age_ms(reply, took_ms),
+                                              query->is_given_up};
 
     if (dispatch != NULL) {
+        g_ptr_array_remove_fast(dispatch->policy_queries, query);
         histogram_add(&dispatch->times.policy_query_ms, took_ms);
-        count_policy_reply(&dispatch->policy, query, reply, took_ms);
+        count_policy_reply(&dispatch->policy, query, reply, policy_ms);
         log_policy_reply(query, reply, took_ms);
-    }
-    if (dispatch != NULL) {
-        struct policy_helper *helper =
-            g_hash_table_lookup(dispatch->helpers, query->host);
-
-        if (helper != NULL) {
-            helper_finish(helper, helper_result(err), query->expected_ms,
-                          now_ms);
-            if (err == FP_ERR_NO_LEADER || err == FP_ERR_UNKNOWN_OUTCOME) {
-                helper->last_ping_ms = 0; /* not used before its next ping */
-            }
-        }
+        learn_from_reply(dispatch, query, reply, policy_ms, now_ms);
         if (query->host[0] == '\0') {
             dispatch->local_query_pending = false;
         }
@@ -133,6 +174,33 @@
     g_free(query);
 }
 
+/* Whether a late query is given up: another host may be asked about its step.
+ */
+static bool
+should_give_up(const struct dispatch *dispatch,
+               const struct policy_query *query, uint64_t now_ms)
+{
+    const struct policy_helper *helper = helper_of(dispatch, query);
+
+    return !query->is_given_up && now_ms >= query->late_ms &&
+           (dispatch->last_answered_query_ms > query->pending->sent_ms ||
+            (helper != NULL && helper_is_silent(helper, now_ms)));
+}
+
+void
+dispatch_tick_queries(struct dispatch *dispatch, uint64_t now_ms)
+{
+    for (guint i = 0; i < dispatch->policy_queries->len; i++) {
+        struct policy_query *query = dispatch->policy_queries->pdata[i];
+
+        if (should_give_up(dispatch, query, now_ms)) {
+            query->is_given_up = true;
+            dispatch->policy.repeated++;
+            plan_give_up_query(dispatch->plan, &query->pending->task);
+        }
+    }
+}
+
 static void
 on_helper_answered(void *ctx, enum fp_err err,
                    const struct call_answer *answer)
@@ -171,8 +239,12 @@
     for (guint i = 0; i < count; i++) {
         hosts[i] = g_hash_table_lookup(dispatch->helpers, hosts[i]);
     }
+    dispatch->policy.hosts = helper_count_usable(
+        (struct policy_helper *const *)hosts, count, now_ms);
+    dispatch->policy.limit =
+        query_pace_limit(&dispatch->pace, dispatch->policy.hosts);
     found = helper_choose((struct policy_helper *const *)hosts, count,
-                          short_query, now_ms);
+                          &dispatch->pace, short_query, now_ms);
     g_free(hosts);
     return found;
 }
@@ -189,8 +261,7 @@
         .job_id = step->job_id,
         .occurrence = step->occurrence,
         .step = step->step,
-        .timeout_ms = MIN(expected_ms * 2 + QUERY_TIMEOUT_MARGIN_MS,
-                          QUERY_TIMEOUT_MAX_MS)};
+        .timeout_ms = query_pace_wait_ms(&dispatch->pace, expected_ms)};
     struct policy_query *query;
     char id[FLEET_TASK_ID_TEXT_BYTES];
 
@@ -208,6 +279,10 @@
     query->pending->task = *step;
     query->pending->sent_ms = clock_mono_ms();
     query->expected_ms = expected_ms;
+    query->is_short = short_query;
+    query->late_ms = query->pending->sent_ms +
+                     query_pace_timeout_ms(&dispatch->pace, expected_ms);
+    g_ptr_array_add(dispatch->policy_queries, query);
     dispatch->policy.under_way++;
     fleet_step_id_text(step, id, sizeof(id));
     EVENT(EVENT_POLICY_ASKED, EVENT_STR("id", id),
@@ -215,6 +290,7 @@
           EVENT_INT("named", count), EVENT_INT("expected_ms", expected_ms));
     if (helper != NULL) {
         helper->busy = true;
+        helper->is_long = !short_query;
         g_strlcpy(query->host, helper->host, sizeof(query->host));
         relay_call_host(dispatch->deps.relay, helper->host, CALL_ADVISE,
                         &CALL_ADVISE_SCHEMA, &call, call.timeout_ms,
--- a/node/dispatchpriv.h
+++ b/node/dispatchpriv.h
@@ -74,14 +74,18 @@
     GHashTable *sessions;   /* target ID to struct target_session */
     GHashTable *helpers;    /* host to struct policy_helper */
     struct dispatch_policy_counters policy;
-    GHashTable *host_data_centres; /* set of the names of those that have
-                                    * hosts of this system */
-    GHashTable *pending;           /* set of struct pending_request */
-    GPtrArray *unsent_starts;      /* struct pending_request: start orders that
-                                    * were not sent, to be reported to the plan */
-    GPtrArray *unstored_evidence;  /* struct evidence_commit: not stored, to be
-                                    * proposed again */
-    GHashTable *submitting;        /* IDs of jobs that are proposed */
+    struct query_pace pace;
+    GPtrArray *policy_queries; /* struct policy_query without an answer */
+    uint64_t last_answered_query_ms; /* when the last one of those that were
+                                      * answered was sent */
+    GHashTable *host_data_centres;   /* set of the names of those that have
+                                      * hosts of this system */
+    GHashTable *pending;             /* set of struct pending_request */
+    GPtrArray *unsent_starts;     /* struct pending_request: start orders that
+                                   * were not sent, to be reported to the plan */
+    GPtrArray *unstored_evidence; /* struct evidence_commit: not stored, to be
+                                   * proposed again */
+    GHashTable *submitting;       /* IDs of jobs that are proposed */
     bool local_query_pending; /* a query sent by this host has no answer yet */
     uint32_t start_answer_us; /* moving average of the answer time of start
                                * orders */
@@ -185,6 +189,8 @@
 
 /* dispatchask.c */
 
+/* Gives up late queries. */
+void dispatch_tick_queries(struct dispatch *dispatch, uint64_t now_ms);
 /* Records a ping from a host that offers to query the policy. */
 void dispatch_on_helper_ping(struct dispatch *dispatch, const char *host,
                              uint64_t now_ms);
--- a/node/fleetmetrics.c
+++ b/node/fleetmetrics.c
@@ -214,7 +214,12 @@
     add_value(out, "policy_unread_entries_total", counters->unread);
     add_value(out, "policy_stated_ms_total", counters->stated_ms);
     add_value(out, "policy_measured_ms_total", counters->measured_ms);
+    add_value(out, "policy_answers_late_total", counters->late);
+    add_value(out, "policy_queries_repeated_total", counters->repeated);
+    add_value(out, "policy_answers_late_used_total", counters->late_used);
     add_value(out, "policy_queries_under_way", counters->under_way);
+    add_value(out, "policy_queries_limit", counters->limit);
+    add_value(out, "policy_hosts", counters->hosts);
 }
 
 static void
--- a/tests/helpers_test.cc
+++ b/tests/helpers_test.cc
@@ -32,9 +32,10 @@
         for (auto &helper : list) {
             pointers.push_back(&helper);
         }
-        return helper_choose(pointers.data(), (uint32_t)pointers.size(),
+        return helper_choose(pointers.data(), (uint32_t)pointers.size(), &pace,
                              short_query, now_ms);
     }
+    query_pace pace = {};
 };
 
 // Helpers that cannot reach the policy fail at once and were idle again first,
@@ -109,4 +110,33 @@
     EXPECT_EQ(helpers.choose(true), nullptr);
 }
 
+// As many queries were sent as there were hosts, whatever the policy could bear.
+TEST(Helpers, NoMoreAreUsedThanThePaceAllows)
+{
+    Helpers helpers(6);
+    helpers.pace.limit_milli = 2500;
+    for (int i = 0; i < 3; i++) {
+        policy_helper *helper = helpers.choose(i == 0);
+        ASSERT_NE(helper, nullptr);
+        helper->busy = true;
+        helper->is_long = i > 0;
+    }
+    EXPECT_EQ(helpers.choose(false), nullptr);
+    EXPECT_NE(helpers.choose(true), nullptr) << "they take little of a turn";
+    helpers.pace.limit_milli = 3000;
+    EXPECT_NE(helpers.choose(false), nullptr);
+    helpers.pace.limit_milli = 0;
+    EXPECT_NE(helpers.choose(false), nullptr);
+}
+
+TEST(Helpers, OneThatAnswersSoonIsPreferred)
+{
+    Helpers helpers(3);
+    helper_measure(&helpers.list[0], 4000);
+    helper_measure(&helpers.list[2], 8000);
+    EXPECT_EQ(helpers.choose(), &helpers.list[1]);
+    helpers.list[1].busy = true;
+    EXPECT_EQ(helpers.choose(), &helpers.list[0]);
+}
+
 } // namespace
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -51,9 +51,17 @@
     fi
 done <<'LIST'
 core/planticket.c	TICKET_MARGIN_MS + answer->age_ms	TICKET_MARGIN_MS	Plan.ATicketThatWas*
-core/helpers.c	now_ms < helper->resume_ms	false	Helpers.*
-core/helpers.c	helper->failures <= found->failures	true	Helpers.AHelperThatFails*
+core/helpers.c	now_ms >= helper->resume_ms	true	Helpers.*
+core/helpers.c	return helper->failures < found->failures;	return true;	Helpers.AHelperThatFails*
+core/helpers.c	busy_long >= limit	false	Helpers.NoMoreAreUsed*
+core/helpers.c	return helper->delay_ms / DELAY_STEP_MS <=	return 1 || helper->delay_ms / DELAY_STEP_MS <=	Helpers.OneThatAnswersSoon*
+core/querypace.c	if (sent_ms < pace->decreased_ms) {	if (false) {	QueryPace.RefusalsHalve*
+core/querypace.c	if (took_ms > LATE_FACTOR * usual_ms) {	if (false) {	QueryPace.FewQueries*
+core/querypace.c	pace->limit_milli += 1000000 / pace->limit_milli;	pace->limit_milli += 0;	QueryPace.TheLimitRises*
+core/querypace.c	return MIN(MAX(least_ms, measured_ms), MAX(least_ms, TIMEOUT_MAX_MS));	return least_ms;	QueryPace.TheTimeoutFollows*
 core/helpers.c	MAX(pause_ms, MIN(expected_ms, TURN_MAX_MS))	pause_ms	Helpers.AQueryThat*
+core/planticket.c	ticket == NULL && answer->is_late && target != NULL	false	Plan.AnAnswerToAQueryThat*
+core/planticket.c	if (answer->is_late) {	if (false) {	Plan.AQueryThatWasGivenUp*
 core/planticket.c	if (!could_hold(step)) {	if (false) {	Plan.TicketsForAGangThat*
 core/planticket.c	return x_places ? -1 : 1;	return x_places ? 1 : -1;	Plan.AGangThatHasRoom*
 core/planticket.c	longest->goes_first = true;	longest->goes_first = false;	Plan.AStepThatHadNoTurn*
--- a/tests/plan_ticket_test.cc
+++ b/tests/plan_ticket_test.cc
@@ -152,7 +152,7 @@
         FleetSim *self = (FleetSim *)ctx;
         self->queries.push_back({*step, {}, false});
         const plan_policy_answer answer = {FP_ERR_NOT_CONNECTED, nullptr, 0, 0,
-                                           0};
+                                           0, false};
         plan_policy_answered(self->planner, step, &answer, self->now_ms);
         return true;
     };
@@ -438,4 +438,48 @@
     EXPECT_EQ(sim.queries[2].step.job_id, 1u);
 }
 
+// The answer to a query that had been given up was thrown away.
+TEST(Plan, AnAnswerToAQueryThatWasGivenUpIsUsed)
+{
+    FleetSim sim;
+    sim.configure({"q"}, true);
+    sim.put_target("t1");
+    sim.become_leader();
+    sim.submit(1, {{.count = 1}});
+    sim.run_pass();
+    ASSERT_EQ(sim.queries.size(), 1u);
+    plan_give_up_query(sim.planner, &sim.queries[0].step);
+    sim.policy_client_free = false;
+    sim.run_pass(100);
+    call_ticket ticket = {};
+    g_strlcpy(ticket.id, "t1", sizeof(ticket.id));
+    g_strlcpy(ticket.ticket, "late", sizeof(ticket.ticket));
+    const plan_policy_answer answer = {FP_OK, &ticket, 1, 0, 0, true};
+    plan_policy_answered(sim.planner, &sim.queries[0].step, &answer,
+                         sim.now_ms);
+    sim.run_pass(10);
+    ASSERT_EQ(sim.start_orders.size(), 1u);
+    EXPECT_EQ(sim.start_orders[0].ticket, "late");
+}
+
+// A late answer to the first query for a step does not end the second one.
+TEST(Plan, AQueryThatWasGivenUpIsRepeatedOnce)
+{
+    FleetSim sim;
+    sim.configure({"q"}, true);
+    sim.put_target("t1");
+    sim.become_leader();
+    sim.submit(1, {{.count = 1}});
+    sim.run_pass();
+    plan_give_up_query(sim.planner, &sim.queries[0].step);
+    sim.run_pass(10);
+    ASSERT_EQ(sim.queries.size(), 2u);
+    const plan_policy_answer failed = {FP_ERR_MAY_HAVE_RUN, nullptr, 0, 0, 0,
+                                       true};
+    plan_policy_answered(sim.planner, &sim.queries[0].step, &failed,
+                         sim.now_ms);
+    sim.run_pass(200);
+    EXPECT_EQ(sim.queries.size(), 2u) << "the second one is under way";
+}
+
 } // namespace
--- a/tests/plan_world.h
+++ b/tests/plan_world.h
@@ -382,7 +382,8 @@
                       FLEET_TICKET_BYTES);
         }
         const plan_policy_answer answer = {
-            err, tickets.data(), (uint32_t)tickets.size(), unread, age_ms};
+            err, tickets.data(), (uint32_t)tickets.size(), unread, age_ms,
+            false};
         plan_policy_answered(planner, &query.step, &answer, now_ms);
     }
     uint64_t used_cpu_milli(const std::string &id)
