--- a/tests/fetch_test.cc
+++ b/tests/fetch_test.cc
@@ -459,6 +459,54 @@
     EXPECT_EQ(server.last_client, "127.0.0.77");
 }
 
+// A server that was down for a moment was then reached from an address that is
+// not the host's own, for as long as the connection lasted.
+TEST(Fetch, AServerThatWasDownIsReachedFromTheSourceAddressAgain)
+{
+    for (int failures = 1; failures <= 4; failures++) {
+        Client client;
+        fetch_request request = {};
+        std::string url;
+        uint16_t port;
+        {
+            Server server;
+            url = server.url;
+            port = (uint16_t)std::stoi(url.substr(url.rfind(':') + 1));
+        }
+        request.source = "127.0.0.77";
+        request.no_resend = true;
+        for (int i = 0; i < failures; i++) {
+            EXPECT_EQ(client.request(url, request), FP_ERR_NOT_CONNECTED);
+        }
+        Server server(port);
+        server.closes = true;
+        for (int i = 0; i < 10; i++) {
+            EXPECT_EQ(client.request(url, request), FP_OK);
+        }
+        EXPECT_EQ(server.last_client, "127.0.0.77") << failures;
+    }
+}
+
+// A server that is down says nothing about another one.
+TEST(Fetch, AServerThatIsDownLeavesTheSourceAddressForOthers)
+{
+    Client client;
+    Server server;
+    server.closes = true;
+    fetch_request request = {};
+    std::string url;
+    {
+        Server down;
+        url = down.url;
+    }
+    request.source = "127.0.0.77";
+    request.no_resend = true;
+    EXPECT_EQ(client.request(url, request), FP_ERR_NOT_CONNECTED);
+    EXPECT_EQ(client.request(url, request), FP_ERR_NOT_CONNECTED);
+    EXPECT_EQ(client.request(server.url, request), FP_OK);
+    EXPECT_EQ(server.last_client, "127.0.0.77");
+}
+
 // Cancelling requests calls no callbacks and leaves no handles open.
 TEST(Fetch, RequestsInFlightAreCancelled)
 {
--- a/tests/liveness_test.cc
+++ b/tests/liveness_test.cc
@@ -177,4 +177,74 @@
     EXPECT_EQ(sim.start_orders.size(), 3u);
 }
 
+// Small runs that come all the time started in the room reserved for a gang that
+// needs all targets, while less than half of the service was in use.
+TEST(Liveness, AWideGangStartsBesideAStreamOfSmallRunsOnALittleUsedService)
+{
+    FleetSim sim;
+    sim.configure({"big", "small"});
+    for (int i = 0; i < 6; i++) {
+        sim.put_target("t" + std::to_string(i));
+    }
+    sim.become_leader();
+    std::multimap<uint64_t, RunOrder> ending;
+    size_t seen = 0;
+    uint64_t gang_ms = 0;
+    uint64_t next = 100;
+    for (int i = 0; i < 1200 && gang_ms == 0; i++) { // 120 s
+        if (i % 10 == 0) {
+            sim.submit(next++, {{.cpu_milli = 1000, .estimate_ms = 10000}},
+                       "small");
+        }
+        if (i == 200) {
+            sim.submit(1, {{.count = 6, .cpu_milli = 8000, .estimate_ms = 1000,
+                            .gang = true}}, "big");
+        }
+        while (!ending.empty() && ending.begin()->first <= sim.now_ms) {
+            sim.end_run(ending.begin()->second, RUN_DONE);
+            ending.erase(ending.begin());
+        }
+        sim.run_pass(100);
+        for (; seen < sim.start_orders.size(); seen++) {
+            const RunOrder order = sim.start_orders[seen];
+            sim.confirm_start(order);
+            ending.insert({sim.now_ms + 10000, order});
+            if (order.task.job_id == 1) {
+                gang_ms = (uint64_t)i;
+            }
+        }
+    }
+    EXPECT_GT(gang_ms, 0u);
+    EXPECT_LE(gang_ms, 200u + 250u) << "the runs take 10 s";
+}
+
+// Work that failed kept all other work from the only target of a service.
+TEST(Liveness, WorkStartsBesideJobsThatFailOnTheOnlyTarget)
+{
+    FleetSim sim;
+    sim.configure({"q"});
+    sim.put_target("t0");
+    sim.become_leader();
+    sim.submit(1, {{.count = 12, .cpu_milli = 4000}});
+    sim.submit(2, {{.count = 12, .cpu_milli = 4000}});
+    size_t answered = 0;
+    bool started = false;
+    uint64_t begin_ms = sim.now_ms;
+    while (sim.now_ms < begin_ms + 2000 + IDLE_MAX_MS && !started) {
+        if (sim.now_ms >= begin_ms + 2000 && !sim.find_job(3)) {
+            sim.submit(3, {{.count = 2, .cpu_milli = 4000, .gang = true}});
+        }
+        sim.run_pass(10);
+        for (; answered < sim.start_orders.size(); answered++) {
+            const RunOrder order = sim.start_orders[answered];
+            sim.confirm_start(order);
+            started = started || order.task.job_id == 3;
+            if (order.task.job_id < 3) {
+                sim.end_run(order, RUN_FAILED);
+            }
+        }
+    }
+    EXPECT_TRUE(started);
+}
+
 } // namespace
