Test: where queries to the policy still stand still or stay slow

What callers would see: work that waits for the policy though it answers. Found by review, not seen by anyone.

A step that fits on no target counts as one without a turn for ever, and is the one that promote_starved() lets go first, so that no other is. A late answer's tickets replace later ones, whatever their age. query_pace_answered() lets the limit rise only after answers within twice the stated time: beside a policy that always takes longer it stays where it fell to, and four times the stated time counts as congestion though each host has its own turn.

--- a/tests/plan_ticket_test.cc
+++ b/tests/plan_ticket_test.cc
@@ -483,3 +483,75 @@
 }
 
 } // namespace
+namespace {
+// A step with no target that it could be placed on held the turn of the starved.
+TEST(Plan, AStepWithoutATargetToNameTakesNoTurnOfTheStarved)
+{
+    FleetSim sim;
+    sim.configure({"high", "q"}, true);
+    sim.put_target("t1", 4000);
+    sim.become_leader();
+    sim.policy_client_free = false;
+    sim.submit(9, {{.count = 1, .cpu_milli = 64000}}, "q"); // fits nowhere
+    sim.run_pass();
+    sim.run_pass(1000);
+    sim.submit(1, {{.count = 1}}, "q");
+    sim.run_pass();
+    static int free_clients;
+    free_clients = 0;
+    sim.planner->ops.query_policy =
+        [](void *ctx, const fleet_task_id *step, fleet_target *const *,
+           uint32_t, uint32_t, bool) -> bool {
+        if (free_clients == 0) {
+            return false;
+        }
+        free_clients--;
+        ((FleetSim *)ctx)->queries.push_back({*step, {}, false});
+        return true;
+    };
+    // Each turn there is one more step before it.
+    uint64_t next = 100;
+    int asked = 0;
+    for (int i = 0; i < 300; i++) { // 30 s
+        sim.submit(next++, {{.count = 1}}, "high");
+        free_clients = 1;
+        sim.run_pass(100);
+        for (const auto &query : sim.queries) {
+            asked += query.step.job_id == 1;
+        }
+        sim.queries.clear();
+    }
+    EXPECT_GE(asked, 1);
+}
+// A late answer must not replace tickets of a later one.
+TEST(Plan, ALateAnswerLeavesFresherTicketsAlone)
+{
+    FleetSim sim;
+    sim.configure({"q"}, true);
+    sim.put_target("t1", 4000);
+    sim.become_leader();
+    sim.submit(2, {{.count = 1, .cpu_milli = 4000}});
+    sim.run_pass();
+    sim.answer_query(sim.queries.back(), {"t1"});
+    sim.run_pass(10);
+    sim.confirm_starts();
+    sim.submit(1, {{.count = 1}});
+    sim.run_pass(100);
+    PolicyQuery first = sim.queries.back();
+    ASSERT_EQ(first.step.job_id, 1u);
+    plan_give_up_query(sim.planner, &first.step);
+    sim.run_pass(100);
+    sim.answer_query(sim.queries.back(), {"t1"}); // fresh
+    sim.run_pass(10);
+    call_ticket ticket = {};
+    g_strlcpy(ticket.id, "t1", sizeof(ticket.id));
+    g_strlcpy(ticket.ticket, "old", sizeof(ticket.ticket));
+    const plan_policy_answer late = {FP_OK, &ticket, 1, 0, 1900, true};
+    plan_policy_answered(sim.planner, &first.step, &late, sim.now_ms);
+    sim.policy_client_free = false;
+    sim.end_run(sim.start_orders[0], RUN_DONE);
+    sim.run_pass(300);
+    ASSERT_EQ(sim.start_orders.size(), 2u);
+    EXPECT_NE(sim.start_orders[1].ticket, "old");
+}
+} // namespace
--- a/tests/querypace_test.cc
+++ b/tests/querypace_test.cc
@@ -133,3 +133,29 @@
 }
 
 } // namespace
+
+namespace {
+
+// A policy that takes two and a half times of the stated time, each host in a
+// turn of its own: after refusals one host alone asked it, for ever.
+TEST(QueryPace, TheLimitRisesAgainBesideAPolicyThatIsSteadilySlow)
+{
+    SharedTurn policy;
+    for (uint64_t i = 0; i < 4; i++) {
+        query_pace_refused(&policy.pace, 1000 + i, HOSTS, 1000 + i);
+    }
+    EXPECT_EQ(query_pace_limit(&policy.pace, HOSTS), 1u);
+    policy.run(300000, STATED_MS * 5 / 2, false);
+    EXPECT_GT(query_pace_limit(&policy.pace, HOSTS), 2u);
+}
+
+// A policy that takes four times as long, each host in a turn of its own.
+TEST(QueryPace, ASlowPolicyWithATurnForEachHostIsAskedByAll)
+{
+    SharedTurn policy;
+    policy.run(60000, STATED_MS * 4, false);
+    policy.run(60000, STATED_MS * 4, false);
+    EXPECT_GE(policy.answered, 100u) << "30 for each host could be";
+}
+
+} // namespace
