Plan: grants on targets of a queue's former service do not count

Cause: a step whose queue moves to another service keeps its grants on targets of the former one.

Change: has_grant() and list_expiring_grants() leave them out too.

--- a/core/planticket.c
+++ b/core/planticket.c
@@ -283,7 +283,8 @@
         const struct plan_ticket *ticket =
             &g_array_index(step->tickets, struct plan_ticket, i);
 
-        if (ticket->state == TICKET_GRANTED && !ticket->target->removed) {
+        if (ticket->state == TICKET_GRANTED && !ticket->target->removed &&
+            plan_could_fit(ticket->target, step)) {
             return true;
         }
     }
@@ -385,7 +386,8 @@
 
         if (!ticket->target->removed && ticket->state == TICKET_GRANTED &&
             ticket->valid_until_ms < until_ms &&
-            plan_takes_starts(ticket->target)) {
+            plan_takes_starts(ticket->target) &&
+            plan_could_fit(ticket->target, step)) {
             g_array_append_val(list, candidate);
         }
     }
