Plan: the turn of the starved goes to steps that can use it

Found by review, not seen by callers: the order of queries left ways in which a step that could run gets no turn at the placement policy.

A step that fits on no target counted as one without a turn for ever and was always the one to be let go first. A step that should start once it has an answer, and never does, for instance because of a pause of one of its tasks, went before all others with each renewal. And a late answer's tickets replaced later ones.

Change: the time without a turn counts from the first turn that was refused, and ends when there is no target to name. After three renewals without a start a step goes in scheduling order. On a service of which less than half is in use the turn of the starved comes after 2 s. A ticket replaces one that expires earlier only.

--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -167,6 +167,9 @@
     uint64_t all_named_until_ms; /* no further target to name before this */
     uint64_t ahead_ms;           /* no renewal ahead of need before this */
     uint32_t ahead_queries;      /* in a row */
+    uint32_t renewals;           /* in a row, none of which led to a start */
+    uint64_t unserved_since_ms;  /* when it first got no turn at the policy
+                                  * since its last query; 0: it has not */
     uint32_t unread_answers;  /* in a row, with entries that were unreadable */
     GArray *tickets;          /* struct plan_ticket; NULL: none */
     GHashTable *ticket_index; /* struct plan_target to its index in tickets,
--- a/core/planticket.c
+++ b/core/planticket.c
@@ -32,6 +32,7 @@
  * long, the one that had none for longest goes first, once in this interval;
  * all others go in scheduling order. */
 #define QUERY_STARVED_MS 4000u
+#define QUERY_STARVED_BESIDE_ROOM_MS 2000u /* on a little used service */
 #define STARVED_INTERVAL_MS 500u
 /* Turns at the policy are short for this long after a step that could use one
  * got none. */
@@ -42,6 +43,9 @@
 #define AHEAD_AT_FULL_PACE 4u
 #define AHEAD_PAUSE_MAX_MS 6000u
 #define AHEAD_DOUBLINGS_MAX 8u
+/* A step that should start once it has an answer, and did not after so many in
+ * a row, goes in scheduling order. */
+#define RENEWALS_FIRST_MAX 3u
 #define QUERY_ROUND_TRIP_MS 60u /* network time to and from the policy */
 /* One in this many policy clients is kept for short queries, but at least
  * SHORT_QUERY_CLIENTS_MIN of them and never more than half. */
@@ -170,6 +174,7 @@
         ticket->used = true;
     }
     step->ahead_queries = 0;
+    step->renewals = 0;
     step->ahead_ms = 0;
 }
 
@@ -706,11 +711,14 @@
 }
 
 static void
-note_refused_turn(struct plan *plan, enum query_purpose purpose,
-                  uint64_t now_ms)
+note_refused_turn(struct plan *plan, struct plan_step *step,
+                  enum query_purpose purpose, uint64_t now_ms)
 {
     if (purpose != QUERY_AHEAD) {
         plan->turn_refused_ms = now_ms;
+        if (step->unserved_since_ms == 0) {
+            step->unserved_since_ms = now_ms;
+        }
     }
 }
 
@@ -736,7 +744,7 @@
         return true;
     }
     if (step->query_blocked) {
-        note_refused_turn(plan, purpose, now_ms);
+        note_refused_turn(plan, step, purpose, now_ms);
         return true;
     }
     list = choose_query_targets(plan, step, purpose, query_ms, now_ms);
@@ -763,12 +771,19 @@
             plan->queries_blocked = query_ms < PLAN_SHORT_QUERY_MS;
             step->query_in_flight = false;
             resolve_queried(step, false, false, 0);
-            note_refused_turn(plan, purpose, now_ms);
+            note_refused_turn(plan, step, purpose, now_ms);
         }
-        else if (purpose == QUERY_AHEAD) {
-            pause_ahead(step, now_ms);
+        else {
+            step->unserved_since_ms = 0;
+            step->renewals += purpose == QUERY_RENEWAL;
+            if (purpose == QUERY_AHEAD) {
+                pause_ahead(step, now_ms);
+            }
         }
     }
+    else {
+        step->unserved_since_ms = 0; /* it has no use for a turn */
+    }
     g_array_free(list, TRUE);
     return count > 0;
 }
@@ -777,7 +792,8 @@
 struct query_wish {
     struct plan_step *step;
     enum query_purpose purpose;
-    uint64_t unserved_ms; /* since it last had a turn, or was opened */
+    uint64_t unserved_ms; /* since it could have used a turn and got none */
+    bool places;          /* it should start once it has an answer */
     bool goes_first;
     guint place; /* in scheduling order */
 };
@@ -787,14 +803,12 @@
 {
     const struct query_wish *x = a;
     const struct query_wish *y = b;
-    const bool x_places = x->purpose == QUERY_RENEWAL;
-    const bool y_places = y->purpose == QUERY_RENEWAL;
 
     if (x->goes_first != y->goes_first) {
         return x->goes_first ? -1 : 1;
     }
-    if (x_places != y_places) {
-        return x_places ? -1 : 1;
+    if (x->places != y->places) {
+        return x->places ? -1 : 1;
     }
     return x->place < y->place ? -1 : 1;
 }
@@ -808,8 +822,11 @@
     for (guint i = 0; i < wishes->len; i++) {
         struct query_wish *wish = &g_array_index(wishes, struct query_wish, i);
 
-        if (wish->purpose != QUERY_AHEAD &&
-            wish->unserved_ms >= QUERY_STARVED_MS &&
+        const uint32_t starved_ms = plan_is_little_used(wish->step->job->pool)
+                                        ? QUERY_STARVED_BESIDE_ROOM_MS
+                                        : QUERY_STARVED_MS;
+
+        if (wish->purpose != QUERY_AHEAD && wish->unserved_ms >= starved_ms &&
             (longest == NULL || wish->unserved_ms > longest->unserved_ms)) {
             longest = wish;
         }
@@ -863,9 +880,12 @@
         if (wish.step->pending == 0 || !may_query(wish.step, now_ms)) {
             continue;
         }
-        wish.unserved_ms =
-            now_ms - MAX(wish.step->query_sent_ms, wish.step->opened_ms);
+        if (wish.step->unserved_since_ms != 0) {
+            wish.unserved_ms = now_ms - wish.step->unserved_since_ms;
+        }
         wish.purpose = purpose_of_query(plan, wish.step, now_ms);
+        wish.places = wish.purpose == QUERY_RENEWAL &&
+                      wish.step->renewals < RENEWALS_FIRST_MAX;
         g_array_append_val(wishes, wish);
     }
     promote_starved(plan, wishes, now_ms);
@@ -978,6 +998,8 @@
             const struct plan_policy_answer *answer, uint64_t now_ms)
 {
     const uint32_t valid_ms = step->job->job->queue->conf.ticket_ms;
+    const uint64_t valid_until_ms =
+        now_ms + valid_ms - MIN(valid_ms, TICKET_MARGIN_MS + answer->age_ms);
 
     for (uint32_t i = 0; i < answer->count; i++) {
         struct fleet_target *target =
@@ -989,14 +1011,13 @@
             add_ticket(step, target->plan);
             ticket = find_ticket(step, target->plan);
         }
-        if (ticket != NULL) {
+        if (ticket != NULL && (ticket->state != TICKET_GRANTED ||
+                               valid_until_ms >= ticket->valid_until_ms)) {
             plan->counters.tickets_unused +=
                 ticket->state == TICKET_GRANTED && !ticket->used;
             ticket->used = false;
             ticket->state = TICKET_GRANTED;
-            ticket->valid_until_ms =
-                now_ms + valid_ms -
-                MIN(valid_ms, TICKET_MARGIN_MS + answer->age_ms);
+            ticket->valid_until_ms = valid_until_ms;
             g_free(ticket->ticket);
             ticket->ticket = g_strdup(answer->tickets[i].ticket);
         }
