Policy: the limit on queries compares with what the policy takes alone

Seen: where the policy is steadily slower than stated and answers each host in a turn of its own, the limit on long queries stayed where it fell: one of six hosts for 300 s at two and a half times the stated time, two of six at four times (60 answers in 60 s of 180).

Cause: answers were compared with the stated time alone, so that none was in time and the limit never rose.

Change: they are compared with a measured base. When answers usually take more than one and a half times the base, and at most every 10 s, one long query at a time is under way until two such were answered; the lesser time is the base. Faster answers lower it by an eighth of the difference. Short queries are compared with the stated time as before.

New: QueryPace.QueueingIsNotTaken*, a shared turn at a slow policy that gets fast; it fails without the base measured anew, and when queries that are not alone count (mutants, as trials).

--- a/core/querypace.c
+++ b/core/querypace.c
@@ -7,8 +7,8 @@
 
 /* Time on the way, beside the policy's own. */
 #define ROUND_TRIP_MS 60u
-/* An answer is in time within this many times the stated time, and late after
- * the other. */
+/* An answer is in time within this many times the base, and late after the
+ * other. */
 #define IN_TIME_FACTOR 2u
 #define LATE_FACTOR 3u
 /* The limit after late answers, and after refusals, per mille of what it was.
@@ -18,6 +18,16 @@
 #define REFUSED_PERMILLE 500u
 #define LATE_LIMIT_MIN_MILLI 2000u
 #define LIMIT_MIN_MILLI 1000u
+/* The base is measured anew when answers usually take more than this part of
+ * it, at most so often, by the least time of so many queries that are alone.
+ */
+#define QUEUE_PERMILLE 1500u
+#define BASE_INTERVAL_MS 10000u
+#define BASE_QUERIES 2u
+/* Smoothing of the measured times in parts of the stated ones. */
+#define RATIO_WEIGHT 8u
+#define STATED_PERMILLE 1000u
+#define RATIO_MAX_PERMILLE 100000u
 /* As of TCP's retransmission timer. */
 #define DELAY_DIVISOR 8u
 #define DEVIATION_DIVISOR 4u
@@ -32,6 +42,9 @@
 uint32_t
 query_pace_limit(const struct query_pace *pace, uint32_t hosts)
 {
+    if (pace->is_probing) {
+        return MIN(hosts, 1);
+    }
     if (pace->limit_milli == 0) {
         return hosts;
     }
@@ -94,21 +107,73 @@
                        (int64_t)DEVIATION_DIVISOR);
 }
 
-void
-query_pace_answered(struct query_pace *pace, uint64_t sent_ms,
-                    bool short_query, uint32_t stated_ms, uint32_t took_ms,
-                    uint32_t hosts, uint64_t now_ms)
+static uint32_t
+base_permille(const struct query_pace *pace)
 {
-    const uint64_t usual_ms = (uint64_t)stated_ms + ROUND_TRIP_MS;
+    return MAX(pace->base_permille, STATED_PERMILLE);
+}
 
-    measure(pace, took_ms - MIN(took_ms, stated_ms));
+/* An answer to a query that no other long one was beside. */
+static void
+probe_base(struct query_pace *pace, uint32_t ratio_permille, uint64_t now_ms)
+{
+    pace->probe_permille = pace->probes == 0
+                               ? ratio_permille
+                               : MIN(pace->probe_permille, ratio_permille);
+    pace->probes++;
+    if (pace->probes == BASE_QUERIES) {
+        pace->is_probing = false;
+        pace->base_permille = pace->probe_permille;
+        pace->base_ms = now_ms;
+    }
+}
+
+/* Follows what a long query takes, in parts of what it should. */
+static void
+measure_base(struct query_pace *pace, uint64_t sent_ms,
+             uint32_t ratio_permille, uint64_t now_ms)
+{
+    const uint32_t base = base_permille(pace);
+
+    pace->ratio_permille =
+        pace->ratio_permille == 0
+            ? ratio_permille
+            : (pace->ratio_permille * (RATIO_WEIGHT - 1) + ratio_permille) /
+                  RATIO_WEIGHT;
+    if (pace->is_probing) {
+        if (sent_ms > pace->probe_ms) {
+            probe_base(pace, ratio_permille, now_ms);
+        }
+        return;
+    }
+    if (ratio_permille < base) {
+        pace->base_permille = base - (base - ratio_permille) / RATIO_WEIGHT;
+    }
+    if (pace->ratio_permille > (uint64_t)base * QUEUE_PERMILLE / 1000 &&
+        now_ms >= pace->base_ms + BASE_INTERVAL_MS) {
+        pace->is_probing = true;
+        pace->probe_ms = now_ms;
+        pace->probes = 0;
+    }
+}
+
+static void
+judge_long(struct query_pace *pace, uint64_t sent_ms, uint64_t usual_ms,
+           uint32_t took_ms, uint32_t hosts, uint64_t now_ms)
+{
+    measure_base(
+        pace, sent_ms,
+        (uint32_t)MIN(took_ms * UINT64_C(1000) / usual_ms, RATIO_MAX_PERMILLE),
+        now_ms);
+    if (pace->is_probing) {
+        return;
+    }
+    usual_ms = usual_ms * base_permille(pace) / 1000;
     if (took_ms > LATE_FACTOR * usual_ms) {
-        decrease(pace, sent_ms, LATE_PERMILLE,
-                 short_query ? LIMIT_MIN_MILLI : LATE_LIMIT_MIN_MILLI, hosts,
+        decrease(pace, sent_ms, LATE_PERMILLE, LATE_LIMIT_MIN_MILLI, hosts,
                  now_ms);
     }
-    else if (!short_query && took_ms <= IN_TIME_FACTOR * usual_ms &&
-             pace->limit_milli != 0) {
+    else if (took_ms <= IN_TIME_FACTOR * usual_ms && pace->limit_milli != 0) {
         pace->limit_milli += 1000000 / pace->limit_milli;
         if (pace->limit_milli >= hosts * 1000) {
             pace->limit_milli = 0;
@@ -116,9 +181,29 @@
     }
 }
 
+void
+query_pace_answered(struct query_pace *pace, uint64_t sent_ms,
+                    bool short_query, uint32_t stated_ms, uint32_t took_ms,
+                    uint32_t hosts, uint64_t now_ms)
+{
+    const uint64_t usual_ms = (uint64_t)stated_ms + ROUND_TRIP_MS;
+
+    measure(pace, took_ms - MIN(took_ms, stated_ms));
+    if (!short_query) {
+        judge_long(pace, sent_ms, usual_ms, took_ms, hosts, now_ms);
+    }
+    else if (took_ms > LATE_FACTOR * usual_ms) {
+        decrease(pace, sent_ms, LATE_PERMILLE, LIMIT_MIN_MILLI, hosts, now_ms);
+    }
+}
+
 void
 query_pace_refused(struct query_pace *pace, uint64_t sent_ms, uint32_t hosts,
                    uint64_t now_ms)
 {
+    if (pace->is_probing && sent_ms > pace->probe_ms) {
+        pace->is_probing = false;
+        pace->base_ms = now_ms;
+    }
     decrease(pace, sent_ms, REFUSED_PERMILLE, LIMIT_MIN_MILLI, hosts, now_ms);
 }
--- a/core/querypace.h
+++ b/core/querypace.h
@@ -6,9 +6,12 @@
  * still worked on; the next ones wait behind it, and are given up too. So the
  * limit follows the measured times: it falls by a part when answers are late
  * or refused, once for the queries under way at that time, and rises by one
- * query for each round of answers in time. Short queries have no limit, as
- * they take little of a turn; but a single long one is under way when they
- * wait for long ones.
+ * query for each round of answers in time. In time is compared with a base,
+ * what a query takes that is alone, as the policy may be steadily slower than
+ * stated and yet answer each host in a turn of its own: when answers usually
+ * take longer than the base, one long query at a time shows it. Short queries
+ * have no limit, as they take little of a turn; but a single long one is under
+ * way when they wait for long ones.
  */
 #ifndef FP_QUERYPACE_H
 #define FP_QUERYPACE_H
@@ -18,9 +21,17 @@
 
 /* All zero at first: no limit is known. */
 struct query_pace {
-    uint32_t limit_milli;  /* long queries under way, thousandths; 0: no
-                            * limit */
-    uint64_t decreased_ms; /* when the limit last fell */
+    uint32_t limit_milli;    /* long queries under way, thousandths; 0: no
+                              * limit */
+    uint64_t decreased_ms;   /* when the limit last fell */
+    uint32_t base_permille;  /* time of a long query that is alone, in parts of
+                              * the stated one; less than 1000: as stated */
+    uint64_t base_ms;        /* when that was last measured */
+    uint32_t ratio_permille; /* smoothed, of all long queries; 0: none */
+    bool is_probing;         /* the base is being measured */
+    uint64_t probe_ms;       /* since when */
+    uint32_t probes;         /* answers to queries that were alone */
+    uint32_t probe_permille; /* least of these */
     bool is_measured;
     uint32_t delay_ms;     /* smoothed time beyond the stated one */
     uint32_t deviation_ms; /* smoothed, of the delay */
--- a/tests/querypace_test.cc
+++ b/tests/querypace_test.cc
@@ -158,4 +158,19 @@
     EXPECT_GE(policy.answered, 100u) << "30 for each host could be";
 }
 
+// One turn for all hosts at a policy that is slow, then as fast as stated: the
+// time that a query waits for others is not taken for the policy's own.
+TEST(QueryPace, QueueingIsNotTakenForASlowPolicy)
+{
+    SharedTurn policy;
+    policy.run(60000, STATED_MS * 4);
+    policy.run(120000, STATED_MS * 4);
+    EXPECT_LE(policy.most, 4u);
+    EXPECT_GE(policy.answered, 58u) << "the policy is never idle";
+    policy.run(60000, STATED_MS);
+    policy.run(60000, STATED_MS);
+    EXPECT_LE(policy.most, 4u);
+    EXPECT_GE(policy.answered, 118u) << "the policy is never idle";
+}
+
 } // namespace
