Policy: a short query's answer does not give up a long one

Callers see a second turn spent on a step whose long query was only slow.

Cause, by reading: a late long query was given up once any query sent later was answered, a short one too, whose answer says nothing about a long one's turn.

Change: the pace keeps when the last answered query was sent, of all and of the long ones; only these overtake a long one.

QueryPace.AShortAnswerDoesNotOvertakeALongQuery fails when all answers count (a mutation, run as a trial). An answer to another host's long query that was sent later still counts.

--- a/core/querypace.c
+++ b/core/querypace.c
@@ -189,7 +189,9 @@
     const uint64_t usual_ms = (uint64_t)stated_ms + ROUND_TRIP_MS;
 
     measure(pace, took_ms - MIN(took_ms, stated_ms));
+    pace->answered_ms = MAX(pace->answered_ms, sent_ms);
     if (!short_query) {
+        pace->answered_long_ms = MAX(pace->answered_long_ms, sent_ms);
         judge_long(pace, sent_ms, usual_ms, took_ms, hosts, now_ms);
     }
     else if (took_ms > LATE_FACTOR * usual_ms) {
@@ -197,6 +199,14 @@
     }
 }
 
+bool
+query_pace_is_overtaken(const struct query_pace *pace, uint64_t sent_ms,
+                        bool short_query)
+{
+    return sent_ms <
+           (short_query ? pace->answered_ms : pace->answered_long_ms);
+}
+
 void
 query_pace_refused(struct query_pace *pace, uint64_t sent_ms, uint32_t hosts,
                    uint64_t now_ms)
--- a/core/querypace.h
+++ b/core/querypace.h
@@ -32,6 +32,9 @@
     uint64_t probe_ms;       /* since when */
     uint32_t probes;         /* answers to queries that were alone */
     uint32_t probe_permille; /* least of these */
+    uint64_t answered_ms;    /* when the last one of the answered queries
+                              * was sent, of all */
+    uint64_t answered_long_ms; /* and of the long ones */
     bool is_measured;
     uint32_t delay_ms;     /* smoothed time beyond the stated one */
     uint32_t deviation_ms; /* smoothed, of the delay */
@@ -52,6 +55,13 @@
                          bool short_query, uint32_t stated_ms,
                          uint32_t took_ms, uint32_t hosts, uint64_t now_ms);
 
+/* Whether a query that was sent later has been answered. For a long one only
+ * long ones count: a short one takes a small part of their time, so its answer
+ * doesn't show that the long one's turn is lost.
+ */
+bool query_pace_is_overtaken(const struct query_pace *pace, uint64_t sent_ms,
+                             bool short_query);
+
 /* The policy refused a query of sent_ms because it had too many, or did not
  * answer it. */
 void query_pace_refused(struct query_pace *pace, uint64_t sent_ms,
--- a/node/dispatchask.c
+++ b/node/dispatchask.c
@@ -6,7 +6,7 @@
  * A query that is given up occupies its turn all the same. So each is waited
  * for as long as an answer may come, and its host gets no other one. Its step
  * is queried about again only if that host is silent, or queries that were
- * sent later through other hosts have been answered.
+ * sent later through other hosts have been answered: long ones, if it is one.
  */
 #include <string.h>
 
@@ -118,8 +118,6 @@
     struct policy_helper *helper = helper_of(dispatch, query);
 
     if (reply->err == FP_OK) {
-        dispatch->last_answered_query_ms =
-            MAX(dispatch->last_answered_query_ms, sent_ms);
         query_pace_answered(&dispatch->pace, sent_ms, query->is_short,
                             query->expected_ms, policy_ms,
                             dispatch->policy.hosts, now_ms);
@@ -183,7 +181,8 @@
     const struct policy_helper *helper = helper_of(dispatch, query);
 
     return !query->is_given_up && now_ms >= query->late_ms &&
-           (dispatch->last_answered_query_ms > query->pending->sent_ms ||
+           (query_pace_is_overtaken(&dispatch->pace, query->pending->sent_ms,
+                                    query->is_short) ||
             (helper != NULL && helper_is_silent(helper, now_ms)));
 }
 
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -58,6 +58,7 @@
 core/querypace.c	if (sent_ms < pace->decreased_ms) {	if (false) {	QueryPace.RefusalsHalve*
 core/querypace.c	if (took_ms > LATE_FACTOR * usual_ms) {\n        decrease(pace, sent_ms, LATE_PERMILLE, LATE	if (false) {\n        decrease(pace, sent_ms, LATE_PERMILLE, LATE	QueryPace.FewQueries*
 core/querypace.c	pace->base_permille = pace->probe_permille;	pace->base_permille = 0;	QueryPace.ASlowPolicyWith*
+core/querypace.c	(short_query ? pace->answered_ms : pace->answered_long_ms)	pace->answered_ms	QueryPace.AShortAnswer*
 core/querypace.c	if (sent_ms > pace->probe_ms) {	if (true) {	QueryPace.QueueingIsNot*
 core/querypace.c	return MIN(hosts, 1);	return hosts;	QueryPace.QueueingIsNot*
 core/querypace.c	now_ms >= pace->base_ms + BASE_INTERVAL_MS	pace->base_ms == 0	QueryPace.QueueingIsNot*
--- a/tests/querypace_test.cc
+++ b/tests/querypace_test.cc
@@ -173,4 +173,19 @@
     EXPECT_GE(policy.answered, 118u) << "the policy is never idle";
 }
 
+// A slow long query was given up, and a second turn spent on its step, once a
+// short one that was sent later was answered.
+TEST(QueryPace, AShortAnswerDoesNotOvertakeALongQuery)
+{
+    query_pace pace = {};
+    query_pace_answered(&pace, 2000, true, 10, 20, HOSTS, 2020);
+    EXPECT_FALSE(query_pace_is_overtaken(&pace, 1000, false));
+    EXPECT_TRUE(query_pace_is_overtaken(&pace, 1000, true));
+    EXPECT_FALSE(query_pace_is_overtaken(&pace, 2000, true));
+    query_pace_answered(&pace, 1500, false, 500, 510, HOSTS, 2010);
+    EXPECT_TRUE(query_pace_is_overtaken(&pace, 1000, false));
+    EXPECT_TRUE(query_pace_is_overtaken(&pace, 1700, true));
+    EXPECT_FALSE(query_pace_is_overtaken(&pace, 1500, false));
+}
+
 } // namespace
