--- a/core/helpers.c
+++ b/core/helpers.c
@@ -25,6 +25,9 @@
     uint64_t pause_ms;
 
     helper->busy = false;
+    /* One without an answer may be in its turn as long as the helper pauses.
+     */
+    helper->is_long = helper->is_long && result == HELPER_TIMEOUT;
     if (result == HELPER_ANSWERED) {
         helper->failures = 0;
         helper->resume_ms = 0;
@@ -58,6 +61,7 @@
     return !helper_is_silent(helper, now_ms) && now_ms >= helper->resume_ms;
 }
 
+/* Those that pause count: they will ask again at once when the pause ends. */
 uint32_t
 helper_count_usable(struct policy_helper *const *helpers, uint32_t count,
                     uint64_t now_ms)
@@ -65,7 +69,7 @@
     uint32_t usable = 0;
 
     for (uint32_t i = 0; i < count; i++) {
-        usable += is_usable(helpers[i], now_ms);
+        usable += !helper_is_silent(helpers[i], now_ms);
     }
     return usable;
 }
@@ -85,19 +89,25 @@
 helper_choose(struct policy_helper *const *helpers, uint32_t count,
               const struct query_pace *pace, bool short_query, uint64_t now_ms)
 {
-    const uint32_t usable = helper_count_usable(helpers, count, now_ms);
-    const uint32_t limit = query_pace_limit(pace, usable);
+    const uint32_t limit =
+        query_pace_limit(pace, helper_count_usable(helpers, count, now_ms));
     struct policy_helper *found = NULL;
     uint32_t busy_long = 0;
+    uint32_t usable = 0;
     uint32_t idle = 0;
 
     for (uint32_t i = 0; i < count; i++) {
         struct policy_helper *helper = helpers[i];
 
+        if (helper_is_silent(helper, now_ms)) {
+            continue;
+        }
+        busy_long +=
+            helper->is_long && (helper->busy || now_ms < helper->resume_ms);
         if (!is_usable(helper, now_ms)) {
             continue;
         }
-        busy_long += helper->busy && helper->is_long;
+        usable++;
         if (helper->busy) {
             continue;
         }
--- a/tests/helpers_test.cc
+++ b/tests/helpers_test.cc
@@ -139,4 +139,40 @@
     EXPECT_EQ(helpers.choose(), &helpers.list[0]);
 }
 
+// While all but one paused, one answer in time lifted the limit for all.
+TEST(Helpers, ThoseThatPauseCountForThePace)
+{
+    Helpers helpers(6);
+    std::vector<policy_helper *> pointers;
+    for (auto &helper : helpers.list) {
+        pointers.push_back(&helper);
+    }
+    for (int i = 1; i < 6; i++) {
+        helper_finish(&helpers.list[i], HELPER_FAILED, 500, helpers.now_ms);
+    }
+    helpers.pace.limit_milli = 1000;
+    query_pace_answered(
+        &helpers.pace, helpers.now_ms - 500, false, 500, 500,
+        helper_count_usable(pointers.data(), 6, helpers.now_ms),
+        helpers.now_ms);
+    EXPECT_EQ(query_pace_limit(&helpers.pace, 6), 2u);
+}
+
+// A long query without an answer may be in its turn while its helper pauses.
+TEST(Helpers, ALongQueryThatWasGivenUpCountsDuringThePause)
+{
+    Helpers helpers(6);
+    helpers.pace.limit_milli = 1000;
+    for (auto result : {HELPER_FAILED, HELPER_TIMEOUT}) {
+        policy_helper *helper = helpers.choose(false);
+        ASSERT_NE(helper, nullptr) << "no query is left after a refusal";
+        helper->busy = helper->is_long = true;
+        helper_finish(helper, result, 500, helpers.now_ms);
+    }
+    EXPECT_EQ(helpers.choose(false), nullptr);
+    EXPECT_NE(helpers.choose(true), nullptr);
+    helpers.now_ms += 500;
+    EXPECT_NE(helpers.choose(false), nullptr);
+}
+
 } // namespace
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -53,6 +53,8 @@
 core/planticket.c	TICKET_MARGIN_MS + answer->age_ms	TICKET_MARGIN_MS	Plan.ATicketThatWas*
 core/helpers.c	now_ms >= helper->resume_ms	true	Helpers.*
 core/helpers.c	return helper->failures < found->failures;	return true;	Helpers.AHelperThatFails*
+core/helpers.c	!helper_is_silent(helpers[i], now_ms)	is_usable(helpers[i], now_ms)	Helpers.ThoseThatPause*
+core/helpers.c	(helper->busy || now_ms < helper->resume_ms)	helper->busy	Helpers.ALongQuery*
 core/helpers.c	busy_long >= limit	false	Helpers.NoMoreAreUsed*
 core/helpers.c	return helper->delay_ms / DELAY_STEP_MS <=	return 1 || helper->delay_ms / DELAY_STEP_MS <=	Helpers.OneThatAnswersSoon*
 core/querypace.c	if (sent_ms < pace->decreased_ms) {	if (false) {	QueryPace.RefusalsHalve*
