--- a/core/fleetconf.c
+++ b/core/fleetconf.c
@@ -108,6 +108,52 @@
     g_hash_table_destroy(moved);
 }
 
+void
+fleet_save_removed_queues(const struct fleet *fleet,
+                          struct fleet_snapshot *snap)
+{
+    GHashTable *used = g_hash_table_new(g_direct_hash, g_direct_equal);
+    GHashTableIter iter;
+    struct fleet_job *job;
+
+    g_hash_table_iter_init(&iter, fleet->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&job)) {
+        if (!job->queue->configured && fleet_job_is_live(job)) {
+            g_hash_table_add(used, job->queue);
+        }
+    }
+    for (guint i = 0; i < fleet->queues->len; i++) {
+        const struct fleet_queue *queue = fleet->queues->pdata[i];
+
+        if (g_hash_table_contains(used, queue)) {
+            struct fleet_queue_conf *saved =
+                fp_list_add(&snap->removed_queues, sizeof(*saved));
+
+            *saved = queue->conf;
+        }
+    }
+    g_hash_table_destroy(used);
+}
+
+void
+fleet_load_removed_queues(struct fleet *fleet,
+                          const struct fleet_snapshot *snap)
+{
+    const struct fleet_queue_conf *saved = snap->removed_queues.items;
+
+    for (uint32_t i = 0; i < snap->removed_queues.count; i++) {
+        struct fleet_queue *queue;
+
+        if (fleet_find_queue_exact(fleet, saved[i].host, saved[i].prefix) !=
+            NULL) {
+            continue;
+        }
+        queue = g_new0(struct fleet_queue, 1);
+        queue->conf = saved[i];
+        g_ptr_array_add(fleet->queues, queue);
+    }
+}
+
 static void
 set_services(struct fleet *fleet)
 {
--- a/core/fleetpriv.h
+++ b/core/fleetpriv.h
@@ -36,6 +36,13 @@
 struct fleet_queue *fleet_find_queue_exact(const struct fleet *fleet,
                                            const char *host,
                                            const char *prefix);
+/* Queues that were removed from the configuration keep their settings for the
+ * jobs that were accepted on them. Those with live jobs are part of a
+ * snapshot, and are loaded before its jobs. */
+void fleet_save_removed_queues(const struct fleet *fleet,
+                               struct fleet_snapshot *snap);
+void fleet_load_removed_queues(struct fleet *fleet,
+                               const struct fleet_snapshot *snap);
 /* Finds the team of this name, or adds it. */
 struct fleet_team *fleet_ensure_team(struct fleet *fleet, const char *name);
 
--- a/core/fleetrec.c
+++ b/core/fleetrec.c
@@ -357,6 +357,7 @@
     LIST(fleet_snapshot, data_centres, 65536, FLEET_DATA_CENTRE_SAVED_SCHEMA),
     LIST(fleet_snapshot, outages, 65536, FLEET_SNAPSHOT_ITEM_SCHEMA),
     U32(fleet_snapshot, lease_ms),
+    LIST(fleet_snapshot, removed_queues, 1048576, FLEET_QUEUE_CONF_SCHEMA),
 };
 const struct fp_schema FLEET_SNAPSHOT_SCHEMA = SCHEMA(
     "fleet-snapshot", FLEET_SNAPSHOT, fleet_snapshot, FLEET_SNAPSHOT_FIELDS);
--- a/core/fleetrec.h
+++ b/core/fleetrec.h
@@ -348,6 +348,8 @@
     struct fp_list data_centres; /* struct fleet_data_centre_saved */
     struct fp_list outages;      /* struct fleet_snapshot_item: fleet_outage */
     uint32_t lease_ms;           /* see struct fleet_lease; 0: not stored */
+    /* Queues with live jobs that the configuration has dropped. */
+    struct fp_list removed_queues; /* struct fleet_queue_conf */
 };
 
 /* Calls from a host to the leader, and from the leader to hosts that query the
--- a/core/fleetsave.c
+++ b/core/fleetsave.c
@@ -169,6 +169,7 @@
     }
     save_shares(&snap, fleet);
     fleet_save_outages(fleet, &snap);
+    fleet_save_removed_queues(fleet, &snap);
     fp_encode(&FLEET_SNAPSHOT_SCHEMA, &snap, out);
     fp_record_free(&FLEET_SNAPSHOT_SCHEMA, &snap);
 }
@@ -280,6 +281,7 @@
         loaded->now_ms = snap.now_ms;
         loaded->lease_ms = snap.lease_ms;
         loaded->share_window_ms = fleet->share_window_ms;
+        fleet_load_removed_queues(loaded, &snap);
         for (uint32_t i = 0; i < snap.items.count && err == FP_OK; i++) {
             err = load_item(loaded, &item[i].record);
         }
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -37,6 +37,86 @@
     EXPECT_STREQ(sim.find_job(1)->queue->conf.service, "svc");
 }
 
+// Guards against LOST after a restart of all hosts: work of a removed queue had
+// neither a service nor attempts any more.
+TEST(Fleet, ADroppedQueueWithLiveJobsKeepsItsSettingsInSnapshots)
+{
+    FleetSim sim;
+    sim.configure({"p", "q"}, true);
+    sim.submit(1, {{}});
+    const fleet_queue_conf conf = sim.find_job(1)->queue->conf;
+    sim.configure({"p"}, true);
+    for (int i = 0; i < 2; i++) {
+        sim.restart_from_snapshot();
+        const fleet_queue *queue = sim.find_job(1)->queue;
+        EXPECT_STREQ(queue->conf.name, "q");
+        EXPECT_STREQ(queue->conf.service, "svc");
+        EXPECT_EQ(queue->conf.priority, 1u);
+        EXPECT_EQ(queue->conf.objective_ms, conf.objective_ms);
+        EXPECT_EQ(queue->conf.stretch_permille, conf.stretch_permille);
+        EXPECT_EQ(queue->conf.max_attempts, 3u);
+        EXPECT_EQ(queue->conf.open, conf.open);
+        EXPECT_TRUE(queue->conf.advised);
+        EXPECT_EQ(queue->conf.advice_us, conf.advice_us);
+        EXPECT_EQ(queue->conf.advice_each_us, conf.advice_each_us);
+        EXPECT_EQ(queue->conf.ticket_ms, 2000u);
+        EXPECT_FALSE(queue->configured);
+        EXPECT_EQ(fleet_find_queue(sim.fleet_state, "h", "/q/1"), nullptr);
+    }
+    sim.configure({"p", "q"}, true);
+    EXPECT_TRUE(sim.find_job(1)->queue->configured);
+    EXPECT_EQ(sim.fleet_state->queues->len, 2u);
+}
+
+// Decodes a snapshot of the state.
+void take_snapshot(const FleetSim &sim, fleet_snapshot &snap)
+{
+    fp_blob saved = {nullptr, 0};
+    fleet_save(sim.fleet_state, &saved);
+    memset(&snap, 0, sizeof(snap));
+    EXPECT_EQ(fp_decode(&FLEET_SNAPSHOT_SCHEMA, saved.data, saved.size_bytes,
+                        &snap),
+              FP_OK);
+    fp_blob_free(&saved);
+}
+
+TEST(Fleet, SnapshotsHoldDroppedQueuesOnlyWhileTheyHaveLiveJobs)
+{
+    FleetSim sim;
+    fleet_snapshot snap;
+    sim.configure({"p", "q", "idle"});
+    sim.submit(1, {{}});
+    sim.submit(2, {{}}, "p");
+    sim.configure({"p"});
+    take_snapshot(sim, snap);
+    EXPECT_EQ(snap.removed_queues.count, 1u);
+    fp_record_free(&FLEET_SNAPSHOT_SCHEMA, &snap);
+    sim.cancel_job(1);
+    take_snapshot(sim, snap);
+    EXPECT_EQ(snap.removed_queues.count, 0u);
+    fp_record_free(&FLEET_SNAPSHOT_SCHEMA, &snap);
+}
+
+TEST(Fleet, ASnapshotByAVersionWithoutDroppedQueuesLoads)
+{
+    FleetSim sim;
+    sim.configure({"p", "q"});
+    sim.submit(1, {{}});
+    sim.configure({"p"});
+    fleet_snapshot snap;
+    take_snapshot(sim, snap);
+    fp_schema earlier = FLEET_SNAPSHOT_SCHEMA;
+    earlier.field_count--;
+    fp_blob saved = {nullptr, 0};
+    fp_encode(&earlier, &snap, &saved);
+    fp_record_free(&FLEET_SNAPSHOT_SCHEMA, &snap);
+    EXPECT_EQ(fleet_load(sim.fleet_state, &saved), FP_OK);
+    fp_blob_free(&saved);
+    ASSERT_NE(sim.find_job(1), nullptr);
+    EXPECT_TRUE(fleet_job_is_live(sim.find_job(1)));
+    EXPECT_EQ(sim.fleet_state->queues->len, 2u);
+}
+
 TEST(Fleet, TheQueueWithTheLongestPrefixIsFound)
 {
     FleetSim sim;
--- a/tests/inherit_test.cc
+++ b/tests/inherit_test.cc
@@ -105,6 +105,25 @@
     }
 }
 
+// Guards against LOST after a restart of all hosts.
+TEST(Inherit, WorkOfAQueueThatWasRemovedStartsAgain)
+{
+    for (bool restarted : {false, true}) {
+        FleetSim sim;
+        sim.configure({"q", "spare"});
+        sim.put_target("t1");
+        sim.submit(1, {{.count = 1, .lasting = true}});
+        sim.submit(2, {{.count = 1}});
+        sim.configure({"spare"});
+        if (restarted) {
+            sim.restart_from_snapshot();
+        }
+        sim.become_leader();
+        sim.run_pass();
+        EXPECT_EQ(sim.start_orders.size(), 2u);
+    }
+}
+
 TEST(Inherit, EachServiceThatAQueueHasHadCounts)
 {
     for (bool restarted : {false, true}) {
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -269,6 +269,9 @@
 core/raftlead.c	msg->received_bytes == follower->snap_offset_bytes &&	false &&	Raft.ASnapshotCrosses*
 core/raftlead.c	(now_ms - msg->echo_sent_ms) * 2	now_ms % 2	Raft.ASnapshotCrosses*
 core/resend.c	while (refusals > REFUSALS_QUICK	while (refusals > 1000000	Relay.CallsWait*
+core/fleetsave.c	    fleet_save_removed_queues(fleet, &snap);\n		Fleet.ADroppedQueueWith*
+core/fleetconf.c	!job->queue->configured && fleet_job_is_live(job)	!job->queue->configured	Fleet.SnapshotsHoldDropped*
+core/fleetsave.c	        fleet_load_removed_queues(loaded, &snap);\n		Inherit.WorkOfAQueueThatWasRemovedStarts*
 LIST
 echo "$CAUGHT passed, $MISSED failed"
 [ "$MISSED" = 0 ]
