Session fleet-evacuation: the targets read at each start what is evacuated

Cause, in the test: the session removes the file of evacuated zones and withdraws the order at once, but the targets read the file every 0.1 s only, so that a start in between, which is allowed, counted as a violation.

Change: the targets read the file at each start. So that nothing is checked less between the removal of the file and the withdrawal, the session now also compares the starts that were ordered in z2 right before it withdraws (one more line is expected).

--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -214,6 +214,7 @@
         self.crash_counts = {}  # task -> targets that it has crashed
         self.late_starts = {}  # task -> starts after three crashes
         self.evacuated = {}  # zone -> when that was acknowledged
+        self.evacuated_file = ""  # replaces the former at each start
         self.violations = 0
         self.start_count = 0
         self.end_counts = {}
@@ -264,18 +265,22 @@
                                   "saved: %s" % (task, checkpoint, where))
 
     def check_evacuated(self, target, where):
+        if self.evacuated_file:
+            self.read_evacuated()
         since_s = self.evacuated.get(target.zone)
         if since_s is not None and time.time() > since_s + EVACUATION_S:
             self.report_violation("a start in the evacuated zone %s: %s" % (
                 target.zone, where))
 
-    def read_evacuated(self, path):
+    def read_evacuated(self):
         self.evacuated = {}
-        if path and os.path.exists(path):
-            with open(path, encoding="utf-8") as lines:
+        try:
+            with open(self.evacuated_file, encoding="utf-8") as lines:
                 for line in lines:
                     zone, since_s = line.split()
                     self.evacuated[zone] = float(since_s)
+        except FileNotFoundError:
+            pass  # the order is being withdrawn, or none was given
 
     def report_violation(self, text):
         self.violations += 1
@@ -622,6 +627,7 @@
 async def run_targets(options):
     rng = random.Random(options.seed)
     checker = InvariantChecker()
+    checker.evacuated_file = options.evacuated
     targets = [Target(i, options, checker, rng) for i in range(options.count)]
 
     if options.site == "shop":  # that of the yard is a process of its own
@@ -642,7 +648,6 @@
     next_deaf = time.monotonic() + (options.deaf or 1e9)
     while time.monotonic() < deadline and not ended.is_set():
         await asyncio.sleep(0.1)
-        checker.read_evacuated(options.evacuated)
         if time.monotonic() >= next_restart:
             rng.choice(targets).restart()
             next_restart += options.restart
--- a/tests/sessions/fleet-evacuation.sh
+++ b/tests/sessions/fleet-evacuation.sh
@@ -53,6 +53,7 @@
 [ "$(starts_in z2)" = "$BEFORE" ] && echo "no start in z2"
 
 rm "$WORK/evacuated"
+[ "$(starts_in z2)" = "$BEFORE" ] && echo "no start in z2 until the withdrawal"
 evacuation withdraw z2 && echo "withdrawn"
 evacuation withdraw z2 && echo "withdrawn again"
 evacuation list
