Tests: results of parameterised tests count

run.sh read the names of unit tests by a pattern without a slash, so that a failing parameterised test (Loads/ShareReplay.*/0) would not have failed the run. The pattern takes them in now.

--- a/tests/run.sh
+++ b/tests/run.sh
@@ -32,7 +32,7 @@
     "$UNIT" >"$OUT/unit.log" 2>&1
     while read -r ok name; do
         if [ "$ok" = OK ]; then record_result "$name" 0; else record_result "$name" 1; fi
-    done < <(sed -n -E 's/^\[ +(OK|FAILED) +\] ([A-Za-z]+\.[A-Za-z0-9_]+) \(.*/\1 \2/p' "$OUT/unit.log")
+    done < <(sed -n -E 's/^\[ +(OK|FAILED) +\] ([A-Za-z\/]+\.[A-Za-z0-9_\/]+)(, where .*)? \([0-9]+ ms.*/\1 \2/p' "$OUT/unit.log")
     grep -q '^\[==========\].* ran\.' "$OUT/unit.log" || record_result "unit-tests-ended" 1
     grep -E -A 8 ': Failure$|ERROR: ' "$OUT/unit.log" | head -60
 }
