HTTP client: a refused connection says nothing about the source address

What callers saw: after two refused connections, as when the placement policy restarts, all later queries came from any address, so that the hosts of one machine were one asker to it. Refusals by one server moved the others too.

Cause: each failure to connect counted as one of the source address, summed over all servers, and a success from another address never ended this.

Change: failures are counted for each server, and only those that can be due to the source address: time-outs, no route, address not available, no permission and the like. A server that refuses was reached. After SOURCE_RETRY_MS the source address is tried again, by one connection. A server with such failures is kept while it has no connections.

Fetch.AServerOutOfReachOfTheSourceAddressIsReachedFromAnother was wrong: its server was down, not out of reach, and it expected another address after two refusals, which is the fault. Its successor lets connect() fail from the source address only, by a time-out and by five errors, and states as before that two failures lead to another address and a failure from there back, besides that other servers are not concerned. Multicast and broadcast source addresses were tried for this first and don't fail on every kernel.

Evidence: with the former source Fetch.AServerThatWasDown... fails, and so does the new AServerOutOfReach...

--- a/node/fetchplain.c
+++ b/node/fetchplain.c
@@ -19,7 +19,10 @@
 #define IDLE_PER_SERVER_PERMILLE 1300u
 #define IDLE_BASE 64u
 #define READ_BUFFER_BYTES 65536u
+/* Failures in a row after which a server is reached from any address, and the
+ * time until the source address is tried again. */
 #define SOURCE_FAILURES_MAX 2u
+#define SOURCE_RETRY_MS 10000u
 
 /* A server, by its address. */
 struct server {
@@ -27,6 +30,10 @@
     struct sockaddr_storage socket_address;
     GQueue idle; /* struct connection, most recently used first */
     uint32_t connections;
+    /* Connections in a row that could not be opened for what may be due to the
+     * source address; the server is kept while there are any. */
+    uint32_t source_failures;
+    uint64_t source_retry_ms; /* after SOURCE_FAILURES_MAX of them */
 };
 
 /* A request and what has come of its response. */
@@ -84,9 +91,6 @@
                               * used first */
     uint32_t in_flight;
     uint64_t opened;
-    /* Connections in a row that could not be opened from a request's source
-     * address; from SOURCE_FAILURES_MAX on, any address is used. */
-    uint32_t source_failures;
     bool source_logged;
     bool is_freed; /* freed once the last connection is closed */
     uint32_t closing;
@@ -168,7 +172,7 @@
     uv_close((uv_handle_t *)&connection->tcp, on_handle_closed);
     uv_close((uv_handle_t *)&connection->timer, on_handle_closed);
     connection->server = NULL;
-    if (--server->connections == 0) {
+    if (--server->connections == 0 && server->source_failures == 0) {
         g_hash_table_remove(client->servers, server->address);
     }
 }
@@ -221,15 +225,43 @@
     free_exchange(exchange);
 }
 
+/* Whether another source address may help after a failed connection. A
+ * server that refuses it was reached. */
+static bool
+may_be_due_to_source(int status)
+{
+    switch (status) {
+    case UV_ETIMEDOUT:
+    case UV_EHOSTUNREACH:
+    case UV_ENETUNREACH:
+    case UV_EADDRNOTAVAIL:
+    case UV_EADDRINUSE: /* no port of the source address is free */
+    case UV_EINVAL:
+    case UV_EACCES:
+    case UV_EPERM:
+        return true;
+    default:
+        return false;
+    }
+}
+
 /* A server that cannot be reached from any address either is probably down:
  * the next connections come from the source address again. */
 static void
-note_connect_failed(const struct connection *connection)
+note_connect_failed(const struct connection *connection, int status)
 {
-    struct plain_client *client = connection->client;
+    struct server *server = connection->server;
 
-    client->source_failures =
-        connection->is_bound ? client->source_failures + 1 : 0;
+    if (!connection->exchange->has_source || !may_be_due_to_source(status)) {
+        return;
+    }
+    if (connection->is_bound) {
+        server->source_failures++;
+        server->source_retry_ms = clock_mono_ms() + SOURCE_RETRY_MS;
+    }
+    else {
+        server->source_failures = 0;
+    }
 }
 
 /* Ends an exchange without a complete response. */
@@ -239,9 +271,6 @@
     struct exchange *exchange = connection->exchange;
     enum fp_err err = FP_ERR_MAY_HAVE_RUN;
 
-    if (connection->opened_ms == 0 && exchange->has_source) {
-        note_connect_failed(connection);
-    }
     exchange->closed = !timed_out;
     if (!exchange->is_sent) {
         err = timed_out ? FP_ERR_DEADLINE_EXCEEDED : FP_ERR_NOT_CONNECTED;
@@ -533,6 +562,9 @@
     if (connection->exchange->is_sent && read_pending_input(connection)) {
         return;
     }
+    if (connection->opened_ms == 0) {
+        note_connect_failed(connection, UV_ETIMEDOUT);
+    }
     fail_exchange(connection, true);
 }
 
@@ -556,25 +588,40 @@
     }
 }
 
-/* Binds a connection to the source address of its request, unless this has
- * failed. */
+/* Whether a new connection to a server comes from the source address. While
+ * this fails, one connection each SOURCE_RETRY_MS tries it. */
+static bool
+is_source_tried(struct server *server, uint64_t now_ms)
+{
+    if (server->source_failures < SOURCE_FAILURES_MAX) {
+        return true;
+    }
+    if (now_ms < server->source_retry_ms) {
+        return false;
+    }
+    server->source_retry_ms = now_ms + SOURCE_RETRY_MS;
+    return true;
+}
+
+/* Binds a connection to the source address of its request, if that is tried.
+ */
 static void
-bind_source(struct connection *connection)
+bind_source(struct connection *connection, uint64_t now_ms)
 {
-    struct plain_client *client = connection->client;
+    struct server *server = connection->server;
     const struct exchange *exchange = connection->exchange;
     int rc;
 
-    if (!exchange->has_source ||
-        client->source_failures >= SOURCE_FAILURES_MAX) {
+    if (!exchange->has_source || !is_source_tried(server, now_ms)) {
         return;
     }
     rc = uv_tcp_bind(&connection->tcp,
                      (const struct sockaddr *)&exchange->source, 0);
     connection->is_bound = rc == 0;
     if (rc != 0) {
-        client->source_failures = SOURCE_FAILURES_MAX;
-        log_source_unused(client, connection->server->address,
+        server->source_failures = SOURCE_FAILURES_MAX;
+        server->source_retry_ms = now_ms + SOURCE_RETRY_MS;
+        log_source_unused(connection->client, server->address,
                           uv_strerror(rc));
     }
 }
@@ -588,12 +635,13 @@
         return;
     }
     if (status != 0) {
+        note_connect_failed(connection, status);
         fail_exchange(connection, false);
         return;
     }
     connection->opened_ms = clock_mono_ms();
     if (connection->is_bound) {
-        connection->client->source_failures = 0;
+        connection->server->source_failures = 0;
     }
     else if (connection->exchange->has_source) {
         log_source_unused(connection->client, connection->server->address,
@@ -638,7 +686,7 @@
     uint64_t expires_ms = exchange->deadline_ms;
     int rc;
 
-    bind_source(connection);
+    bind_source(connection, now_ms);
     rc = uv_tcp_connect(&connection->connecting, &connection->tcp,
                         (const struct sockaddr *)&server->socket_address,
                         on_connected);
@@ -646,6 +694,7 @@
     if (rc != 0) {
         log_info(LOG_HTTP, "cannot connect to %s: %s", server->address,
                  uv_strerror(rc));
+        note_connect_failed(connection, rc);
         uv_timer_start(&connection->timer, on_attempt_failed, 0, 0);
         return;
     }
--- a/tests/fetch_test.cc
+++ b/tests/fetch_test.cc
@@ -2,12 +2,14 @@
 // failed connection attempt.
 
 #include <arpa/inet.h>
+#include <dlfcn.h>
 #include <fcntl.h>
 #include <gtest/gtest.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <atomic>
+#include <cerrno>
 #include <cstring>
 #include <string>
 #include <thread>
@@ -431,32 +433,117 @@
     EXPECT_EQ(again.last_client, "127.0.0.1");
 }
 
+// Connecting from an address fails while this lives; NULL: from any address.
+// By time-out without an error.
+struct OutOfReach {
+    static OutOfReach *now;
+    std::string from;
+    int error;
+    SaturatedListener full;
+    sockaddr_in full_address = {};
+    OutOfReach(const char *source, int connect_error)
+        : from(source != nullptr ? source : ""), error(connect_error)
+    {
+        socklen_t bytes = sizeof(full_address);
+        getsockname(full.fd, (sockaddr *)&full_address, &bytes);
+        now = this;
+    }
+    ~OutOfReach()
+    {
+        now = nullptr;
+    }
+    bool concerns(int fd) const
+    {
+        sockaddr_in own = {};
+        socklen_t bytes = sizeof(own);
+        char text[INET_ADDRSTRLEN];
+        getsockname(fd, (sockaddr *)&own, &bytes);
+        return from.empty() ||
+               from == inet_ntop(AF_INET, &own.sin_addr, text, sizeof(text));
+    }
+};
+OutOfReach *OutOfReach::now;
+
+} // namespace
+
+// Stands before the C library's.
+extern "C" int connect(int fd, const sockaddr *address, socklen_t bytes)
+{
+    static const auto real =
+        (int (*)(int, const sockaddr *, socklen_t))dlsym(RTLD_NEXT, "connect");
+    const OutOfReach *out = OutOfReach::now;
+    if (out == nullptr || !out->concerns(fd)) {
+        return real(fd, address, bytes);
+    }
+    if (out->error != 0) {
+        errno = out->error;
+        return -1;
+    }
+    return real(fd, (const sockaddr *)&out->full_address,
+                sizeof(out->full_address));
+}
+
+namespace {
+
 TEST(Fetch, AServerOutOfReachOfTheSourceAddressIsReachedFromAnother)
+{
+    for (int error : {0, EHOSTUNREACH, ENETUNREACH, EADDRNOTAVAIL, EINVAL,
+                      EACCES}) {
+        Client client;
+        Server server, other;
+        fetch_request request = {};
+        request.source = "127.0.0.77";
+        request.no_resend = true;
+        request.connect_timeout_ms = 150;
+        server.closes = other.closes = true;
+        {
+            OutOfReach out("127.0.0.77", error);
+            for (int i = 0; i < 2; i++) {
+                EXPECT_NE(client.request(server.url, request), FP_OK) << error;
+            }
+            EXPECT_EQ(server.connections, 0) << error;
+            for (int i = 0; i < 3; i++) {
+                EXPECT_EQ(client.request(server.url, request), FP_OK) << error;
+                EXPECT_EQ(server.last_client, "127.0.0.1") << error;
+            }
+        }
+        EXPECT_EQ(client.request(other.url, request), FP_OK) << error;
+        EXPECT_EQ(other.last_client, "127.0.0.77") << error;
+        {
+            OutOfReach out(nullptr, error);
+            EXPECT_NE(client.request(server.url, request), FP_OK) << error;
+        }
+        EXPECT_EQ(client.request(server.url, request), FP_OK) << error;
+        EXPECT_EQ(server.last_client, "127.0.0.77")
+            << error << ": no address reached it";
+    }
+}
+
+// A server stayed with another address for as long as that could connect.
+TEST(Fetch, ASourceAddressOutOfReachIsTriedAgain)
 {
     Client client;
+    Server server;
     fetch_request request = {};
-    std::string url;
-    uint16_t port;
-    {
-        Server server;
-        url = server.url;
-        port = (uint16_t)std::stoi(url.substr(url.rfind(':') + 1));
-    }
     request.source = "127.0.0.77";
     request.no_resend = true;
-    EXPECT_EQ(client.request(url, request), FP_ERR_NOT_CONNECTED);
-    EXPECT_EQ(client.request(url, request), FP_ERR_NOT_CONNECTED);
+    server.closes = true;
     {
-        Server server(port);
-        server.closes = true;
-        EXPECT_EQ(client.request(url, request), FP_OK);
+        OutOfReach out("127.0.0.77", EHOSTUNREACH);
+        EXPECT_NE(client.request(server.url, request), FP_OK);
+        EXPECT_NE(client.request(server.url, request), FP_OK);
+        EXPECT_EQ(client.request(server.url, request), FP_OK);
         EXPECT_EQ(server.last_client, "127.0.0.1");
+        sleep(11);
+        EXPECT_NE(client.request(server.url, request), FP_OK);
+        EXPECT_EQ(client.request(server.url, request), FP_OK)
+            << "one try is enough";
+    }
+    sleep(11);
+    for (int i = 0; i < 3; i++) {
+        EXPECT_EQ(client.request(server.url, request), FP_OK);
+        EXPECT_EQ(server.last_client, "127.0.0.77");
     }
-    EXPECT_EQ(client.request(url, request), FP_ERR_NOT_CONNECTED);
-    Server server(port);
-    server.closes = true;
-    EXPECT_EQ(client.request(url, request), FP_OK);
-    EXPECT_EQ(server.last_client, "127.0.0.77");
 }
 
 // A server that was down for a moment was then reached from an address that is
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -264,7 +264,9 @@
 core/resend.c	(times->mean_us + spread_us) / 1000	spread_us * 0	Resend.AHost*
 core/resend.c	while (open_copies > 1 &&	while (open_copies > 9 &&	Resend.ThePause*
 node/fetchplain.c	request->source != NULL &&	false &&	Fetch.AConnectionComes*
-node/fetchplain.c	client->source_failures >= SOURCE_FAILURES_MAX	false	Fetch.AServerOutOfReach*
+node/fetchplain.c	server->source_failures < SOURCE_FAILURES_MAX	true	Fetch.AServerOutOfReach*
+node/fetchplain.c	now_ms < server->source_retry_ms	true	Fetch.ASourceAddressOutOfReach*
+node/fetchplain.c	|| !may_be_due_to_source(status)		Fetch.AServerThat*
 node/fetch.c	source->sa_family == address->family &&	false &&	Fetch.AConnectionComes*
 core/raftlead.c	msg->received_bytes == follower->snap_offset_bytes &&	false &&	Raft.ASnapshotCrosses*
 core/raftlead.c	(now_ms - msg->echo_sent_ms) * 2	now_ms % 2	Raft.ASnapshotCrosses*
