--- a/core/helpers.h
+++ b/core/helpers.h
@@ -24,7 +24,7 @@
     uint32_t failures;     /* queries in a row */
     uint32_t delay_ms;     /* smoothed time of answers beyond the stated one */
     bool busy;
-    bool is_long; /* if busy: with a query that is not short */
+    bool is_long; /* its last query, which may still take a turn, was long */
 };
 
 /* How a query through a helper ended. */
--- a/node/dispatchpriv.h
+++ b/node/dispatchpriv.h
@@ -75,17 +75,15 @@
     GHashTable *helpers;    /* host to struct policy_helper */
     struct dispatch_policy_counters policy;
     struct query_pace pace;
-    GPtrArray *policy_queries; /* struct policy_query without an answer */
-    uint64_t last_answered_query_ms; /* when the last one of those that were
-                                      * answered was sent */
-    GHashTable *host_data_centres;   /* set of the names of those that have
-                                      * hosts of this system */
-    GHashTable *pending;             /* set of struct pending_request */
-    GPtrArray *unsent_starts;     /* struct pending_request: start orders that
-                                   * were not sent, to be reported to the plan */
-    GPtrArray *unstored_evidence; /* struct evidence_commit: not stored, to be
-                                   * proposed again */
-    GHashTable *submitting;       /* IDs of jobs that are proposed */
+    GPtrArray *policy_queries;     /* struct policy_query without an answer */
+    GHashTable *host_data_centres; /* set of the names of those that have
+                                    * hosts of this system */
+    GHashTable *pending;           /* set of struct pending_request */
+    GPtrArray *unsent_starts;      /* struct pending_request: start orders that
+                                    * were not sent, to be reported to the plan */
+    GPtrArray *unstored_evidence;  /* struct evidence_commit: not stored, to be
+                                    * proposed again */
+    GHashTable *submitting;        /* IDs of jobs that are proposed */
     bool local_query_pending; /* a query sent by this host has no answer yet */
     uint32_t start_answer_us; /* moving average of the answer time of start
                                * orders */
