--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -70,7 +70,7 @@
 core/planticket.c	ticket == NULL && answer->is_late && target != NULL	false	Plan.AnAnswerToAQueryThat*
 core/planticket.c	if (answer->is_late) {	if (false) {	Plan.AQueryThatWasGivenUp*
 core/planticket.c	if (!could_hold(step)) {	if (false) {	Plan.TicketsForAGangThat*
-core/planticket.c	return x_places ? -1 : 1;	return x_places ? 1 : -1;	Plan.AGangThatHasRoom*
+core/planticket.c	return x->places ? -1 : 1;	return x->places ? 1 : -1;	Plan.AGangThatHasRoom*
 core/planticket.c	longest->goes_first = true;	longest->goes_first = false;	Plan.AStepThatHadNoTurn*
 core/planticket.c	plan_add_size(&used, &target->reserved);	(void)used;	Plan.ReservedRoom*
 core/planticket.c	<< MIN(doublings, AHEAD_DOUBLINGS_MAX)	<< 0	Plan.RenewalsFor*
