--- a/node/relay.c
+++ b/node/relay.c
@@ -31,8 +31,7 @@
     char first_host[MSG_HOST_BYTES]; /* to which the first copy was sent */
     uint32_t open_copies;            /* copies that may still be processed */
     uint32_t sent_copies;
-    uint32_t
-        refusals; /* by hosts that do not lead, since a leader was found */
+    uint32_t refusals; /* by hosts that do not lead, since the last leader */
     uint64_t start_ms;
     uint64_t resend_ms; /* when to send the next copy */
     uint64_t deadline_ms;
