Review: a planned replacement of a core machine and one lost disk end the cell

Rules LOST and CONFIG. A fourth core machine joins, and 6 s later the first one gets SIGTERM and leaves for good. It stays a voter until it has been silent for 3.5 s. In that time one of the three others loses its disk, the only loss that counts: two of four voters are left, which elect nobody, and the machine that is back with an empty disk cannot be added. Accepted jobs and the configuration are gone for good.

--- a/review/cell.py
+++ b/review/cell.py
@@ -140,7 +140,7 @@
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.cores = ["127.0.0.1", "127.0.0.2", "127.0.0.3"]
         self.front_ip = "127.0.0.5"
-        self.port = free_port(self.cores + [self.front_ip, "127.0.1.1"])
+        self.port = free_port(self.cores + ["127.0.0.4", self.front_ip, "127.0.1.1"])
         self.minion_port = self.port + 5
         self.control = ["%s:%d" % (ip, self.port + 1) for ip in self.cores]
         self.front = "%s:%d" % (self.front_ip, self.port + 2)
@@ -496,18 +496,28 @@
                     answer.get("reason", ""))
         return status, answer
 
+    async def lose_connection(self, writer):
+        """What a machine without power does with a connection: nothing. Once it is up
+        again it resets it."""
+        while not self.is_up:
+            await asyncio.sleep(0.01)
+        writer.transport.abort()
+        raise ConnectionResetError
+
     async def serve(self, reader, writer):
         self.writers.add(writer)
         born_ms = self.born_ms
         try:
             while True:
                 line, fields, data = await read_message(reader)
+                if born_ms != self.born_ms or not self.is_up:
+                    await self.lose_connection(writer)
                 path = line.split()[1]
                 status, answer = await self.obey(
                     path.rsplit("/", 1)[1], fields,
                     json.loads(data) if data else {})
                 if born_ms != self.born_ms or not self.is_up:
-                    await asyncio.Event().wait()  # it has lost power
+                    await self.lose_connection(writer)
                 answer["clock_ms"] = self.clock_ms()
                 text = json.dumps(answer).encode()
                 writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
