--- a/review/cell.py
+++ b/review/cell.py
@@ -323,14 +323,19 @@
         self.clock = None
         self.writers = set()
         self.is_up = False
+        self.hung = []        # sockets, see hang_connections()
         self.begun = []       # tasks that it has begun, in all incarnations
         self.end_counts = {}  # how -> number, likewise
+        self.crashed_under = []  # jobs of the tasks that it ran when it ended
 
     def count_ends(self, how):
         return self.end_counts.get(how, 0)
 
     async def start(self):
         """Begins an incarnation: it holds and knows nothing of before."""
+        for item in self.hung:
+            item.close()
+        self.hung = []
         self.is_up = True
         self.born_ms = int(time.time() * 1000)
         self.start_s = time.monotonic()
@@ -357,14 +362,32 @@
         self.beats.cancel()
         self.clock.cancel()
         self.server.close()
+        if is_dark:
+            self.hang_connections()
         for writer in list(self.writers):
             if not is_dark:
                 writer.transport.abort()
         for task, run in list(self.runs.items()):
             self.rule.ended(task, self.id, run[0])
+            self.crashed_under.append(task.split(".")[0])
         self.record(self.id, "is gone:", why, "with", sorted(self.runs))
         self.runs = {}
 
+    def hang_connections(self):
+        """Lets new connections hang, as those to a machine without power do: the queue
+        of a listener that accepts nothing is full."""
+        ip, port = self.address.rsplit(":", 1)
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((ip, int(port)))
+        listener.listen(0)
+        self.hung = [listener]
+        for _ in range(3):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((ip, int(port)))
+            self.hung.append(filler)
+
     def clock_ms(self):
         return int((time.monotonic() - self.start_s) * 1000)
 
