--- a/review/8/case.py
+++ b/review/8/case.py
@@ -9,8 +9,7 @@
 import cell as stand
 
 JOB = "00000000000000a1"
-MINIONS = 8
-CUT_S = 3.0       # in which nothing from the core reaches the minion
+MINIONS = 9
 ENDS_ANYWAY_S = 3.0  # after a DELETE without an acknowledgement
 
 
