Targets that are said to be gone are kept until their runs have ended

Cause: a removal, another target at the address and the announcement of a new incarnation were taken for proofs that the runs there have ended, and the target's record was dropped with all that could have shown otherwise.

Change: such a target is marked in the replicated state (departed), gets no starts and is called on. What one that leaves still runs is stopped, since an end that it lists is known sooner than the end of its lease. A new incarnation ends the runs of the former one by its first list. A run whose start was sent twice is stopped on the next incarnation first. A lost target gets no starts while its removal is being stored. Event target.departed.

Tests changed: Fleet.AnAddressBelongs* asked for the removal of the former target, which is the fault; it now asks for the mark, and for the way back. Plan.AnUnansweredStartIsStoppedOnARestarted* asks besides that nothing starts before the new incarnation has listed its runs.

--- a/base/event.c
+++ b/base/event.c
@@ -77,6 +77,11 @@
     [EVENT_TARGET_OUTAGE] =
         {"target.outage", 100, "id over tasks",
          "what may run on an unresponsive target is recorded"},
+    [EVENT_TARGET_DEPARTED] = {"target.departed", 100,
+                               "id leaving listed runs",
+                               "a target said that it ends, or another one "
+                               "announced its address; it "
+                               "is removed once none of its runs can go on"},
     [EVENT_TARGET_LOST] =
         {"target.lost", 100, "id why",
          "a target is lost; no run is active there any more"},
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -137,7 +137,9 @@
            strcmp(known->data_centre, rec->data_centre) == 0 &&
            strcmp(known->rack, rec->rack) == 0 &&
            strcmp(known->labels, rec->labels) == 0 &&
-           rec->leaving <= known->leaving && !is_colder(fleet, known, rec);
+           rec->leaving <= known->leaving &&
+           (known->leaving || !known->departed) &&
+           !is_colder(fleet, known, rec);
 }
 
 enum fp_err
@@ -167,8 +169,22 @@
     g_hash_table_remove(fleet->targets, target->rec.id);
 }
 
-/* Removes older targets with the same address: it belongs to the incarnation
- * that started last. Returns false when a newer target has the address. */
+static void
+mark_departed(struct fleet *fleet, struct fleet_target *target)
+{
+    if (target->rec.departed) {
+        return;
+    }
+    target->rec.departed = true;
+    if (fleet->ops.target_changed != NULL) {
+        fleet->ops.target_changed(fleet->ops.ctx, target, false);
+    }
+}
+
+/* Marks older targets with the same address as departed: it belongs to the
+ * incarnation that started last. They are not removed: an invalid announcement
+ * may name the address of a target at work. Returns false when a newer target
+ * has the address. */
 static bool
 claim_address(struct fleet *fleet, const struct fleet_target_rec *rec)
 {
@@ -186,7 +202,7 @@
             is_newest = false;
         }
         else {
-            remove_target(fleet, other);
+            mark_departed(fleet, other);
         }
     }
     g_list_free(all);
@@ -216,11 +232,13 @@
         g_hash_table_insert(fleet->targets, target->rec.id, target);
     }
     else {
-        /* Leaving is final for an incarnation. */
+        /* Leaving is final for an incarnation, and with it departing. */
         bool leaving = rec->leaving || (!restarted && target->rec.leaving);
+        bool departed = leaving && !restarted && target->rec.departed;
 
         target->rec = *rec;
         target->rec.leaving = leaving;
+        target->rec.departed = departed;
         target->rec.changed_service = changed_service;
         if (restarted) {
             fleet_end_outage(target);
@@ -238,8 +256,14 @@
 {
     struct fleet_target *target = fleet_find_target(fleet, removal->id);
 
-    if (target != NULL &&
-        (removal->born_ms == 0 || removal->born_ms == target->rec.born_ms)) {
+    if (target == NULL ||
+        (removal->born_ms != 0 && removal->born_ms != target->rec.born_ms)) {
+        return;
+    }
+    if (removal->is_notice) {
+        mark_departed(fleet, target);
+    }
+    else {
         remove_target(fleet, target);
     }
 }
--- a/core/fleetrec.c
+++ b/core/fleetrec.c
@@ -207,6 +207,7 @@
     U64(fleet_target_rec, sequence),
     U32(fleet_target_rec, cold_ms),
     BOOL(fleet_target_rec, changed_service),
+    BOOL(fleet_target_rec, departed),
 };
 const struct fp_schema FLEET_TARGET_SCHEMA =
     SCHEMA("fleet-target-rec", FLEET_TARGET, fleet_target_rec,
@@ -217,6 +218,7 @@
     U64(fleet_target_removal, head.at_ms),
     STR(fleet_target_removal, id, FLEET_NAME_BYTES),
     U64(fleet_target_removal, born_ms),
+    BOOL(fleet_target_removal, is_notice),
 };
 const struct fp_schema FLEET_TARGET_REMOVAL_SCHEMA =
     SCHEMA("fleet-target-gone", FLEET_TARGET_REMOVAL, fleet_target_removal,
--- a/core/fleetrec.h
+++ b/core/fleetrec.h
@@ -238,6 +238,10 @@
     /* Set by the replicas: another service was announced under its ID. A start
      * that was sent to it before, or to its last incarnation, may go on. */
     bool changed_service;
+    /* Set by the replicas: it has said that it ends, or another target has
+     * announced its address. Neither proves that its runs have ended: it is
+     * kept, without starts, until none of them can go on. */
+    bool departed;
 };
 
 /* Evacuates a data centre: no run starts there any more. Or withdraws that
@@ -248,11 +252,14 @@
     bool withdrawn;
 };
 
-/* Removes a target. */
+/* Removes a target, or marks it as departed. */
 struct fleet_target_removal {
     struct change_head head;
     char id[FLEET_NAME_BYTES];
     uint64_t born_ms; /* incarnation; 0: any */
+    /* The target says that it ends: its runs may go on. Else none can. Hosts
+     * of older versions ignore this. */
+    bool is_notice;
 };
 
 /* A target does not answer or is leaving, and gets no starts before the record
--- a/core/plan.c
+++ b/core/plan.c
@@ -135,6 +135,10 @@
     plan_set_kind(ptarget);
     plan_update_place(plan, ptarget);
     plan_check_reservation(plan, ptarget);
+    if (target->rec.departed && !ptarget->departed) {
+        ptarget->evacuated = false; /* what is left is to be stopped too */
+    }
+    ptarget->departed = target->rec.departed;
     plan->dirty = true;
 }
 
@@ -156,8 +160,8 @@
     }
 }
 
-static void
-drop_lost_run(struct plan *plan, struct plan_run *run, uint64_t now_ms)
+void
+plan_drop_lost_run(struct plan *plan, struct plan_run *run, uint64_t now_ms)
 {
     struct plan_step *step = run->step;
     uint32_t run_number = run->run_number;
@@ -193,8 +197,8 @@
     reset_health(ptarget);
     ptarget->runs_known = true;
     while (ptarget->runs->len > 0) {
-        drop_lost_run(plan, ptarget->runs->pdata[ptarget->runs->len - 1],
-                      now_ms);
+        plan_drop_lost_run(plan, ptarget->runs->pdata[ptarget->runs->len - 1],
+                           now_ms);
     }
 }
 
@@ -211,18 +215,37 @@
     for (guint i = ptarget->runs->len; i > 0; i--) {
         struct plan_run *run = ptarget->runs->pdata[i - 1];
 
-        /* A run that was never listed may belong to the new incarnation. */
-        if (!run->start_in_flight && run->last_listed_ms != 0) {
-            drop_lost_run(plan, run, now_ms);
-            continue;
-        }
         run->state = RUN_UNKNOWN;
         run->active_since_ms = 0;
         run->stop_confirmed_ms = 0;
-        plan_order_stop(plan, run, "its target was started again", now_ms);
+        /* A copy of its start may reach the new incarnation, which accepts
+         * none once the run was stopped there. */
+        if (run->start_in_flight || run->last_listed_ms == 0 ||
+            run->start_resent) {
+            plan_order_stop(plan, run, PLAN_RESTARTED_REASON, now_ms);
+        }
+        else {
+            run->awaits_list_ms = now_ms;
+        }
     }
 }
 
+uint32_t
+plan_count_runs(const struct fleet_target *target)
+{
+    const struct plan_target *ptarget = target->plan;
+
+    return ptarget->runs->len;
+}
+
+bool
+plan_target_is_idle(const struct fleet_target *target)
+{
+    const struct plan_target *ptarget = target->plan;
+
+    return ptarget->runs_known && ptarget->runs->len == 0;
+}
+
 void
 plan_target_removed(struct plan *plan, struct fleet_target *target)
 {
--- a/core/plan.h
+++ b/core/plan.h
@@ -327,12 +327,16 @@
 void plan_target_lost(struct plan *plan, struct fleet_target *target,
                       enum plan_loss loss, uint64_t now_ms);
 
-/* The target restarted under its ID: the runs that it had listed are gone, but
- * a run whose start was not answered, or that was not listed yet, may belong
- * to the new incarnation. */
+/* The target restarted under its ID. That is proven by a list of the new
+ * incarnation, and so are the ends of its runs. One of which a copy of the
+ * start may still arrive is stopped there first. */
 void plan_target_restarted(struct plan *plan, struct fleet_target *target,
                            uint64_t now_ms);
 
+/* The first copy of a start order had no answer, and a second one is sent. */
+void plan_start_resent(struct fleet_target *target,
+                       const struct fleet_task_id *task, uint32_t run_number);
+
 /* Takes the run list of a target, requested at requested_ms. first: the
  * target's first list in this term, whose runs are adopted if their tasks need
  * one. */
@@ -406,6 +410,13 @@
  * since the target has not listed its runs in this term. */
 bool plan_list_tasks(const struct fleet_target *target, struct fp_list *tasks);
 
+/* Whether the target has listed its runs in this term, and none can be there.
+ */
+bool plan_target_is_idle(const struct fleet_target *target);
+
+/* Runs that may be on a target, as far as they are known. */
+uint32_t plan_count_runs(const struct fleet_target *target);
+
 /* When the next run on a target should end, by estimate; UINT64_MAX: none
  * will. */
 uint64_t plan_next_end_ms(const struct fleet_target *target);
--- a/core/plancrash.c
+++ b/core/plancrash.c
@@ -245,14 +245,15 @@
 
 /* A target that ends its connections has probably crashed, and its tasks that
  * allow copies start elsewhere before that is certain. A target that only does
- * not answer may be cut off: that adds to a suspicion, and raises none. */
+ * not answer may be cut off: that adds to a suspicion, and raises none. The
+ * silence of one that has departed was announced. */
 void
 plan_target_silent(struct plan *plan, struct fleet_target *target, bool closed,
                    uint64_t now_ms)
 {
     struct plan_target *ptarget = target->plan;
 
-    if (ptarget->silent_ms == 0) {
+    if (ptarget->silent_ms == 0 && !target->rec.departed) {
         begin_silence(plan, ptarget, closed, now_ms);
         for (guint i = 0; i < ptarget->runs->len; i++) {
             struct plan_run *run = ptarget->runs->pdata[i];
--- a/core/planlist.c
+++ b/core/planlist.c
@@ -91,6 +91,10 @@
         run->state = RUN_ACTIVE;
     }
     run->last_listed_ms = now_ms;
+    if (run->awaits_list_ms != 0) { /* a late copy of its start */
+        run->awaits_list_ms = 0;
+        plan_order_stop(plan, run, PLAN_RESTARTED_REASON, now_ms);
+    }
     plan_clear_survivor(plan, run, requested_ms);
     run->percent = listed->percent;
     run->load = listed->load;
@@ -114,6 +118,11 @@
                 plan_order_stop(plan, run, "its stop has no answer", now_ms);
             }
         }
+        else if (run->awaits_list_ms != 0 &&
+                 run->awaits_list_ms <= requested_ms) {
+            plan_drop_lost_run(plan, run, now_ms);
+            i--; /* the last run was moved here */
+        }
         else if (run->stop_confirmed_ms != 0 &&
                  run->stop_confirmed_ms < requested_ms) {
             plan_remove_run(plan, run);
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -41,6 +41,11 @@
     bool is_open_crash; /* counted in its task's open_crashes */
     bool is_judged;     /* the crash of its target was counted */
     bool is_whole;      /* ordered in this term, not from a checkpoint */
+    bool start_resent;  /* the first copy of its start order may still be
+                         * carried out, by a later incarnation as well */
+    uint64_t awaits_list_ms; /* when its target was started again: the list
+                              * of that incarnation shows whether the run has
+                              * ended; 0: it was not */
 };
 
 /* Targets of one service with the same labels, but for the rack, and the same
@@ -94,6 +99,7 @@
     bool runs_known;    /* has listed its runs, or certainly has none */
     uint64_t leaves_ms; /* may be gone from then on; 0: it is not leaving */
     bool evacuated;     /* the runs that would be lost there were stopped */
+    bool departed;      /* as of its record, when that last changed */
     bool in_evacuation; /* its data centre is evacuated */
     uint64_t cold_until_ms;    /* slow after its start; 0: it is not */
     uint64_t last_start_ms;    /* when a start was last ordered; 0: never */
@@ -336,6 +342,10 @@
 
 /* plan.c */
 
+/* Removes a run that cannot go on, as its target was lost or started again. */
+void plan_drop_lost_run(struct plan *plan, struct plan_run *run,
+                        uint64_t now_ms);
+#define PLAN_RESTARTED_REASON "its target was started again"
 /* Whether a job with these times has little slack. */
 bool plan_is_tight(uint32_t objective_ms, uint32_t critical_path_ms);
 
@@ -454,7 +464,7 @@
 plan_takes_starts(const struct plan_target *target)
 {
     return target->usable && !target->target->rec.leaving &&
-           !target->in_evacuation;
+           !target->target->rec.departed && !target->in_evacuation;
 }
 
 /* Takes over what a target's announcement says of its data centre, and whether
--- a/core/planrun.c
+++ b/core/planrun.c
@@ -573,6 +573,17 @@
     }
 }
 
+void
+plan_start_resent(struct fleet_target *target,
+                  const struct fleet_task_id *task, uint32_t run_number)
+{
+    struct plan_run *run = plan_find_run(target->plan, task, run_number);
+
+    if (run != NULL) {
+        run->start_resent = true;
+    }
+}
+
 void
 plan_stop_answered(struct plan *plan, struct fleet_target *target,
                    const struct fleet_task_id *task, uint32_t run_number,
@@ -595,7 +606,9 @@
  * once if it has no checkpoints, as all that it does until then is lost; just
  * in time if it resumes from its last checkpoint, or if it serves. An
  * inherited run, whose start is not known, gets the time that there is, and
- * one that takes longer than expected too. */
+ * one that takes longer than expected too. A target that has said that it ends
+ * may go on for some seconds: what it still runs is stopped, as an end that it
+ * lists is known sooner than the end of its lease. */
 static bool
 must_leave(const struct plan_target *target, const struct plan_run *run,
            bool is_last_moment, uint64_t now_ms)
@@ -605,7 +618,7 @@
     if (def == NULL || run->state != RUN_ACTIVE) {
         return false;
     }
-    if (def->lasting) {
+    if (def->lasting || target->departed) {
         return is_last_moment;
     }
     if (run->expected_end_ms > target->leaves_ms) {
@@ -627,8 +640,9 @@
     if (target->evacuated || !target->runs_known) {
         return;
     }
-    is_last_moment = now_ms + plan->params.stop_ms + EVACUATE_MARGIN_MS >=
-                     target->leaves_ms;
+    is_last_moment = target->departed ||
+                     now_ms + plan->params.stop_ms + EVACUATE_MARGIN_MS >=
+                         target->leaves_ms;
     target->evacuated = is_last_moment;
     for (guint i = 0; i < target->runs->len; i++) {
         struct plan_run *run = target->runs->pdata[i];
--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -481,6 +481,7 @@
         on_announce(dispatch, caller, &record->announce);
         break;
     case CALL_LEAVE:
+        record->removal.is_notice = true;
         dispatch_propose(dispatch, caller, &FLEET_TARGET_REMOVAL_SCHEMA,
                          &record->removal);
         break;
--- a/node/dispatchlane.c
+++ b/node/dispatchlane.c
@@ -23,6 +23,7 @@
 #define LOSSY_PERIOD_MS 4000u       /* in which further losses are likely */
 #define HOLD_RETRY_MS 80u           /* delay after a failed hold call */
 #define REMOVAL_DELAY_MS 1500u      /* until a lost target is removed */
+#define DEPARTED_RETRY_MS 500u      /* HOLD_RETRY_MS of a departed target */
 
 static struct target_session *
 session_of(const struct dispatch *dispatch, const struct fleet_target *target)
@@ -189,6 +190,7 @@
         plan_target_takes_starts(target) &&
         plan_awaits_start(target, &pending->task, pending->run_number)) {
         pending->resent = true;
+        plan_start_resent(target, &pending->task, pending->run_number);
         send_start(session, target, pending);
         return;
     }
@@ -482,7 +484,9 @@
     plan_runs_listed(dispatch->plan, target, reply->runs, reply->run_count,
                      !session->runs_listed, sent_ms, now_ms);
     session->runs_listed = true;
-    if (!session->outage_known || session->leaving) {
+    /* While its removal may be stored it must not get starts. */
+    if ((!session->outage_known || session->leaving) &&
+        !session->removal_in_flight) {
         plan_set_target_usable(dispatch->plan, target, session->has_clock);
     }
     session->next_hold_ms = now_ms;
@@ -500,7 +504,9 @@
               EVENT_STR("why", reason));
         session->lost = true;
         session->lost_ms = now_ms;
-        plan_target_lost(session->dispatch->plan, target, loss, now_ms);
+        plan_target_lost(
+            session->dispatch->plan, target,
+            session->departed && session->leaving ? LOSS_LEFT : loss, now_ms);
     }
 }
 
@@ -522,7 +528,8 @@
     }
     session->silent = true;
     ends_call_unanswered(&session->ends_ack);
-    session->next_hold_ms = now_ms + HOLD_RETRY_MS;
+    session->next_hold_ms =
+        now_ms + (session->departed ? DEPARTED_RETRY_MS : HOLD_RETRY_MS);
     plan_target_silent(session->dispatch->plan, target, reply->closed, now_ms);
     if (reply->answer == ORDER_WRONG_INCARNATION) {
         declare_lost(session, target, LOSS_CRASHED,
@@ -630,6 +637,7 @@
     session->leases_over_ms =
         clock_mono_ms() + dispatch_earlier_leases_ms(dispatch);
     session->leaving = target->rec.leaving;
+    session->departed = target->rec.departed;
     session->outage_known = target->is_out;
     g_hash_table_insert(dispatch->sessions, session->id, session);
 }
@@ -666,7 +674,6 @@
     session->ends_in_flight = false;
     session->has_clock = false;
     session->lost = false;
-    session->removal_proposed = false;
     memset(&session->ends_ack, 0, sizeof(session->ends_ack));
     session->next_hold_ms = 0;
     session->silent = false;
@@ -678,27 +685,51 @@
 static void
 on_removal_done(void *ctx, enum fp_err err, const struct change_answer *answer)
 {
-    (void)ctx;
+    struct pending_request *pending = ctx;
+    struct fleet_target *target =
+        pending->dispatch != NULL ? dispatch_target_of(pending) : NULL;
+
     (void)answer;
     if (err != FP_OK) {
-        log_info(LOG_SCHED, "could not store the removal of a target: %s",
-                 fp_err_row(err)->name);
+        log_info(LOG_SCHED, "could not store the removal of target %s: %s",
+                 pending->target_id, fp_err_row(err)->name);
+    }
+    if (target != NULL) {
+        session_of(pending->dispatch, target)->removal_in_flight = false;
     }
+    dispatch_drop_pending(pending);
 }
 
-/* Proposes to remove a lost target. Otherwise each new leader would have to
- * wait for its lease to expire. If the target still runs, it announces itself
- * again. */
+/* Proposes to remove a target on which no run can go on. Otherwise each new
+ * leader would have to wait for its lease to expire. If the target still runs,
+ * it announces itself again. */
 static void
-propose_removal(struct target_session *session)
+propose_removal(struct target_session *session, struct fleet_target *target)
 {
+    struct dispatch *dispatch = session->dispatch;
     struct fleet_target_removal removal = {.born_ms = session->born_ms};
 
-    session->removal_proposed = true;
+    session->removal_in_flight = true;
+    plan_set_target_usable(dispatch->plan, target, false);
     g_strlcpy(removal.id, session->id, sizeof(removal.id));
-    replica_propose(session->dispatch->deps.replica,
-                    &FLEET_TARGET_REMOVAL_SCHEMA, &removal, on_removal_done,
-                    NULL);
+    replica_propose(dispatch->deps.replica, &FLEET_TARGET_REMOVAL_SCHEMA,
+                    &removal, on_removal_done,
+                    dispatch_add_pending(dispatch, session));
+}
+
+/* Whether a target is to be removed: it is lost, or it has departed and none
+ * of its runs can go on. */
+static bool
+is_removal_due(const struct target_session *session,
+               const struct fleet_target *target, uint64_t now_ms)
+{
+    if (session->removal_in_flight) {
+        return false;
+    }
+    if (session->departed) {
+        return session->lost || plan_target_is_idle(target);
+    }
+    return session->lost && now_ms >= session->lost_ms + REMOVAL_DELAY_MS;
 }
 
 static void
@@ -710,11 +741,7 @@
     struct fleet_target *target;
 
     dispatch_tick_outage(session, now_ms);
-    if (session->lost && !session->removal_proposed &&
-        now_ms >= session->lost_ms + REMOVAL_DELAY_MS) {
-        propose_removal(session);
-    }
-    if (!lapses && !calls) {
+    if (!lapses && !calls && !session->lost && !session->departed) {
         return;
     }
     target = fleet_find_target(session->dispatch->deps.fleet, session->id);
@@ -722,7 +749,10 @@
         plan_target_silent(session->dispatch->plan, target, false, now_ms);
         declare_lost(session, target, LOSS_LEASE, "its lease is over", now_ms);
     }
-    if (calls) {
+    if (is_removal_due(session, target, now_ms)) {
+        propose_removal(session, target);
+    }
+    else if (calls) {
         send_hold(session, target, now_ms);
     }
 }
--- a/node/dispatchoutage.c
+++ b/node/dispatchoutage.c
@@ -86,6 +86,13 @@
         g_hash_table_lookup(dispatch->sessions, target->rec.id);
 
     session->leaving = target->rec.leaving;
+    if (target->rec.departed && !session->departed) {
+        EVENT(EVENT_TARGET_DEPARTED, EVENT_STR("id", session->id),
+              EVENT_INT("leaving", session->leaving),
+              EVENT_INT("listed", session->runs_listed),
+              EVENT_INT("runs", plan_count_runs(target)));
+    }
+    session->departed = target->rec.departed;
 }
 
 /* One proposal at a time, so that the end is never stored before its outage.
@@ -96,7 +103,7 @@
     if (session->outage_in_flight || !session->runs_listed || session->lost) {
         return;
     }
-    if (session->leaving ||
+    if (session->leaving || session->departed ||
         (session->silent &&
          now_ms >= session->silent_since_ms + OUTAGE_MIN_MS)) {
         if (!session->outage_known) {
--- a/node/dispatchpriv.h
+++ b/node/dispatchpriv.h
@@ -20,13 +20,13 @@
 struct target_session {
     struct dispatch *dispatch;
     char id[FLEET_NAME_BYTES];
-    uint64_t born_ms;      /* start time of the target's incarnation */
-    uint64_t announced;    /* highest sequence of its announcements */
-    bool hold_in_flight;   /* a hold call is not answered yet */
-    bool ends_in_flight;   /* a proposal of ends is not committed yet */
-    bool runs_listed;      /* the target has listed its runs in this term */
-    bool lost;             /* no run that was ordered can still be running */
-    bool removal_proposed; /* the removal from the fleet is proposed */
+    uint64_t born_ms;       /* start time of the target's incarnation */
+    uint64_t announced;     /* highest sequence of its announcements */
+    bool hold_in_flight;    /* a hold call is not answered yet */
+    bool ends_in_flight;    /* a proposal of ends is not committed yet */
+    bool runs_listed;       /* the target has listed its runs in this term */
+    bool lost;              /* no run that was ordered can still be running */
+    bool removal_in_flight; /* a proposal of its removal is not answered yet */
     bool has_clock;
     /* The target's clock showed at least clock_ms at clock_read_ms of this
      * host's clock. */
@@ -41,6 +41,7 @@
     bool silent;                  /* the last hold call failed */
     uint64_t silent_since_ms;
     bool leaving;          /* for good: it gets no starts */
+    bool departed;         /* see struct fleet_target_rec */
     bool outage_known;     /* the record of an outage is, or may become, part
                             * of the fleet's state: no starts */
     bool outage_in_flight; /* a proposal of it is not answered yet */
@@ -126,7 +127,7 @@
 
 /* dispatchoutage.c */
 
-/* Takes over from an announcement whether a target is leaving. */
+/* Takes over from a target's record whether it is leaving or has departed. */
 void dispatch_set_leaving(struct dispatch *dispatch,
                           const struct fleet_target *target);
 
--- a/tests/crash_test.cc
+++ b/tests/crash_test.cc
@@ -54,11 +54,32 @@
         rec.cpu_milli = host.cpu_milli;
         rec.memory_mb = 100000;
         ASSERT_EQ(apply_change(&FLEET_TARGET_SCHEMA, &rec).err, FP_OK);
+        lose_departed(host.address);
         if (planner != nullptr) {
             set_usable(host.id);
             report_runs(host.id, {}, true, now_ms);
         }
     }
+    // Orders for the former targets at an address are answered by the one that is
+    // there now, as another incarnation.
+    void lose_departed(const std::string &address)
+    {
+        std::vector<std::string> departed;
+        GHashTableIter iter;
+        fleet_target *target;
+        g_hash_table_iter_init(&iter, fleet_state->targets);
+        while (g_hash_table_iter_next(&iter, nullptr, (gpointer *)&target)) {
+            if (target->rec.departed && address == target->rec.address) {
+                departed.push_back(target->rec.id);
+            }
+        }
+        for (const auto &id : departed) {
+            if (planner != nullptr) {
+                plan_target_lost(planner, find_target(id), LOSS_CRASHED, now_ms);
+            }
+            remove_target(id);
+        }
+    }
     void add_hosts(size_t count, uint32_t cpu_milli = 8000, size_t per_rack = 4)
     {
         for (size_t i = 0; i < count; i++) {
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -265,11 +265,17 @@
     g_strlcpy(rec.id, "t2", FLEET_NAME_BYTES);
     rec.born_ms = 20;
     EXPECT_EQ(sim.apply_change(&FLEET_TARGET_SCHEMA, &rec).err, FP_OK);
-    EXPECT_EQ(sim.find_target("t1"), nullptr);
+    ASSERT_NE(sim.find_target("t1"), nullptr) << "its runs may go on";
+    EXPECT_TRUE(sim.find_target("t1")->rec.departed);
+    EXPECT_FALSE(sim.find_target("t2")->rec.departed);
     g_strlcpy(rec.id, "t1", FLEET_NAME_BYTES);
     rec.born_ms = 10; // a delayed announcement
     EXPECT_EQ(sim.apply_change(&FLEET_TARGET_SCHEMA, &rec).err, FP_ERR_STALE);
+    EXPECT_TRUE(sim.find_target("t1")->rec.departed);
     EXPECT_NE(sim.find_target("t2"), nullptr);
+    sim.remove_target("t2"); // nothing answers for it there
+    EXPECT_EQ(sim.apply_change(&FLEET_TARGET_SCHEMA, &rec).err, FP_OK);
+    EXPECT_FALSE(sim.find_target("t1")->rec.departed) << "it is at work";
 }
 
 // Guards against one invalid entry that shuts out a target at work: with a start in
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -151,7 +151,7 @@
 core/planinherit.c	if (!is_out) {	if (true) {	Plan.ATargetThatWasOut*
 core/fleetsave.c	    fleet_save_outages(fleet, &snap);	    ;	Plan.ATargetThatWasOut*
 core/fleet.c	            fleet_end_outage(target);	            ;	Plan.TheRecordOfAnOutage*
-core/plan.c	if (!run->start_in_flight && run->last_listed_ms != 0) {	if (run->last_listed_ms != 0) {	Plan.AnUnansweredStartIsStopped*
+core/plan.c	if (run->start_in_flight || run->last_listed_ms == 0 ||	if (run->last_listed_ms == 0 ||	Plan.AnUnansweredStartIsStopped*
 core/planlist.c	else if (run->stop_confirmed_ms != 0 &&\n                 run->stop_confirmed_ms < requested_ms) {	else if (run->stop_confirmed_ms != 0) {	Plan.AnUnanswered*
 core/planfit.c	task->failures.count < max_attempts);	true);	Plan.NoStart*
 core/planfit.c	count_step_runs(target, step) + target->members <\n                step->def->spread);	true);	Plan.AtMost*
@@ -159,7 +159,7 @@
 core/planfit.c	step->wait_reason = "its team is at its limit";\n            return;	step->wait_reason = "its team is at its limit";	Plan.ATeamLimit*
 core/planfit.c	now_ms + TICKET_MIN_REMAINING_MS < ticket->valid_until_ms	true	Plan.TicketsAre*
 core/planticket.c	target->mark != plan->mark &&	true &&	Plan.AQueryAfterARefusal*
-core/plan.c	if (!run->start_in_flight && run->last_listed_ms != 0) {	if (!run->start_in_flight) {	Plan.AConfirmed*
+core/plan.c	if (run->start_in_flight || run->last_listed_ms == 0 ||	if (run->start_in_flight ||	Plan.AConfirmed*
 core/fleetconf.c	if (config->version <= fleet->config.version) {	if (false) {	Fleet.TheHighest*
 core/fleet.c	if (fleet_find_job(fleet, submit->id) != NULL) {	if (false) {	Fleet.AResubmitted*
 core/members.c	return voters > 1 && alive > (voters - 1) / 2 ? silent : NULL;	return silent;	Members.*
@@ -175,7 +175,7 @@
 core/planrun.c	    if (run->expected_end_ms > target->leaves_ms) {	    if (true) {	Plan.WorkWithACheckpoint*
 core/planrun.c	return is_last_moment || (!def->checkpoints && !run->is_inherited);	return is_last_moment;	Plan.AGangWithoutCheckpoints*
 core/planrun.c	run->expected_end_ms < now_ms;	false;	Plan.AnOverdueRun*
-core/planpriv.h	           !target->in_evacuation;	           true;	Evac.AnEvacuatedDataCentreGets*
+core/planpriv.h	!target->target->rec.departed && !target->in_evacuation;	!target->target->rec.departed;	Evac.AnEvacuatedDataCentreGets*
 core/planevac.c	        release_target(plan, target);	        (void)release_target;	Evac.AReservationIs*
 core/planevac.c	return count_away(step, now_ms) < away_limit(step->def);	return true;	Evac.LastingTasksAreMoved*
 core/planevac.c	                has_room_elsewhere(plan, run->step, now_ms)	                has_room_elsewhere != NULL	Evac.ALastingTaskWithoutRoom*
@@ -274,6 +274,12 @@
 core/fleetsave.c	    fleet_save_removed_queues(fleet, &snap);\n		Fleet.ADroppedQueueWith*
 core/fleetconf.c	!job->queue->configured && fleet_job_is_live(job)	!job->queue->configured	Fleet.SnapshotsHoldDropped*
 core/fleetsave.c	        fleet_load_removed_queues(loaded, &snap);\n		Inherit.WorkOfAQueueThatWasRemovedStarts*
+core/fleet.c	    if (removal->is_notice) {	    if (false) {	Departed.TheRunsOfARemovedTargetStart*
+core/fleet.c	            mark_departed(fleet, other);	            remove_target(fleet, other);	Departed.AnotherTarget*
+core/fleetrec.c	    BOOL(fleet_target_rec, departed),\n		Departed.ALaterLeader*
+core/planpriv.h	           !target->target->rec.departed && !target->in_evacuation;	           !target->in_evacuation;	Departed.ATargetThatIsSaid*
+core/plan.c	            run->start_resent) {	            false) {	Departed.ALateCopy*
+core/plan.c	            run->awaits_list_ms = now_ms;	            plan_drop_lost_run(plan, run, now_ms);	Departed.AnAnnounced*
 LIST
 echo "$CAUGHT passed, $MISSED failed"
 [ "$MISSED" = 0 ]
--- a/tests/plan_test.cc
+++ b/tests/plan_test.cc
@@ -642,6 +642,9 @@
     sim.run_pass(5);
     ASSERT_EQ(sim.stop_orders.size(), 1u);
     EXPECT_EQ(sim.stop_orders[0].task.index, sim.start_orders[1].task.index);
+    EXPECT_EQ(sim.start_orders.size(), 2u) << "the new incarnation has listed nothing";
+    sim.report_runs("t1", {}, false, sim.now_ms);
+    sim.run_pass(5);
     ASSERT_EQ(sim.start_orders.size(), 3u)
         << "only the confirmed run starts elsewhere";
     EXPECT_EQ(sim.start_orders[2].task.index, sim.start_orders[0].task.index);
--- a/tests/plan_world.h
+++ b/tests/plan_world.h
@@ -176,6 +176,17 @@
         fp_blob_free(&saved);
     }
 
+    // Removes a target; notice: it says that it ends.
+    void remove_target(const std::string &id, bool notice = false)
+    {
+        fleet_target_removal removal;
+        memset(&removal, 0, sizeof(removal));
+        g_strlcpy(removal.id, id.c_str(), FLEET_NAME_BYTES);
+        removal.is_notice = notice;
+        ASSERT_EQ(apply_change(&FLEET_TARGET_REMOVAL_SCHEMA, &removal).err,
+                  FP_OK);
+    }
+
     // Adds or updates a target.
     void put_target(const std::string &id, uint32_t cpu_milli = 8000,
                     uint32_t accel = 0, const std::string &rack = "r1",
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -4,6 +4,7 @@
 
   standin.py targets --count N --control HOST:PORT,... [--late SHARE]
                      [--lost SHARE] [--restart SECONDS] [--resize SECONDS]
+                     [--depart SECONDS]
                      [--zones N] [--evacuated FILE] [--invalid SHARE] [--seed N]
   standin.py configure --control HOST:PORT,... --version N
   standin.py jobs --front HOST:PORT,... --count N [--deadly SHARE] [--seed N]
@@ -26,6 +27,7 @@
 import argparse
 import asyncio
 import json
+import math
 import os
 import random
 import signal
@@ -187,6 +189,7 @@
     return data
 
 
+DEPARTED_S = 3.0  # a target works on after it has said that it ends
 EVACUATION_S = 5.0  # from the acknowledgement of an evacuation
 GANG_MS = 3000  # a member waits this long for the others
 
@@ -305,6 +308,7 @@
         self.old_announcement = None
         self.down_until = 0
         self.deaf_until = 0
+        self.state = "ready"
         self.sequence = 0
         self.writers = set()
         self.restart()
@@ -337,6 +341,19 @@
             self.restart()
             self.down_until = time.monotonic() + 1.5
 
+    async def depart(self):
+        """Drains, says that it ends, and works on for some seconds: the answers
+        to that, and all orders, are lost."""
+        self.state = "draining"
+        await asyncio.sleep(2)
+        self.state = "gone"
+        self.deaf_until = time.monotonic() + DEPARTED_S
+        await request(self.rng.choice(self.options.control.split(",")),
+                      "DELETE", "/filbertpath/instances/" + self.id)
+        await asyncio.sleep(DEPARTED_S)
+        self.restart()
+        self.down_until = math.inf
+
     def resize(self):
         self.allowed_cpu.append((time.monotonic() + 4, self.capacity["cpu"]))
         self.capacity = dict(self.capacity,
@@ -530,13 +547,13 @@
     async def keep_announcing(self):
         controls = self.options.control.split(",")
         while True:
-            if time.monotonic() < self.down_until:
+            if time.monotonic() < self.down_until or self.state == "gone":
                 await asyncio.sleep(0.1)
                 continue
             self.sequence += 1
             body = {"service": self.service, "address": self.announced_address,
                     "zone": self.zone, "version": "v1", "slots": 8,
-                    "state": "ready", "cold_remaining_ms": 0,
+                    "state": self.state, "cold_remaining_ms": 0,
                     "capacity": self.capacity,
                     "labels": ["a", "r1-%d" % (self.number // 5)],
                     "clock_ms": self.clock_ms(), "sequence": self.sequence,
@@ -645,6 +662,8 @@
     deadline = time.monotonic() + options.seconds
     next_restart = time.monotonic() + (options.restart or 1e9)
     next_resize = time.monotonic() + (options.resize or 1e9)
+    departing = targets[::3] if options.depart else []
+    next_depart = time.monotonic() + options.depart
     next_deaf = time.monotonic() + (options.deaf or 1e9)
     while time.monotonic() < deadline and not ended.is_set():
         await asyncio.sleep(0.1)
@@ -654,6 +673,10 @@
         if time.monotonic() >= next_deaf:
             rng.choice(targets).deaf_until = next_deaf + options.deaf_for
             next_deaf += options.deaf
+        if time.monotonic() >= next_depart:
+            for target in departing:
+                asyncio.ensure_future(target.depart())
+            departing = []
         if time.monotonic() >= next_resize:
             rng.choice(targets).resize()
             next_resize += options.resize
@@ -815,6 +838,8 @@
     parser.add_argument("--deaf-for", type=float, default=2.5,
                         help="seconds for which one does, while it runs on")
     parser.add_argument("--resize", type=float, default=0)
+    parser.add_argument("--depart", type=float, default=0,
+                        help="seconds until every third target leaves, and works on")
     parser.add_argument("--invalid", type=float, default=0,
                         help="share of lists with an invalid entry")
     parser.add_argument("--policy-faults", type=float, default=0,
