A list of ends that may be cut proves nothing about runs without a row

Cause: a target returns its ends "500 at a time". The answer was taken for the whole: a run in neither list counted as one that does not exist, the target as known, and inherited work was released. The end of such a run may be among those left out.

Change: an answer says whether its ends may be cut, by the number of its rows, readable or not. A cut one adds what it lists and concludes nothing: no run is missing, no confirmed stop frees its task, a target without a whole list stays unlisted and gets no starts. The next calls do not wait. Ends and outages that the replicas refuse count as not stored; the leader did not look at their answers. Event target.ends_cut.

The stand-in lists 500 ends at a time, and its check remembers tasks that were started again while their end was still listed: it looked only at starts after an acknowledged end, and did not see this.

--- a/base/event.c
+++ b/base/event.c
@@ -82,6 +82,10 @@
                                "a target said that it ends, or another one "
                                "announced its address; it "
                                "is removed once none of its runs can go on"},
+    [EVENT_TARGET_ENDS_CUT] =
+        {"target.ends_cut", 100, "id ends runs known",
+         "a target has more ends than it lists at once; known: runs that are "
+         "still without an end"},
     [EVENT_TARGET_LOST] =
         {"target.lost", 100, "id why",
          "a target is lost; no run is active there any more"},
--- a/bench/simlead.c
+++ b/bench/simlead.c
@@ -123,6 +123,7 @@
     struct fleet_target *fleet_target =
         fleet_find_target(sim->fleet, target->id);
     struct fp_list ends = {NULL, 0};
+    struct plan_run_list list;
     struct sim_event *commit;
     uint64_t last_number = 0;
 
@@ -145,10 +146,12 @@
         copy = fp_list_add(&ends, sizeof(*copy));
         *copy = unacked_end->end;
     }
-    plan_runs_listed(sim->plan, fleet_target,
-                     (const void *)event->listed_runs->data,
-                     event->listed_runs->len, !target->runs_listed,
-                     target->hold_sent_ms, sim->now_ms);
+    list =
+        (struct plan_run_list){.runs = (const void *)event->listed_runs->data,
+                               .count = event->listed_runs->len,
+                               .is_first = !target->runs_listed,
+                               .requested_ms = target->hold_sent_ms};
+    plan_runs_listed(sim->plan, fleet_target, &list, sim->now_ms);
     target->runs_listed = true;
     target->lost = false;
     plan_set_target_usable(sim->plan, fleet_target, true);
--- a/core/plan.h
+++ b/core/plan.h
@@ -111,6 +111,17 @@
                                * last one that fitted stays */
 };
 
+/* A target's list of its runs, from one answer. */
+struct plan_run_list {
+    const struct plan_listed_run *runs;
+    uint32_t count;
+    bool is_first; /* no whole one came before it in this term: runs are
+                    * adopted if their tasks need one */
+    bool is_cut;   /* the answer may have left out ends: a run that is not
+                    * listed may have ended */
+    uint64_t requested_ms;
+};
+
 /* Why a step waits. */
 struct plan_wait {
     struct fleet_task_id step;
@@ -337,12 +348,10 @@
 void plan_start_resent(struct fleet_target *target,
                        const struct fleet_task_id *task, uint32_t run_number);
 
-/* Takes the run list of a target, requested at requested_ms. first: the
- * target's first list in this term, whose runs are adopted if their tasks need
- * one. */
+/* Takes a target's list of its runs. Call plan_run_ended() first for the ends
+ * in the same answer. */
 void plan_runs_listed(struct plan *plan, struct fleet_target *target,
-                      const struct plan_listed_run *listed, uint32_t count,
-                      bool first, uint64_t requested_ms, uint64_t now_ms);
+                      const struct plan_run_list *list, uint64_t now_ms);
 
 /* A target listed the end of a run. */
 void plan_run_ended(struct plan *plan, struct fleet_target *target,
--- a/core/planlist.c
+++ b/core/planlist.c
@@ -103,38 +103,42 @@
     }
 }
 
-/* Deals with runs that the target should list but does not, and repeats
- * unanswered stops. */
+/* Deals with runs that the target should list but does not. */
 static void
-check_runs(struct plan *plan, struct plan_target *target,
-           uint64_t requested_ms, uint64_t now_ms)
+remove_missing_runs(struct plan *plan, struct plan_target *target,
+                    uint64_t requested_ms, uint64_t now_ms)
 {
     for (guint i = 0; i < target->runs->len; i++) {
         struct plan_run *run = target->runs->pdata[i];
 
         if (run->last_listed_ms == now_ms) {
-            if (run->stop_ordered_ms != 0 && run->stop_confirmed_ms == 0 &&
-                run->stop_ordered_ms + STOP_RETRY_MS < now_ms) {
-                plan_order_stop(plan, run, "its stop has no answer", now_ms);
-            }
+            continue;
         }
-        else if (run->awaits_list_ms != 0 &&
-                 run->awaits_list_ms <= requested_ms) {
+        if (run->awaits_list_ms != 0 && run->awaits_list_ms <= requested_ms) {
             plan_drop_lost_run(plan, run, now_ms);
             i--; /* the last run was moved here */
         }
         else if (run->stop_confirmed_ms != 0 &&
                  run->stop_confirmed_ms < requested_ms) {
             plan_remove_run(plan, run);
-            i--; /* the last run was moved here */
+            i--;
         }
         else if (run->state == RUN_ACTIVE &&
                  run->active_since_ms < requested_ms) {
             run->state = RUN_UNKNOWN;
             plan_order_stop(plan, run, "the target does not list it", now_ms);
         }
-        else if (run->stop_ordered_ms != 0 && run->stop_confirmed_ms == 0 &&
-                 run->stop_ordered_ms + STOP_RETRY_MS < now_ms) {
+    }
+}
+
+static void
+repeat_stops(struct plan *plan, struct plan_target *target, uint64_t now_ms)
+{
+    for (guint i = 0; i < target->runs->len; i++) {
+        struct plan_run *run = target->runs->pdata[i];
+
+        if (run->stop_ordered_ms != 0 && run->stop_confirmed_ms == 0 &&
+            run->stop_ordered_ms + STOP_RETRY_MS < now_ms) {
             plan_order_stop(plan, run, "its stop has no answer", now_ms);
         }
     }
@@ -198,27 +202,33 @@
     return true;
 }
 
+/* Workload: hundreds of small tasks end within a second on one target, which
+ * lists so many ends at a time only. A run that is in neither list may be one
+ * whose end is still to come. */
 void
 plan_runs_listed(struct plan *plan, struct fleet_target *target,
-                 const struct plan_listed_run *listed, uint32_t count,
-                 bool first, uint64_t requested_ms, uint64_t now_ms)
+                 const struct plan_run_list *list, uint64_t now_ms)
 {
     struct plan_target *ptarget = target->plan;
 
-    ptarget->runs_known = true;
+    ptarget->runs_known = ptarget->runs_known || !list->is_cut;
     plan_target_answers(ptarget, now_ms);
-    for (uint32_t i = 0; i < count; i++) {
+    for (uint32_t i = 0; i < list->count; i++) {
+        const struct plan_listed_run *listed = &list->runs[i];
         struct plan_run *run =
-            plan_find_run(ptarget, &listed[i].task, listed[i].run_number);
+            plan_find_run(ptarget, &listed->task, listed->run_number);
 
         if (run != NULL) {
-            update_run(plan, run, &listed[i], requested_ms, now_ms);
+            update_run(plan, run, listed, list->requested_ms, now_ms);
         }
         else {
-            add_listed_run(plan, ptarget, &listed[i], first, now_ms);
+            add_listed_run(plan, ptarget, listed, list->is_first, now_ms);
         }
     }
-    check_runs(plan, ptarget, requested_ms, now_ms);
+    if (!list->is_cut) {
+        remove_missing_runs(plan, ptarget, list->requested_ms, now_ms);
+    }
+    repeat_stops(plan, ptarget, now_ms);
     if (ptarget->serving_runs > 0) {
         pace_filler_runs(plan, ptarget);
     }
--- a/node/dispatchlane.c
+++ b/node/dispatchlane.c
@@ -363,7 +363,9 @@
     struct fleet_target *target;
     struct target_session *session;
 
-    (void)answer;
+    if (err == FP_OK) {
+        err = answer->err;
+    }
     if (pending->dispatch != NULL &&
         (target = dispatch_target_of(pending)) != NULL) {
         session = session_of(pending->dispatch, target);
@@ -459,6 +461,11 @@
              uint64_t now_ms)
 {
     struct dispatch *dispatch = session->dispatch;
+    const struct plan_run_list list = {.runs = reply->runs,
+                                       .count = reply->run_count,
+                                       .is_first = !session->runs_listed,
+                                       .is_cut = reply->ends_cut,
+                                       .requested_ms = sent_ms};
     bool has_new_ends = false;
 
     if (session->silent || session->lost) {
@@ -473,6 +480,12 @@
     session->silent = false;
     session->lost = false;
     refuse_long_checkpoints(session, reply);
+    if (reply->ends_cut && !session->ends_cut) {
+        EVENT(EVENT_TARGET_ENDS_CUT, EVENT_STR("id", session->id),
+              EVENT_INT("ends", reply->end_count),
+              EVENT_INT("runs", reply->run_count),
+              EVENT_INT("known", plan_count_runs(target)));
+    }
     for (uint32_t i = 0; i < reply->end_count; i++) {
         if (reply->ends[i].number > session->ends_ack.stored_number) {
             has_new_ends = true;
@@ -481,12 +494,12 @@
                            now_ms);
         }
     }
-    plan_runs_listed(dispatch->plan, target, reply->runs, reply->run_count,
-                     !session->runs_listed, sent_ms, now_ms);
-    session->runs_listed = true;
+    plan_runs_listed(dispatch->plan, target, &list, now_ms);
+    session->ends_cut = reply->ends_cut;
+    session->runs_listed = session->runs_listed || !reply->ends_cut;
     /* While its removal may be stored it must not get starts. */
     if ((!session->outage_known || session->leaving) &&
-        !session->removal_in_flight) {
+        !session->removal_in_flight && session->runs_listed) {
         plan_set_target_usable(dispatch->plan, target, session->has_clock);
     }
     session->next_hold_ms = now_ms;
@@ -586,7 +599,7 @@
 {
     uint64_t end_ms;
 
-    if (!session->runs_listed || !session->has_clock) {
+    if (!session->runs_listed || !session->has_clock || session->ends_cut) {
         return 0;
     }
     if (now_ms >= session->dispatch->last_unanswered_ms + LOSSY_PERIOD_MS) {
@@ -677,6 +690,7 @@
     memset(&session->ends_ack, 0, sizeof(session->ends_ack));
     session->next_hold_ms = 0;
     session->silent = false;
+    session->ends_cut = false;
     session->outage_known = false;
     session->outage_in_flight = false;
     session->granted_deadline_ms = 0;
--- a/node/dispatchoutage.c
+++ b/node/dispatchoutage.c
@@ -30,7 +30,9 @@
             ? g_hash_table_lookup(dispatch->sessions, target->rec.id)
             : NULL;
 
-    (void)answer;
+    if (err == FP_OK) {
+        err = answer->err;
+    }
     if (session != NULL) {
         session->outage_in_flight = false;
         if (err != FP_OK) {
--- a/node/dispatchpriv.h
+++ b/node/dispatchpriv.h
@@ -20,12 +20,14 @@
 struct target_session {
     struct dispatch *dispatch;
     char id[FLEET_NAME_BYTES];
-    uint64_t born_ms;       /* start time of the target's incarnation */
-    uint64_t announced;     /* highest sequence of its announcements */
-    bool hold_in_flight;    /* a hold call is not answered yet */
-    bool ends_in_flight;    /* a proposal of ends is not committed yet */
-    bool runs_listed;       /* the target has listed its runs in this term */
-    bool lost;              /* no run that was ordered can still be running */
+    uint64_t born_ms;    /* start time of the target's incarnation */
+    uint64_t announced;  /* highest sequence of its announcements */
+    bool hold_in_flight; /* a hold call is not answered yet */
+    bool ends_in_flight; /* a proposal of ends is not committed yet */
+    bool runs_listed; /* the target has listed its runs in this term, and all
+                       * ends before */
+    bool ends_cut;    /* it may have more ends than it listed last */
+    bool lost;        /* no run that was ordered can still be running */
     bool removal_in_flight; /* a proposal of its removal is not answered yet */
     bool has_clock;
     /* The target's clock showed at least clock_ms at clock_read_ms of this
--- a/node/orders.h
+++ b/node/orders.h
@@ -43,6 +43,8 @@
     uint32_t run_count;
     const struct order_end *ends;
     uint32_t end_count;
+    bool ends_cut; /* the target may have further ends that it will list once
+                    * these are acknowledged */
 };
 
 /* Called once for each order. reply and its lists are valid during the call.
--- a/tests/lists_test.cc
+++ b/tests/lists_test.cc
@@ -1,6 +1,8 @@
 // Tests the decoders of the lists that targets and the placement policy send,
 // and the way of a checkpoint from a list to the start that carries it.
 
+#include <functional>
+
 #include "tests/plan_world.h"
 
 extern "C" {
@@ -18,7 +20,7 @@
 
 // The rows that a decoder takes from a list.
 template <typename Row>
-std::vector<Row> decode(void (*decoder)(const json_t *, GArray *),
+std::vector<Row> decode(const std::function<void(const json_t *, GArray *)> &decoder,
                         const std::string &text)
 {
     json_t *list = json_loads(text.c_str(), 0, nullptr);
@@ -279,4 +281,93 @@
     EXPECT_EQ(tickets[1].first, "t3");
 }
 
+// Guards against TWICE: a list of ends that was cut was taken for the whole, and
+// runs whose ends were left out were started again.
+TEST(Lists, AListOfEndsThatIsAsLongAsOneCanBeMayBeCut)
+{
+    json_t *list = json_array();
+    GArray *ends = g_array_new(FALSE, FALSE, sizeof(order_end));
+    for (uint32_t i = 1; i <= LISTS_ENDS_MAX; i++) {
+        EXPECT_FALSE(lists_decode_ends(list, ends)) << i - 1 << " ends";
+        json_array_append_new(list, json_pack("[i,s,i,s,s]", i,
+                                              "00000000000000aa.0.0.0", i,
+                                              "done", ""));
+    }
+    EXPECT_TRUE(lists_decode_ends(list, ends));
+    // An entry that cannot be read takes the place of another one too.
+    json_array_set_new(list, 0, json_null());
+    EXPECT_TRUE(lists_decode_ends(list, ends));
+    g_array_free(ends, TRUE);
+    json_decref(list);
+}
+
+// The same under one leader: the run had ended, and was stopped and started again.
+TEST(Lists, ARunBeyondACutListOfEndsGoesOnCounting)
+{
+    FleetSim sim;
+    sim.configure({"q"});
+    sim.put_target("t1", 2000);
+    sim.become_leader();
+    sim.submit(1, {{.count = 2}});
+    sim.run_pass();
+    sim.confirm_starts();
+    sim.now_ms += 100;
+    sim.end_run(sim.start_orders[0], RUN_DONE);
+    sim.report_runs("t1", {}, false, sim.now_ms, true);
+    sim.run_pass(5);
+    EXPECT_EQ(sim.stop_orders.size(), 0u);
+    EXPECT_EQ(sim.start_orders.size(), 2u);
+    sim.end_run(sim.start_orders[1], RUN_DONE);
+    sim.report_runs("t1", {}, false, sim.now_ms);
+    sim.run_pass(5);
+    EXPECT_EQ(sim.start_orders.size(), 2u);
+    EXPECT_EQ(sim.find_job(1)->state, JOB_COMPLETED);
+}
+
+// A run that was stopped may have been done before: its end is still to come.
+TEST(Lists, AStoppedRunBeyondACutListOfEndsGoesOnCounting)
+{
+    FleetSim sim;
+    sim.configure({"q"});
+    sim.put_target("t1", 2000);
+    sim.become_leader();
+    sim.submit(1, {{}});
+    sim.run_pass();
+    sim.answer_start(sim.start_orders[0], ORDER_UNKNOWN);
+    ASSERT_EQ(sim.stop_orders.size(), 1u);
+    plan_stop_answered(sim.planner, sim.find_target("t1"),
+                       &sim.start_orders[0].task, 1, ORDER_DONE, sim.now_ms);
+    sim.now_ms += 10;
+    sim.report_runs("t1", {}, false, sim.now_ms, true);
+    sim.run_pass(50);
+    EXPECT_EQ(sim.start_orders.size(), 1u);
+    sim.report_runs("t1", {}, false, sim.now_ms);
+    sim.run_pass(50);
+    EXPECT_EQ(sim.start_orders.size(), 2u) << "it was never there";
+}
+
+// Guards against TWICE after a change of leader.
+TEST(Lists, InheritedWorkWaitsForTheWholeListOfEnds)
+{
+    FleetSim sim;
+    sim.configure({"q"});
+    sim.put_target("t1", 2000);
+    sim.submit(1, {{.count = 2}});
+    sim.become_leader(1024);
+    sim.planner->reconciled = false;
+    sim.forget_runs("t1");
+    RunOrder first = {"t1", {1, 0, 0, 0}, 1, "", ""};
+    RunOrder second = {"t1", {1, 0, 0, 1}, 1, "", ""};
+    sim.end_run(first, RUN_DONE);
+    sim.report_runs("t1", {}, true, sim.now_ms, true);
+    sim.run_pass(5);
+    EXPECT_EQ(sim.start_orders.size(), 0u);
+    EXPECT_EQ(plan_gauges(sim.planner).targets_unlisted, 1u);
+    sim.end_run(second, RUN_DONE);
+    sim.report_runs("t1", {}, true, sim.now_ms);
+    sim.run_pass(5);
+    EXPECT_EQ(sim.start_orders.size(), 0u);
+    EXPECT_EQ(sim.find_job(1)->state, JOB_COMPLETED);
+}
+
 } // namespace
--- a/tests/liveness_test.cc
+++ b/tests/liveness_test.cc
@@ -160,8 +160,7 @@
     ASSERT_EQ(sim.start_orders.size(), 2u);
     sim.confirm_starts();
     for (const char *id : {"t1", "t2"}) {
-        plan_runs_listed(sim.planner, sim.find_target(id), nullptr, 0, false,
-                         sim.now_ms, sim.now_ms);
+        sim.report_runs(id, {}, false, sim.now_ms);
         sim.put_target(id, 8000, 0, "r1", false, 2, 0, "alt");
         plan_target_lost(sim.planner, sim.find_target(id), LOSS_CRASHED,
                          sim.now_ms);
--- a/tests/liveness_world.h
+++ b/tests/liveness_world.h
@@ -459,9 +459,7 @@
                 plan_run_ended(sim.planner, target, &end, sim.now_ms);
             }
         }
-        plan_runs_listed(sim.planner, target, rows.data(),
-                         (uint32_t)rows.size(), !session.listed, sent_ms,
-                         sim.now_ms);
+        sim.report_runs(id, rows, !session.listed, sent_ms);
         session.listed = true;
         plan_set_target_usable(sim.planner, target, true);
         for (const auto &[number, end] : ends) {
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -280,6 +280,9 @@
 core/planpriv.h	           !target->target->rec.departed && !target->in_evacuation;	           !target->in_evacuation;	Departed.ATargetThatIsSaid*
 core/plan.c	            run->start_resent) {	            false) {	Departed.ALateCopy*
 core/plan.c	            run->awaits_list_ms = now_ms;	            plan_drop_lost_run(plan, run, now_ms);	Departed.AnAnnounced*
+core/planlist.c	    if (!list->is_cut) {	    if (true) {	Lists.ARunBeyond*
+core/planlist.c	ptarget->runs_known || !list->is_cut;	true;	Lists.InheritedWorkWaits*
+platform/lists.c	return json_array_size(list) >= LISTS_ENDS_MAX;	return ends->len >= LISTS_ENDS_MAX;	Lists.AListOfEnds*
 LIST
 echo "$CAUGHT passed, $MISSED failed"
 [ "$MISSED" = 0 ]
--- a/tests/plan_world.h
+++ b/tests/plan_world.h
@@ -372,12 +372,13 @@
         return row;
     }
     // The target answers a request for its list of runs, sent at asked_ms.
-    // first: the first list in this term.
+    // first: the first list in this term. cut: it may have further ends.
     void report_runs(const std::string &id, const std::vector<plan_listed_run> &rows,
-                     bool first, uint64_t asked_ms)
+                     bool first, uint64_t asked_ms, bool cut = false)
     {
-        plan_runs_listed(planner, find_target(id), rows.data(), (uint32_t)rows.size(),
-                  first, asked_ms, now_ms);
+        const plan_run_list list = {rows.data(), (uint32_t)rows.size(), first,
+                                    cut, asked_ms};
+        plan_runs_listed(planner, find_target(id), &list, now_ms);
     }
     // The policy answers a query: it grants these targets, or fails with err.
     void answer_query(const PolicyQuery &query,
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -189,6 +189,7 @@
     return data
 
 
+ENDS_LISTED_MAX = 500
 DEPARTED_S = 3.0  # a target works on after it has said that it ends
 EVACUATION_S = 5.0  # from the acknowledgement of an evacuation
 GANG_MS = 3000  # a member waits this long for the others
@@ -210,6 +211,8 @@
     def __init__(self):
         self.running_tasks = {}  # task -> (target, run)
         self.acknowledged_tasks = set()  # tasks with an acknowledged "done"
+        self.done_tasks = set()  # tasks with a "done" that is still listed
+        self.repeated_tasks = set()  # those of them that were started again
         self.started_jobs = set()  # jobs with at least one started task
         self.checkpoints = {}  # task or gang -> checkpoints that it has saved
         self.gangs = {}  # (step, run) -> Gang
@@ -246,6 +249,9 @@
     def acknowledge(self, task):
         """One end of a gang represents all its members."""
         step = task.rpartition(".")[0]
+        if task in self.repeated_tasks:
+            self.report_violation("%s was started again after its end" % task)
+        self.done_tasks.discard(task)
         self.acknowledged_tasks |= {task, step} if step in self.gang_steps \
             else {task}
 
@@ -320,6 +326,8 @@
             writer.transport.abort()
         self.writers.clear()
         lost_runs = getattr(self, "runs", {})
+        self.ended_runs = getattr(self, "ended_runs", [])
+        self.forget_ends()
         self.runs = {}  # task -> [run, end time in ms, spec]
         for task in lost_runs:
             self.checker.running_tasks.pop(task, None)
@@ -397,6 +405,8 @@
         self.ended_runs.append([self.next_end_number, task, run, outcome,
                                 checkpoint])
         self.next_end_number += 1
+        if outcome == "done":
+            self.checker.done_tasks.add(task)
         self.checker.end_counts[outcome] = (
             self.checker.end_counts.get(outcome, 0) + 1)
         self.run_ended.set()
@@ -414,8 +424,15 @@
         return ("failed" if self.rng.random() < self.options.failures
                 else "done")
 
+    def forget_ends(self):
+        """The ends that are not acknowledged yet need not be taken note of."""
+        self.checker.done_tasks -= {end[1] for end in self.ended_runs}
+        self.checker.repeated_tasks -= {end[1] for end in self.ended_runs}
+
     def end_due_runs(self):
         now = self.clock_ms()
+        if self.lease_end_ms <= now:
+            self.forget_ends()
         for task in list(self.runs):
             if task not in self.runs:
                 continue  # ended with another member of its gang
@@ -452,6 +469,8 @@
         if task in self.checker.running_tasks:
             self.checker.report_violation("%s runs twice: %s and %s" % (
                 task, where, self.checker.running_tasks[task]))
+        if task in self.checker.done_tasks:
+            self.checker.repeated_tasks.add(task)
         if self.checker.acknowledged_tasks & {task, task.rpartition(".")[0]}:
             self.checker.report_violation(
                 "%s starts after its end was acknowledged: %s" % (task, where))
@@ -459,8 +478,11 @@
         if used + spec["cpu"] > self.enforced_cpu():
             self.checker.report_violation(
                 "%s runs more than its capacity" % self.id)
+        work_ms = spec["ms"]
+        if spec.get("until_ms"):
+            work_ms = max(spec["until_ms"] - time.time() * 1000, 1)
         self.runs[task] = [run, self.clock_ms() +
-                           (GANG_MS if gang_size else spec["ms"]),
+                           (GANG_MS if gang_size else work_ms),
                            body["spec"]]
         self.checker.running_tasks[task] = (self.id, run)
         if gang_size:
@@ -498,12 +520,14 @@
                 await asyncio.wait_for(self.run_ended.wait(), 0.05)
             except asyncio.TimeoutError:
                 pass
-        self.last_listed_end = self.next_end_number - 1
+        listed = self.ended_runs[:ENDS_LISTED_MAX]
+        if listed:
+            self.last_listed_end = max(self.last_listed_end, listed[-1][0])
         answer = {
             "clock_ms": self.clock_ms(), "born": self.born_ms,
             "running": [[t, r[0], self.checkpoint(t), 50, 0]
                         for t, r in self.runs.items()],
-            "ended": self.ended_runs}
+            "ended": listed}
         if self.rng.random() < self.options.invalid:
             return 200, add_invalid_entries(answer, self.rng)
         return 200, answer
@@ -703,17 +727,18 @@
 
 async def run_job(options, rng, number, results):
     fronts = options.front.split(",")
-    queue = rng.choice(["/quotes/", "/batches/"])
+    queue = options.queue or rng.choice(["/quotes/", "/batches/"])
     name = "%016x" % (options.seed * 1000000 + number)
-    steps = [{"count": 1 + rng.randrange(5), "cpu": 2000, "mem_mb": 512,
+    steps = [{"count": options.tasks or 1 + rng.randrange(5),
+              "cpu": options.cpu, "mem_mb": 512 * options.cpu // 2000,
               "estimated_ms": 200}
-             for _ in range(1 + rng.randrange(2))]
+             for _ in range(1 if options.tasks else 1 + rng.randrange(2))]
     for i in range(1, len(steps)):
         steps[i]["after"] = [i - 1]
-    spec = {"cpu": 2000, "ms": options.ms or 50 + rng.randrange(200),
-            "saves": True, "padding": "x" * options.padding}
+    spec = {"cpu": options.cpu, "until_ms": options.until_ms, "ms": options.ms or 50 + rng.randrange(200),
+            "saves": not options.tasks, "padding": "x" * options.padding}
     for step in steps:
-        step["checkpointing"] = True
+        step["checkpointing"] = not options.tasks
     if options.deadly and rng.random() < options.deadly:
         spec["deadly"] = True
     body = {"spec": json.dumps(spec), "steps": steps}
@@ -861,6 +886,11 @@
     parser.add_argument("--padding", type=int, default=0,
                         help="bytes added to each job")
     parser.add_argument("--patience", type=float, default=20)
+    parser.add_argument("--queue", default="", help="of all jobs, such as /batches/")
+    parser.add_argument("--tasks", type=int, default=0, help="of each job")
+    parser.add_argument("--cpu", type=int, default=2000, help="of each task")
+    parser.add_argument("--until-ms", type=int, default=0,
+                        help="all tasks end at this time, ms since 1970")
     parser.add_argument("--version", type=int, default=1)
     options = parser.parse_args()
     run = {"targets": run_targets, "configure": run_configure,
