A core host that is being stopped leaves the cell before it ends

Cause: with the new machine the cell has four voters. One that is stopped handed its leadership over and went, but stayed a voter until it had been silent for 3.5 s. The next loss then left two of four.

Change: a host that gets SIGTERM says in its hellos that it leaves, and repeats it until it ends. The leader removes such a voter, and one that is silent for 0.7 s, where the others then tolerate more losses than with it: one of four, two of five. Nothing else changes: of three, none is removed. A replica that leaves is not added again while it still answers, nor is the former replica of a host that lost its disk (it was, five times a second, until it had been silent for a second). Event member.leaving.

What that cannot mend: a host that is killed does not leave. Until its silence is noticed it cannot be told from one that is cut off with a second one, and two of four must not decide on their own.

--- a/base/event.c
+++ b/base/event.c
@@ -61,6 +61,10 @@
                             "a replica is added to the cell"},
     [EVENT_MEMBER_REMOVED] = {"member.removed", 10, "host replica",
                               "a replica is removed from the cell"},
+    [EVENT_MEMBER_LEAVING] =
+        {"member.leaving", 10, "host replica",
+         "a replica says that its host is being stopped; it is removed where "
+         "the others then tolerate more losses"},
     [EVENT_CONFIG_REFUSED] = {"config.refused", 20, "version why",
                               "an invalid configuration was rejected"},
     [EVENT_CONFIG_IN_FORCE] = {"config.in_force", 50, "version queues teams",
--- a/core/members.c
+++ b/core/members.c
@@ -7,15 +7,35 @@
 #define JOINING_HEARD_WITHIN_MS 1000u /* else a replica isn't added */
 #define VOTER_HEARD_WITHIN_MS 1000u   /* else a voter isn't counted alive */
 #define VOTER_REPLACE_AFTER_MS 2500u  /* silence before it may be replaced */
-#define VOTER_REMOVE_AFTER_MS 3500u   /* silence before it is just removed */
+/* Silence before a voter is removed without a replica in its place. It joins
+ * again when it is heard, and meanwhile the cell tolerates more. */
+#define VOTER_GONE_AFTER_MS 700u
 #define MIN_VOTERS 3u
 
+/* A replica whose host has a member that was heard later is the former one of
+ * a host that lost its disk: it does not join.
+ */
+static bool
+is_former_replica(const struct replica_status *replicas, uint32_t count,
+                  const struct replica_status *replica)
+{
+    for (uint32_t i = 0; i < count; i++) {
+        if (replicas[i].member &&
+            strcmp(replicas[i].host, replica->host) == 0 &&
+            replicas[i].heard_ms > replica->heard_ms) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static const struct replica_status *
 find_joining_replica(const struct replica_status *replicas, uint32_t count,
                      uint64_t now_ms)
 {
     for (uint32_t i = 0; i < count; i++) {
-        if (!replicas[i].member &&
+        if (!replicas[i].member && !replicas[i].leaving &&
+            !is_former_replica(replicas, count, &replicas[i]) &&
             replicas[i].heard_ms + JOINING_HEARD_WITHIN_MS >= now_ms) {
             return &replicas[i];
         }
@@ -60,25 +80,45 @@
     return voters > 1 && alive > (voters - 1) / 2 ? silent : NULL;
 }
 
-/* Returns whether the cell tolerates the failure of more of the voters that
- * are alive once a silent voter is removed.
- */
 static bool
-removal_tolerates_more_failures(const struct replica_status *replicas,
-                                uint32_t count, uint64_t now_ms)
+is_silent(const struct replica_status *replica, uint64_t now_ms)
+{
+    return replica->heard_ms + VOTER_GONE_AFTER_MS < now_ms;
+}
+
+/* Returns a voter that is gone or about to go, if the others tolerate more
+ * losses without those that are; NULL: none. One that is silent comes before
+ * one that can still vote.
+ */
+static const struct replica_status *
+find_surplus_voter(const struct replica_status *replicas, uint32_t count,
+                   uint64_t now_ms)
 {
+    const struct replica_status *surplus = NULL;
     uint32_t voters = 0;
-    uint32_t silent = 0;
+    uint32_t staying = 0;
+    uint32_t heard = 0;
 
     for (uint32_t i = 0; i < count; i++) {
-        if (replicas[i].voter) {
-            voters++;
-            silent += replicas[i].heard_ms + VOTER_HEARD_WITHIN_MS < now_ms;
+        const bool silent = is_silent(&replicas[i], now_ms);
+
+        if (!replicas[i].voter) {
+            continue;
         }
+        voters++;
+        heard += !silent;
+        if (!silent && !replicas[i].leaving) {
+            staying++;
+        }
+        else if (surplus == NULL || replicas[i].heard_ms < surplus->heard_ms) {
+            surplus = &replicas[i];
+        }
+    }
+    if (staying < MIN_VOTERS || staying / 2 >= voters / 2) {
+        return NULL;
     }
-    return voters > MIN_VOTERS &&
-           (voters % 2 == 0 ? silent == 1
-                            : silent == 2 && voters > MIN_VOTERS + 1);
+    heard -= !is_silent(surplus, now_ms);
+    return heard > (voters - 1) / 2 ? surplus : NULL;
 }
 
 struct membership_change
@@ -88,28 +128,25 @@
     struct membership_change change = {MEMBER_NONE, 0, NULL};
     const struct replica_status *joining =
         find_joining_replica(replicas, count, now_ms);
-    const struct replica_status *silent;
+    const struct replica_status *leaving =
+        find_surplus_voter(replicas, count, now_ms);
 
-    silent = find_silent_voter(replicas, count, now_ms);
-    if (joining == NULL && silent != NULL &&
-        silent->heard_ms + VOTER_REMOVE_AFTER_MS < now_ms &&
-        removal_tolerates_more_failures(replicas, count, now_ms)) {
-        change.action = MEMBER_REMOVE;
-        change.id = silent->id;
-        change.host = silent->host;
-    }
-    if (joining == NULL) {
-        return change;
+    if (leaving == NULL && joining != NULL &&
+        !host_has_member(replicas, count, joining->host)) {
+        leaving = find_silent_voter(replicas, count, now_ms);
     }
-    if (silent != NULL && !host_has_member(replicas, count, joining->host)) {
+    /* Adding a replica removes another one on its host first. */
+    if (leaving != NULL &&
+        (joining == NULL || strcmp(joining->host, leaving->host) != 0)) {
         change.action = MEMBER_REMOVE;
-        change.id = silent->id;
-        change.host = silent->host;
-        return change;
+        change.id = leaving->id;
+        change.host = leaving->host;
+    }
+    else if (joining != NULL) {
+        change.action = MEMBER_ADD;
+        change.id = joining->id;
+        change.host = joining->host;
     }
-    change.action = MEMBER_ADD;
-    change.id = joining->id;
-    change.host = joining->host;
     return change;
 }
 
--- a/core/members.h
+++ b/core/members.h
@@ -3,9 +3,15 @@
  * Each host is to have one member. A replica with a new identity joins: on a
  * host that has a member already (whose data folder was emptied) it replaces
  * that member, otherwise it replaces a silent voter, if there is one. Without
- * a replica to add, a silent voter is removed only where the cell then
- * tolerates more failures: one silent voter of an even number, or one of two
- * silent voters of five or more. Otherwise it stays, since it may come back.
+ * a replica to add, a voter is removed only where the cell then tolerates more
+ * failures: one of an even number that is silent or says that it is being
+ * stopped, or two of five or more. Otherwise it stays, as it may come back.
+ *
+ * Load pattern: hosts are replaced, the new one first, and another one is lost
+ * as soon as the old one has gone. While that one is still a voter, the loss
+ * leaves two of four. One that is stopped leaves before it ends. One that is
+ * killed cannot: until its silence is noticed it cannot be told from one that
+ * is cut off with another.
  *
  * A cell is founded by the first of its seeds, once more than half of them say
  * that they hold nothing. Load pattern: the first seed loses its disk while
@@ -25,6 +31,7 @@
     bool member; /* in the member list, voter or not */
     bool voter;
     uint64_t heard_ms; /* last message from it; the leader itself: now */
+    bool leaving;      /* its host says that it is being stopped */
 };
 
 /* What a host that may found a cell knows of the seeds, itself included. */
--- a/core/msg.c
+++ b/core/msg.c
@@ -44,6 +44,8 @@
     {"has_disk", FP_BOOL, offsetof(struct msg_hello, has_disk), 0, NULL, NULL,
      NULL},
     {"holds", FP_U32, offsetof(struct msg_hello, holds), 0, NULL, NULL, NULL},
+    {"leaves", FP_BOOL, offsetof(struct msg_hello, leaves), 0, NULL, NULL,
+     NULL},
 };
 const struct fp_schema MSG_HELLO_SCHEMA = {
     "hello", MSG_HELLO, sizeof(struct msg_hello), MSG_HELLO_FIELDS,
--- a/core/msg.h
+++ b/core/msg.h
@@ -79,6 +79,7 @@
     char host[MSG_HOST_BYTES];
     bool has_disk;
     uint32_t holds; /* enum hello_holds */
+    bool leaves;    /* its host is being stopped; not sent by older versions */
 };
 
 /* AppendEntries of Raft; without entries, a heartbeat. */
--- a/node/fleetnode.c
+++ b/node/fleetnode.c
@@ -12,6 +12,7 @@
 #include "core/members.h"
 #include "node/dispatch.h"
 #include "node/fleetmetrics.h"
+#include "node/memberwatch.h"
 
 #define TICK_INTERVAL_MS 10u
 /* Pings to the leader show that it can be reached, and offer to query the
@@ -20,7 +21,7 @@
 #define PING_TIMEOUT_MS 900u
 /* A host that has had no answer from a leader for longer is not ready. */
 #define LEADER_SILENCE_MAX_MS 2000u
-#define MEMBERSHIP_INTERVAL_MS 200u
+#define MEMBERSHIP_INTERVAL_MS 100u
 #define ENTRY_INTERVAL_MS 200u   /* checks what incomplete requests hold */
 #define RELOAD_INTERVAL_MS 1000u /* checks the settings file for changes */
 /* End of STAGE_UNREADY and latest exit, in eighths of the grace time since the
@@ -29,7 +30,6 @@
 #define EXIT_EIGHTHS 6u
 /* Time without requests in flight that ends STAGE_LISTENER_CLOSED. */
 #define DRAIN_IDLE_MS 200u
-#define REPLICAS_MAX 64u
 /* How long a seed counts as empty after it has said so. */
 #define EMPTY_SEED_HEARD_MS 1500u
 
@@ -49,14 +49,15 @@
     uv_prepare_t flush_prepare;
     uv_signal_t signals[3];
     struct timers *timers;
-    struct bus *bus;           /* front host only; a replica has its own */
-    struct replica *replica;   /* NULL on a front host */
-    struct fleet *fleet;       /* NULL on a front host */
-    struct dispatch *dispatch; /* NULL unless this host leads */
-    GHashTable *empty_seeds;   /* host to when it last said that it holds
-                                * nothing; NULL unless this host may found a
-                                * cell */
-    bool data_seen;            /* some host holds data */
+    struct bus *bus;              /* front host only; a replica has its own */
+    struct replica *replica;      /* NULL on a front host */
+    struct member_watch *members; /* the same */
+    struct fleet *fleet;          /* NULL on a front host */
+    struct dispatch *dispatch;    /* NULL unless this host leads */
+    GHashTable *empty_seeds;      /* host to when it last said that it holds
+                                   * nothing; NULL unless this host may found a
+                                   * cell */
+    bool data_seen;               /* some host holds data */
     struct relay *relay;
     /* A server is NULL when the settings have no address for it. */
     struct httpd *client_httpd;
@@ -218,67 +219,12 @@
 
 /* ---- membership --------------------------------------------------------- */
 
-/* What the leader knows of the replicas, its own included. */
-struct status_list {
-    struct replica_status replicas[REPLICAS_MAX];
-    uint32_t count;
-    const struct raft *raft;
-};
-
-static void
-add_follower_status(void *ctx, uint64_t id, const char *host, uint64_t match,
-                    uint64_t applied, uint64_t heard_ms)
-{
-    struct status_list *list = ctx;
-    const struct fp_list *members = &raft_members(list->raft)->list;
-    const struct raft_member *member = members->items;
-    struct replica_status *status;
-
-    (void)match;
-    (void)applied;
-    if (list->count == REPLICAS_MAX) {
-        return;
-    }
-    status = &list->replicas[list->count++];
-    status->id = id;
-    status->host = host;
-    status->heard_ms = heard_ms;
-    for (uint32_t i = 0; i < members->count; i++) {
-        if (member[i].id == id) {
-            status->member = true;
-            status->voter = member[i].role == RAFT_VOTER;
-        }
-    }
-}
-
 static void
 on_membership_timer(void *ctx, uint64_t now_ms)
 {
     struct fleetnode *node = ctx;
-    struct status_list list = {.count = 0};
-    struct membership_change change;
-    char why[200] = "";
-    enum fp_err err = FP_OK;
 
-    if (node->replica == NULL || !replica_is_leader(node->replica)) {
-        return;
-    }
-    list.raft = replica_raft(node->replica);
-    list.replicas[list.count++] = (struct replica_status){
-        raft_id(list.raft), node->settings->host, true, true, now_ms};
-    raft_for_each_follower(list.raft, add_follower_status, &list);
-    change = membership_next_change(list.replicas, list.count, now_ms);
-    if (change.action == MEMBER_ADD) {
-        err = replica_member_add(node->replica, change.host, why, sizeof(why));
-    }
-    else if (change.action == MEMBER_REMOVE) {
-        err = replica_member_remove(node->replica, change.host);
-    }
-    if (change.action != MEMBER_NONE && err == FP_OK) {
-        EVENT(change.action == MEMBER_ADD ? EVENT_MEMBER_ADDED
-                                          : EVENT_MEMBER_REMOVED,
-              EVENT_STR("host", change.host), EVENT_INT("replica", change.id));
-    }
+    member_watch_tick(node->members, now_ms);
 }
 
 /* Reports whether this host may found the cell. Hosts that start with the same
@@ -350,6 +296,7 @@
     struct fleetnode *node = ctx;
     uint64_t now_ms = clock_mono_ms();
 
+    member_watch_on_hello(node->members, msg, now_ms);
     if (node->empty_seeds == NULL ||
         strcmp(msg->host, node->settings->host) == 0) {
         return;
@@ -680,7 +627,7 @@
         httpd_drain(node->control_httpd);
     }
     if (node->replica != NULL) {
-        replica_step_down(node->replica);
+        replica_leave(node->replica);
     }
 }
 
@@ -787,6 +734,7 @@
     if (err != FP_OK) {
         return err;
     }
+    node->members = member_watch_new(node->replica, node->settings->host);
     if (is_founder(node->settings) &&
         raft_is_empty(replica_raft(node->replica))) {
         node->empty_seeds =
@@ -913,6 +861,7 @@
     if (node->edge != NULL) {
         node->edge_ops->close(node->edge);
     }
+    member_watch_free(node->members);
     replica_free(node->replica);
     bus_free(node->bus);
     timers_free(node->timers);
--- a/node/replica.c
+++ b/node/replica.c
@@ -13,7 +13,8 @@
 
 #define TICK_INTERVAL_MS 10u
 #define HELLO_INTERVAL_MS 300u
-#define DEFERRED_MAX 65536u /* messages that wait for a sync */
+#define LEAVE_INTERVAL_MS 100u /* between two hellos of a host that leaves */
+#define DEFERRED_MAX 65536u    /* messages that wait for a sync */
 /* Pauses before a disk that failed is written again. */
 #define DISK_RETRY_MIN_MS 100u
 #define DISK_RETRY_MAX_MS 1000u
@@ -357,9 +358,10 @@
                             .has_disk = replica->disk != NULL,
                             .holds = raft_is_empty(replica->raft)
                                          ? HELLO_HOLDS_NOTHING
-                                         : HELLO_HOLDS_DATA};
+                                         : HELLO_HOLDS_DATA,
+                            .leaves = replica->leaves};
 
-    if (raft_awaits_disk(replica->raft)) {
+    if (raft_awaits_disk(replica->raft) && !replica->leaves) {
         return;
     }
     g_strlcpy(msg.host, replica->settings->host, sizeof(msg.host));
@@ -375,8 +377,10 @@
 static void
 broadcast_hello(struct replica *replica, uint64_t now_ms)
 {
-    if (now_ms < replica->last_hello_ms + HELLO_INTERVAL_MS ||
-        replica->leading) {
+    const uint64_t interval_ms =
+        replica->leaves ? LEAVE_INTERVAL_MS : HELLO_INTERVAL_MS;
+
+    if (now_ms < replica->last_hello_ms + interval_ms || replica->leading) {
         return;
     }
     replica->last_hello_ms = now_ms;
@@ -448,7 +452,7 @@
     }
     replica_advance_proposals(replica, now_ms);
     replica_expire_queries(replica, now_ms);
-    if (!raft_is_fresh(replica->raft, now_ms) ||
+    if (replica->leaves || !raft_is_fresh(replica->raft, now_ms) ||
         raft_leader_host(replica->raft)[0] == '\0') {
         broadcast_hello(replica, now_ms);
     }
@@ -850,6 +854,14 @@
     raft_transfer_leadership(replica->raft, clock_mono_ms());
 }
 
+void
+replica_leave(struct replica *replica)
+{
+    replica->leaves = true;
+    replica_step_down(replica);
+    send_hello(replica, NULL);
+}
+
 struct cell *
 replica_cell(const struct replica *replica)
 {
--- a/node/replica.h
+++ b/node/replica.h
@@ -146,6 +146,11 @@
  */
 void replica_step_down(struct replica *replica);
 
+/* Hands leadership to another replica, and tells all others from now on that
+ * this host is being stopped, so that the leader may remove it.
+ */
+void replica_leave(struct replica *replica);
+
 /* Accessors. replica_cell() is NULL with a state_machine. replica_run_id() is
  * a random number, never 0, drawn at each start. replica_is_leader() is true
  * while this replica may act as the leader, replica_is_fresh() while its state
--- a/node/replicapriv.h
+++ b/node/replicapriv.h
@@ -76,6 +76,7 @@
     uint64_t last_request_id;
     uint64_t last_query_id;
     uint64_t last_hello_ms;
+    bool leaves;  /* see replica_leave() */
     bool leading; /* as last reported to ops.on_leadership_changed */
     uint64_t snapshots_taken; /* since the start */
     uint64_t disk_failures;
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -445,10 +445,10 @@
 
 TEST(Members, AHostThatLostItsDataJoinsWithANewReplica)
 {
-    replica_status views[] = {{1, "a", true, true, 5000},
-                           {2, "b", true, true, 4990},
-                           {3, "c", true, true, 1000},
-                           {9, "c", false, false, 4990}};
+    replica_status views[] = {{1, "a", true, true, 5000, false},
+                           {2, "b", true, true, 4990, false},
+                           {3, "c", true, true, 1000, false},
+                           {9, "c", false, false, 4990, false}};
     membership_change step = membership_next_change(views, 4, 5000);
     EXPECT_EQ(step.action, MEMBER_ADD);
     EXPECT_EQ(step.id, 9u);
@@ -473,10 +473,10 @@
 
 TEST(Members, ANewHostReplacesASilentVoter)
 {
-    replica_status views[] = {{1, "a", true, true, 9000},
-                           {2, "b", true, true, 8990},
-                           {3, "c", true, true, 1000},
-                           {9, "d", false, false, 8990}};
+    replica_status views[] = {{1, "a", true, true, 9000, false},
+                           {2, "b", true, true, 8990, false},
+                           {3, "c", true, true, 1000, false},
+                           {9, "d", false, false, 8990, false}};
     membership_change step = membership_next_change(views, 4, 9000);
     EXPECT_EQ(step.action, MEMBER_REMOVE);
     EXPECT_EQ(step.id, 3u);
@@ -490,11 +490,11 @@
 // voters would be left: no majority, and the cell would stop.
 TEST(Members, ASilentVoterIsRemovedFromAnEvenNumberOfVoters)
 {
-    replica_status views[] = {{1, "a", true, true, 9000},
-                           {2, "b", true, true, 8990},
-                           {3, "c", true, true, 1000},
-                           {4, "d", true, true, 8990},
-                           {5, "e", true, true, 8990}};
+    replica_status views[] = {{1, "a", true, true, 9000, false},
+                           {2, "b", true, true, 8990, false},
+                           {3, "c", true, true, 1000, false},
+                           {4, "d", true, true, 8990, false},
+                           {5, "e", true, true, 8990, false}};
     EXPECT_EQ(membership_next_change(views, 5, 9000).action, MEMBER_NONE);
     membership_change step = membership_next_change(views, 4, 9000);
     EXPECT_EQ(step.action, MEMBER_REMOVE);
@@ -507,12 +507,77 @@
         << "no majority is alive";
 }
 
+// Guards against LOST and CONFIG: a host that was replaced as planned stayed a voter
+// for seconds after it had left, and the next loss left two of four.
+TEST(Members, AVoterThatIsBeingStoppedIsRemovedWhereTheOthersThenTolerateMore)
+{
+    replica_status views[] = {{1, "a", true, true, 9000, false},
+                           {2, "b", true, true, 8990, true},
+                           {3, "c", true, true, 8990, false},
+                           {4, "d", true, true, 8990, false},
+                           {5, "e", true, true, 8990, false}};
+    EXPECT_EQ(membership_next_change(views, 3, 9000).action, MEMBER_NONE)
+        << "two of three tolerate no more than two";
+    membership_change step = membership_next_change(views, 4, 9000);
+    EXPECT_EQ(step.action, MEMBER_REMOVE);
+    EXPECT_EQ(step.id, 2u);
+    EXPECT_EQ(membership_next_change(views, 5, 9000).action, MEMBER_NONE)
+        << "four of five tolerate one, as four do";
+    // Two are replaced at a time: the one that has gone already goes first.
+    views[2].heard_ms = 8000;
+    step = membership_next_change(views, 5, 9000);
+    EXPECT_EQ(step.action, MEMBER_REMOVE);
+    EXPECT_EQ(step.id, 3u);
+    views[0].voter = false; // removing c or b of b, c, d and e leaves two voters
+    EXPECT_EQ(membership_next_change(views, 5, 9000).action, MEMBER_NONE);
+}
+
+// It still answers once it is removed, and was added again.
+TEST(Members, AReplicaThatIsBeingStoppedDoesNotJoin)
+{
+    replica_status views[] = {{1, "a", true, true, 9000, false},
+                           {2, "b", true, true, 8990, false},
+                           {3, "c", true, true, 8990, false},
+                           {4, "d", false, false, 8990, true}};
+    EXPECT_EQ(membership_next_change(views, 4, 9000).action, MEMBER_NONE);
+    views[3].leaving = false;
+    EXPECT_EQ(membership_next_change(views, 4, 9000).action, MEMBER_ADD);
+}
+
+// The former replica was heard until just now.
+TEST(Members, TheFormerReplicaOfAHostDoesNotJoinAgain)
+{
+    replica_status views[] = {{1, "a", true, true, 9000, false},
+                           {2, "b", true, true, 8990, false},
+                           {3, "c", false, false, 8500, false},
+                           {9, "c", true, false, 8990, false}};
+    EXPECT_EQ(membership_next_change(views, 4, 9000).action, MEMBER_NONE);
+}
+
+// A new host joins while another one has gone: the cell does not wait with the
+// removal until the new one has caught up.
+TEST(Members, ASurplusVoterIsRemovedBeforeAnotherHostJoins)
+{
+    replica_status views[] = {{1, "a", true, true, 9000, false},
+                           {2, "b", true, true, 8990, false},
+                           {3, "c", true, true, 8000, false},
+                           {4, "d", true, true, 8990, false},
+                           {9, "e", false, false, 8990, false}};
+    membership_change step = membership_next_change(views, 5, 9000);
+    EXPECT_EQ(step.action, MEMBER_REMOVE);
+    EXPECT_EQ(step.id, 3u);
+    views[4].host = "c"; // adding it removes the other one of its host
+    step = membership_next_change(views, 5, 9000);
+    EXPECT_EQ(step.action, MEMBER_ADD);
+    EXPECT_EQ(step.id, 9u);
+}
+
 TEST(Members, NoVoterIsRemovedWithoutANewcomerOrAMajority)
 {
-    replica_status views[] = {{1, "a", true, true, 9000},
-                           {2, "b", true, true, 1000},
-                           {3, "c", true, true, 1000},
-                           {9, "d", false, false, 8990}};
+    replica_status views[] = {{1, "a", true, true, 9000, false},
+                           {2, "b", true, true, 1000, false},
+                           {3, "c", true, true, 1000, false},
+                           {9, "d", false, false, 8990, false}};
     EXPECT_EQ(membership_next_change(views, 3, 9000).action, MEMBER_NONE);
     EXPECT_NE(membership_next_change(views, 4, 9000).action, MEMBER_REMOVE);
     views[3].heard_ms = 5000;
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -283,6 +283,10 @@
 core/planlist.c	    if (!list->is_cut) {	    if (true) {	Lists.ARunBeyond*
 core/planlist.c	ptarget->runs_known || !list->is_cut;	true;	Lists.InheritedWorkWaits*
 platform/lists.c	return json_array_size(list) >= LISTS_ENDS_MAX;	return ends->len >= LISTS_ENDS_MAX;	Lists.AListOfEnds*
+core/members.c	if (!silent && !replicas[i].leaving) {	if (!silent) {	Members.AVoterThatIsBeing*
+core/members.c	!replicas[i].member && !replicas[i].leaving &&	!replicas[i].member &&	Members.AReplicaThatIsBeing*
+core/members.c	staying < MIN_VOTERS || staying / 2 >= voters / 2	staying < MIN_VOTERS	Members.AVoterThatIsBeing*
+core/members.c	            !is_former_replica(replicas, count, &replicas[i]) &&\n		Members.TheFormer*
 LIST
 echo "$CAUGHT passed, $MISSED failed"
 [ "$MISSED" = 0 ]
