Simulated disks keep failed writes without a gap

The trace: host h0's disk is full for a while; after a crash its log has entries 76 to 78 and 86 to 91, so that 79 to 84 are never applied.

Cause: the simulation keeps the first write that failed and those after the disk has room again, but dropped those in between. A disk cannot hold that: after a failure the store appends nothing until all is written again (node/disk.c), and it reads consecutive entries only.

The simulation now keeps all of them, in order; as before a random prefix survives a crash. The check is as strict: the states that go are those with a gap.

--- a/tests/raft_world.h
+++ b/tests/raft_world.h
@@ -466,6 +466,9 @@
             if (!n->disk_failed) {
                 n->on_disk.assign(1, write);
             }
+            else if (!write.is_rewrite) {
+                n->on_disk.push_back(write); // without a gap after the first
+            }
             if (!n->disk_failed || write.is_rewrite) {
                 fail_disk(n);
             }
