A voter of four that lost its disk votes before it is admitted again

What callers saw: a core host was replaced, the new one first, and killed; another one lost its disk before the leader had noticed.

Cause: two of four voters cannot admit the replica with the empty disk, and only it can make them three.

With the leader killed; a leader that is left can still admit the replica.

Change: in a cell of four voters a replica on a voter's host that is no member votes and acknowledges in that voter's place: one in an election, one in a quorum of a leader. Of four voters any two quorums share two members, so that one that remembers is always asked.

--- a/tests/raft_test.cc
+++ b/tests/raft_test.cc
@@ -258,6 +258,134 @@
     }
 }
 
+// Creates four voters, as after the first half of a planned replacement.
+bool form_four_voters(Simulation &sim)
+{
+    create_nodes(sim, 4, 0);
+    sim.lossy = false;
+    raft_bootstrap(sim.nodes[0]->replica, sim.nodes[0]->now());
+    for (int i = 1; i < 4; i++) {
+        if (!run_until_leader(sim, 5000) || !add_member(sim, i, 10000)) {
+            return false;
+        }
+    }
+    run_for(sim, 500);
+    return current_leader(sim) != nullptr;
+}
+
+// Guards against LOST: a host that was being replaced was killed, another one lost
+// its disk at the same time, and the other two of four found no leader for good.
+TEST(Raft, AReplacedHostAndALostDiskLeaveALeader)
+{
+    for (uint64_t seed = 1; seed <= 120; seed++) {
+        Simulation sim(seed);
+        ASSERT_TRUE(form_four_voters(sim)) << "seed " << seed;
+        for (int i = 0; i < 10; i++) {
+            propose(sim);
+            run_for(sim, sim.random_below(30));
+        }
+        const int leader = current_leader(sim)->number;
+        const int gone = (leader + (int)(seed % 4)) % 4;
+        const int lost = (gone + 1 + (int)(seed / 4 % 3)) % 4;
+        crash(sim.nodes[gone].get());
+        sim.nodes[gone]->restart_ms = UINT64_MAX;
+        run_for(sim, sim.random_below(3) * 250);
+        crash(sim.nodes[lost].get());
+        sim.nodes[lost]->disk = Disk();
+        sim.nodes[lost]->restart_ms = sim.now_ms + sim.random_below(3000);
+        sim.lossy = seed % 2 == 0;
+        run_for(sim, 4000);
+        ASSERT_TRUE(run_until_leader(sim, 10000)) << "seed " << seed;
+        propose(sim);
+        EXPECT_TRUE(add_member(sim, lost, 10000)) << "seed " << seed;
+        EXPECT_EQ(sim.failure, "") << "seed " << seed;
+        EXPECT_GE(sim.acked.size(), 9u);
+        tear_down(sim);
+    }
+}
+
+// One disk is lost at a random time among other failures of four voters.
+TEST(Raft, ASubstituteHoldsUnderRandomFailures)
+{
+    const uint64_t first = seed_from_env(1);
+    for (uint64_t seed = first; seed < first + runs_from_env(300); seed++) {
+        Simulation sim(seed);
+        ASSERT_TRUE(form_four_voters(sim)) << "seed " << seed;
+        sim.lossy = true;
+        const int lost = (int)sim.random_below(4);
+        const uint32_t round_of_loss = sim.random_below(20);
+        for (uint32_t round = 0; round < 30 && sim.failure.empty(); round++) {
+            if (sim.random_chance(0.5)) {
+                inject_failure(sim, 4);
+            }
+            if (round == round_of_loss) {
+                Node *n = sim.nodes[lost].get();
+                crash(n);
+                n->disk = Disk();
+                n->restart_ms = sim.now_ms + sim.random_below(1500);
+            }
+            for (uint32_t i = sim.random_below(15); i > 0; i--) {
+                propose(sim);
+                run_for(sim, sim.random_below(60));
+            }
+            run_for(sim, sim.random_below(1000));
+        }
+        ASSERT_EQ(sim.failure, "")
+            << "replay: FILBERTPATH_SEED=" << seed
+            << " build/unit --gtest_filter=Raft.ASubstituteHolds*";
+        tear_down(sim);
+    }
+}
+
+// Two that lost their disks could elect a leader for the second time in a term.
+TEST(Raft, OneSubstituteVotesInAnElection)
+{
+    Simulation sim(5);
+    ASSERT_TRUE(form_four_voters(sim));
+    const int leader = current_leader(sim)->number;
+    for (int i = 0; i < 3; i++) {
+        crash(sim.nodes[(leader + i) % 4].get());
+        sim.nodes[(leader + i) % 4]->restart_ms = UINT64_MAX;
+    }
+    Node *last = sim.nodes[(leader + 3) % 4].get();
+    run_for(sim, 3000);
+    ASSERT_EQ(raft_state(last->replica), RAFT_PRE_CANDIDATE);
+    for (int i = 1; i <= 2; i++) {
+        msg_hello hello = {};
+        msg_vote_reply vote = {};
+        hello.from_id = 900 + (uint64_t)i;
+        hello.has_disk = true;
+        g_strlcpy(hello.host, sim.nodes[(leader + i) % 4]->host.c_str(),
+                  sizeof(hello.host));
+        vote.from_id = hello.from_id;
+        vote.to_id = raft_id(last->replica);
+        vote.pre = vote.granted = true;
+        vote.term = raft_term(last->replica) + 1;
+        raft_receive(last->replica, MSG_HELLO, &hello, last->now());
+        raft_receive(last->replica, MSG_VOTE_REPLY, &vote, last->now());
+        EXPECT_EQ(raft_state(last->replica), RAFT_PRE_CANDIDATE)
+            << "with " << i << " of them";
+    }
+    tear_down(sim);
+}
+
+// In a cell of three, one that lost its disk and one that lags behind could elect
+// a leader without acknowledged entries.
+TEST(Raft, NoSubstituteVotesInACellOfThree)
+{
+    Simulation sim(9);
+    ASSERT_TRUE(form_three_voters(sim));
+    run_for(sim, 500);
+    const int leader = current_leader(sim)->number;
+    crash(sim.nodes[leader].get());
+    sim.nodes[leader]->restart_ms = UINT64_MAX;
+    replace_disk(sim, (leader + 1) % 3);
+    run_for(sim, 10000);
+    EXPECT_EQ(current_leader(sim), nullptr);
+    EXPECT_EQ(sim.failure, "");
+    tear_down(sim);
+}
+
 // The command to add a host that has just lost its disk was answered with
 // success while the leader knew only the lost identity, which was still a
 // member: the operator took the host for repaired and lost the next disk.
