--- a/core/fleet.c
+++ b/core/fleet.c
@@ -184,7 +184,7 @@
 /* Marks older targets with the same address as departed: it belongs to the
  * incarnation that started last. They are not removed: an invalid announcement
  * may name the address of a target at work. Returns false when a newer target
- * has the address. */
+ * has the address and has not departed. */
 static bool
 claim_address(struct fleet *fleet, const struct fleet_target_rec *rec)
 {
@@ -199,7 +199,7 @@
             continue;
         }
         if (other->rec.born_ms > rec->born_ms) {
-            is_newest = false;
+            is_newest = is_newest && other->rec.departed;
         }
         else {
             mark_departed(fleet, other);
--- a/node/fleetnode.c
+++ b/node/fleetnode.c
@@ -127,14 +127,17 @@
 {
     struct fleetnode *node = ctx;
 
-    if (node->dispatch != NULL) {
+    if (node->dispatch == NULL) {
+        return;
+    }
+    if (!target->rec.departed) {
         EVENT(EVENT_TARGET_ANNOUNCED, EVENT_STR("id", target->rec.id),
               EVENT_STR("service", target->rec.service),
               EVENT_STR("address", target->rec.address),
               EVENT_INT("leaving", target->rec.leaving),
               EVENT_INT("born", target->rec.born_ms));
-        dispatch_target_changed(node->dispatch, target, restarted);
     }
+    dispatch_target_changed(node->dispatch, target, restarted);
 }
 
 static void
--- a/tests/departed_test.cc
+++ b/tests/departed_test.cc
@@ -147,6 +147,20 @@
     sim.expect_one_start("its run went on");
 }
 
+// Clocks of targets differ: the next one may seem to have started before it.
+TEST(Departed, ATargetThatHasDepartedLeavesItsAddressToAnyOther)
+{
+    Departure sim;
+    sim.put_target("t1", 8000, 0, "r1", false, 20);
+    fleet_target_rec other = sim.find_target("t1")->rec;
+    g_strlcpy(other.id, "t9", FLEET_NAME_BYTES);
+    other.born_ms = 19;
+    EXPECT_EQ(sim.apply_change(&FLEET_TARGET_SCHEMA, &other).err, FP_ERR_STALE);
+    sim.remove_target("t1", true);
+    EXPECT_EQ(sim.apply_change(&FLEET_TARGET_SCHEMA, &other).err, FP_OK);
+    EXPECT_FALSE(sim.find_target("t9")->rec.departed);
+}
+
 TEST(Departed, ALeavingTargetThatHasDepartedIsNotBack)
 {
     Departure sim;
