--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -291,6 +291,7 @@
 core/raft.c	raft->substitute_voted || id != raft->substitute.id ||	id != raft->substitute.id ||	Raft.OneSubstitute*
 core/raft.c	for (uint32_t k = 0; k < 2 && ids[k] != 0; k++) {	for (uint32_t k = 0; k < 1 && ids[k] != 0; k++) {	Raft.AReplacedHost*
 core/raftlead.c	value = MAX(follower_value(raft, id, use_match_index),	value = MIN(follower_value(raft, id, use_match_index),	Raft.AReplacedHost*
+core/fleet.c	is_newest = is_newest && other->rec.departed;	is_newest = false;	Departed.ATargetThatHasDepartedL*
 LIST
 echo "$CAUGHT passed, $MISSED failed"
 [ "$MISSED" = 0 ]
