--- a/tests/departed_test.cc
+++ b/tests/departed_test.cc
@@ -157,7 +157,7 @@
     other.born_ms = 19;
     EXPECT_EQ(sim.apply_change(&FLEET_TARGET_SCHEMA, &other).err, FP_ERR_STALE);
     sim.remove_target("t1", true);
-    EXPECT_EQ(sim.apply_change(&FLEET_TARGET_SCHEMA, &other).err, FP_OK);
+    ASSERT_EQ(sim.apply_change(&FLEET_TARGET_SCHEMA, &other).err, FP_OK);
     EXPECT_FALSE(sim.find_target("t9")->rec.departed);
 }
 
