A restarted target is not held back by the removal of its last incarnation

Found while reading. A target was lost, its removal was proposed, and the announcement of its next incarnation was stored first. The answer to the proposal then found another incarnation, and the mark that keeps a target without starts while its removal may be stored stayed until the end of the term. No test: the order of the two records within one term is not reached by a session.

--- a/node/dispatchlane.c
+++ b/node/dispatchlane.c
@@ -687,6 +687,7 @@
     session->ends_in_flight = false;
     session->has_clock = false;
     session->lost = false;
+    session->removal_in_flight = false; /* it was of the last incarnation */
     memset(&session->ends_ack, 0, sizeof(session->ends_ack));
     session->next_hold_ms = 0;
     session->silent = false;
