Mutants for the other safeguards of departed targets

Four safeguards of had no line in tests/mutants.sh. Three were caught at once. The stop of what a departed target still runs was missed: in Departed.TheRunsOfARemovedTarget* the leaving target was at its last moment already and its run was stopped for that reason. It now has time left, and nothing is stopped before the removal; the mutant is caught.

In core/members.c a local variable is renamed, as a voter to remove need not be one that leaves.

--- a/core/members.c
+++ b/core/members.c
@@ -128,19 +128,19 @@
     struct membership_change change = {MEMBER_NONE, 0, NULL};
     const struct replica_status *joining =
         find_joining_replica(replicas, count, now_ms);
-    const struct replica_status *leaving =
+    const struct replica_status *to_remove =
         find_surplus_voter(replicas, count, now_ms);
 
-    if (leaving == NULL && joining != NULL &&
+    if (to_remove == NULL && joining != NULL &&
         !host_has_member(replicas, count, joining->host)) {
-        leaving = find_silent_voter(replicas, count, now_ms);
+        to_remove = find_silent_voter(replicas, count, now_ms);
     }
     /* Adding a replica removes another one on its host first. */
-    if (leaving != NULL &&
-        (joining == NULL || strcmp(joining->host, leaving->host) != 0)) {
+    if (to_remove != NULL &&
+        (joining == NULL || strcmp(joining->host, to_remove->host) != 0)) {
         change.action = MEMBER_REMOVE;
-        change.id = leaving->id;
-        change.host = leaving->host;
+        change.id = to_remove->id;
+        change.host = to_remove->host;
     }
     else if (joining != NULL) {
         change.action = MEMBER_ADD;
--- a/tests/departed_test.cc
+++ b/tests/departed_test.cc
@@ -27,8 +27,9 @@
     }
     void leave()
     {
-        put_target("t1", 8000, 0, "r1", true);
+        put_target("t1", 8000, 0, "r1", true, 1, 10000);
         run_pass(5);
+        ASSERT_EQ(stop_orders.size(), 0u) << "there is time for it";
         remove_target("t1", true);
         ASSERT_NE(find_target("t1"), nullptr);
         run_pass(5);
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -288,6 +288,10 @@
 core/members.c	staying < MIN_VOTERS || staying / 2 >= voters / 2	staying < MIN_VOTERS	Members.AVoterThatIsBeing*
 core/members.c	            !is_former_replica(replicas, count, &replicas[i]) &&\n		Members.TheFormer*
 core/fleet.c	is_newest = is_newest && other->rec.departed;	is_newest = false;	Departed.ATargetThatHasDepartedL*
+core/plancrash.c	ptarget->silent_ms == 0 && !target->rec.departed	ptarget->silent_ms == 0	Departed.TheRunsOfARemovedTargetStartElsewhereOnceItsLease*
+core/planrun.c	is_last_moment = target->departed ||	is_last_moment = false ||	Departed.TheRunsOfARemovedTargetStartElsewhereOnceThey*
+core/fleet.c	           (known->leaving || !known->departed) &&\n		Departed.ATargetThatAnnounces*
+core/fleet.c	bool departed = leaving && !restarted && target->rec.departed;	bool departed = false;	Departed.ALeavingTargetThatHas*
 LIST
 echo "$CAUGHT passed, $MISSED failed"
 [ "$MISSED" = 0 ]
