Crowds of clients that don't behave, with small limits in the tests' settings

What callers saw: in a trial, clients that send large bodies of legal size and stop short of their end, or that send ahead and read nothing, ended a process: it ran out of memory.

--- a/tests/platform/lib.sh
+++ b/tests/platform/lib.sh
@@ -19,7 +19,7 @@
     [ -n "${3:-}" ] && echo "data_folder: \"$3\""
     cat <<YAML
 snapshot_entries: ${SNAPSHOT_ENTRIES:-20000}
-limits: {disk_mb: ${DISK_MB:-0}}
+limits: {disk_mb: ${DISK_MB:-0}, memory_mb: ${MEMORY_MB:-0}, max_fds: ${MAX_FDS:-0}}
 times: {heartbeat_ms: 50, election_min_ms: 200, election_max_ms: 320, fresh_ms: 1500}
 fleet:
   $([ -n "${3:-}" ] && echo "control: \"$1:$((BASE_PORT + 1))\"" || echo "clients: \"$1:$((BASE_PORT + 2))\"")
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # run.sh -- all tests: unit tests, models and checks, then the golden sessions,
-# JOBS (default 4) in parallel. The whole transcript of a session is compared
-# with its expected file.
+# JOBS (default 4) in parallel, and the crowds (crowd-*) one at a time. The whole
+# transcript of a session is compared with its expected file.
 # "run.sh NAME..." runs only these sessions; ACCEPT=1 overwrites their expected
 # files. The first word of each line in KNOWN-RED.txt is the name of a test whose
 # failure is printed but does not fail the run.
@@ -55,11 +55,15 @@
     done < <(tests/models.sh; tests/checks.sh)
     FILES=$(ls tests/sessions/*.sh)
 fi
+is_crowd() { [[ $(basename "$1") == crowd-* ]]; }
 NUMBER=0
 for file in $FILES; do
     NUMBER=$((NUMBER + 1))
-    echo "$NUMBER $file"
+    is_crowd "$file" || echo "$NUMBER $file"
 done | xargs -P "$JOBS" -L 1 bash -c 'run_session "$0" "$1"'
+for file in $FILES; do
+    is_crowd "$file" && run_session 0 "$file"
+done
 for file in $FILES; do
     name=$(basename "$file" .sh)
     [ -n "${ACCEPT:-}" ] && cp "$OUT/$name.out" "tests/sessions/$name.expected"
--- /dev/null
+++ b/tests/sessions/crowd-core-bus-frames.sh
@@ -0,0 +1,4 @@
+# Frames of the bus that stop short of their last byte.
+. tests/platform/crowd.sh
+start_small_fleet
+meet_crowd frames 127.0.0.1 bus
--- /dev/null
+++ b/tests/sessions/crowd-core-metrics-idle.sh
@@ -0,0 +1,4 @@
+# More connections to the metrics of a core host than descriptors.
+. tests/platform/crowd.sh
+start_small_fleet
+meet_crowd idle 127.0.0.1 metrics --connections 700
