Servers do not accept HTTP/2

What callers saw: 300 connections with streams of HTTP/2 took a front end to 621 MB, where 64 MB are allowed.

Cause: h2o turns a connection to HTTP/2 that begins with its preface, or asks for the upgrade. Up to 100 streams on each connection buffer their bodies outside the input of the socket, which is all that the server counts. No caller of this system speaks HTTP/2: the interfaces are HTTP/1.1, and TLS offers no other protocol.

Change: upgrade_to_http2 is off. The preface is answered as a malformed request.

--- a/node/httpd.c
+++ b/node/httpd.c
@@ -384,6 +384,9 @@
     h2o_config_init(&httpd->config);
     httpd->config.max_request_entity_size = HTTPD_BODY_MAX_BYTES;
     httpd->config.http1.req_timeout = HTTPD_REQUEST_TIMEOUT_MS;
+    /* h2o would take a hundred streams on each connection, and buffer the body
+     * of each outside the input that httpd counts. */
+    httpd->config.http1.upgrade_to_http2 = 0;
     httpd->config.server_name = h2o_iovec_init(H2O_STRLIT("filbertpath"));
     host = h2o_config_register_host(
         &httpd->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
