Reads of an HTTP server keep within the bound of its input

What callers saw: 300 clients of a front end that send bodies of legal size and stop short of their last byte, or send them whole, in chunks, byte by byte, or send heads that do not end: 59 to 130 MB where 64 are allowed; where memory is enforced the process ends.

Cause: h2o reads into a buffer of each connection until the request is complete. Their sum was bounded by a timer, 200 ms apart: 8 MB were allowed, and up to 100 arrived in between. A complete request was refused for its size only once all of it was held, and while it was answered its bytes counted nowhere.

Change: the callbacks that libuv reads with are wrapped (node/httpconn.c, which now has the connections). Before each read the sum of all input is known; the read gets no more room than the bound leaves. When less than 4 KiB are left, connections are closed: first the one whose input, times the time for which it has held any, is the most (entry_input_weight()), so that a request that comes in at once goes on beside others that stand still. Input counts until its request has been answered. Buffers of idle connections are given back.

Entry.InputIsBoundedWhileItIsRead, InputOfALaterRequest*, ASingleRead* are new. The first fails with the wrapped callbacks taken out (mutants of tests/mutants.sh, all caught).

--- a/node/entry.c
+++ b/node/entry.c
@@ -3,54 +3,74 @@
 
 #include <glib.h>
 
-/* Descriptors kept for everything but clients' connections: files, the bus,
- * targets, the other listeners. */
+/* Descriptors kept for everything but connections of the listeners: files, the
+ * bus, connections to targets. */
 #define RESERVED_FDS_DIVISOR 4u
 #define RESERVED_FDS_MAX 512u
-/* Part of the memory for each purpose, as a divisor, and what one takes. */
-#define CONNECTIONS_MEMORY_DIVISOR 4u
+/* What a connection and a request take, beside their bytes. */
 #define CONNECTION_BYTES 8192u
-#define REQUESTS_MEMORY_DIVISOR 8u
 #define REQUEST_BYTES 16384u
-/* A body is held as received, decoded, and encoded for each host that it is
- * sent to. */
-#define BODIES_MEMORY_DIVISOR 32u
-#define PARTIAL_MEMORY_DIVISOR 8u
 /* Bodies that wait fill the link for this long at most. */
 #define LINK_QUEUE_MS 500u
 #define BOUND_MIN                                                             \
     16u /* for requests and connections, however small the host */
 
+/* Parts of the memory for each purpose, and of the descriptors that are not
+ * reserved, as divisors. A body is held as received,
+ * decoded, and encoded for each host that it is sent to. */
+struct listener_shares {
+    uint32_t fds;
+    uint32_t connections;
+    uint32_t requests;
+    uint32_t bodies;
+    uint32_t partial;
+    uint64_t partial_min_bytes; /* the largest request */
+};
+
+static const struct listener_shares SHARES = {1, 4, 8, 32, 8, 512u << 10};
+
 static uint64_t
 min_known(uint64_t bound, uint64_t other)
 {
     return other == 0 ? bound : bound == 0 ? other : MIN(bound, other);
 }
 
+/* Bounds that follow from the memory; connections are bounded already. */
+static void
+set_memory_bounds(const struct listener_shares *shares, uint64_t memory,
+                  struct entry_bounds *bounds)
+{
+    bounds->requests =
+        (uint32_t)MAX(memory / shares->requests / REQUEST_BYTES, BOUND_MIN);
+    bounds->request_bytes = memory / shares->bodies;
+    bounds->partial_bytes =
+        MAX(memory / shares->partial, shares->partial_min_bytes);
+}
+
 void
 entry_set_bounds(const struct entry_limits *limits,
                  struct entry_bounds *bounds)
 {
+    const struct listener_shares *shares = &SHARES;
     const uint64_t memory = (uint64_t)limits->memory_mb << 20;
     const uint32_t reserved =
         MIN(limits->max_fds / RESERVED_FDS_DIVISOR, RESERVED_FDS_MAX);
-    const uint64_t by_memory =
-        memory / CONNECTIONS_MEMORY_DIVISOR / CONNECTION_BYTES;
     const uint64_t link_bytes = (uint64_t)limits->link_kbps * LINK_QUEUE_MS /
                                 8; /* kbit/s * ms: bits */
 
     *bounds = (struct entry_bounds){0};
     if (memory > 0 || limits->max_fds > 0) {
+        const uint64_t by_memory =
+            memory / shares->connections / CONNECTION_BYTES;
+
         bounds->connections = (uint32_t)MAX(
-            min_known(by_memory, limits->max_fds - reserved), BOUND_MIN);
+            min_known(by_memory, (limits->max_fds - reserved) / shares->fds),
+            BOUND_MIN);
     }
     if (memory > 0) {
-        bounds->requests = (uint32_t)MAX(
-            memory / REQUESTS_MEMORY_DIVISOR / REQUEST_BYTES, BOUND_MIN);
-        bounds->partial_bytes = memory / PARTIAL_MEMORY_DIVISOR;
+        set_memory_bounds(shares, memory, bounds);
     }
-    bounds->request_bytes =
-        min_known(memory / BODIES_MEMORY_DIVISOR, link_bytes);
+    bounds->request_bytes = min_known(bounds->request_bytes, link_bytes);
 }
 
 enum entry_admission
@@ -73,3 +93,9 @@
     return bounds->request_bytes == 0 || load->requests == 0 ||
            load->request_bytes + body_bytes <= bounds->request_bytes;
 }
+
+uint64_t
+entry_input_weight(uint64_t input_bytes, uint64_t held_ms)
+{
+    return input_bytes * (held_ms + 1);
+}
--- a/node/entry.h
+++ b/node/entry.h
@@ -24,7 +24,7 @@
     uint32_t connections;   /* open at once */
     uint32_t requests;      /* unanswered */
     uint64_t request_bytes; /* sum of their bodies; one is always taken */
-    uint64_t partial_bytes; /* received of requests that are not complete */
+    uint64_t partial_bytes; /* received, and not answered yet */
 };
 
 /* What a listener holds at the moment. */
@@ -33,6 +33,7 @@
     uint32_t idle; /* of them, without a request that is unanswered */
     uint32_t requests;
     uint64_t request_bytes;
+    uint64_t input_bytes; /* received, and not answered yet */
 };
 
 /* What to do with a new connection. */
@@ -52,4 +53,9 @@
 bool entry_takes_request(const struct entry_bounds *bounds,
                          const struct entry_load *load, uint64_t body_bytes);
 
+/* How much the input of a connection is in the way of others: what it holds,
+ * by the time for which it has held anything. The connection with the most is
+ * closed first. 0: it holds nothing. */
+uint64_t entry_input_weight(uint64_t input_bytes, uint64_t held_ms);
+
 #endif /* FP_ENTRY_H */
--- a/node/httpd.c
+++ b/node/httpd.c
@@ -1,7 +1,4 @@
 /* httpd.c -- HTTP server: wraps h2o on libuv */
-#define H2O_USE_LIBUV 1
-#include <h2o.h>
-
 #include "node/httpd.h"
 
 #include <glib.h>
@@ -11,6 +8,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "node/httpconn.h"
 
 struct request_handler {
     h2o_handler_t super; /* must be first */
@@ -29,21 +27,8 @@
     void *ctx;
     uint32_t in_flight;
     uint64_t in_flight_bytes; /* of bodies */
-    struct entry_bounds bounds;
-    struct httpd_counters counters;
-    GHashTable *sockets; /* h2o_socket_t to struct client_conn */
-    GQueue idle;         /* struct client_conn without unanswered requests,
-                          * the one that is idle for longest first */
-    bool h2o_disposed;   /* h2o holds no reference to this struct */
-};
-
-/* A client's connection. */
-struct client_conn {
-    uv_tcp_t tcp; /* must be first */
-    struct httpd *httpd;
-    h2o_socket_t *socket;
-    uint32_t requests; /* that h2o holds: not answered, or being sent */
-    GList link;        /* in httpd->idle; data NULL: not in it */
+    struct httpconns conns;
+    bool h2o_disposed; /* h2o holds no reference to this struct */
 };
 
 /* Shared allocation in the pool of an h2o request: h2o disposes of it together
@@ -66,22 +51,6 @@
     char **headers; /* name, value, name, value, ..., NULL */
 };
 
-static void
-set_idle(struct client_conn *conn, bool is_idle)
-{
-    if (is_idle == (conn->link.data != NULL)) {
-        return;
-    }
-    if (is_idle) {
-        conn->link.data = conn;
-        g_queue_push_tail_link(&conn->httpd->idle, &conn->link);
-    }
-    else {
-        g_queue_unlink(&conn->httpd->idle, &conn->link);
-        conn->link.data = NULL;
-    }
-}
-
 static void
 on_h2o_req_freed(void *item)
 {
@@ -90,8 +59,8 @@
     if (ref->request != NULL) {
         ref->request->h2o_req = NULL;
     }
-    if (ref->conn != NULL && --ref->conn->requests == 0) {
-        set_idle(ref->conn, true);
+    if (ref->conn != NULL) {
+        httpconns_request_ended(ref->conn);
     }
 }
 
@@ -121,11 +90,9 @@
         h2o_mem_alloc_shared(&req->pool, sizeof(*ref), on_h2o_req_freed);
 
     ref->request = request;
-    ref->conn = g_hash_table_lookup(
-        httpd->sockets, req->conn->callbacks->get_socket(req->conn));
+    ref->conn = httpconns_find(&httpd->conns, req);
     if (ref->conn != NULL) {
-        ref->conn->requests++;
-        set_idle(ref->conn, false);
+        httpconns_request_began(ref->conn);
     }
     request->ref = ref;
     request->httpd = httpd;
@@ -137,18 +104,12 @@
 void
 httpd_load(const struct httpd *httpd, struct entry_load *load)
 {
-    *load =
-        (struct entry_load){.connections = g_hash_table_size(httpd->sockets),
-                            .idle = httpd->idle.length,
-                            .requests = httpd->in_flight,
-                            .request_bytes = httpd->in_flight_bytes};
-}
-
-static void
-count_refusal(struct httpd *httpd, uint64_t *counter)
-{
-    (*counter)++;
-    httpd->counters.refused_since_read++;
+    *load = (struct entry_load){.connections =
+                                    g_hash_table_size(httpd->conns.sockets),
+                                .idle = httpd->conns.idle.length,
+                                .requests = httpd->in_flight,
+                                .request_bytes = httpd->in_flight_bytes,
+                                .input_bytes = httpd->conns.input_bytes};
 }
 
 static int
@@ -162,8 +123,9 @@
 
     httpd_load(httpd, &load);
     request = add_request(httpd, req);
-    if (!entry_takes_request(&httpd->bounds, &load, req->entity.len)) {
-        count_refusal(httpd, &httpd->counters.refused_requests);
+    if (!entry_takes_request(&httpd->conns.bounds, &load, req->entity.len)) {
+        httpconns_count(&httpd->conns,
+                        &httpd->conns.counters.refused_requests);
         http_reply_error(request, FP_ERR_HOST_FULL, "");
         return 0;
     }
@@ -185,52 +147,6 @@
     return 0;
 }
 
-static void
-on_socket_closed(uv_handle_t *handle)
-{
-    struct client_conn *conn = (struct client_conn *)handle;
-
-    if (conn->socket != NULL) {
-        set_idle(conn, false);
-        g_hash_table_remove(conn->httpd->sockets, conn->socket);
-    }
-    g_free(conn);
-}
-
-/* Ends a connection that has no unanswered request, as if its client had
- * closed it: h2o frees a connection only in an event of its socket. Returns
- * false when the socket does not read. */
-static bool
-close_idle(struct client_conn *conn)
-{
-    h2o_socket_t *socket = conn->socket;
-
-    if (socket->_cb.read == NULL) {
-        return false;
-    }
-    set_idle(conn, false);
-    socket->_cb.read(socket, "closed to make room");
-    return true;
-}
-
-/* Workload: clients that keep more connections open than the host has
- * descriptors or memory for. Returns whether a new one is taken. */
-static bool
-make_room(struct httpd *httpd)
-{
-    struct entry_load load;
-    enum entry_admission admission;
-
-    httpd_load(httpd, &load);
-    admission = entry_admit_connection(&httpd->bounds, &load);
-    if (admission == ENTRY_REPLACE_IDLE &&
-        close_idle(httpd->idle.head->data)) {
-        httpd->counters.closed_idle++;
-        return true;
-    }
-    return admission == ENTRY_TAKE;
-}
-
 static void
 on_connection(uv_stream_t *listener, int status)
 {
@@ -240,78 +156,44 @@
     if (status != 0) {
         return;
     }
-    conn = g_new0(struct client_conn, 1);
-    conn->httpd = httpd;
-    uv_tcp_init(httpd->loop, &conn->tcp);
-    if (uv_accept(listener, (uv_stream_t *)&conn->tcp) != 0) {
-        uv_close((uv_handle_t *)&conn->tcp, on_socket_closed);
-        return;
-    }
-    if (!make_room(httpd)) {
-        count_refusal(httpd, &httpd->counters.closed_new);
-        uv_close((uv_handle_t *)&conn->tcp, on_socket_closed);
-        return;
+    conn = httpconns_accept(&httpd->conns, listener);
+    if (conn != NULL) {
+        h2o_accept(&httpd->accept, conn->socket);
+        httpconns_watch(conn);
     }
-    uv_tcp_nodelay(&conn->tcp, 1);
-    conn->socket =
-        h2o_uv_socket_create((uv_stream_t *)&conn->tcp, on_socket_closed);
-    g_hash_table_insert(httpd->sockets, conn->socket, conn);
-    set_idle(conn, true);
-    h2o_accept(&httpd->accept, conn->socket);
 }
 
-/* Workload: clients that send large requests slowly, or never to the end. */
 void
 httpd_check_partial(struct httpd *httpd)
 {
-    uint64_t bytes = 0;
-
-    if (httpd->bounds.partial_bytes == 0) {
-        return;
-    }
-    for (GList *link = httpd->idle.head; link != NULL; link = link->next) {
-        const struct client_conn *conn = link->data;
-
-        bytes += conn->socket->input->size;
-    }
-    for (GList *link = httpd->idle.head, *next;
-         link != NULL && bytes > httpd->bounds.partial_bytes; link = next) {
-        struct client_conn *conn = link->data;
-        const uint64_t held_bytes = conn->socket->input->size;
-
-        next = link->next;
-        if (held_bytes > 0 && close_idle(conn)) {
-            bytes -= held_bytes;
-            count_refusal(httpd, &httpd->counters.closed_partial);
-        }
-    }
+    httpconns_check_input(&httpd->conns);
 }
 
 void
 httpd_set_bounds(struct httpd *httpd, const struct entry_bounds *bounds)
 {
-    httpd->bounds = *bounds;
+    httpd->conns.bounds = *bounds;
 }
 
 uint64_t
 httpd_take_refused(struct httpd *httpd)
 {
-    uint64_t refused = httpd->counters.refused_since_read;
+    uint64_t refused = httpd->conns.counters.refused_since_read;
 
-    httpd->counters.refused_since_read = 0;
+    httpd->conns.counters.refused_since_read = 0;
     return refused;
 }
 
 const struct entry_bounds *
 httpd_bounds(const struct httpd *httpd)
 {
-    return &httpd->bounds;
+    return &httpd->conns.bounds;
 }
 
 const struct httpd_counters *
 httpd_counters(const struct httpd *httpd)
 {
-    return &httpd->counters;
+    return &httpd->conns.counters;
 }
 
 static enum fp_err
@@ -380,7 +262,7 @@
     httpd->loop = loop;
     httpd->handler = handler;
     httpd->ctx = ctx;
-    httpd->sockets = g_hash_table_new(g_direct_hash, g_direct_equal);
+    httpconns_init(&httpd->conns, loop);
     h2o_config_init(&httpd->config);
     httpd->config.max_request_entity_size = HTTPD_BODY_MAX_BYTES;
     httpd->config.http1.req_timeout = HTTPD_REQUEST_TIMEOUT_MS;
@@ -444,6 +326,7 @@
         return;
     }
     httpd_stop_listening(httpd);
+    httpconns_close(&httpd->conns);
     SSL_CTX_free(httpd->ssl_ctx);
     httpd->ssl_ctx = NULL;
     if (!httpd_has_connections(httpd)) {
@@ -457,7 +340,7 @@
 httpd_free(struct httpd *httpd)
 {
     if (httpd != NULL && httpd->h2o_disposed) {
-        g_hash_table_destroy(httpd->sockets);
+        httpconns_free(&httpd->conns);
         g_free(httpd);
     }
 }
--- a/node/httpd.h
+++ b/node/httpd.h
@@ -55,8 +55,9 @@
  * at once by FP_ERR_HOST_FULL; its body is not read into a request. */
 void httpd_set_bounds(struct httpd *httpd, const struct entry_bounds *bounds);
 
-/* Closes connections, the oldest first, while requests that are not complete
- * hold more memory than the bound; call it several times a second. */
+/* Closes connections while requests that are not complete hold more memory
+ * than the bound, the one first that has held the most for the longest; call
+ * it several times a second. Reads keep within the bound by themselves. */
 void httpd_check_partial(struct httpd *httpd);
 
 /* Refusals since the last call. */
--- a/tests/entry_test.cc
+++ b/tests/entry_test.cc
@@ -45,7 +45,7 @@
 TEST(Entry, WithoutLimitsThereAreNoBounds)
 {
     entry_bounds none = bounds_of(0, 0, 0);
-    entry_load load = {1u << 20, 0, 1u << 20, 1ull << 40};
+    entry_load load = {1u << 20, 0, 1u << 20, 1ull << 40, 0};
     EXPECT_EQ(entry_admit_connection(&none, &load), ENTRY_TAKE);
     EXPECT_TRUE(entry_takes_request(&none, &load, 1 << 20));
 }
@@ -63,7 +63,7 @@
 TEST(Entry, AConnectionReplacesAnIdleOneOrIsClosed)
 {
     entry_bounds bounds = {4, 2, 0, 0};
-    entry_load load = {3, 0, 0, 0};
+    entry_load load = {3, 0, 0, 0, 0};
     EXPECT_EQ(entry_admit_connection(&bounds, &load), ENTRY_TAKE);
     load.connections = 4;
     EXPECT_EQ(entry_admit_connection(&bounds, &load), ENTRY_CLOSE);
@@ -74,12 +74,12 @@
 TEST(Entry, RequestsAreBoundedByNumberAndBytes)
 {
     entry_bounds bounds = {0, 3, 1000, 0};
-    entry_load load = {0, 0, 2, 900};
+    entry_load load = {0, 0, 2, 900, 0};
     EXPECT_TRUE(entry_takes_request(&bounds, &load, 100));
     EXPECT_FALSE(entry_takes_request(&bounds, &load, 101));
-    load = {0, 0, 3, 0};
+    load = {0, 0, 3, 0, 0};
     EXPECT_FALSE(entry_takes_request(&bounds, &load, 0));
-    load = {0, 0, 0, 0};
+    load = {0, 0, 0, 0, 0};
     EXPECT_TRUE(entry_takes_request(&bounds, &load, 5000)); // alone
 }
 
@@ -272,6 +272,80 @@
     ASSERT_EQ(server.waiting.size(), 1u);
 }
 
+// Bytes that arrived while the server did something else are not read beyond the
+// bound, and a small request is not what is closed for them.
+TEST(Entry, InputIsBoundedWhileItIsRead)
+{
+    Server server({0, 0, 0, 100000});
+    ASSERT_NE(server.server, nullptr);
+    std::vector<int> fds;
+    for (int i = 0; i < 8; i++) {
+        fds.push_back(server.connect_client());
+    }
+    for (int i = 0; i < 8; i++) {
+        std::string text = "POST /q/1 HTTP/1.1\r\nHost: h\r\n"
+                           "Content-Length: 90000\r\n\r\n" +
+                           std::string(60000, 'x');
+        ASSERT_EQ(write(fds[i], text.data(), text.size()), (ssize_t)text.size());
+    }
+    int small = server.connect_client();
+    server.post(small, 2);
+    entry_load load;
+    httpd_load(server.server, &load);
+    EXPECT_LE(load.input_bytes, 100000u);
+    EXPECT_EQ(httpd_counters(server.server)->closed_partial, 7u);
+    ASSERT_EQ(server.waiting.size(), 1u);
+    server.answer_all();
+    EXPECT_NE(Server::received(small).find("200"), std::string::npos);
+    for (int fd : server.clients) {
+        close(fd);
+    }
+    server.clients.clear();
+    server.run();
+    httpd_load(server.server, &load);
+    EXPECT_EQ(load.input_bytes, 0u);
+}
+
+// The buffer of a read has room for more than the bound leaves.
+TEST(Entry, ASingleReadKeepsWithinTheBound)
+{
+    Server server({0, 0, 0, 14000});
+    ASSERT_NE(server.server, nullptr);
+    int fd = server.connect_client();
+    server.send_text(fd, "POST /q/1 HTTP/1.1\r\nHost: h\r\n"
+                         "Content-Length: 90000\r\n\r\n" +
+                             std::string(14940, 'x'));
+    EXPECT_EQ(httpd_counters(server.server)->closed_partial, 1u);
+    EXPECT_EQ(Server::received(fd), "closed");
+}
+
+// h2o reads from a connection anew after each answer.
+TEST(Entry, InputOfALaterRequestIsBoundedToo)
+{
+    Server server({0, 0, 0, 100000});
+    ASSERT_NE(server.server, nullptr);
+    int fd = server.connect_client();
+    server.post(fd, 2);
+    ASSERT_EQ(server.waiting.size(), 1u);
+    server.answer_all();
+    EXPECT_NE(Server::received(fd).find("200"), std::string::npos);
+    std::string text = "POST /q/1 HTTP/1.1\r\nHost: h\r\n"
+                       "Content-Length: 190000\r\n\r\n" +
+                       std::string(150000, 'x');
+    ASSERT_GT(write(fd, text.data(), text.size()), 0);
+    server.run();
+    EXPECT_EQ(httpd_counters(server.server)->closed_partial, 1u);
+    EXPECT_EQ(Server::received(fd), "closed");
+}
+
+TEST(Entry, WhatHoldsMuchForLongIsClosedFirst)
+{
+    EXPECT_EQ(entry_input_weight(0, 5000), 0u);
+    EXPECT_GT(entry_input_weight(1, 0), 0u);
+    EXPECT_GT(entry_input_weight(200000, 900), entry_input_weight(200000, 20));
+    EXPECT_GT(entry_input_weight(200000, 900), entry_input_weight(2000, 900));
+}
+
 TEST(Entry, AClientThatLeavesFreesItsPlace)
 {
     Server server({2, 2, 0, 0});
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -221,10 +221,13 @@
 core/planrun.c	    if (task->runs == 1) {\n        step->pending--;	    if (task->runs >= 1) {\n        step->pending--;	Copy.AStraggler*
 node/entry.c	load->requests >= bounds->requests	false	Entry.RequestsBeyond*
 node/entry.c	load->request_bytes + body_bytes <= bounds->request_bytes	true	Entry.BodiesOf*
+node/httpconn.c	buffer->len = MIN(buffer->len, bound - conns->input_bytes);		Entry.ASingleRead*
+node/httpconn.c	!make_input_room(conns, conn, READ_BYTES_MIN)	false	Entry.InputIsBounded*
+node/httpconn.c	        httpconns_watch(conn);\n        count_input(conn);\n        release_empty_input(conn);	        count_input(conn);	Entry.InputOfALaterRequest*
 node/entry.c	return load->idle > 0 ? ENTRY_REPLACE_IDLE : ENTRY_CLOSE;	return ENTRY_TAKE;	Entry.TheOldestIdle*
-node/httpd.c	g_queue_push_tail_link(&conn->httpd->idle, &conn->link);	g_queue_push_head_link(&conn->httpd->idle, &conn->link);	Entry.TheOldestIdle*
-node/httpd.c	        set_idle(ref->conn, false);\n		Entry.TheOldestIdle*
-node/httpd.c	bytes > httpd->bounds.partial_bytes	false	Entry.SlowSenders*
+node/httpconn.c	g_queue_push_tail_link(queue, link);	g_queue_push_head_link(queue, link);	Entry.TheOldestIdle*
+node/httpconn.c	    conn->requests++;\n    set_idle(conn, false);	    conn->requests++;	Entry.TheOldestIdle*
+node/httpconn.c	conns->input_bytes + bytes > conns->bounds.partial_bytes	false	Entry.SlowSenders*
 node/settings.c	value != 0 && !(value >= min && value <= max)	false	Settings.ErrorsName*
 core/planspeed.c	    speed->permille = sorted[kept / 2];	    speed->permille = sorted[kept - 1];	Speed.RunsOfTheTail*
 core/planspeed.c	if (permille < CREDIBLE_PERMILLE || target->removed) {	if (target->removed) {	Speed.ATargetThatEndsTooEarly*
