Answers that nobody reads are bounded

Cause: h2o copies an answer to the request's memory and keeps it until the client has taken it. Requests were bounded until they were answered, answers not at all.

Change: answers over 1 KiB count from http_reply() until h2o frees the request. Without room the oldest ones that are being sent are shut down (h2o frees a connection in its own next event), and the new one is refused: a GET by 503 host-full with a time to come back, any other method by the end of its connection, as it may have changed something. The next attempt finds the room. One answer is always sent, however large.

Entry.AnswersThatNobodyReadsAreBounded is new; it fails with each of its three safeguards taken out (tests/mutants.sh).

--- a/node/entry.c
+++ b/node/entry.c
@@ -27,11 +27,13 @@
     uint32_t requests;
     uint32_t bodies;
     uint32_t partial;
+    uint32_t answers;
     uint32_t receive;
     uint64_t partial_min_bytes; /* the largest request */
 };
 
-static const struct listener_shares SHARES = {1, 4, 8, 32, 8, 8, 512u << 10};
+static const struct listener_shares SHARES = {1, 4,  8, 32,
+                                              8, 32, 8, 512u << 10};
 
 static uint64_t
 min_known(uint64_t bound, uint64_t other)
@@ -49,6 +51,7 @@
     bounds->request_bytes = memory / shares->bodies;
     bounds->partial_bytes =
         MAX(memory / shares->partial, shares->partial_min_bytes);
+    bounds->answer_bytes = memory / shares->answers;
     bounds->receive_bytes =
         (uint32_t)CLAMP(memory / shares->receive / bounds->connections,
                         RECEIVE_BYTES_MIN, RECEIVE_BYTES_MAX);
@@ -102,6 +105,14 @@
            load->request_bytes + body_bytes <= bounds->request_bytes;
 }
 
+bool
+entry_takes_answer(const struct entry_bounds *bounds, uint64_t sending_bytes,
+                   uint64_t answer_bytes)
+{
+    return bounds->answer_bytes == 0 || sending_bytes == 0 ||
+           sending_bytes + answer_bytes <= bounds->answer_bytes;
+}
+
 uint64_t
 entry_input_weight(uint64_t input_bytes, uint64_t held_ms)
 {
--- a/node/entry.h
+++ b/node/entry.h
@@ -19,12 +19,18 @@
     uint32_t link_kbps;
 };
 
+/* An answer of at most this size is always sent; the room of a connection
+ * includes it. */
+#define ENTRY_SMALL_ANSWER_BYTES 1024u
+
 /* Bounds of a listener; 0: none. */
 struct entry_bounds {
     uint32_t connections;   /* open at once */
     uint32_t requests;      /* unanswered */
     uint64_t request_bytes; /* sum of their bodies; one is always taken */
     uint64_t partial_bytes; /* received, and not answered yet */
+    uint64_t answer_bytes;  /* of large answers that are being sent; one is
+                             * always sent */
     uint32_t receive_bytes; /* unread in the kernel, for each connection */
 };
 
@@ -34,7 +40,8 @@
     uint32_t idle; /* of them, without a request that is unanswered */
     uint32_t requests;
     uint64_t request_bytes;
-    uint64_t input_bytes; /* received, and not answered yet */
+    uint64_t input_bytes;  /* received, and not answered yet */
+    uint64_t answer_bytes; /* of large answers that are being sent */
 };
 
 /* What to do with a new connection. */
@@ -54,6 +61,10 @@
 bool entry_takes_request(const struct entry_bounds *bounds,
                          const struct entry_load *load, uint64_t body_bytes);
 
+/* Whether a large answer is sent while that many bytes of others are. */
+bool entry_takes_answer(const struct entry_bounds *bounds,
+                        uint64_t sending_bytes, uint64_t answer_bytes);
+
 /* How much the input of a connection is in the way of others: what it holds,
  * by the time for which it has held anything. The connection with the most is
  * closed first. 0: it holds nothing. */
--- a/node/httpconn.c
+++ b/node/httpconn.c
@@ -1,6 +1,8 @@
 /* httpconn.c -- the connections of an HTTP server, and what they hold */
 #include "node/httpconn.h"
 
+#include <sys/socket.h>
+
 /* A read gets at least this much room. */
 #define READ_BYTES_MIN 4096u
 
@@ -45,6 +47,14 @@
     conn->input_bytes = bytes;
 }
 
+static void
+count_answer(struct client_conn *conn, uint64_t bytes)
+{
+    conn->conns->answer_bytes += bytes - conn->answer_bytes;
+    conn->answer_bytes = bytes;
+    set_queued(&conn->conns->sending, &conn->sending_link, conn, bytes > 0);
+}
+
 static void
 on_conn_closed(uv_handle_t *handle)
 {
@@ -54,6 +64,7 @@
         g_hash_table_remove(conn->conns->sockets, conn->socket);
         conn->socket = NULL;
         count_input(conn);
+        count_answer(conn, 0);
         set_idle(conn, false);
         set_queued(&conn->conns->answered, &conn->answered_link, conn, false);
     }
@@ -277,9 +288,49 @@
     if (--conn->requests == 0) {
         set_idle(conn, true);
     }
+    count_answer(conn, 0);
     set_queued(&conn->conns->answered, &conn->answered_link, conn, true);
 }
 
+void
+httpconns_shut_down(struct client_conn *conn)
+{
+    uv_os_fd_t fd;
+
+    if (!conn->is_ending && is_open(conn) &&
+        uv_fileno((uv_handle_t *)&conn->tcp, &fd) == 0) {
+        conn->is_ending = true;
+        shutdown(fd, SHUT_RDWR);
+    }
+}
+
+/* Workload: clients that ask for large answers and do not read them. */
+bool
+httpconns_take_answer(struct client_conn *conn, uint64_t bytes)
+{
+    struct httpconns *conns = conn->conns;
+    uint64_t ending_bytes = 0;
+
+    if (entry_takes_answer(&conns->bounds, conns->answer_bytes, bytes)) {
+        count_answer(conn, bytes);
+        return true;
+    }
+    for (GList *link = conns->sending.head;
+         link != NULL &&
+         !entry_takes_answer(&conns->bounds,
+                             conns->answer_bytes - ending_bytes, bytes);
+         link = link->next) {
+        struct client_conn *other = link->data;
+
+        ending_bytes += other->answer_bytes;
+        if (!other->is_ending) {
+            httpconns_shut_down(other);
+            httpconns_count(conns, &conns->counters.closed_unread);
+        }
+    }
+    return false;
+}
+
 void
 httpconns_check_input(struct httpconns *conns)
 {
--- a/node/httpconn.h
+++ b/node/httpconn.h
@@ -1,7 +1,8 @@
 /* httpconn.h -- the connections of an HTTP server, and what they hold
  *
  * Counts the bytes that clients have sent and that are not handled yet, and
- * keeps them within the bound of node/entry.h. Used by httpd.c only.
+ * those of answers that have not been sent, and keeps both within the bounds
+ * of node/entry.h. Used by httpd.c only.
  *
  * h2o reads into a buffer of each connection, without a bound on their sum.
  * The callbacks that libuv reads with are therefore wrapped: a read gets no
@@ -24,11 +25,13 @@
     uv_loop_t *loop;
     struct entry_bounds bounds;
     struct httpd_counters counters;
-    GHashTable *sockets;  /* h2o_socket_t to struct client_conn */
-    GQueue idle;          /* struct client_conn without unanswered requests,
-                           * the one that is idle for longest first */
-    GQueue answered;      /* whose request was freed; h2o may read again */
-    uint64_t input_bytes; /* sum of the connections' input_bytes */
+    GHashTable *sockets;   /* h2o_socket_t to struct client_conn */
+    GQueue idle;           /* struct client_conn without unanswered requests,
+                            * the one that is idle for longest first */
+    GQueue answered;       /* whose request was freed; h2o may read again */
+    GQueue sending;        /* with a large answer, the oldest one first */
+    uint64_t input_bytes;  /* sum of the connections' input_bytes */
+    uint64_t answer_bytes; /* sum of the connections' answer_bytes */
     uv_prepare_t prepare;
 };
 
@@ -42,8 +45,11 @@
     uint32_t requests;       /* that h2o holds: not answered, or being sent */
     uint64_t input_bytes;    /* received, not handled */
     uint64_t input_since_ms; /* when it last held nothing */
+    uint64_t answer_bytes;   /* of the answer that is being sent */
+    bool is_ending;          /* shut down, since its answer is not read */
     GList idle_link;         /* data NULL: not in the queue; the same below */
     GList answered_link;
+    GList sending_link;
 };
 
 void httpconns_init(struct httpconns *conns, uv_loop_t *loop);
@@ -66,6 +72,14 @@
 void httpconns_request_began(struct client_conn *conn);
 void httpconns_request_ended(struct client_conn *conn);
 
+/* Whether an answer of that many bytes is sent; it then counts until the
+ * request has ended. If not, connections with large answers are shut down, the
+ * oldest first, until another one would find room. */
+bool httpconns_take_answer(struct client_conn *conn, uint64_t bytes);
+
+/* Shuts a connection down; h2o frees it in its next event. */
+void httpconns_shut_down(struct client_conn *conn);
+
 /* Closes connections while their input exceeds the bound, for input that was
  * read beside the wrapped callbacks. */
 void httpconns_check_input(struct httpconns *conns);
--- a/node/httpd.c
+++ b/node/httpd.c
@@ -109,7 +109,8 @@
                                 .idle = httpd->conns.idle.length,
                                 .requests = httpd->in_flight,
                                 .request_bytes = httpd->in_flight_bytes,
-                                .input_bytes = httpd->conns.input_bytes};
+                                .input_bytes = httpd->conns.input_bytes,
+                                .answer_bytes = httpd->conns.answer_bytes};
 }
 
 static int
@@ -463,11 +464,31 @@
     g_free(request);
 }
 
+/* An answer without room is replaced by an error where that is true, and by
+ * the end of the connection where the request may have changed something. */
+static void
+refuse_answer(struct http_request *request)
+{
+    struct client_conn *conn = request->ref->conn;
+
+    httpconns_count(conn->conns, &conn->conns->counters.refused_answers);
+    if (strcmp(request->method, "GET") != 0) {
+        httpconns_shut_down(conn);
+    }
+    http_reply_error(request, FP_ERR_HOST_FULL, "");
+}
+
 void
 http_reply(struct http_request *request, int status, const char *content_type,
            const void *body, size_t size_bytes, uint32_t retry_after_ms)
 {
     if (request->h2o_req != NULL) {
+        if (size_bytes > ENTRY_SMALL_ANSWER_BYTES &&
+            request->ref->conn != NULL &&
+            !httpconns_take_answer(request->ref->conn, size_bytes)) {
+            refuse_answer(request);
+            return;
+        }
         request->ref->request = NULL;
         send_reply(request, status, content_type, body, size_bytes,
                    retry_after_ms);
--- a/node/httpd.h
+++ b/node/httpd.h
@@ -44,15 +44,19 @@
 /* How often a server met its bounds. */
 struct httpd_counters {
     uint64_t refused_requests;
-    uint64_t closed_idle;        /* connections, to make room for new ones */
-    uint64_t closed_new;         /* connections, since all others were busy */
-    uint64_t closed_partial;     /* connections that sent requests slowly */
+    uint64_t closed_idle;    /* connections, to make room for new ones */
+    uint64_t closed_new;     /* connections, since all others were busy */
+    uint64_t closed_partial; /* connections that sent requests slowly */
+    uint64_t closed_unread;  /* connections that left answers unread */
+    uint64_t refused_answers;
     uint64_t refused_since_read; /* all but closed_idle since the last
                                   * httpd_take_refused() */
 };
 
 /* Sets bounds on what the server takes in. A request beyond them is answered
- * at once by FP_ERR_HOST_FULL; its body is not read into a request. */
+ * at once by FP_ERR_HOST_FULL; its body is not read into a request. So is a
+ * GET request whose large answer has no room; the connection of any other such
+ * request is closed. SIGPIPE must be ignored. */
 void httpd_set_bounds(struct httpd *httpd, const struct entry_bounds *bounds);
 
 /* Closes connections while requests that are not complete hold more memory
--- a/tests/entry_test.cc
+++ b/tests/entry_test.cc
@@ -5,6 +5,7 @@
 #include <fcntl.h>
 #include <gtest/gtest.h>
 #include <poll.h>
+#include <signal.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -45,7 +46,7 @@
 TEST(Entry, WithoutLimitsThereAreNoBounds)
 {
     entry_bounds none = bounds_of(0, 0, 0);
-    entry_load load = {1u << 20, 0, 1u << 20, 1ull << 40, 0};
+    entry_load load = {1u << 20, 0, 1u << 20, 1ull << 40, 0, 0};
     EXPECT_EQ(entry_admit_connection(&none, &load), ENTRY_TAKE);
     EXPECT_TRUE(entry_takes_request(&none, &load, 1 << 20));
 }
@@ -62,8 +63,8 @@
 
 TEST(Entry, AConnectionReplacesAnIdleOneOrIsClosed)
 {
-    entry_bounds bounds = {4, 2, 0, 0, 0};
-    entry_load load = {3, 0, 0, 0, 0};
+    entry_bounds bounds = {4, 2, 0, 0, 0, 0};
+    entry_load load = {3, 0, 0, 0, 0, 0};
     EXPECT_EQ(entry_admit_connection(&bounds, &load), ENTRY_TAKE);
     load.connections = 4;
     EXPECT_EQ(entry_admit_connection(&bounds, &load), ENTRY_CLOSE);
@@ -73,13 +74,13 @@
 
 TEST(Entry, RequestsAreBoundedByNumberAndBytes)
 {
-    entry_bounds bounds = {0, 3, 1000, 0, 0};
-    entry_load load = {0, 0, 2, 900, 0};
+    entry_bounds bounds = {0, 3, 1000, 0, 0, 0};
+    entry_load load = {0, 0, 2, 900, 0, 0};
     EXPECT_TRUE(entry_takes_request(&bounds, &load, 100));
     EXPECT_FALSE(entry_takes_request(&bounds, &load, 101));
-    load = {0, 0, 3, 0, 0};
+    load = {0, 0, 3, 0, 0, 0};
     EXPECT_FALSE(entry_takes_request(&bounds, &load, 0));
-    load = {0, 0, 0, 0, 0};
+    load = {0, 0, 0, 0, 0, 0};
     EXPECT_TRUE(entry_takes_request(&bounds, &load, 5000)); // alone
 }
 
@@ -178,7 +179,7 @@
 
 TEST(Entry, TheOldestIdleConnectionsAreClosedForNewOnes)
 {
-    Server server({8, 0, 0, 0, 0});
+    Server server({8, 0, 0, 0, 0, 0});
     ASSERT_NE(server.server, nullptr);
     int busy = server.connect_client();
     server.post(busy, 2);
@@ -203,7 +204,7 @@
 
 TEST(Entry, AConnectionIsClosedAtOnceWhenAllOthersAreBusy)
 {
-    Server server({4, 0, 0, 0, 0});
+    Server server({4, 0, 0, 0, 0, 0});
     ASSERT_NE(server.server, nullptr);
     for (int i = 0; i < 4; i++) {
         server.post(server.connect_client(), 2);
@@ -218,7 +219,7 @@
 
 TEST(Entry, RequestsBeyondTheBoundAreAnsweredAtOnce)
 {
-    Server server({0, 3, 0, 0, 0});
+    Server server({0, 3, 0, 0, 0, 0});
     ASSERT_NE(server.server, nullptr);
     std::vector<int> fds;
     for (int i = 0; i < 9; i++) {
@@ -242,7 +243,7 @@
 
 TEST(Entry, BodiesOfWaitingRequestsAreBounded)
 {
-    Server server({0, 0, 1000, 0, 0});
+    Server server({0, 0, 1000, 0, 0, 0});
     ASSERT_NE(server.server, nullptr);
     for (int i = 0; i < 5; i++) {
         server.post(server.connect_client(), 400);
@@ -254,7 +255,7 @@
 // Clients that announce a large body, send some of it and then nothing.
 TEST(Entry, SlowSendersAreClosedOldestFirst)
 {
-    Server server({0, 0, 0, 100000, 0});
+    Server server({0, 0, 0, 100000, 0, 0});
     ASSERT_NE(server.server, nullptr);
     std::vector<int> fds;
     for (int i = 0; i < 8; i++) {
@@ -276,7 +277,7 @@
 // bound, and a small request is not what is closed for them.
 TEST(Entry, InputIsBoundedWhileItIsRead)
 {
-    Server server({0, 0, 0, 100000, 0});
+    Server server({0, 0, 0, 100000, 0, 0});
     ASSERT_NE(server.server, nullptr);
     std::vector<int> fds;
     for (int i = 0; i < 8; i++) {
@@ -309,7 +310,7 @@
 // The buffer of a read has room for more than the bound leaves.
 TEST(Entry, ASingleReadKeepsWithinTheBound)
 {
-    Server server({0, 0, 0, 14000, 0});
+    Server server({0, 0, 0, 14000, 0, 0});
     ASSERT_NE(server.server, nullptr);
     int fd = server.connect_client();
     server.send_text(fd, "POST /q/1 HTTP/1.1\r\nHost: h\r\n"
@@ -322,7 +323,7 @@
 // h2o reads from a connection anew after each answer.
 TEST(Entry, InputOfALaterRequestIsBoundedToo)
 {
-    Server server({0, 0, 0, 100000, 0});
+    Server server({0, 0, 0, 100000, 0, 0});
     ASSERT_NE(server.server, nullptr);
     int fd = server.connect_client();
     server.post(fd, 2);
@@ -338,6 +339,45 @@
     EXPECT_EQ(Server::received(fd), "closed");
 }
 
+// Clients that ask for large answers and do not read them. The oldest one is shut
+// down for another, which finds room on its next attempt. What a POST has done is not
+// answered by "not run".
+TEST(Entry, AnswersThatNobodyReadsAreBounded)
+{
+    signal(SIGPIPE, SIG_IGN);
+    Server server({0, 0, 0, 0, 20u << 20, 0});
+    ASSERT_NE(server.server, nullptr);
+    const std::string large(16u << 20, 'x');
+    entry_load load;
+    auto ask = [&](int fd, const std::string &method) {
+        server.send_text(fd, method + " /q/1 HTTP/1.1\r\nHost: h\r\n\r\n");
+        ASSERT_EQ(server.waiting.size(), 1u);
+        http_reply(server.waiting[0], 200, "", large.data(), large.size(), 0);
+        server.waiting.clear();
+        httpd_load(server.server, &load);
+        EXPECT_LE(load.answer_bytes, 20u << 20);
+        server.run();
+    };
+    int first = server.connect_client();
+    int post = server.connect_client();
+    int third = server.connect_client();
+    int fourth = server.connect_client();
+    ask(first, "GET");
+    EXPECT_EQ(load.answer_bytes, large.size());
+    ask(post, "POST");
+    EXPECT_EQ(Server::received(post), "closed");
+    EXPECT_EQ(httpd_counters(server.server)->closed_unread, 1u);
+    httpd_load(server.server, &load);
+    EXPECT_EQ(load.answer_bytes, 0u);
+    ask(third, "GET");
+    EXPECT_NE(Server::received(third).find("200"), std::string::npos);
+    ask(fourth, "GET");
+    EXPECT_NE(Server::received(fourth).find("503"), std::string::npos);
+    EXPECT_EQ(httpd_counters(server.server)->refused_answers, 2u);
+    ask(fourth, "GET");
+    EXPECT_NE(Server::received(fourth).find("200"), std::string::npos);
+}
+
 TEST(Entry, WhatHoldsMuchForLongIsClosedFirst)
 {
     EXPECT_EQ(entry_input_weight(0, 5000), 0u);
@@ -348,7 +388,7 @@
 
 TEST(Entry, AClientThatLeavesFreesItsPlace)
 {
-    Server server({2, 2, 0, 0, 0});
+    Server server({2, 2, 0, 0, 0, 0});
     ASSERT_NE(server.server, nullptr);
     server.post(server.connect_client(), 2);
     server.post(server.connect_client(), 2);
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -224,6 +224,9 @@
 node/httpconn.c	buffer->len = MIN(buffer->len, bound - conns->input_bytes);		Entry.ASingleRead*
 node/httpconn.c	!make_input_room(conns, conn, READ_BYTES_MIN)	false	Entry.InputIsBounded*
 node/httpconn.c	        httpconns_watch(conn);\n        count_input(conn);\n        release_empty_input(conn);	        count_input(conn);	Entry.InputOfALaterRequest*
+node/entry.c	sending_bytes + answer_bytes <= bounds->answer_bytes	true	Entry.AnswersThat*
+node/httpconn.c	            httpconns_shut_down(other);\n		Entry.AnswersThat*
+node/httpd.c	strcmp(request->method, "GET") != 0	false	Entry.AnswersThat*
 node/entry.c	return load->idle > 0 ? ENTRY_REPLACE_IDLE : ENTRY_CLOSE;	return ENTRY_TAKE;	Entry.TheOldestIdle*
 node/httpconn.c	g_queue_push_tail_link(queue, link);	g_queue_push_head_link(queue, link);	Entry.TheOldestIdle*
 node/httpconn.c	    conn->requests++;\n    set_idle(conn, false);	    conn->requests++;	Entry.TheOldestIdle*
