Each listener of a host has its own bounds

What callers saw: only the clients' listener was bounded, as those of targets, operators and checks have as many callers as the fleet. Any of them can be reached by others too: 300 partial bodies took a core host to 131 MB through its control address and to 134 MB through its metrics, a front end to 131 MB through its readiness check (64 allowed); 700 idle connections took 730 of 400 descriptors on each.

Change: entry_set_bounds() takes the listener. Control gets half of the descriptors that are not reserved, the other half is for connections to targets, and its own parts of the memory; readiness checks and metrics, whose requests have no body, get 32 connections and fixed bounds. The connection that is idle for longest makes room for a new one, so that a target or an operator is let in beside strangers that keep connections. host.full names the listener and what it holds; metrics listener_*{listener}.

--- a/base/event.c
+++ b/base/event.c
@@ -20,9 +20,11 @@
     [EVENT_NODE_DRAINING] = {"node.draining", 5, "host signal in_flight",
                              "a signal started the shutdown"},
     [EVENT_HOST_FULL] =
-        {"host.full", 5, "host refused requests connections",
-         "the host refused requests or connections of clients, "
-         "beyond its bounds"},
+        {"host.full", 5,
+         "host listener refused requests connections input_bytes "
+         "answer_bytes",
+         "a listener of the host refused requests, answers or "
+         "connections, beyond its bounds"},
     [EVENT_NODE_ENDED] = {"node.ended", 5, "host in_flight",
                           "the process is about to exit"},
     [EVENT_SETTINGS_RELOADED] = {"settings.read", 5, "path seeds",
--- a/node/entry.c
+++ b/node/entry.c
@@ -1,4 +1,4 @@
-/* entry.c -- how much a host takes in at its entry */
+/* entry.c -- how much a host takes in at its listeners */
 #include "node/entry.h"
 
 #include <glib.h>
@@ -19,7 +19,7 @@
     16u /* for requests and connections, however small the host */
 
 /* Parts of the memory for each purpose, and of the descriptors that are not
- * reserved, as divisors. A body is held as received,
+ * reserved, as divisors; 0: a fixed bound. A body is held as received,
  * decoded, and encoded for each host that it is sent to. */
 struct listener_shares {
     uint32_t fds;
@@ -32,8 +32,33 @@
     uint64_t partial_min_bytes; /* the largest request */
 };
 
-static const struct listener_shares SHARES = {1, 4,  8, 32,
-                                              8, 32, 8, 512u << 10};
+static const struct listener_shares SHARES[] = {
+    [ENTRY_CLIENTS] = {1, 4, 8, 32, 8, 32, 8, 512u << 10},
+    /* The other half of the descriptors is for connections to targets. */
+    [ENTRY_CONTROL] = {2, 8, 16, 128, 32, 32, 16, 1536u << 10},
+};
+
+/* Of listeners whose requests have no body, and few callers. */
+static const struct entry_bounds SMALL_BOUNDS[] = {
+    [ENTRY_CHECKS] = {.connections = 32,
+                      .requests = 16,
+                      .request_bytes = 4096,
+                      .partial_bytes = 128u << 10,
+                      .answer_bytes = 4096,
+                      .receive_bytes = RECEIVE_BYTES_MIN},
+    [ENTRY_METRICS] = {.connections = 32,
+                       .requests = 16,
+                       .request_bytes = 4096,
+                       .partial_bytes = 128u << 10,
+                       .answer_bytes = 1u << 20,
+                       .receive_bytes = RECEIVE_BYTES_MIN},
+};
+
+const char *const ENTRY_LISTENER_NAMES[ENTRY_LISTENER_COUNT] = {
+    [ENTRY_CLIENTS] = "clients",
+    [ENTRY_CONTROL] = "control",
+    [ENTRY_CHECKS] = "checks",
+    [ENTRY_METRICS] = "metrics"};
 
 static uint64_t
 min_known(uint64_t bound, uint64_t other)
@@ -59,9 +84,9 @@
 
 void
 entry_set_bounds(const struct entry_limits *limits,
-                 struct entry_bounds *bounds)
+                 enum entry_listener listener, struct entry_bounds *bounds)
 {
-    const struct listener_shares *shares = &SHARES;
+    const struct listener_shares *shares = &SHARES[listener];
     const uint64_t memory = (uint64_t)limits->memory_mb << 20;
     const uint32_t reserved =
         MIN(limits->max_fds / RESERVED_FDS_DIVISOR, RESERVED_FDS_MAX);
@@ -69,6 +94,12 @@
                                 8; /* kbit/s * ms: bits */
 
     *bounds = (struct entry_bounds){0};
+    if (listener >= ENTRY_CHECKS) {
+        if (memory > 0 || limits->max_fds > 0) {
+            *bounds = SMALL_BOUNDS[listener];
+        }
+        return;
+    }
     if (memory > 0 || limits->max_fds > 0) {
         const uint64_t by_memory =
             MIN(memory / shares->connections / CONNECTION_BYTES,
--- a/node/entry.h
+++ b/node/entry.h
@@ -1,10 +1,11 @@
-/* entry.h -- how much a host takes in at its entry
+/* entry.h -- how much a host takes in at its listeners
  *
  * Pure decisions. Bounds follow from the host's own limits (settings.limits):
  * hosts of unlike size behind one load balancer get the same share of the
  * calls, and the smallest must neither run out of memory nor of descriptors,
  * nor queue more on its link than it can send in time. What exceeds a bound is
- * refused at once, before any of it is passed on.
+ * refused at once, before any of it is passed on. Whoever can connect can use
+ * up a bound, so each listener has its own. docs/design/entry.md has the sum.
  */
 #ifndef FP_ENTRY_H
 #define FP_ENTRY_H
@@ -19,6 +20,16 @@
     uint32_t link_kbps;
 };
 
+enum entry_listener {
+    ENTRY_CLIENTS,
+    ENTRY_CONTROL, /* targets and operators */
+    ENTRY_CHECKS,  /* readiness checks */
+    ENTRY_METRICS,
+    ENTRY_LISTENER_COUNT
+};
+
+extern const char *const ENTRY_LISTENER_NAMES[ENTRY_LISTENER_COUNT];
+
 /* An answer of at most this size is always sent; the room of a connection
  * includes it. */
 #define ENTRY_SMALL_ANSWER_BYTES 1024u
@@ -52,6 +63,7 @@
 };
 
 void entry_set_bounds(const struct entry_limits *limits,
+                      enum entry_listener listener,
                       struct entry_bounds *bounds);
 
 enum entry_admission entry_admit_connection(const struct entry_bounds *bounds,
--- a/node/fleetmetrics.c
+++ b/node/fleetmetrics.c
@@ -63,6 +63,42 @@
     add_value(out, "entry_closed_partial_total", counters->closed_partial);
 }
 
+static void
+add_listener_value(GString *out, const char *name, const char *listener,
+                   uint64_t value)
+{
+    g_string_append_printf(out,
+                           "filbertpath_listener_%s{listener=\"%s\"} %llu\n",
+                           name, listener, (unsigned long long)value);
+}
+
+/* The same of each listener, with what holds bytes of its callers. */
+static void
+add_listener(GString *out, const struct httpd *httpd, const char *name)
+{
+    const struct httpd_counters *counters = httpd_counters(httpd);
+    const struct entry_bounds *bounds = httpd_bounds(httpd);
+    struct entry_load load;
+
+    httpd_load(httpd, &load);
+    add_listener_value(out, "connections", name, load.connections);
+    add_listener_value(out, "connections_max", name, bounds->connections);
+    add_listener_value(out, "input_bytes", name, load.input_bytes);
+    add_listener_value(out, "input_bytes_max", name, bounds->partial_bytes);
+    add_listener_value(out, "answer_bytes", name, load.answer_bytes);
+    add_listener_value(out, "answer_bytes_max", name, bounds->answer_bytes);
+    add_listener_value(out, "refused_requests_total", name,
+                       counters->refused_requests);
+    add_listener_value(out, "refused_answers_total", name,
+                       counters->refused_answers);
+    add_listener_value(out, "closed_idle_total", name, counters->closed_idle);
+    add_listener_value(out, "closed_new_total", name, counters->closed_new);
+    add_listener_value(out, "closed_partial_total", name,
+                       counters->closed_partial);
+    add_listener_value(out, "closed_unread_total", name,
+                       counters->closed_unread);
+}
+
 static void
 add_plan_gauges(GString *out, const struct plan_gauges *gauges)
 {
@@ -261,8 +297,13 @@
     add_relay_counters(out, sources->relay);
     add_call_latencies(out, relay_counters(sources->relay));
     add_bus_counters(out, sources->bus);
-    if (sources->clients != NULL) {
-        add_entry(out, sources->clients);
+    if (sources->listeners[ENTRY_CLIENTS] != NULL) {
+        add_entry(out, sources->listeners[ENTRY_CLIENTS]);
+    }
+    for (int i = 0; i < ENTRY_LISTENER_COUNT; i++) {
+        if (sources->listeners[i] != NULL) {
+            add_listener(out, sources->listeners[i], ENTRY_LISTENER_NAMES[i]);
+        }
     }
     if (sources->replica != NULL) {
         const struct raft *raft = replica_raft(sources->replica);
--- a/node/fleetmetrics.h
+++ b/node/fleetmetrics.h
@@ -10,7 +10,8 @@
 struct fleetmetrics_sources {
     const struct relay *relay;
     const struct bus *bus;
-    const struct httpd *clients;     /* NULL on a host without clients */
+    /* By listener; NULL where the host has none. */
+    const struct httpd *listeners[ENTRY_LISTENER_COUNT];
     const struct replica *replica;   /* NULL on a front host */
     const struct dispatch *dispatch; /* NULL unless this host leads */
     const struct fleet *fleet;       /* not used unless this host leads */
--- a/node/fleetnode.c
+++ b/node/fleetnode.c
@@ -481,6 +481,19 @@
     }
 }
 
+/* The servers of this host, NULL where there is none. */
+static struct httpd *
+httpd_of(const struct fleetnode *node, enum entry_listener listener)
+{
+    struct httpd *const servers[ENTRY_LISTENER_COUNT] = {
+        [ENTRY_CLIENTS] = node->client_httpd,
+        [ENTRY_CONTROL] = node->control_httpd,
+        [ENTRY_CHECKS] = node->readiness_httpd,
+        [ENTRY_METRICS] = node->metrics_httpd};
+
+    return servers[listener];
+}
+
 static void
 on_metrics_request(void *ctx, struct http_request *request)
 {
@@ -488,13 +501,15 @@
     struct fleetmetrics_sources sources = {
         .relay = node->relay,
         .bus = node->replica != NULL ? replica_bus(node->replica) : node->bus,
-        .clients = node->client_httpd,
         .replica = node->replica,
         .dispatch = node->dispatch,
         .fleet = node->fleet,
         .ready = is_ready(node),
         .reloads = node->reloads};
 
+    for (int i = 0; i < ENTRY_LISTENER_COUNT; i++) {
+        sources.listeners[i] = httpd_of(node, i);
+    }
     fleetmetrics_handle_request(&sources, request);
 }
 
@@ -659,19 +674,21 @@
     advance_drain(node, now_ms);
 }
 
-/* Only clients' connections are bounded: those of targets and operators are as
- * many as the fleet has. */
 static void
 set_entry_bounds(struct fleetnode *node)
 {
     const struct settings_limits *settings = &node->settings->limits;
     const struct entry_limits limits = {settings->memory_mb, settings->max_fds,
                                         settings->link_kbps};
-    struct entry_bounds bounds;
 
-    entry_set_bounds(&limits, &bounds);
-    if (node->client_httpd != NULL) {
-        httpd_set_bounds(node->client_httpd, &bounds);
+    for (int i = 0; i < ENTRY_LISTENER_COUNT; i++) {
+        struct httpd *httpd = httpd_of(node, i);
+        struct entry_bounds bounds;
+
+        if (httpd != NULL) {
+            entry_set_bounds(&limits, i, &bounds);
+            httpd_set_bounds(httpd, &bounds);
+        }
     }
 }
 
@@ -679,21 +696,28 @@
 on_entry_timer(void *ctx, uint64_t now_ms)
 {
     struct fleetnode *node = ctx;
-    struct entry_load load;
-    uint64_t refused;
 
     (void)now_ms;
-    if (node->client_httpd == NULL) {
-        return;
-    }
-    httpd_check_partial(node->client_httpd);
-    refused = httpd_take_refused(node->client_httpd);
-    if (refused > 0) {
-        httpd_load(node->client_httpd, &load);
-        EVENT(EVENT_HOST_FULL, EVENT_STR("host", node->settings->host),
-              EVENT_INT("refused", refused),
-              EVENT_INT("requests", load.requests),
-              EVENT_INT("connections", load.connections));
+    for (int i = 0; i < ENTRY_LISTENER_COUNT; i++) {
+        struct httpd *httpd = httpd_of(node, i);
+        struct entry_load load;
+        uint64_t refused;
+
+        if (httpd == NULL) {
+            continue;
+        }
+        httpd_check_partial(httpd);
+        refused = httpd_take_refused(httpd);
+        if (refused > 0) {
+            httpd_load(httpd, &load);
+            EVENT(EVENT_HOST_FULL, EVENT_STR("host", node->settings->host),
+                  EVENT_STR("listener", ENTRY_LISTENER_NAMES[i]),
+                  EVENT_INT("refused", refused),
+                  EVENT_INT("requests", load.requests),
+                  EVENT_INT("connections", load.connections),
+                  EVENT_INT("input_bytes", load.input_bytes),
+                  EVENT_INT("answer_bytes", load.answer_bytes));
+        }
     }
 }
 
@@ -806,7 +830,6 @@
     add_seed_hosts(node, fleet);
     err = open_httpd(node, fleet->clients, on_client_request,
                      &node->client_httpd, why, why_bytes);
-    set_entry_bounds(node);
     if (err == FP_OK) {
         err = open_httpd(node, fleet->control, on_control_request,
                          &node->control_httpd, why, why_bytes);
@@ -821,6 +844,7 @@
         log_warn(LOG_NODE, "running without the metrics endpoint: %s",
                  metrics_why);
     }
+    set_entry_bounds(node);
     return err;
 }
 
--- a/tests/entry_test.cc
+++ b/tests/entry_test.cc
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -23,7 +24,7 @@
 {
     entry_limits limits = {memory_mb, fds, kbps};
     entry_bounds bounds;
-    entry_set_bounds(&limits, &bounds);
+    entry_set_bounds(&limits, ENTRY_CLIENTS, &bounds);
     return bounds;
 }
 
@@ -43,6 +44,40 @@
     EXPECT_LT(bytes, 120ull << 20);
 }
 
+// The most that the callers of a listener can make a host hold; docs/design/entry.md.
+uint64_t bytes_of(const entry_bounds &bounds)
+{
+    uint64_t requests = std::min(bounds.requests, bounds.connections);
+    return bounds.connections * (8192ull + bounds.receive_bytes) +
+           requests * 16384ull + 5 * bounds.request_bytes + 2 * bounds.partial_bytes +
+           bounds.answer_bytes;
+}
+
+TEST(Entry, TheListenersOfAHostTogetherKeepWithinItsLimits)
+{
+    const uint64_t idle_bytes = 16ull << 20; // of a process
+    for (entry_limits limits : {entry_limits{64, 400, 0}, entry_limits{120, 3075, 1500},
+                                entry_limits{256, 4096, 1000000},
+                                entry_limits{260, 4100, 1000000}}) {
+        entry_bounds clients, control, checks, metrics;
+        entry_set_bounds(&limits, ENTRY_CLIENTS, &clients);
+        entry_set_bounds(&limits, ENTRY_CONTROL, &control);
+        entry_set_bounds(&limits, ENTRY_CHECKS, &checks);
+        entry_set_bounds(&limits, ENTRY_METRICS, &metrics);
+        uint64_t small = bytes_of(checks) + bytes_of(metrics);
+        EXPECT_LT(idle_bytes + small + bytes_of(clients), (uint64_t)limits.memory_mb << 20);
+        // Three eighths of a core host's memory are for its state and the bus.
+        EXPECT_LT(idle_bytes + small + bytes_of(control),
+                  ((uint64_t)limits.memory_mb << 20) / 8 * 5);
+        uint32_t few = checks.connections + metrics.connections;
+        EXPECT_LT(clients.connections + few, limits.max_fds);
+        EXPECT_LT(2 * control.connections + few, limits.max_fds);
+        // The largest request of each, with its head, is taken when nothing else is.
+        EXPECT_GE(clients.partial_bytes, 262144u + 65536);
+        EXPECT_GE(control.partial_bytes, HTTPD_BODY_MAX_BYTES + 65536u);
+    }
+}
+
 TEST(Entry, WithoutLimitsThereAreNoBounds)
 {
     entry_bounds none = bounds_of(0, 0, 0);
