Connections to targets are bounded by the host's descriptors

Cause: the leader calls each target that announces itself, anybody's included. The bound of the HTTP client, 3,700 connections whatever the host, closed an idle connection and opened the next one all the same.

Change: the host's descriptors, less those reserved and those of its listeners, bound the connections that it opens (entry_opened_max()); control gets a quarter now, targets the most. A request that would need one more fails as not connected, at once, and nothing was sent. At most half are being opened at a time, so that addresses that do not answer leave the rest to targets that do.

--- a/node/edge.h
+++ b/node/edge.h
@@ -18,6 +18,8 @@
     uv_loop_t *loop;
     struct relay *relay;
     const struct settings *settings;
+    /* Connections that the edge may open at once; 0: no bound. */
+    uint32_t connections_max;
     /* Returns whether this host's state is fresh and already holds the
      * announced target unchanged. The edge then acknowledges the announcement
      * without asking the leader. */
--- a/node/entry.c
+++ b/node/entry.c
@@ -34,8 +34,8 @@
 
 static const struct listener_shares SHARES[] = {
     [ENTRY_CLIENTS] = {1, 4, 8, 32, 8, 32, 8, 512u << 10},
-    /* The other half of the descriptors is for connections to targets. */
-    [ENTRY_CONTROL] = {2, 8, 16, 128, 32, 32, 16, 1536u << 10},
+    /* Most descriptors are for connections to targets. */
+    [ENTRY_CONTROL] = {4, 8, 16, 128, 32, 32, 16, 1536u << 10},
 };
 
 /* Of listeners whose requests have no body, and few callers. */
@@ -66,6 +66,12 @@
     return other == 0 ? bound : bound == 0 ? other : MIN(bound, other);
 }
 
+static uint32_t
+reserved_fds(const struct entry_limits *limits)
+{
+    return MIN(limits->max_fds / RESERVED_FDS_DIVISOR, RESERVED_FDS_MAX);
+}
+
 /* Bounds that follow from the memory; connections are bounded already. */
 static void
 set_memory_bounds(const struct listener_shares *shares, uint64_t memory,
@@ -88,8 +94,7 @@
 {
     const struct listener_shares *shares = &SHARES[listener];
     const uint64_t memory = (uint64_t)limits->memory_mb << 20;
-    const uint32_t reserved =
-        MIN(limits->max_fds / RESERVED_FDS_DIVISOR, RESERVED_FDS_MAX);
+    const uint32_t reserved = reserved_fds(limits);
     const uint64_t link_bytes = (uint64_t)limits->link_kbps * LINK_QUEUE_MS /
                                 8; /* kbit/s * ms: bits */
 
@@ -115,6 +120,29 @@
     bounds->request_bytes = min_known(bounds->request_bytes, link_bytes);
 }
 
+uint32_t
+entry_opened_max(const struct entry_limits *limits, uint32_t listeners)
+{
+    const uint32_t reserved = reserved_fds(limits);
+    uint32_t taken = 0;
+
+    for (int i = 0; i < ENTRY_LISTENER_COUNT; i++) {
+        struct entry_bounds bounds;
+
+        if ((listeners & 1u << i) != 0) {
+            entry_set_bounds(limits, i, &bounds);
+            taken += bounds.connections;
+        }
+    }
+    if (limits->max_fds == 0) {
+        return 0;
+    }
+    /* A host that serves clients opens few. */
+    return MAX(limits->max_fds - reserved -
+                   MIN(taken, limits->max_fds - reserved),
+               reserved / 4);
+}
+
 enum entry_admission
 entry_admit_connection(const struct entry_bounds *bounds,
                        const struct entry_load *load)
--- a/node/entry.h
+++ b/node/entry.h
@@ -66,6 +66,11 @@
                       enum entry_listener listener,
                       struct entry_bounds *bounds);
 
+/* The most connections that a host opens to targets and the placement policy;
+ * 0: no bound. listeners: those that the host has, as bits 1 << listener. */
+uint32_t entry_opened_max(const struct entry_limits *limits,
+                          uint32_t listeners);
+
 enum entry_admission entry_admit_connection(const struct entry_bounds *bounds,
                                             const struct entry_load *load);
 
--- a/node/fetch.c
+++ b/node/fetch.c
@@ -606,6 +606,18 @@
     curl_multi_add_handle(fetcher->multi, easy);
 }
 
+void
+fetcher_set_connections_max(struct fetcher *fetcher, uint32_t connections_max)
+{
+    plain_client_set_connections_max(fetcher->plain, connections_max);
+}
+
+uint64_t
+fetcher_refused(const struct fetcher *fetcher)
+{
+    return plain_client_refused(fetcher->plain);
+}
+
 uint32_t
 fetcher_in_flight(const struct fetcher *fetcher)
 {
--- a/node/fetch.h
+++ b/node/fetch.h
@@ -75,6 +75,12 @@
 void fetch(struct fetcher *fetcher, const struct fetch_request *request,
            fetch_done done, void *ctx);
 
+/* Bounds the plain connections that are open at once. A request that would
+ * need another one fails with FP_ERR_NOT_CONNECTED, and counts as refused. */
+void fetcher_set_connections_max(struct fetcher *fetcher,
+                                 uint32_t connections_max);
+uint64_t fetcher_refused(const struct fetcher *fetcher);
+
 /* The number of requests that have not ended. */
 uint32_t fetcher_in_flight(const struct fetcher *fetcher);
 
--- a/node/fetchplain.c
+++ b/node/fetchplain.c
@@ -12,8 +12,12 @@
 #include "node/clock.h"
 #include "node/fetchtext.h"
 
-/* Bounds the open connections, below the 4,096 descriptors of a small host. */
+/* The default bound on the open connections, below the 4,096 descriptors of a
+ * small host. */
 #define CONNECTIONS_MAX 3700u
+/* Of them, those that are being opened, as a divisor: servers that do not
+ * answer leave the others a part. */
+#define CONNECTING_DIVISOR 2u
 /* Idle connections kept for each server, per mille, on the average of all, and
  * beside that in all. */
 #define IDLE_PER_SERVER_PERMILLE 1300u
@@ -72,9 +76,10 @@
     uint64_t expires_ms;       /* when its timer should fire */
     uint32_t open_handles;     /* of tcp and timer */
     bool is_closing;
-    bool is_complete;  /* the response is complete */
-    GList server_link; /* in server->idle */
-    GList client_link; /* in client->idle */
+    bool is_connecting; /* counts in client->connecting */
+    bool is_complete;   /* the response is complete */
+    GList server_link;  /* in server->idle */
+    GList client_link;  /* in client->idle */
     http_parser parser;
     GString *header_name;
     GString *header_value;
@@ -89,8 +94,11 @@
                               * excepted */
     GQueue idle;             /* struct connection of all servers, most recently
                               * used first */
+    uint32_t connections_max;
+    uint32_t connecting; /* connections that are being opened */
     uint32_t in_flight;
     uint64_t opened;
+    uint64_t refused; /* requests, for lack of a connection */
     bool source_logged;
     bool is_freed; /* freed once the last connection is closed */
     uint32_t closing;
@@ -153,6 +161,15 @@
     g_queue_unlink(&connection->client->idle, &connection->client_link);
 }
 
+static void
+set_connecting(struct connection *connection, bool is_connecting)
+{
+    if (is_connecting != connection->is_connecting) {
+        connection->is_connecting = is_connecting;
+        connection->client->connecting += is_connecting ? 1 : -1;
+    }
+}
+
 /* Closes a connection that has no exchange. */
 static void
 close_connection(struct connection *connection)
@@ -164,6 +181,7 @@
         return;
     }
     connection->is_closing = true;
+    set_connecting(connection, false);
     if (connection->client_link.data != NULL) {
         remove_from_idle(connection);
     }
@@ -640,6 +658,7 @@
         return;
     }
     connection->opened_ms = clock_mono_ms();
+    set_connecting(connection, false);
     if (connection->is_bound) {
         connection->server->source_failures = 0;
     }
@@ -698,6 +717,7 @@
         uv_timer_start(&connection->timer, on_attempt_failed, 0, 0);
         return;
     }
+    set_connecting(connection, true);
     if (connect_timeout_ms > 0) {
         expires_ms = MIN(expires_ms, now_ms + connect_timeout_ms);
     }
@@ -754,17 +774,24 @@
         g_hash_table_size(client->servers) * IDLE_PER_SERVER_PERMILLE / 1000 +
         IDLE_BASE;
 
-    return g_hash_table_size(client->connections) >= CONNECTIONS_MAX ||
+    return g_hash_table_size(client->connections) >= client->connections_max ||
            client->idle.length > idle_max;
 }
 
-/* Closes the least recently used idle connection if there are too many. */
-static void
-close_excess_connection(struct plain_client *client)
+/* Closes the least recently used idle connection if there are too many.
+ * Returns whether another connection may be opened. */
+static bool
+make_connection_room(struct plain_client *client)
 {
     if (client->idle.tail != NULL && has_excess_connections(client)) {
         close_connection(client->idle.tail->data);
     }
+    if (g_hash_table_size(client->connections) < client->connections_max &&
+        client->connecting < client->connections_max / CONNECTING_DIVISOR) {
+        return true;
+    }
+    client->refused++;
+    return false;
 }
 
 /* ---- interface ---------------------------------------------------------- */
@@ -775,6 +802,7 @@
     struct plain_client *client = g_new0(struct plain_client, 1);
 
     client->loop = loop;
+    client->connections_max = CONNECTIONS_MAX;
     client->servers =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_server);
     client->connections = g_hash_table_new(g_direct_hash, g_direct_equal);
@@ -851,20 +879,34 @@
         set_timer(connection, exchange->deadline_ms, now_ms);
         send_request(connection);
     }
-    else if (!is_sendable || request->opened_before_ms != 0) {
-        /* A connection that would be opened now is too new. */
+    else if (!is_sendable || request->opened_before_ms != 0 ||
+             !make_connection_room(client)) {
+        /* A connection that would be opened now is too new, or one too many.
+         */
         connection = new_connection(client, server, exchange);
         client->opened--;
         uv_timer_start(&connection->timer, on_attempt_failed, 0, 0);
     }
     else {
-        close_excess_connection(client);
         open_connection(client, server, exchange, request->connect_timeout_ms,
                         now_ms);
     }
     server->connections--;
 }
 
+void
+plain_client_set_connections_max(struct plain_client *client,
+                                 uint32_t connections_max)
+{
+    client->connections_max = connections_max;
+}
+
+uint64_t
+plain_client_refused(const struct plain_client *client)
+{
+    return client->refused;
+}
+
 uint32_t
 plain_client_in_flight(const struct plain_client *client)
 {
--- a/node/fetchplain.h
+++ b/node/fetchplain.h
@@ -27,6 +27,12 @@
                         const struct fetch_request *request, fetch_done done,
                         void *ctx);
 
+/* Bounds the connections that are open at once. A request that would need
+ * another one fails with FP_ERR_NOT_CONNECTED, and counts as refused. */
+void plain_client_set_connections_max(struct plain_client *client,
+                                      uint32_t connections_max);
+uint64_t plain_client_refused(const struct plain_client *client);
+
 /* The number of requests that have not ended. */
 uint32_t plain_client_in_flight(const struct plain_client *client);
 
--- a/node/fleetnode.c
+++ b/node/fleetnode.c
@@ -674,12 +674,19 @@
     advance_drain(node, now_ms);
 }
 
+static struct entry_limits
+entry_limits_of(const struct settings *settings)
+{
+    const struct settings_limits *limits = &settings->limits;
+
+    return (struct entry_limits){limits->memory_mb, limits->max_fds,
+                                 limits->link_kbps};
+}
+
 static void
 set_entry_bounds(struct fleetnode *node)
 {
-    const struct settings_limits *settings = &node->settings->limits;
-    const struct entry_limits limits = {settings->memory_mb, settings->max_fds,
-                                        settings->link_kbps};
+    const struct entry_limits limits = entry_limits_of(node->settings);
 
     for (int i = 0; i < ENTRY_LISTENER_COUNT; i++) {
         struct httpd *httpd = httpd_of(node, i);
@@ -803,13 +810,30 @@
            fleet_target_is_recorded(node->fleet, &announce->target);
 }
 
+static uint32_t
+opened_max(const struct settings *settings)
+{
+    const struct settings_fleet *fleet = settings->fleet;
+    const struct entry_limits limits = entry_limits_of(settings);
+
+    return entry_opened_max(&limits,
+                            (fleet->clients != NULL) << ENTRY_CLIENTS |
+                                (fleet->control != NULL) << ENTRY_CONTROL |
+                                (fleet->readiness != NULL) << ENTRY_CHECKS |
+                                (fleet->metrics != NULL) << ENTRY_METRICS);
+}
+
 static enum fp_err
 open_components(struct fleetnode *node, char *why, unsigned why_bytes)
 {
     const struct settings_fleet *fleet = node->settings->fleet;
     struct relay_ops relay_ops = {NULL, on_call, node};
-    struct edge_context edge_context = {&node->loop, NULL, node->settings,
-                                        is_recorded, node};
+    struct edge_context edge_context = {.loop = &node->loop,
+                                        .settings = node->settings,
+                                        .connections_max =
+                                            opened_max(node->settings),
+                                        .is_recorded = is_recorded,
+                                        .is_recorded_ctx = node};
     char metrics_why[200];
     enum fp_err err = node->settings->data_folder != NULL
                           ? open_replica(node, why, why_bytes)
--- a/tests/entry_test.cc
+++ b/tests/entry_test.cc
@@ -70,8 +70,11 @@
         EXPECT_LT(idle_bytes + small + bytes_of(control),
                   ((uint64_t)limits.memory_mb << 20) / 8 * 5);
         uint32_t few = checks.connections + metrics.connections;
-        EXPECT_LT(clients.connections + few, limits.max_fds);
-        EXPECT_LT(2 * control.connections + few, limits.max_fds);
+        EXPECT_LT(clients.connections + few + entry_opened_max(&limits, 1 | 4 | 8),
+                  limits.max_fds);
+        EXPECT_LT(control.connections + few + entry_opened_max(&limits, 2 | 4 | 8),
+                  limits.max_fds);
+        EXPECT_GT(entry_opened_max(&limits, 2 | 4 | 8), 2 * control.connections);
         // The largest request of each, with its head, is taken when nothing else is.
         EXPECT_GE(clients.partial_bytes, 262144u + 65536);
         EXPECT_GE(control.partial_bytes, HTTPD_BODY_MAX_BYTES + 65536u);
@@ -94,6 +97,8 @@
     EXPECT_EQ(bounds_of(0, 0, 8000).request_bytes, 500000u);
     EXPECT_GT(bounds_of(64, 0, 0).requests, 0u);
     EXPECT_GE(bounds_of(16, 64, 0).connections, 16u);
+    entry_limits memory_only = {64, 0, 0};
+    EXPECT_EQ(entry_opened_max(&memory_only, 2), 0u);
 }
 
 TEST(Entry, AConnectionReplacesAnIdleOneOrIsClosed)
--- a/tests/fetch_test.cc
+++ b/tests/fetch_test.cc
@@ -595,6 +595,41 @@
 }
 
 // Cancelling requests calls no callbacks and leaves no handles open.
+// Servers that do not answer, or take no connections, leave descriptors to others.
+TEST(Fetch, ConnectionsAreBounded)
+{
+    SaturatedListener silent;
+    Server server;
+    uv_loop_t loop;
+    uv_loop_init(&loop);
+    fetcher *client = fetcher_new(&loop);
+    fetcher_set_connections_max(client, 6);
+    enum fp_err errors[12];
+    fetch_request request = {};
+    request.method = "GET";
+    request.url = silent.url.c_str();
+    request.timeout_ms = 300;
+    request.response_max_bytes = 100;
+    for (enum fp_err &err : errors) {
+        err = FP_ERR_CORRUPT;
+        fetch(client, &request, store_error, &err);
+    }
+    EXPECT_EQ(fetcher_refused(client), 9u); // three may be connecting
+    EXPECT_EQ(fetcher_connections_opened(client), 3u);
+    while (fetcher_in_flight(client) > 3) {
+        uv_run(&loop, UV_RUN_ONCE);
+    }
+    EXPECT_EQ(errors[11], FP_ERR_NOT_CONNECTED);
+    while (fetcher_in_flight(client) > 0) {
+        uv_run(&loop, UV_RUN_ONCE);
+    }
+    EXPECT_EQ(errors[0], FP_ERR_DEADLINE_EXCEEDED);
+    EXPECT_EQ(post(&loop, client, server.url, 0), FP_OK);
+    fetcher_free(client);
+    uv_run(&loop, UV_RUN_DEFAULT);
+    uv_loop_close(&loop);
+}
+
 TEST(Fetch, RequestsInFlightAreCancelled)
 {
     Server server;
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -228,7 +228,9 @@
 node/httpconn.c	            httpconns_shut_down(other);\n		Entry.AnswersThat*
 node/httpd.c	strcmp(request->method, "GET") != 0	false	Entry.AnswersThat*
 node/entry.c	(limits->max_fds - reserved) / shares->fds	limits->max_fds - reserved	Entry.TheListenersOf*
-node/entry.c	[ENTRY_CONTROL] = {2, 8, 16, 128, 32	[ENTRY_CONTROL] = {2, 4, 8, 32, 8	Entry.TheListenersOf*
+node/entry.c	[ENTRY_CONTROL] = {4, 8, 16, 128, 32	[ENTRY_CONTROL] = {4, 4, 8, 32, 8	Entry.TheListenersOf*
+node/fetchplain.c	client->connecting < client->connections_max / CONNECTING_DIVISOR	true	Fetch.ConnectionsAre*
+node/fetchplain.c	client->connecting += is_connecting ? 1 : -1;	client->connecting += is_connecting ? 1 : 0;	Fetch.ConnectionsAre*
 node/entry.c	return load->idle > 0 ? ENTRY_REPLACE_IDLE : ENTRY_CLOSE;	return ENTRY_TAKE;	Entry.TheOldestIdle*
 node/httpconn.c	g_queue_push_tail_link(queue, link);	g_queue_push_head_link(queue, link);	Entry.TheOldestIdle*
 node/httpconn.c	    conn->requests++;\n    set_idle(conn, false);	    conn->requests++;	Entry.TheOldestIdle*
