Accepted jobs and targets are bounded by the smallest core host

What callers saw: 6,000 valid jobs with a spec of 4,000 bytes, 25 MB in all, took each of the three core processes from 15 to 68 to 72 MB (64 allowed), and to the same after a restart. Where memory is enforced, one crowd ends all of them at once, and what ended them is loaded again.

Cause: admission counted tasks that wait (20,000), not what jobs hold. Accepted work is replicated and never dropped, so that no later bound can help.

Change: core/room.c estimates what a job takes on the leader while it is live and after its end; the state keeps the sum of all, and of each team. With several teams one takes at most half. Beyond that callers get 429 with the time when an ended job is forgotten, 1 to 15 s. The first job is always accepted. State beyond the bound is loaded as before. Targets that are not known are refused (503) beyond 4 KiB each in a sixteenth of the memory: 4,096 with 256 MB.

Room.* is new; five mutants, all caught. Metrics job_bytes, jobs_without_room_total, targets, targets_refused_total; event target.refused.

--- a/base/event.c
+++ b/base/event.c
@@ -105,6 +105,10 @@
          "the verdict proven its job fails"},
     [EVENT_TARGET_REMOVED] = {"target.removed", 100, "id",
                               "a target was removed from the state"},
+    [EVENT_TARGET_REFUSED] = {"target.refused", 10,
+                              "id service targets targets_max",
+                              "a target that is not known was refused: the "
+                              "state has no room for more"},
     [EVENT_TARGET_BACKOFF] =
         {"target.shunned", 100, "id for_ms failures",
          "a target gets no starts for a while after failures"},
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "core/fleetpriv.h"
+#include "core/room.h"
 
 /* Announcements of the same cold target may differ by this. */
 #define COLD_TOLERANCE_MS 2000u
@@ -379,6 +380,23 @@
              task->index);
 }
 
+static void
+count_job_bytes(struct fleet *fleet, struct fleet_job *job, uint64_t bytes)
+{
+    fleet->job_bytes += bytes - job->bytes;
+    if (job->team != NULL) {
+        job->team->job_bytes += bytes - job->bytes;
+    }
+    job->bytes = bytes;
+}
+
+void
+fleet_count_job(struct fleet *fleet, struct fleet_job *job)
+{
+    count_job_bytes(fleet, job,
+                    room_job_bytes(&job->submit, fleet_job_is_live(job)));
+}
+
 struct fleet_job *
 fleet_add_job(struct fleet *fleet, struct fleet_submit *submit)
 {
@@ -413,6 +431,7 @@
     job->tasks_left = job->task_count;
     job->tasks = g_new0(struct fleet_task, job->task_count);
     g_hash_table_insert(fleet->jobs, &job->submit.id, job);
+    fleet_count_job(fleet, job);
     return job;
 }
 
@@ -427,6 +446,7 @@
         fleet->ops.job_ended(fleet->ops.ctx, job);
     }
     fleet_drop_progress(job);
+    fleet_count_job(fleet, job);
 }
 
 /* The leader has decided whether the job is beyond its team's rate, so that
@@ -609,6 +629,7 @@
         if (fleet->ops.job_removed != NULL) {
             fleet->ops.job_removed(fleet->ops.ctx, job);
         }
+        count_job_bytes(fleet, job, 0);
         g_hash_table_remove(fleet->jobs, &job->submit.id);
         job = g_queue_peek_head(&fleet->ended_jobs);
     }
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -41,6 +41,7 @@
     uint32_t offered_jobs; /* proposed by this host as the leader, within the
                             * rate and not applied yet */
     uint64_t jobs_beyond_share;  /* as of struct fleet_queue */
+    uint64_t job_bytes;          /* estimated, of its jobs */
     struct fleet_resources used; /* by runs, including those that are starting
                                   * or stopping; maintained by the scheduler */
     /* Needed by inherited tasks that may be running on targets that have not
@@ -74,6 +75,7 @@
     /* Services that the queue had before while the job was live, char *: runs
      * may go on there. NULL: none. See core/fleetservices.c. */
     GPtrArray *former_services;
+    uint64_t bytes;   /* estimated (core/room.h), counted in job_bytes */
     bool any_service; /* not known: a target of any service may run it */
     void *plan;       /* the scheduler's struct plan_job; NULL: not planned */
 };
@@ -129,7 +131,8 @@
     GHashTable *targets;      /* ID to struct fleet_target */
     GHashTable *data_centres; /* name to struct fleet_data_centre */
     GHashTable *jobs;         /* ID to struct fleet_job */
-    GQueue ended_jobs; /* struct fleet_job, in the order of their ends */
+    GQueue ended_jobs;  /* struct fleet_job, in the order of their ends */
+    uint64_t job_bytes; /* estimated, of all jobs */
 };
 
 /* Creates an empty state. Ended jobs are kept for retention_ms. */
--- a/core/fleetpriv.h
+++ b/core/fleetpriv.h
@@ -102,4 +102,7 @@
 struct fleet_job *fleet_add_job(struct fleet *fleet,
                                 struct fleet_submit *submit);
 
+/* Estimates the memory of a job anew, which is added to that of all. */
+void fleet_count_job(struct fleet *fleet, struct fleet_job *job);
+
 #endif /* FP_FLEETPRIV_H */
--- a/core/fleetrec.c
+++ b/core/fleetrec.c
@@ -396,6 +396,7 @@
 static const struct fp_field CALL_PING_FIELDS[] = {
     U32(call_ping, helper),
     STR(call_ping, data_centre, FLEET_NAME_BYTES),
+    U32(call_ping, memory_mb),
 };
 const struct fp_schema CALL_PING_SCHEMA =
     SCHEMA("call-ping", 131, call_ping, CALL_PING_FIELDS);
--- a/core/fleetrec.h
+++ b/core/fleetrec.h
@@ -394,6 +394,7 @@
 struct call_ping {
     uint32_t helper; /* 1: the sender can query the placement policy */
     char data_centre[FLEET_NAME_BYTES]; /* of the sender */
+    uint32_t memory_mb; /* limit of the sender; 0: none, or an older version */
 };
 
 /* A target's announcement of itself. */
--- a/core/fleetsave.c
+++ b/core/fleetsave.c
@@ -203,6 +203,7 @@
     if (!fleet_job_is_live(job)) {
         g_queue_push_tail(&fleet->ended_jobs, job);
         fleet_drop_progress(job);
+        fleet_count_job(fleet, job);
     }
 }
 
--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -47,6 +47,7 @@
     struct relay *relay;
     struct relay_caller caller;
     uint64_t job_id;         /* ID of a submitted job; else 0 */
+    uint64_t job_bytes;      /* estimated, of a submitted job */
     struct fleet_team *team; /* in whose offered_jobs it counts; NULL: none */
 };
 
@@ -69,6 +70,7 @@
     if (proposal->pending->dispatch != NULL && proposal->job_id != 0) {
         g_hash_table_remove(proposal->pending->dispatch->submitting,
                             &proposal->job_id);
+        proposal->pending->dispatch->submitting_bytes -= proposal->job_bytes;
         if (proposal->team != NULL) {
             proposal->team->offered_jobs--;
         }
@@ -82,11 +84,11 @@
     g_free(proposal);
 }
 
-/* job_id, team: see struct pending_proposal. */
+/* job_id, job_bytes, team: see struct pending_proposal. */
 static void
 propose_job(struct dispatch *dispatch, const struct relay_caller *caller,
             const struct fp_schema *schema, void *change, uint64_t job_id,
-            struct fleet_team *team)
+            uint64_t job_bytes, struct fleet_team *team)
 {
     struct pending_proposal *proposal = g_new0(struct pending_proposal, 1);
 
@@ -94,7 +96,9 @@
     proposal->relay = dispatch->deps.relay;
     proposal->caller = *caller;
     proposal->job_id = job_id;
+    proposal->job_bytes = job_bytes;
     proposal->team = team;
+    dispatch->submitting_bytes += job_bytes;
     if (team != NULL) {
         team->offered_jobs++;
     }
@@ -107,7 +111,7 @@
 dispatch_propose(struct dispatch *dispatch, const struct relay_caller *caller,
                  const struct fp_schema *schema, void *change)
 {
-    propose_job(dispatch, caller, schema, change, 0, NULL);
+    propose_job(dispatch, caller, schema, change, 0, 0, NULL);
 }
 
 /* ---- calls of clients --------------------------------------------------- */
@@ -192,11 +196,14 @@
  * leader that is ready has applied all entries of earlier terms, so what it
  * does not know will not be committed. */
 static enum fp_err
-admit_job(struct dispatch *dispatch, uint64_t id,
-          struct plan_admission *admission)
+admit_job(struct dispatch *dispatch, uint64_t id, uint64_t job_bytes,
+          const struct fleet_team *team, struct plan_admission *admission)
 {
     if (!g_hash_table_contains(dispatch->submitting, &id)) {
         *admission = plan_admit(dispatch->plan);
+        if (admission->err == FP_OK) {
+            *admission = dispatch_admit_to_room(dispatch, job_bytes, team);
+        }
     }
     return admission->err;
 }
@@ -212,6 +219,7 @@
     uint64_t id = 0;
     char reason[200];
     uint64_t *submitting_id;
+    uint64_t job_bytes = room_job_bytes(&call->job, true);
 
     answer.err = find_queue_and_team(dispatch, &call->to, &queue, &team);
     if (answer.err == FP_OK && !parse_id(queue, call->to.path, &id)) {
@@ -226,7 +234,7 @@
     }
     call->job.id = id;
     if (answer.err == FP_OK) {
-        answer.err = admit_job(dispatch, id, &admission);
+        answer.err = admit_job(dispatch, id, job_bytes, team, &admission);
         answer.retry_after_ms = admission.retry_after_ms;
     }
     if (answer.err != FP_OK) {
@@ -243,7 +251,7 @@
     fleet_decide_share(dispatch->deps.fleet, &call->job, team,
                        clock_wall_ms());
     propose_job(dispatch, caller, &FLEET_SUBMIT_SCHEMA, &call->job, id,
-                call->job.beyond_share ? NULL : team);
+                job_bytes, call->job.beyond_share ? NULL : team);
 }
 
 static void
@@ -368,6 +376,10 @@
         dispatch_answer_err(dispatch, caller, FP_OK);
         return;
     }
+    if (known == NULL && !dispatch_admit_target(dispatch, &call->target)) {
+        dispatch_answer_err(dispatch, caller, FP_ERR_HOST_FULL);
+        return;
+    }
     dispatch_propose(dispatch, caller, &FLEET_TARGET_SCHEMA, &call->target);
 }
 
@@ -384,6 +396,7 @@
         dispatch_on_helper_ping(dispatch, caller->host, clock_mono_ms());
     }
     dispatch_note_data_centre(dispatch, ping->data_centre);
+    dispatch_note_memory(dispatch, caller->host, ping->memory_mb);
     for (uint32_t i = 0; i < list->count; i++) {
         struct call_host *host = fp_list_add(&answer.hosts, sizeof(*host));
 
@@ -736,6 +749,8 @@
     dispatch->pending = g_hash_table_new(g_direct_hash, g_direct_equal);
     dispatch->unsent_starts = g_ptr_array_new();
     dispatch->unstored_evidence = g_ptr_array_new();
+    dispatch->core_memory =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     dispatch->submitting =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     dispatch->plan =
@@ -771,6 +786,7 @@
     g_hash_table_destroy(dispatch->helpers);
     g_ptr_array_free(dispatch->policy_queries, TRUE);
     g_hash_table_destroy(dispatch->host_data_centres);
+    g_hash_table_destroy(dispatch->core_memory);
     g_hash_table_destroy(dispatch->submitting);
     g_free(dispatch);
 }
--- a/node/dispatch.h
+++ b/node/dispatch.h
@@ -10,6 +10,7 @@
 #define FP_DISPATCH_H
 
 #include "base/histogram.h"
+#include "core/room.h"
 #include "node/orders.h"
 #include "node/relay.h"
 #include "node/replica.h"
@@ -60,6 +61,16 @@
 /* Call when this host becomes leader. */
 struct dispatch *dispatch_new(const struct dispatch_deps *deps);
 
+/* What the state holds of what it has room for; core/room.h. */
+struct dispatch_room {
+    struct room_limits limits;
+    uint64_t job_bytes;         /* with the jobs that are being stored */
+    uint64_t jobs_without_room; /* refused, as are the targets below */
+    uint32_t targets;
+    uint64_t targets_refused;
+};
+struct dispatch_room dispatch_room(const struct dispatch *dispatch);
+
 /* Frees the dispatch; later answers to its orders and queries are ignored.
  * dispatch may be NULL. */
 void dispatch_free(struct dispatch *dispatch);
--- a/node/dispatchpriv.h
+++ b/node/dispatchpriv.h
@@ -87,6 +87,10 @@
     GPtrArray *unstored_evidence;  /* struct evidence_commit: not stored, to be
                                     * proposed again */
     GHashTable *submitting;        /* IDs of jobs that are proposed */
+    uint64_t submitting_bytes;     /* estimated, of these jobs */
+    uint64_t jobs_without_room;    /* refused; see dispatchroom.c */
+    uint64_t targets_refused;      /* the same */
+    GHashTable *core_memory;       /* host of a replica to MiB */
     bool local_query_pending; /* a query sent by this host has no answer yet */
     uint32_t start_answer_us; /* moving average of the answer time of start
                                * orders */
@@ -127,6 +131,19 @@
 void dispatch_on_read_evacuations(struct dispatch *dispatch,
                                   const struct relay_caller *caller);
 
+/* dispatchroom.c */
+
+/* A host with a replica has said how much memory it may use; 0: no limit. */
+void dispatch_note_memory(struct dispatch *dispatch, const char *host,
+                          uint32_t memory_mb);
+/* Whether the state has room for a job of a team (NULL: none), or for a target
+ * that is not known. A refusal is counted, and that of a target logged. */
+struct plan_admission dispatch_admit_to_room(struct dispatch *dispatch,
+                                             uint64_t job_bytes,
+                                             const struct fleet_team *team);
+bool dispatch_admit_target(struct dispatch *dispatch,
+                           const struct fleet_target_rec *target);
+
 /* dispatchoutage.c */
 
 /* Takes over from a target's record whether it is leaving or has departed. */
--- a/node/fleetmetrics.c
+++ b/node/fleetmetrics.c
@@ -258,6 +258,19 @@
     add_value(out, "policy_hosts", counters->hosts);
 }
 
+static void
+add_room(GString *out, const struct dispatch *dispatch)
+{
+    const struct dispatch_room room = dispatch_room(dispatch);
+
+    add_value(out, "job_bytes", room.job_bytes);
+    add_value(out, "job_bytes_max", room.limits.job_bytes);
+    add_value(out, "jobs_without_room_total", room.jobs_without_room);
+    add_value(out, "targets", room.targets);
+    add_value(out, "targets_max", room.limits.targets);
+    add_value(out, "targets_refused_total", room.targets_refused);
+}
+
 static void
 add_evacuations(GString *out, const struct fleet *fleet)
 {
@@ -321,6 +334,7 @@
 
         add_plan_gauges(out, &gauges);
         add_plan_counters(out, dispatch_counters(sources->dispatch));
+        add_room(out, sources->dispatch);
         add_policy_counters(out, dispatch_policy_counters(sources->dispatch));
         add_value(out, "checkpoints_refused_total",
                   dispatch_checkpoints_refused(sources->dispatch));
--- a/node/fleetnode.c
+++ b/node/fleetnode.c
@@ -422,7 +422,8 @@
 on_ping_timer(void *ctx, uint64_t now_ms)
 {
     struct fleetnode *node = ctx;
-    struct call_ping ping = {.helper = 1};
+    struct call_ping ping = {.helper = 1,
+                             .memory_mb = node->settings->limits.memory_mb};
 
     g_strlcpy(ping.data_centre, node->settings->fleet->data_centre,
               sizeof(ping.data_centre));
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -231,6 +231,11 @@
 node/entry.c	[ENTRY_CONTROL] = {4, 8, 16, 128, 32	[ENTRY_CONTROL] = {4, 4, 8, 32, 8	Entry.TheListenersOf*
 node/fetchplain.c	client->connecting < client->connections_max / CONNECTING_DIVISOR	true	Fetch.ConnectionsAre*
 node/fetchplain.c	client->connecting += is_connecting ? 1 : -1;	client->connecting += is_connecting ? 1 : 0;	Fetch.ConnectionsAre*
+core/room.c	use->job_bytes + bytes <= limits->job_bytes	true	Room.AJobIsTaken*
+core/room.c	use->teams > 1 ? limits->job_bytes / 2 : limits->job_bytes	limits->job_bytes	Room.OneTeam*
+core/fleet.c	    fleet_drop_progress(job);\n    fleet_count_job(fleet, job);	    fleet_drop_progress(job);	Room.TheStateCounts*
+core/fleet.c	        count_job_bytes(fleet, job, 0);\n		Room.TheStateCounts*
+core/fleetsave.c	        fleet_count_job(fleet, job);\n		Room.TheStateCounts*
 node/entry.c	return load->idle > 0 ? ENTRY_REPLACE_IDLE : ENTRY_CLOSE;	return ENTRY_TAKE;	Entry.TheOldestIdle*
 node/httpconn.c	g_queue_push_tail_link(queue, link);	g_queue_push_head_link(queue, link);	Entry.TheOldestIdle*
 node/httpconn.c	    conn->requests++;\n    set_idle(conn, false);	    conn->requests++;	Entry.TheOldestIdle*
--- a/tests/platform/crowd.py
+++ b/tests/platform/crowd.py
@@ -17,6 +17,7 @@
   http2      streams of HTTP/2 with bodies that do not end
   idle       nothing
   jobs       valid jobs, each with the longest spec
+  churn      the same, each of which is cancelled at once
   steps      valid jobs of legal size, of many steps
   targets    announcements, each of another target
   frames     frames of the bus, short of their last byte
@@ -143,6 +144,12 @@
         spec = "x" * SPEC_BYTES
         return [[post(*job(i * 1000 + k, spec, 1)) for k in range(6000 // 50)]
                 for i in range(connections)]
+    if kind == "churn":
+        spec = "x" * SPEC_BYTES
+        return [[part for k in range(8000 // connections)
+                 for body, path in [job(i * 1000 + k, spec, 1)]
+                 for part in (post(body, path), head("DELETE", path, KEY))]
+                for i in range(connections)]
     if kind == "steps":
         return [[post(*padded_job(i))] for i in range(connections)]
     if kind == "targets":
@@ -286,7 +293,8 @@
     selector = selectors.DefaultSelector()
     connections = []
     open_count = 0
-    reads = options.kind in ("whole", "jobs", "steps", "targets", "trickle")
+    reads = options.kind in ("whole", "jobs", "churn", "steps", "targets",
+                             "trickle")
     for parts in payloads(options.kind, path, options.connections):
         connection = Connection(parse_address(options.address), parts, reads)
         connections.append(connection)
@@ -362,7 +370,7 @@
         # Accepted, or refused for what the job crowds have filled.
         status = send_request(address, data)
         if status == 200 or (status in (429, 503) and options.kind in (
-                "jobs", "steps") and options.listener == "clients"):
+                "jobs", "churn", "steps") and options.listener == "clients"):
             return True
         time.sleep(PROBE_PAUSE_S)
     return False
@@ -435,7 +443,7 @@
               ("an ordinary request is answered beside the crowd",
                [] if beside else ["none"]),
               ("and after it", [] if after else ["none"])]
-    if options.kind in ("jobs", "steps"):
+    if options.kind in ("jobs", "churn", "steps"):
         checks.append(("a refused job gets a time to come back", [
             "without" for connection in connections
             if not connection.retry_after]))
