--- a/node/replica.c
+++ b/node/replica.c
@@ -24,8 +24,10 @@
 #define OPEN_RETRY_MS 200u
 #define OPEN_REPORT_TRIES 50u
 /* Size of the log at which a snapshot is due: a part of the disk, or this
- * where the size of the disk is not known. */
+ * where the size of the disk is not known, and at most a part of the memory.
+ */
 #define LOG_DISK_DIVISOR 8u
+#define LOG_MEMORY_DIVISOR 16u
 #define LOG_DEFAULT_MAX_MB 64u
 
 static void
@@ -389,15 +391,21 @@
 }
 
 /* Returns the size of the log at which a snapshot is due. While one is taken
- * the folder holds two snapshots and two logs.
+ * the folder holds two snapshots and two logs. Entries are in memory too.
  */
 static uint64_t
 log_bytes_max(const struct replica *replica)
 {
-    uint64_t disk_mb = replica->settings->limits.disk_mb;
+    const struct settings_limits *limits = &replica->settings->limits;
+    uint64_t max_mb = LOG_DEFAULT_MAX_MB;
 
-    return (disk_mb == 0 ? LOG_DEFAULT_MAX_MB : disk_mb / LOG_DISK_DIVISOR) *
-           1024 * 1024;
+    if (limits->disk_mb != 0) {
+        max_mb = limits->disk_mb / LOG_DISK_DIVISOR;
+    }
+    if (limits->memory_mb != 0) {
+        max_mb = MIN(max_mb, limits->memory_mb / LOG_MEMORY_DIVISOR);
+    }
+    return max_mb * 1024 * 1024;
 }
 
 /* Load pattern: few entries that are large, such as ends with checkpoints or
