Memory that a crowd has left behind is given back

The next crowd, or work of another kind, comes on top.

Cause: glibc raises the size from which blocks are mapped one by one as soon as the first such block is freed, up to 32 MB; input buffers of requests then stay in its heap.

Change: mallopt() keeps that size at 128 KiB, and once a listener that held a quarter of its input holds hardly any, malloc_trim() gives back the rest, at most every 2 s.

Ruled out: 64 KiB instead of 128 left 20 MB without a trim, and maps arrays that the scheduler frees in each pass.

--- a/node/fleetnode.c
+++ b/node/fleetnode.c
@@ -4,6 +4,7 @@
 #include <arpa/inet.h>
 
 #include <glib.h>
+#include <malloc.h>
 #include <signal.h>
 #include <string.h>
 
@@ -33,6 +34,15 @@
 /* How long a seed counts as empty after it has said so. */
 #define EMPTY_SEED_HEARD_MS 1500u
 
+/* Blocks of this size go back to the kernel once they are freed. glibc would
+ * raise the bound with the first of them, and keep later ones. */
+#define MAPPED_BYTES_MIN (128 * 1024)
+/* Smaller ones go back at most this often, once a listener has held a quarter
+ * of the input that it may and holds hardly any. */
+#define TRIM_INTERVAL_MS 2000u
+#define TRIM_HELD_DIVISOR 4u
+#define TRIM_LEFT_DIVISOR 64u
+
 enum drain_stage {
     STAGE_SERVING,
     STAGE_UNREADY,        /* readiness checks fail; requests are served */
@@ -68,6 +78,8 @@
     uint64_t drain_start_ms;
     uint64_t last_busy_ms; /* last time with requests in flight, in a drain */
     uint64_t reloads;
+    bool trim_due;
+    uint64_t trimmed_ms;
 };
 
 /* ---- leadership and replicated state ------------------------------------ */
@@ -700,12 +712,40 @@
     }
 }
 
+/* Load pattern: a crowd leaves its memory to the allocator, and work of
+ * another kind comes on top of it. */
+static void
+trim_if_due(struct fleetnode *node, uint64_t now_ms)
+{
+    bool is_calm = true;
+
+    for (int i = 0; i < ENTRY_LISTENER_COUNT; i++) {
+        const struct httpd *httpd = httpd_of(node, i);
+        struct entry_load load;
+        uint64_t bound;
+
+        bound = httpd != NULL ? httpd_bounds(httpd)->partial_bytes : 0;
+        if (bound == 0) {
+            continue;
+        }
+        httpd_load(httpd, &load);
+        node->trim_due |= load.input_bytes > bound / TRIM_HELD_DIVISOR;
+        is_calm &= load.input_bytes <= bound / TRIM_LEFT_DIVISOR;
+    }
+    if (node->trim_due && is_calm &&
+        now_ms >= node->trimmed_ms + TRIM_INTERVAL_MS) {
+        node->trim_due = false;
+        node->trimmed_ms = now_ms;
+        malloc_trim(0);
+    }
+}
+
 static void
 on_entry_timer(void *ctx, uint64_t now_ms)
 {
     struct fleetnode *node = ctx;
 
-    (void)now_ms;
+    trim_if_due(node, now_ms);
     for (int i = 0; i < ENTRY_LISTENER_COUNT; i++) {
         struct httpd *httpd = httpd_of(node, i);
         struct entry_load load;
@@ -939,6 +979,7 @@
     struct fleetnode *node = g_new0(struct fleetnode, 1);
     enum fp_err err;
 
+    mallopt(M_MMAP_THRESHOLD, MAPPED_BYTES_MIN);
     signal(SIGPIPE, SIG_IGN);
     signal(SIGXFSZ, SIG_IGN); /* a file too large is a failed write */
     node->settings = settings;
