Connections to the bus are bounded

What callers saw: 700 idle connections to the bus took 733 of 400 descriptors; 300 with a frame of 262,144 bytes that stops short of its last byte took a core host to 100 to 108 MB and a front end to 102 to 106 MB (64 allowed).

Cause: ZeroMQ accepts without end, waits 30 s for a handshake, and holds an incomplete frame of each connection.

Change: node/busguard.c follows the connections by the events of the listening socket. Of those beyond an eighth of the descriptors (512 at most) it shuts down one that has sent no message yet, the oldest first, else the one that was silent for longest, so that a host that is in use stays. Handshakes have 2 s, receive queues a sixteenth of the memory in all. Sockets that this host opened take no longer messages than the listening one.

--- a/node/bus.c
+++ b/node/bus.c
@@ -8,6 +8,8 @@
 #include <zmq.h>
 
 #include "base/log.h"
+#include "node/busguard.h"
+#include "node/entry.h"
 
 #define SEND_QUEUE_MAX 4096     /* messages per socket */
 #define RECEIVE_QUEUE_MAX 16384 /* messages per socket */
@@ -15,6 +17,9 @@
 #define ZAP_ENDPOINT "inproc://zeromq.zap.01"
 #define ZAP_FRAMES_MAX 16
 
+/* A process that connects and is no host is closed after this time. */
+#define HANDSHAKE_MAX_MS 2000
+
 /* ZeroMQ's pings, which detect dead connections. */
 #define SOCKET_PING_INTERVAL_MS 1000
 #define SOCKET_PING_TIMEOUT_MS 3000
@@ -46,8 +51,9 @@
     struct bus_counters counters;
     void *context;
     void *router;
-    void *zap;         /* NULL without CURVE */
-    GHashTable *peers; /* host name to struct peer */
+    struct bus_guard *guard; /* of router; NULL: not bounded */
+    void *zap;               /* NULL without CURVE */
+    GHashTable *peers;       /* host name to struct peer */
     uv_poll_t router_poll;
     uv_poll_t zap_poll;
     uv_prepare_t receive_prepare;
@@ -82,6 +88,9 @@
 static void
 set_common_options(void *socket)
 {
+    const int64_t max_bytes = MSG_MAX_BYTES;
+
+    zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &max_bytes, sizeof(max_bytes));
     set_int_option(socket, ZMQ_LINGER, 0);
     set_int_option(socket, ZMQ_SNDHWM, SEND_QUEUE_MAX);
     set_int_option(socket, ZMQ_RCVHWM, RECEIVE_QUEUE_MAX);
@@ -156,6 +165,10 @@
     zmq_msg_init(&payload);
     if (zmq_msg_recv(&payload, bus->router, ZMQ_DONTWAIT) >= 0) {
         more = zmq_msg_more(&payload) != 0;
+        if (bus->guard != NULL) {
+            bus_guard_note_message(bus->guard,
+                                   zmq_msg_get(&payload, ZMQ_SRCFD));
+        }
         if (!more && length < (int)sizeof(from)) {
             deliver(bus, from, zmq_msg_data(&payload), zmq_msg_size(&payload));
         }
@@ -255,6 +268,9 @@
     struct bus *bus = handle->data;
     GList *peers = g_hash_table_get_values(bus->peers);
 
+    if (bus->guard != NULL) {
+        bus_guard_poll(bus->guard);
+    }
     if ((socket_events(bus->router) & ZMQ_POLLIN) != 0) {
         receive_from_router(bus);
     }
@@ -396,20 +412,41 @@
     g_hash_table_insert(bus->peers, peer->host, peer);
 }
 
+static void
+guard_router(struct bus *bus, const char *address)
+{
+    const struct settings_limits *settings = &bus->settings->limits;
+    const struct entry_limits limits = {settings->memory_mb, settings->max_fds,
+                                        settings->link_kbps};
+    const struct entry_bus_bounds bounds = entry_bus_bounds(&limits);
+    char ip[64];
+    uint16_t port;
+
+    if (bounds.receive_bytes != 0) {
+        /* The kernel allows twice the size that is set, for its own use. */
+        set_int_option(bus->router, ZMQ_RCVBUF, (int)bounds.receive_bytes / 2);
+    }
+    if (bounds.connections != 0 &&
+        settings_parse_address(address, ip, sizeof(ip), &port)) {
+        bus->guard =
+            bus_guard_new(bus->context, bus->router, port, bounds.connections);
+    }
+}
+
 static bool
 bind_router(struct bus *bus, char *why, unsigned why_bytes)
 {
     const struct settings_host *own =
         settings_find_host(bus->settings, bus->settings->host);
     char *endpoint = g_strdup_printf("tcp://%s", own->bus);
-    int64_t max_bytes = MSG_MAX_BYTES;
     int rc;
 
     bus->router = zmq_socket(bus->context, ZMQ_ROUTER);
     set_common_options(bus->router);
     set_int_option(bus->router, ZMQ_ROUTER_HANDOVER, 1);
     set_int_option(bus->router, ZMQ_ROUTER_MANDATORY, 1);
-    zmq_setsockopt(bus->router, ZMQ_MAXMSGSIZE, &max_bytes, sizeof(max_bytes));
+    set_int_option(bus->router, ZMQ_HANDSHAKE_IVL, HANDSHAKE_MAX_MS);
+    guard_router(bus, own->bus);
     if (bus->settings->curve != NULL) {
         set_curve_server(bus->router, bus->settings->curve);
     }
@@ -570,6 +607,13 @@
     return &bus->counters;
 }
 
+struct bus_guard_counters
+bus_connection_counters(const struct bus *bus)
+{
+    return bus->guard != NULL ? bus_guard_counters(bus->guard)
+                              : (struct bus_guard_counters){0};
+}
+
 static void
 on_prepare_closed(uv_handle_t *handle)
 {
@@ -593,6 +637,7 @@
         uv_close((uv_handle_t *)&bus->router_poll, NULL);
     }
     g_hash_table_destroy(bus->peers);
+    bus_guard_free(bus->guard);
     if (bus->router != NULL) {
         zmq_close(bus->router);
     }
--- a/node/bus.h
+++ b/node/bus.h
@@ -11,6 +11,7 @@
 #include <uv.h>
 
 #include "core/msg.h"
+#include "node/busguard.h"
 #include "node/settings.h"
 
 struct bus_ops {
@@ -73,6 +74,9 @@
 
 const struct bus_counters *bus_counters(const struct bus *bus);
 
+/* Connections that others opened; all 0 where they are not bounded. */
+struct bus_guard_counters bus_connection_counters(const struct bus *bus);
+
 /* Closes the sockets. The loop must run once more to close the bus's handles,
  * which releases its memory. Does nothing for NULL.
  */
--- /dev/null
+++ b/node/busguard.c
@@ -0,0 +1,176 @@
+/* busguard.c -- bounds the connections that others open to the bus */
+#include "node/busguard.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <zmq.h>
+
+#include "base/log.h"
+
+#define ENDPOINT "inproc://bus-guard"
+#define EVENTS (ZMQ_EVENT_ACCEPTED | ZMQ_EVENT_CLOSED | ZMQ_EVENT_DISCONNECTED)
+/* The first frame of an event: its number and a descriptor. */
+#define EVENT_BYTES (sizeof(uint16_t) + sizeof(uint32_t))
+
+struct connection {
+    int fd;
+    uint64_t accepted; /* rises with each connection */
+    uint64_t heard;    /* rises with each message; 0: none yet */
+};
+
+struct bus_guard {
+    void *socket;
+    void *events;
+    uint16_t port;
+    uint32_t connections_max;
+    GHashTable *connections; /* descriptor to struct connection */
+    uint64_t last_number;    /* of accepted and heard */
+    uint64_t closed;
+};
+
+struct bus_guard *
+bus_guard_new(void *context, void *socket, uint16_t port,
+              uint32_t connections_max)
+{
+    struct bus_guard *guard;
+    const int linger_ms = 0;
+
+    if (zmq_socket_monitor(socket, ENDPOINT, EVENTS) != 0) {
+        log_warn(LOG_BUS, "connections are not bounded: %s",
+                 zmq_strerror(zmq_errno()));
+        return NULL;
+    }
+    guard = g_new0(struct bus_guard, 1);
+    guard->socket = socket;
+    guard->port = port;
+    guard->connections_max = connections_max;
+    guard->connections =
+        g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
+    guard->events = zmq_socket(context, ZMQ_PAIR);
+    zmq_setsockopt(guard->events, ZMQ_LINGER, &linger_ms, sizeof(linger_ms));
+    zmq_connect(guard->events, ENDPOINT);
+    return guard;
+}
+
+/* A descriptor may have been closed and used again by now. */
+static bool
+is_bus_connection(const struct bus_guard *guard, int fd)
+{
+    struct sockaddr_in address;
+    socklen_t bytes = sizeof(address);
+
+    return getsockname(fd, (struct sockaddr *)&address, &bytes) == 0 &&
+           address.sin_family == AF_INET &&
+           ntohs(address.sin_port) == guard->port;
+}
+
+static struct connection *
+find_least_used(const struct bus_guard *guard)
+{
+    struct connection *found = NULL;
+    GHashTableIter iter;
+    struct connection *connection;
+
+    g_hash_table_iter_init(&iter, guard->connections);
+    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&connection)) {
+        if (found == NULL || connection->heard < found->heard ||
+            (connection->heard == found->heard &&
+             connection->accepted < found->accepted)) {
+            found = connection;
+        }
+    }
+    return found;
+}
+
+/* Workload: processes that are no hosts open connections without end. */
+static void
+close_excess(struct bus_guard *guard)
+{
+    while (guard->connections_max != 0 &&
+           g_hash_table_size(guard->connections) > guard->connections_max) {
+        const struct connection *connection = find_least_used(guard);
+
+        if (is_bus_connection(guard, connection->fd)) {
+            shutdown(connection->fd, SHUT_RDWR);
+            guard->closed++;
+        }
+        g_hash_table_remove(guard->connections,
+                            GINT_TO_POINTER(connection->fd));
+    }
+}
+
+static void
+add_connection(struct bus_guard *guard, int fd)
+{
+    struct connection *connection = g_new0(struct connection, 1);
+
+    connection->fd = fd;
+    connection->accepted = ++guard->last_number;
+    g_hash_table_replace(guard->connections, GINT_TO_POINTER(fd), connection);
+    close_excess(guard);
+}
+
+/* Returns false when there is no event. */
+static bool
+handle_event(struct bus_guard *guard)
+{
+    uint8_t event[EVENT_BYTES];
+    uint16_t number;
+    uint32_t fd;
+    char address[256];
+
+    if (zmq_recv(guard->events, event, sizeof(event), ZMQ_DONTWAIT) !=
+        (int)EVENT_BYTES) {
+        return false;
+    }
+    memcpy(&number, event, sizeof(number));
+    memcpy(&fd, event + sizeof(number), sizeof(fd));
+    zmq_recv(guard->events, address, sizeof(address), ZMQ_DONTWAIT);
+    if (number == ZMQ_EVENT_ACCEPTED) {
+        add_connection(guard, (int)fd);
+    }
+    else {
+        g_hash_table_remove(guard->connections, GINT_TO_POINTER((int)fd));
+    }
+    return true;
+}
+
+void
+bus_guard_poll(struct bus_guard *guard)
+{
+    while (handle_event(guard)) {
+    }
+}
+
+void
+bus_guard_note_message(struct bus_guard *guard, int fd)
+{
+    struct connection *connection =
+        g_hash_table_lookup(guard->connections, GINT_TO_POINTER(fd));
+
+    if (connection != NULL) {
+        connection->heard = ++guard->last_number;
+    }
+}
+
+struct bus_guard_counters
+bus_guard_counters(const struct bus_guard *guard)
+{
+    return (struct bus_guard_counters){
+        .connections = g_hash_table_size(guard->connections),
+        .connections_max = guard->connections_max,
+        .closed = guard->closed};
+}
+
+void
+bus_guard_free(struct bus_guard *guard)
+{
+    if (guard != NULL) {
+        zmq_socket_monitor(guard->socket, NULL, 0);
+        zmq_close(guard->events);
+        g_hash_table_destroy(guard->connections);
+        g_free(guard);
+    }
+}
--- a/node/entry.c
+++ b/node/entry.c
@@ -6,7 +6,11 @@
 /* Descriptors kept for everything but connections of the listeners: files, the
  * bus, connections to targets. */
 #define RESERVED_FDS_DIVISOR 4u
-#define RESERVED_FDS_MAX 512u
+#define RESERVED_FDS_MAX 1024u
+/* Of these, those of the bus that others opened, as a divisor. */
+#define BUS_FDS_DIVISOR 2u
+#define BUS_MEMORY_DIVISOR 16u
+#define BUS_RECEIVE_BYTES_MIN 16384u
 /* What a connection and a request take, beside their bytes. */
 #define CONNECTION_BYTES 8192u
 #define REQUEST_BYTES 16384u
@@ -143,6 +147,21 @@
                reserved / 4);
 }
 
+struct entry_bus_bounds
+entry_bus_bounds(const struct entry_limits *limits)
+{
+    const uint64_t memory = (uint64_t)limits->memory_mb << 20;
+    struct entry_bus_bounds bounds = {.connections = reserved_fds(limits) /
+                                                     BUS_FDS_DIVISOR};
+
+    if (memory > 0 && bounds.connections > 0) {
+        bounds.receive_bytes =
+            (uint32_t)CLAMP(memory / BUS_MEMORY_DIVISOR / bounds.connections,
+                            BUS_RECEIVE_BYTES_MIN, RECEIVE_BYTES_MAX);
+    }
+    return bounds;
+}
+
 enum entry_admission
 entry_admit_connection(const struct entry_bounds *bounds,
                        const struct entry_load *load)
--- a/node/entry.h
+++ b/node/entry.h
@@ -71,6 +71,13 @@
 uint32_t entry_opened_max(const struct entry_limits *limits,
                           uint32_t listeners);
 
+/* Bounds on the connections that others open to the bus; 0: none. */
+struct entry_bus_bounds {
+    uint32_t connections;
+    uint32_t receive_bytes; /* unread in the kernel, for each */
+};
+struct entry_bus_bounds entry_bus_bounds(const struct entry_limits *limits);
+
 enum entry_admission entry_admit_connection(const struct entry_bounds *bounds,
                                             const struct entry_load *load);
 
--- a/node/fleetmetrics.c
+++ b/node/fleetmetrics.c
@@ -33,6 +33,7 @@
 add_bus_counters(GString *out, const struct bus *bus)
 {
     const struct bus_counters *counters = bus_counters(bus);
+    const struct bus_guard_counters connections = bus_connection_counters(bus);
 
     add_value(out, "bus_sent_total", counters->sent);
     add_value(out, "bus_sent_bytes_total", counters->sent_bytes);
@@ -40,6 +41,9 @@
     add_value(out, "bus_received_bytes_total", counters->received_bytes);
     add_value(out, "bus_refused_total", counters->refused);
     add_value(out, "bus_malformed_total", counters->malformed);
+    add_value(out, "bus_connections", connections.connections);
+    add_value(out, "bus_connections_max", connections.connections_max);
+    add_value(out, "bus_closed_total", connections.closed);
 }
 
 /* What the clients' listener holds, its bounds and how often they were met. */
--- a/node/fleetnode.c
+++ b/node/fleetnode.c
@@ -80,6 +80,7 @@
     uint64_t reloads;
     bool trim_due;
     uint64_t trimmed_ms;
+    uint64_t bus_closed; /* connections, when last logged */
 };
 
 /* ---- leadership and replicated state ------------------------------------ */
@@ -507,18 +508,23 @@
     return servers[listener];
 }
 
+static const struct bus *
+bus_of(const struct fleetnode *node)
+{
+    return node->replica != NULL ? replica_bus(node->replica) : node->bus;
+}
+
 static void
 on_metrics_request(void *ctx, struct http_request *request)
 {
     struct fleetnode *node = ctx;
-    struct fleetmetrics_sources sources = {
-        .relay = node->relay,
-        .bus = node->replica != NULL ? replica_bus(node->replica) : node->bus,
-        .replica = node->replica,
-        .dispatch = node->dispatch,
-        .fleet = node->fleet,
-        .ready = is_ready(node),
-        .reloads = node->reloads};
+    struct fleetmetrics_sources sources = {.relay = node->relay,
+                                           .bus = bus_of(node),
+                                           .replica = node->replica,
+                                           .dispatch = node->dispatch,
+                                           .fleet = node->fleet,
+                                           .ready = is_ready(node),
+                                           .reloads = node->reloads};
 
     for (int i = 0; i < ENTRY_LISTENER_COUNT; i++) {
         sources.listeners[i] = httpd_of(node, i);
@@ -740,12 +746,28 @@
     }
 }
 
+static void
+log_closed_on_bus(struct fleetnode *node)
+{
+    const struct bus_guard_counters counters =
+        bus_connection_counters(bus_of(node));
+
+    if (counters.closed > node->bus_closed) {
+        EVENT(EVENT_HOST_FULL, EVENT_STR("host", node->settings->host),
+              EVENT_STR("listener", "bus"),
+              EVENT_INT("refused", counters.closed - node->bus_closed),
+              EVENT_INT("connections", counters.connections));
+        node->bus_closed = counters.closed;
+    }
+}
+
 static void
 on_entry_timer(void *ctx, uint64_t now_ms)
 {
     struct fleetnode *node = ctx;
 
     trim_if_due(node, now_ms);
+    log_closed_on_bus(node);
     for (int i = 0; i < ENTRY_LISTENER_COUNT; i++) {
         struct httpd *httpd = httpd_of(node, i);
         struct entry_load load;
--- a/tests/platform/crowd.py
+++ b/tests/platform/crowd.py
@@ -21,6 +21,7 @@
   steps      valid jobs of legal size, of many steps
   targets    announcements, each of another target
   frames     frames of the bus, short of their last byte
+  long-frames  the same, of the largest size that the bus takes
 
 Then it sends one ordinary request to the same listener, and, when the connections
 are closed, another one. Prints whether the processes live, and whether the memory of
@@ -42,6 +43,7 @@
 BODY_BYTES = 262144   # the largest body that the platform's limits allow
 HEAD_BYTES = 300000   # of a head that does not end
 SPEC_BYTES = 4000
+BUS_FRAME_BYTES = 4 << 20
 AHEAD_REQUESTS = 20000
 CONNECT_S = 3.0
 CROWD_S = 8.0         # at most, for what the crowd sends
@@ -102,13 +104,14 @@
     return data
 
 
-def bus_frame():
+def bus_frame(frame_bytes):
     """The greeting of ZMTP 3.0 with mechanism NULL, READY, and the start of a long
     frame."""
     greeting = b"\xff" + b"\0" * 8 + b"\x7f\x03\0NULL" + b"\0" * 48
     ready = b"\x05READY\x0bSocket-Type\0\0\0\x06DEALER"
     return (greeting + b"\x04" + bytes([len(ready)]) + ready +
-            b"\x02" + struct.pack(">Q", BODY_BYTES) + b"x" * (BODY_BYTES - 1))
+            b"\x02" + struct.pack(">Q", frame_bytes) +
+            b"x" * (frame_bytes - 1))
 
 
 def payloads(kind, path, connections):
@@ -155,7 +158,8 @@
     if kind == "targets":
         return [[announcement(i * 400 + k) for k in range(400)]
                 for i in range(connections)]
-    return [[bus_frame()]] * connections
+    return [[bus_frame(BODY_BYTES if kind == "frames" else
+                       BUS_FRAME_BYTES)]] * connections
 
 
 class Connection:
