Bounds of small listeners are not looked up in the table of shares

entry_set_bounds() took the address of a row that the table does not have, before it returned the fixed bounds of readiness checks and metrics; nothing was read there. Also what the linter reports: the method of a request that was refused before it was decoded, and an address that getsockname() may leave unset.

--- a/node/busguard.c
+++ b/node/busguard.c
@@ -58,7 +58,7 @@
 static bool
 is_bus_connection(const struct bus_guard *guard, int fd)
 {
-    struct sockaddr_in address;
+    struct sockaddr_in address = {.sin_family = AF_UNSPEC};
     socklen_t bytes = sizeof(address);
 
     return getsockname(fd, (struct sockaddr *)&address, &bytes) == 0 &&
--- a/node/entry.c
+++ b/node/entry.c
@@ -96,7 +96,7 @@
 entry_set_bounds(const struct entry_limits *limits,
                  enum entry_listener listener, struct entry_bounds *bounds)
 {
-    const struct listener_shares *shares = &SHARES[listener];
+    const struct listener_shares *shares;
     const uint64_t memory = (uint64_t)limits->memory_mb << 20;
     const uint32_t reserved = reserved_fds(limits);
     const uint64_t link_bytes = (uint64_t)limits->link_kbps * LINK_QUEUE_MS /
@@ -109,6 +109,7 @@
         }
         return;
     }
+    shares = &SHARES[listener];
     if (memory > 0 || limits->max_fds > 0) {
         const uint64_t by_memory =
             MIN(memory / shares->connections / CONNECTION_BYTES,
--- a/node/httpd.c
+++ b/node/httpd.c
@@ -472,7 +472,7 @@
     struct client_conn *conn = request->ref->conn;
 
     httpconns_count(conn->conns, &conn->conns->counters.refused_answers);
-    if (strcmp(request->method, "GET") != 0) {
+    if (g_strcmp0(request->method, "GET") != 0) {
         httpconns_shut_down(conn);
     }
     http_reply_error(request, FP_ERR_HOST_FULL, "");
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -226,7 +226,7 @@
 node/httpconn.c	        httpconns_watch(conn);\n        count_input(conn);\n        release_empty_input(conn);	        count_input(conn);	Entry.InputOfALaterRequest*
 node/entry.c	sending_bytes + answer_bytes <= bounds->answer_bytes	true	Entry.AnswersThat*
 node/httpconn.c	            httpconns_shut_down(other);\n		Entry.AnswersThat*
-node/httpd.c	strcmp(request->method, "GET") != 0	false	Entry.AnswersThat*
+node/httpd.c	g_strcmp0(request->method, "GET") != 0	false	Entry.AnswersThat*
 node/entry.c	(limits->max_fds - reserved) / shares->fds	limits->max_fds - reserved	Entry.TheListenersOf*
 node/entry.c	[ENTRY_CONTROL] = {4, 8, 16, 128, 32	[ENTRY_CONTROL] = {4, 4, 8, 32, 8	Entry.TheListenersOf*
 node/fetchplain.c	client->connecting < client->connections_max / CONNECTING_DIVISOR	true	Fetch.ConnectionsAre*
