A target that never answered makes room for another

Cause: who came first kept the place. Proposals under way did not count either, so that the bound was passed by some tens, and as many refusals changed nothing.

Change: when an announcement is refused, the leader removes the target that is there for longest without an answer: one that was not known before this term, was not started again, has had a second to answer and has not: no run was ordered there, and none of an earlier leader can be there. One refusal, one removal: the next attempt finds room. Targets that answer are never removed for others. Proposals under way count.

--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -48,6 +48,7 @@
     struct relay_caller caller;
     uint64_t job_id;         /* ID of a submitted job; else 0 */
     uint64_t job_bytes;      /* estimated, of a submitted job */
+    bool is_new_target;      /* counts in targets_submitting */
     struct fleet_team *team; /* in whose offered_jobs it counts; NULL: none */
 };
 
@@ -75,6 +76,9 @@
             proposal->team->offered_jobs--;
         }
     }
+    if (proposal->pending->dispatch != NULL && proposal->is_new_target) {
+        proposal->pending->dispatch->targets_submitting--;
+    }
     if (proposal->pending->dispatch != NULL) {
         histogram_add(&proposal->pending->dispatch->times.commit_ms,
                       clock_mono_ms() - proposal->pending->sent_ms);
@@ -84,23 +88,21 @@
     g_free(proposal);
 }
 
-/* job_id, job_bytes, team: see struct pending_proposal. */
+/* what: the fields of the proposal that describe the change. */
 static void
-propose_job(struct dispatch *dispatch, const struct relay_caller *caller,
-            const struct fp_schema *schema, void *change, uint64_t job_id,
-            uint64_t job_bytes, struct fleet_team *team)
+propose(struct dispatch *dispatch, const struct relay_caller *caller,
+        const struct fp_schema *schema, void *change,
+        const struct pending_proposal *what)
 {
-    struct pending_proposal *proposal = g_new0(struct pending_proposal, 1);
+    struct pending_proposal *proposal = g_memdup2(what, sizeof(*what));
 
     proposal->pending = dispatch_add_pending(dispatch, NULL);
     proposal->relay = dispatch->deps.relay;
     proposal->caller = *caller;
-    proposal->job_id = job_id;
-    proposal->job_bytes = job_bytes;
-    proposal->team = team;
-    dispatch->submitting_bytes += job_bytes;
-    if (team != NULL) {
-        team->offered_jobs++;
+    dispatch->submitting_bytes += what->job_bytes;
+    dispatch->targets_submitting += what->is_new_target;
+    if (what->team != NULL) {
+        what->team->offered_jobs++;
     }
     proposal->pending->sent_ms = clock_mono_ms();
     replica_propose(dispatch->deps.replica, schema, change, on_proposal_done,
@@ -111,7 +113,9 @@
 dispatch_propose(struct dispatch *dispatch, const struct relay_caller *caller,
                  const struct fp_schema *schema, void *change)
 {
-    propose_job(dispatch, caller, schema, change, 0, 0, NULL);
+    const struct pending_proposal what = {.job_id = 0};
+
+    propose(dispatch, caller, schema, change, &what);
 }
 
 /* ---- calls of clients --------------------------------------------------- */
@@ -218,6 +222,7 @@
     struct call_answer answer = {.err = FP_OK};
     uint64_t id = 0;
     char reason[200];
+    struct pending_proposal what = {.job_id = 0};
     uint64_t *submitting_id;
     uint64_t job_bytes = room_job_bytes(&call->job, true);
 
@@ -250,8 +255,10 @@
     g_hash_table_add(dispatch->submitting, submitting_id);
     fleet_decide_share(dispatch->deps.fleet, &call->job, team,
                        clock_wall_ms());
-    propose_job(dispatch, caller, &FLEET_SUBMIT_SCHEMA, &call->job, id,
-                job_bytes, call->job.beyond_share ? NULL : team);
+    what.job_id = id;
+    what.job_bytes = job_bytes;
+    what.team = call->job.beyond_share ? NULL : team;
+    propose(dispatch, caller, &FLEET_SUBMIT_SCHEMA, &call->job, &what);
 }
 
 static void
@@ -341,6 +348,7 @@
 {
     struct fleet *fleet = dispatch->deps.fleet;
     struct fleet_target *known = fleet_find_target(fleet, call->target.id);
+    struct pending_proposal what = {.job_id = 0};
     char reason[100];
 
     if (fleet->config.version == 0) {
@@ -380,7 +388,8 @@
         dispatch_answer_err(dispatch, caller, FP_ERR_HOST_FULL);
         return;
     }
-    dispatch_propose(dispatch, caller, &FLEET_TARGET_SCHEMA, &call->target);
+    what.is_new_target = known == NULL;
+    propose(dispatch, caller, &FLEET_TARGET_SCHEMA, &call->target, &what);
 }
 
 static void
@@ -543,7 +552,7 @@
 {
     plan_target_changed(dispatch->plan, target);
     if (!g_hash_table_contains(dispatch->sessions, target->rec.id)) {
-        dispatch_add_session(dispatch, target);
+        dispatch_add_session(dispatch, target, clock_mono_ms());
     }
     else if (restarted) {
         dispatch_reset_session(dispatch, target, clock_mono_ms());
@@ -757,7 +766,7 @@
         plan_new(deps->fleet, &params, &ops, dispatch->term_start_ms);
     g_hash_table_iter_init(&iter, deps->fleet->targets);
     while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&target)) {
-        dispatch_add_session(dispatch, target);
+        dispatch_add_session(dispatch, target, 0);
     }
     return dispatch;
 }
--- a/node/dispatchlane.c
+++ b/node/dispatchlane.c
@@ -23,6 +23,7 @@
 #define LOSSY_PERIOD_MS 4000u       /* in which further losses are likely */
 #define HOLD_RETRY_MS 80u           /* delay after a failed hold call */
 #define REMOVAL_DELAY_MS 1500u      /* until a lost target is removed */
+#define FIRST_ANSWER_MS 1000u       /* that a new target has to answer in */
 #define DEPARTED_RETRY_MS 500u      /* HOLD_RETRY_MS of a departed target */
 
 static struct target_session *
@@ -639,7 +640,8 @@
 /* ---- sessions ----------------------------------------------------------- */
 
 void
-dispatch_add_session(struct dispatch *dispatch, struct fleet_target *target)
+dispatch_add_session(struct dispatch *dispatch, struct fleet_target *target,
+                     uint64_t added_ms)
 {
     struct target_session *session = g_new0(struct target_session, 1);
 
@@ -651,6 +653,7 @@
         clock_mono_ms() + dispatch_earlier_leases_ms(dispatch);
     session->leaving = target->rec.leaving;
     session->departed = target->rec.departed;
+    session->added_ms = added_ms;
     session->outage_known = target->is_out;
     g_hash_table_insert(dispatch->sessions, session->id, session);
 }
@@ -687,6 +690,7 @@
     session->ends_in_flight = false;
     session->has_clock = false;
     session->lost = false;
+    session->added_ms = 0; /* runs of the last incarnation may be there */
     session->removal_in_flight = false; /* it was of the last incarnation */
     memset(&session->ends_ack, 0, sizeof(session->ends_ack));
     session->next_hold_ms = 0;
@@ -732,6 +736,31 @@
                     dispatch_add_pending(dispatch, session));
 }
 
+void
+dispatch_remove_unanswered(struct dispatch *dispatch, uint64_t now_ms)
+{
+    struct target_session *found = NULL;
+    GHashTableIter iter;
+    struct target_session *session;
+    struct fleet_target *target;
+
+    g_hash_table_iter_init(&iter, dispatch->sessions);
+    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&session)) {
+        /* Without its clock no run was ordered there. */
+        if (session->added_ms != 0 && !session->has_clock &&
+            !session->removal_in_flight &&
+            now_ms >= session->added_ms + FIRST_ANSWER_MS &&
+            (found == NULL || session->added_ms < found->added_ms)) {
+            found = session;
+        }
+    }
+    target = found != NULL ? fleet_find_target(dispatch->deps.fleet, found->id)
+                           : NULL;
+    if (target != NULL) {
+        propose_removal(found, target);
+    }
+}
+
 /* Whether a target is to be removed: it is lost, or it has departed and none
  * of its runs can go on. */
 static bool
--- a/node/dispatchpriv.h
+++ b/node/dispatchpriv.h
@@ -48,6 +48,7 @@
                             * of the fleet's state: no starts */
     bool outage_in_flight; /* a proposal of it is not answered yet */
     uint64_t lost_ms;      /* when lost became true */
+    uint64_t added_ms;     /* 0: known before this term, or started again */
 };
 
 /* A proposal, order or query that has not been answered. */
@@ -88,6 +89,7 @@
                                     * proposed again */
     GHashTable *submitting;        /* IDs of jobs that are proposed */
     uint64_t submitting_bytes;     /* estimated, of these jobs */
+    uint32_t targets_submitting;   /* that are not known yet */
     uint64_t jobs_without_room;    /* refused; see dispatchroom.c */
     uint64_t targets_refused;      /* the same */
     GHashTable *core_memory;       /* host of a replica to MiB */
@@ -137,7 +139,8 @@
 void dispatch_note_memory(struct dispatch *dispatch, const char *host,
                           uint32_t memory_mb);
 /* Whether the state has room for a job of a team (NULL: none), or for a target
- * that is not known. A refusal is counted, and that of a target logged. */
+ * that is not known. A refusal is counted, and that of a target logged; one
+ * that has never answered is then removed to make room. */
 struct plan_admission dispatch_admit_to_room(struct dispatch *dispatch,
                                              uint64_t job_bytes,
                                              const struct fleet_team *team);
@@ -171,8 +174,12 @@
 /* Returns the target that a request was sent to; NULL if it was removed or has
  * restarted since. */
 struct fleet_target *dispatch_target_of(const struct pending_request *pending);
+/* added_ms: 0 for a target that was known before this term. */
 void dispatch_add_session(struct dispatch *dispatch,
-                          struct fleet_target *target);
+                          struct fleet_target *target, uint64_t added_ms);
+/* Removes the target that has been there for longest without an answer, if any
+ * is new in this term and had time to answer. No run can be there. */
+void dispatch_remove_unanswered(struct dispatch *dispatch, uint64_t now_ms);
 void dispatch_tick_sessions(struct dispatch *dispatch, uint64_t now_ms);
 
 /* Whether a newer announcement of the same incarnation has been received: what
--- a/node/dispatchroom.c
+++ b/node/dispatchroom.c
@@ -93,12 +93,14 @@
                       const struct fleet_target_rec *target)
 {
     const struct room_limits limits = room_limits(dispatch);
-    const uint32_t targets = g_hash_table_size(dispatch->deps.fleet->targets);
+    const uint32_t targets = g_hash_table_size(dispatch->deps.fleet->targets) +
+                             dispatch->targets_submitting;
 
     if (room_takes_target(&limits, targets)) {
         return true;
     }
     dispatch->targets_refused++;
+    dispatch_remove_unanswered(dispatch, clock_mono_ms());
     EVENT(EVENT_TARGET_REFUSED, EVENT_STR("id", target->id),
           EVENT_STR("service", target->service), EVENT_INT("targets", targets),
           EVENT_INT("targets_max", limits.targets));
