--- a/filbertpath.h
+++ b/filbertpath.h
@@ -19,6 +19,7 @@
  *   core/fleet.h    the replicated state of a fleet: configuration, targets,
  *                   jobs
  *   core/plan.h     the fleet's scheduler: placement of tasks on targets
+ *   core/room.h     how much accepted work a cell keeps
  *   core/helpers.h  which host queries the placement policy
  *   core/members.h  rules for adding and removing members of a fleet's cell
  *
@@ -45,6 +46,7 @@
 #include "core/pick.h"
 #include "core/plan.h"
 #include "core/raft.h"
+#include "core/room.h"
 #include "core/route.h"
 #include "core/sched.h"
 #include "core/selector.h"
