Refused connections to targets are counted and logged

The bound on connections to targets had neither a metric nor a log line; orders that found none counted as not sent. Now connections_refused_total, and host.full with the listener targets.

--- a/node/bus.c
+++ b/node/bus.c
@@ -415,9 +415,7 @@
 static void
 guard_router(struct bus *bus, const char *address)
 {
-    const struct settings_limits *settings = &bus->settings->limits;
-    const struct entry_limits limits = {settings->memory_mb, settings->max_fds,
-                                        settings->link_kbps};
+    const struct entry_limits limits = settings_entry_limits(bus->settings);
     const struct entry_bus_bounds bounds = entry_bus_bounds(&limits);
     char ip[64];
     uint16_t port;
--- a/node/edge.h
+++ b/node/edge.h
@@ -39,6 +39,8 @@
     /* Return parts of the edge, valid until close(). */
     const struct order_channel *(*get_order_channel)(void *edge);
     const struct policy_client *(*get_policy_client)(void *edge);
+    /* Orders and queries that found no connection within connections_max. */
+    uint64_t (*count_refused)(const void *edge);
     /* Path of the load balancer's readiness check. */
     const char *readiness_path;
 };
--- a/node/entry.c
+++ b/node/entry.c
@@ -23,7 +23,7 @@
     16u /* for requests and connections, however small the host */
 
 /* Parts of the memory for each purpose, and of the descriptors that are not
- * reserved, as divisors; 0: a fixed bound. A body is held as received,
+ * reserved, as divisors. A body is held as received,
  * decoded, and encoded for each host that it is sent to. */
 struct listener_shares {
     uint32_t fds;
--- a/node/fetchplain.c
+++ b/node/fetchplain.c
@@ -8,6 +8,7 @@
 #include <strings.h>
 #include <sys/socket.h>
 
+#include "base/event.h"
 #include "base/log.h"
 #include "node/clock.h"
 #include "node/fetchtext.h"
@@ -791,6 +792,10 @@
         return true;
     }
     client->refused++;
+    EVENT(EVENT_HOST_FULL, EVENT_STR("listener", "targets"),
+          EVENT_INT("refused", client->refused),
+          EVENT_INT("connections", g_hash_table_size(client->connections)),
+          EVENT_INT("connecting", client->connecting));
     return false;
 }
 
--- a/node/fleetnode.c
+++ b/node/fleetnode.c
@@ -518,13 +518,15 @@
 on_metrics_request(void *ctx, struct http_request *request)
 {
     struct fleetnode *node = ctx;
-    struct fleetmetrics_sources sources = {.relay = node->relay,
-                                           .bus = bus_of(node),
-                                           .replica = node->replica,
-                                           .dispatch = node->dispatch,
-                                           .fleet = node->fleet,
-                                           .ready = is_ready(node),
-                                           .reloads = node->reloads};
+    struct fleetmetrics_sources sources = {
+        .relay = node->relay,
+        .bus = bus_of(node),
+        .replica = node->replica,
+        .dispatch = node->dispatch,
+        .fleet = node->fleet,
+        .connections_refused = node->edge_ops->count_refused(node->edge),
+        .ready = is_ready(node),
+        .reloads = node->reloads};
 
     for (int i = 0; i < ENTRY_LISTENER_COUNT; i++) {
         sources.listeners[i] = httpd_of(node, i);
@@ -693,19 +695,10 @@
     advance_drain(node, now_ms);
 }
 
-static struct entry_limits
-entry_limits_of(const struct settings *settings)
-{
-    const struct settings_limits *limits = &settings->limits;
-
-    return (struct entry_limits){limits->memory_mb, limits->max_fds,
-                                 limits->link_kbps};
-}
-
 static void
 set_entry_bounds(struct fleetnode *node)
 {
-    const struct entry_limits limits = entry_limits_of(node->settings);
+    const struct entry_limits limits = settings_entry_limits(node->settings);
 
     for (int i = 0; i < ENTRY_LISTENER_COUNT; i++) {
         struct httpd *httpd = httpd_of(node, i);
@@ -877,7 +870,7 @@
 opened_max(const struct settings *settings)
 {
     const struct settings_fleet *fleet = settings->fleet;
-    const struct entry_limits limits = entry_limits_of(settings);
+    const struct entry_limits limits = settings_entry_limits(settings);
 
     return entry_opened_max(&limits,
                             (fleet->clients != NULL) << ENTRY_CLIENTS |
--- a/node/settings.c
+++ b/node/settings.c
@@ -627,6 +627,15 @@
     }
 }
 
+struct entry_limits
+settings_entry_limits(const struct settings *settings)
+{
+    const struct settings_limits *limits = &settings->limits;
+
+    return (struct entry_limits){limits->memory_mb, limits->max_fds,
+                                 limits->link_kbps};
+}
+
 const struct settings_host *
 settings_find_host(const struct settings *settings, const char *name)
 {
--- a/node/settings.h
+++ b/node/settings.h
@@ -11,6 +11,7 @@
 #include <stdint.h>
 
 #include "base/err.h"
+#include "node/entry.h"
 
 /* One host of the cell; this host is listed too. */
 struct settings_host {
@@ -124,6 +125,9 @@
 /* settings may be NULL. */
 void settings_free(struct settings *settings);
 
+/* The limits of this host that bound what it takes in. */
+struct entry_limits settings_entry_limits(const struct settings *settings);
+
 /* Returns the entry of hosts with this name, or NULL. */
 const struct settings_host *settings_find_host(const struct settings *settings,
                                                const char *name);
