A connection that leaves its answer unread makes room for another

Cause: with all connections busy a new one is closed unread, and a connection whose answer is not taken is busy until its client leaves.

Change: if none is idle, the connection that has been sending its answer for longest is shut down for the new one, once that is a second: a client that reads takes an answer within a few round trips. One at a time, as each takes a descriptor beyond the bound until it is closed.

Entry.AConnectionThatLeavesItsAnswerUnreadMakesRoom and StalledConnectionsMakeRoomOneAtATime are new, with four mutants, all caught: without the change new connections are closed for as long as the crowd stays.

--- a/node/entry.c
+++ b/node/entry.c
@@ -170,7 +170,13 @@
     if (bounds->connections == 0 || load->connections < bounds->connections) {
         return ENTRY_TAKE;
     }
-    return load->idle > 0 ? ENTRY_REPLACE_IDLE : ENTRY_CLOSE;
+    if (load->idle > 0) {
+        return ENTRY_REPLACE_IDLE;
+    }
+    /* One at a time: each takes a descriptor beyond the bound until it is
+     * closed. */
+    return load->has_stalled && !load->has_ending ? ENTRY_REPLACE_STALLED
+                                                  : ENTRY_CLOSE;
 }
 
 bool
--- a/node/entry.h
+++ b/node/entry.h
@@ -33,6 +33,9 @@
 /* An answer of at most this size is always sent; the room of a connection
  * includes it. */
 #define ENTRY_SMALL_ANSWER_BYTES 1024u
+/* A client that has not taken an answer for this long makes room for others.
+ */
+#define ENTRY_STALLED_MS 1000u
 
 /* Bounds of a listener; 0: none. */
 struct entry_bounds {
@@ -53,13 +56,17 @@
     uint64_t request_bytes;
     uint64_t input_bytes;  /* received, and not answered yet */
     uint64_t answer_bytes; /* of large answers that are being sent */
+    bool has_stalled;      /* an answer is not taken for ENTRY_STALLED_MS */
+    bool has_ending;       /* a connection was shut down, and is still open */
 };
 
 /* What to do with a new connection. */
 enum entry_admission {
     ENTRY_TAKE,
-    ENTRY_REPLACE_IDLE, /* after the oldest idle connection is closed */
-    ENTRY_CLOSE         /* it is closed before anything is read */
+    ENTRY_REPLACE_IDLE,    /* after the oldest idle connection is closed */
+    ENTRY_REPLACE_STALLED, /* while the connection that has been sending an
+                            * answer for longest is shut down */
+    ENTRY_CLOSE            /* it is closed before anything is read */
 };
 
 void entry_set_bounds(const struct entry_limits *limits,
--- a/node/httpconn.c
+++ b/node/httpconn.c
@@ -52,7 +52,13 @@
 {
     conn->conns->answer_bytes += bytes - conn->answer_bytes;
     conn->answer_bytes = bytes;
-    set_queued(&conn->conns->sending, &conn->sending_link, conn, bytes > 0);
+}
+
+static void
+set_sending(struct client_conn *conn, bool is_sending)
+{
+    conn->sending_since_ms = uv_now(conn->conns->loop);
+    set_queued(&conn->conns->sending, &conn->sending_link, conn, is_sending);
 }
 
 static void
@@ -65,6 +71,8 @@
         conn->socket = NULL;
         count_input(conn);
         count_answer(conn, 0);
+        set_sending(conn, false);
+        conn->conns->ending -= conn->is_ending;
         set_idle(conn, false);
         set_queued(&conn->conns->answered, &conn->answered_link, conn, false);
     }
@@ -225,23 +233,47 @@
     g_hash_table_destroy(conns->sockets);
 }
 
+/* The connection that has been sending an answer for longest, if that is too
+ * long; else NULL. */
+static struct client_conn *
+find_stalled(const struct httpconns *conns)
+{
+    struct client_conn *conn = g_queue_peek_head((GQueue *)&conns->sending);
+
+    return conn != NULL && uv_now(conns->loop) >=
+                               conn->sending_since_ms + ENTRY_STALLED_MS
+               ? conn
+               : NULL;
+}
+
 /* Workload: clients that keep more connections open than the host has
  * descriptors or memory for. Returns whether a new one is taken. */
 static bool
 make_room(struct httpconns *conns)
 {
+    struct client_conn *stalled = find_stalled(conns);
     const struct entry_load load = {.connections =
                                         g_hash_table_size(conns->sockets),
-                                    .idle = conns->idle.length};
-    enum entry_admission admission =
-        entry_admit_connection(&conns->bounds, &load);
+                                    .idle = conns->idle.length,
+                                    .has_stalled = stalled != NULL,
+                                    .has_ending = conns->ending > 0};
 
-    if (admission == ENTRY_REPLACE_IDLE &&
-        close_idle(conns->idle.head->data)) {
+    switch (entry_admit_connection(&conns->bounds, &load)) {
+    case ENTRY_TAKE:
+        return true;
+    case ENTRY_REPLACE_IDLE:
+        if (!close_idle(conns->idle.head->data)) {
+            return false;
+        }
         conns->counters.closed_idle++;
         return true;
+    case ENTRY_REPLACE_STALLED:
+        httpconns_shut_down(stalled);
+        httpconns_count(conns, &conns->counters.closed_unread);
+        return true;
+    default:
+        return false;
     }
-    return admission == ENTRY_TAKE;
 }
 
 struct client_conn *
@@ -289,6 +321,7 @@
         set_idle(conn, true);
     }
     count_answer(conn, 0);
+    set_sending(conn, false);
     set_queued(&conn->conns->answered, &conn->answered_link, conn, true);
 }
 
@@ -300,6 +333,7 @@
     if (!conn->is_ending && is_open(conn) &&
         uv_fileno((uv_handle_t *)&conn->tcp, &fd) == 0) {
         conn->is_ending = true;
+        conn->conns->ending++;
         shutdown(fd, SHUT_RDWR);
     }
 }
@@ -311,8 +345,13 @@
     struct httpconns *conns = conn->conns;
     uint64_t ending_bytes = 0;
 
+    if (bytes <= ENTRY_SMALL_ANSWER_BYTES) {
+        set_sending(conn, true);
+        return true;
+    }
     if (entry_takes_answer(&conns->bounds, conns->answer_bytes, bytes)) {
         count_answer(conn, bytes);
+        set_sending(conn, true);
         return true;
     }
     for (GList *link = conns->sending.head;
@@ -323,7 +362,7 @@
         struct client_conn *other = link->data;
 
         ending_bytes += other->answer_bytes;
-        if (!other->is_ending) {
+        if (other->answer_bytes > 0 && !other->is_ending) {
             httpconns_shut_down(other);
             httpconns_count(conns, &conns->counters.closed_unread);
         }
--- a/node/httpconn.h
+++ b/node/httpconn.h
@@ -29,7 +29,9 @@
     GQueue idle;           /* struct client_conn without unanswered requests,
                             * the one that is idle for longest first */
     GQueue answered;       /* whose request was freed; h2o may read again */
-    GQueue sending;        /* with a large answer, the oldest one first */
+    GQueue sending;        /* with an answer that is being sent, the oldest
+                            * one first */
+    uint32_t ending;       /* shut down and not closed yet */
     uint64_t input_bytes;  /* sum of the connections' input_bytes */
     uint64_t answer_bytes; /* sum of the connections' answer_bytes */
     uv_prepare_t prepare;
@@ -45,9 +47,10 @@
     uint32_t requests;       /* that h2o holds: not answered, or being sent */
     uint64_t input_bytes;    /* received, not handled */
     uint64_t input_since_ms; /* when it last held nothing */
-    uint64_t answer_bytes;   /* of the answer that is being sent */
-    bool is_ending;          /* shut down, since its answer is not read */
-    GList idle_link;         /* data NULL: not in the queue; the same below */
+    uint64_t answer_bytes;   /* of a large answer that is being sent */
+    uint64_t sending_since_ms; /* while it is in the queue sending */
+    bool is_ending;            /* shut down, since its answer is not read */
+    GList idle_link; /* data NULL: not in the queue; the same below */
     GList answered_link;
     GList sending_link;
 };
@@ -74,7 +77,8 @@
 
 /* Whether an answer of that many bytes is sent; it then counts until the
  * request has ended. If not, connections with large answers are shut down, the
- * oldest first, until another one would find room. */
+ * oldest first, until another one would find room. Small ones are always sent.
+ */
 bool httpconns_take_answer(struct client_conn *conn, uint64_t bytes);
 
 /* Shuts a connection down; h2o frees it in its next event. */
--- a/node/httpd.c
+++ b/node/httpd.c
@@ -483,8 +483,7 @@
            const void *body, size_t size_bytes, uint32_t retry_after_ms)
 {
     if (request->h2o_req != NULL) {
-        if (size_bytes > ENTRY_SMALL_ANSWER_BYTES &&
-            request->ref->conn != NULL &&
+        if (request->ref->conn != NULL &&
             !httpconns_take_answer(request->ref->conn, size_bytes)) {
             refuse_answer(request);
             return;
--- a/tests/entry_test.cc
+++ b/tests/entry_test.cc
@@ -28,6 +28,17 @@
     return bounds;
 }
 
+entry_load load_of(uint32_t connections, uint32_t idle, uint32_t requests = 0,
+                   uint64_t request_bytes = 0)
+{
+    entry_load load = {};
+    load.connections = connections;
+    load.idle = idle;
+    load.requests = requests;
+    load.request_bytes = request_bytes;
+    return load;
+}
+
 TEST(Entry, BoundsFollowFromTheHostsLimits)
 {
     entry_bounds small = bounds_of(120, 3075, 1500);
@@ -86,7 +97,7 @@
 TEST(Entry, WithoutLimitsThereAreNoBounds)
 {
     entry_bounds none = bounds_of(0, 0, 0);
-    entry_load load = {1u << 20, 0, 1u << 20, 1ull << 40, 0, 0};
+    entry_load load = load_of(1u << 20, 0, 1u << 20, 1ull << 40);
     EXPECT_EQ(entry_admit_connection(&none, &load), ENTRY_TAKE);
     EXPECT_TRUE(entry_takes_request(&none, &load, 1 << 20));
 }
@@ -106,7 +117,7 @@
 TEST(Entry, AConnectionReplacesAnIdleOneOrIsClosed)
 {
     entry_bounds bounds = {4, 2, 0, 0, 0, 0};
-    entry_load load = {3, 0, 0, 0, 0, 0};
+    entry_load load = load_of(3, 0, 0, 0);
     EXPECT_EQ(entry_admit_connection(&bounds, &load), ENTRY_TAKE);
     load.connections = 4;
     EXPECT_EQ(entry_admit_connection(&bounds, &load), ENTRY_CLOSE);
@@ -117,12 +128,12 @@
 TEST(Entry, RequestsAreBoundedByNumberAndBytes)
 {
     entry_bounds bounds = {0, 3, 1000, 0, 0, 0};
-    entry_load load = {0, 0, 2, 900, 0, 0};
+    entry_load load = load_of(0, 0, 2, 900);
     EXPECT_TRUE(entry_takes_request(&bounds, &load, 100));
     EXPECT_FALSE(entry_takes_request(&bounds, &load, 101));
-    load = {0, 0, 3, 0, 0, 0};
+    load = load_of(0, 0, 3, 0);
     EXPECT_FALSE(entry_takes_request(&bounds, &load, 0));
-    load = {0, 0, 0, 0, 0, 0};
+    load = load_of(0, 0, 0, 0);
     EXPECT_TRUE(entry_takes_request(&bounds, &load, 5000)); // alone
 }
 
@@ -136,6 +147,7 @@
     explicit Server(const entry_bounds &bounds)
     {
         char why[200] = "";
+        signal(SIGPIPE, SIG_IGN);
         uv_loop_init(&loop);
         for (int port = 21800; port < 21900; port++) {
             std::string text = "127.0.0.1:" + std::to_string(port);
@@ -195,11 +207,26 @@
         EXPECT_EQ(write(fd, text.data(), text.size()), (ssize_t)text.size());
         run();
     }
+    // A request with a body of that size, of which some bytes are sent.
+    static std::string upload(size_t body_bytes, size_t sent_bytes)
+    {
+        return "POST /q/1 HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+               std::to_string(body_bytes) + "\r\n\r\n" +
+               std::string(sent_bytes, 'x');
+    }
     void post(int fd, size_t body_bytes)
     {
-        send_text(fd, "POST /q/1 HTTP/1.1\r\nHost: h\r\nContent-Length: " +
-                          std::to_string(body_bytes) + "\r\n\r\n" +
-                          std::string(body_bytes, 'x'));
+        send_text(fd, upload(body_bytes, body_bytes));
+    }
+    // Answers a new request with a body of that size, which the client may
+    // leave unread.
+    void ask(int fd, const std::string &method, size_t answer_bytes)
+    {
+        send_text(fd, method + " /q/1 HTTP/1.1\r\nHost: h\r\n\r\n");
+        ASSERT_EQ(waiting.size(), 1u);
+        const std::string answer(answer_bytes, 'x');
+        http_reply(waiting[0], 200, "", answer.data(), answer.size(), 0);
+        waiting.clear();
     }
     void answer_all()
     {
@@ -302,10 +329,7 @@
     std::vector<int> fds;
     for (int i = 0; i < 8; i++) {
         fds.push_back(server.connect_client());
-        server.send_text(fds.back(),
-                         "POST /q/1 HTTP/1.1\r\nHost: h\r\n"
-                         "Content-Length: 60000\r\n\r\n" +
-                             std::string(30000, 'x'));
+        server.send_text(fds.back(), Server::upload(60000, 30000));
     }
     httpd_check_partial(server.server);
     server.run();
@@ -326,9 +350,7 @@
         fds.push_back(server.connect_client());
     }
     for (int i = 0; i < 8; i++) {
-        std::string text = "POST /q/1 HTTP/1.1\r\nHost: h\r\n"
-                           "Content-Length: 90000\r\n\r\n" +
-                           std::string(60000, 'x');
+        std::string text = Server::upload(90000, 60000);
         ASSERT_EQ(write(fds[i], text.data(), text.size()), (ssize_t)text.size());
     }
     int small = server.connect_client();
@@ -355,9 +377,7 @@
     Server server({0, 0, 0, 14000, 0, 0});
     ASSERT_NE(server.server, nullptr);
     int fd = server.connect_client();
-    server.send_text(fd, "POST /q/1 HTTP/1.1\r\nHost: h\r\n"
-                         "Content-Length: 90000\r\n\r\n" +
-                             std::string(14940, 'x'));
+    server.send_text(fd, Server::upload(90000, 14940));
     EXPECT_EQ(httpd_counters(server.server)->closed_partial, 1u);
     EXPECT_EQ(Server::received(fd), "closed");
 }
@@ -372,9 +392,7 @@
     ASSERT_EQ(server.waiting.size(), 1u);
     server.answer_all();
     EXPECT_NE(Server::received(fd).find("200"), std::string::npos);
-    std::string text = "POST /q/1 HTTP/1.1\r\nHost: h\r\n"
-                       "Content-Length: 190000\r\n\r\n" +
-                       std::string(150000, 'x');
+    std::string text = Server::upload(190000, 150000);
     ASSERT_GT(write(fd, text.data(), text.size()), 0);
     server.run();
     EXPECT_EQ(httpd_counters(server.server)->closed_partial, 1u);
@@ -386,32 +404,27 @@
 // answered by "not run".
 TEST(Entry, AnswersThatNobodyReadsAreBounded)
 {
-    signal(SIGPIPE, SIG_IGN);
-    Server server({0, 0, 0, 0, 20u << 20, 0});
+    const uint64_t bound = 20u << 20;
+    const size_t large = 16u << 20;
+    Server server({0, 0, 0, 0, bound, 0});
     ASSERT_NE(server.server, nullptr);
-    const std::string large(16u << 20, 'x');
-    entry_load load;
     auto ask = [&](int fd, const std::string &method) {
-        server.send_text(fd, method + " /q/1 HTTP/1.1\r\nHost: h\r\n\r\n");
-        ASSERT_EQ(server.waiting.size(), 1u);
-        http_reply(server.waiting[0], 200, "", large.data(), large.size(), 0);
-        server.waiting.clear();
+        entry_load load;
+        server.ask(fd, method, large);
         httpd_load(server.server, &load);
-        EXPECT_LE(load.answer_bytes, 20u << 20);
+        EXPECT_LE(load.answer_bytes, bound);
         server.run();
+        return load.answer_bytes;
     };
     int first = server.connect_client();
     int post = server.connect_client();
     int third = server.connect_client();
     int fourth = server.connect_client();
-    ask(first, "GET");
-    EXPECT_EQ(load.answer_bytes, large.size());
+    EXPECT_EQ(ask(first, "GET"), large);
     ask(post, "POST");
     EXPECT_EQ(Server::received(post), "closed");
     EXPECT_EQ(httpd_counters(server.server)->closed_unread, 1u);
-    httpd_load(server.server, &load);
-    EXPECT_EQ(load.answer_bytes, 0u);
-    ask(third, "GET");
+    EXPECT_EQ(ask(third, "GET"), large);
     EXPECT_NE(Server::received(third).find("200"), std::string::npos);
     ask(fourth, "GET");
     EXPECT_NE(Server::received(fourth).find("503"), std::string::npos);
@@ -420,6 +433,41 @@
     EXPECT_NE(Server::received(fourth).find("200"), std::string::npos);
 }
 
+// All connections are busy with answers that nobody reads: one makes room for a new
+// one, but not at once, as an ordinary client takes its answer soon.
+TEST(Entry, AConnectionThatLeavesItsAnswerUnreadMakesRoom)
+{
+    Server server({2, 0, 0, 0, 0, 0});
+    ASSERT_NE(server.server, nullptr);
+    for (int i = 0; i < 2; i++) {
+        server.ask(server.connect_client(), "GET", 16u << 20);
+    }
+    EXPECT_EQ(Server::received(server.connect_client()), "closed");
+    for (int i = 0; i < 3; i++) {
+        usleep((ENTRY_STALLED_MS + 100) * 1000);
+        int fd = server.connect_client();
+        server.ask(fd, "GET", 16u << 20);
+        server.run();
+        EXPECT_NE(Server::received(fd).find("200"), std::string::npos);
+    }
+    EXPECT_EQ(httpd_counters(server.server)->closed_unread, 3u);
+    entry_load load;
+    httpd_load(server.server, &load);
+    EXPECT_EQ(load.connections, 2u);
+}
+
+TEST(Entry, StalledConnectionsMakeRoomOneAtATime)
+{
+    entry_bounds bounds = {4, 2, 0, 0, 0, 0};
+    entry_load load = load_of(4, 0);
+    load.has_stalled = true;
+    EXPECT_EQ(entry_admit_connection(&bounds, &load), ENTRY_REPLACE_STALLED);
+    load.has_ending = true;
+    EXPECT_EQ(entry_admit_connection(&bounds, &load), ENTRY_CLOSE);
+    load.idle = 1;
+    EXPECT_EQ(entry_admit_connection(&bounds, &load), ENTRY_REPLACE_IDLE);
+}
+
 TEST(Entry, WhatHoldsMuchForLongIsClosedFirst)
 {
     EXPECT_EQ(entry_input_weight(0, 5000), 0u);
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -236,7 +236,11 @@
 core/fleet.c	    fleet_drop_progress(job);\n    fleet_count_job(fleet, job);	    fleet_drop_progress(job);	Room.TheStateCounts*
 core/fleet.c	        count_job_bytes(fleet, job, 0);\n		Room.TheStateCounts*
 core/fleetsave.c	        fleet_count_job(fleet, job);\n		Room.TheStateCounts*
-node/entry.c	return load->idle > 0 ? ENTRY_REPLACE_IDLE : ENTRY_CLOSE;	return ENTRY_TAKE;	Entry.TheOldestIdle*
+node/entry.c	        return ENTRY_REPLACE_IDLE;	        return ENTRY_TAKE;	Entry.TheOldestIdle*
+node/entry.c	return load->has_stalled && !load->has_ending	return load->has_stalled	Entry.StalledConnections*
+node/httpconn.c	conn->sending_since_ms + ENTRY_STALLED_MS	conn->sending_since_ms	Entry.AConnectionThatLeaves*
+node/httpconn.c	        httpconns_shut_down(stalled);\n		Entry.AConnectionThatLeaves*
+node/httpconn.c	        conn->conns->ending -= conn->is_ending;\n		Entry.AConnectionThatLeaves*
 node/httpconn.c	g_queue_push_tail_link(queue, link);	g_queue_push_head_link(queue, link);	Entry.TheOldestIdle*
 node/httpconn.c	    conn->requests++;\n    set_idle(conn, false);	    conn->requests++;	Entry.TheOldestIdle*
 node/httpconn.c	conns->input_bytes + bytes > conns->bounds.partial_bytes	false	Entry.SlowSenders*
