The guard of the bus has a thread of its own

Cause: ZeroMQ accepts on its own thread, and the guard shut connections down in an iteration of the loop, which came late.

Change: the guard waits for the events on a thread of its own and acts at once; a mutex protects its table. It ends with the monitor of the socket.

--- a/node/bus.c
+++ b/node/bus.c
@@ -268,9 +268,6 @@
     struct bus *bus = handle->data;
     GList *peers = g_hash_table_get_values(bus->peers);
 
-    if (bus->guard != NULL) {
-        bus_guard_poll(bus->guard);
-    }
     if ((socket_events(bus->router) & ZMQ_POLLIN) != 0) {
         receive_from_router(bus);
     }
--- a/node/busguard.c
+++ b/node/busguard.c
@@ -2,6 +2,7 @@
 #include "node/busguard.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <glib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -10,7 +11,9 @@
 #include "base/log.h"
 
 #define ENDPOINT "inproc://bus-guard"
-#define EVENTS (ZMQ_EVENT_ACCEPTED | ZMQ_EVENT_CLOSED | ZMQ_EVENT_DISCONNECTED)
+#define EVENTS                                                                \
+    (ZMQ_EVENT_ACCEPTED | ZMQ_EVENT_CLOSED | ZMQ_EVENT_DISCONNECTED |         \
+     ZMQ_EVENT_MONITOR_STOPPED)
 /* The first frame of an event: its number and a descriptor. */
 #define EVENT_BYTES (sizeof(uint16_t) + sizeof(uint32_t))
 
@@ -22,38 +25,16 @@
 
 struct bus_guard {
     void *socket;
-    void *events;
+    void *events; /* used by the thread */
     uint16_t port;
     uint32_t connections_max;
+    GThread *thread;
+    GMutex mutex;            /* of what follows */
     GHashTable *connections; /* descriptor to struct connection */
     uint64_t last_number;    /* of accepted and heard */
     uint64_t closed;
 };
 
-struct bus_guard *
-bus_guard_new(void *context, void *socket, uint16_t port,
-              uint32_t connections_max)
-{
-    struct bus_guard *guard;
-    const int linger_ms = 0;
-
-    if (zmq_socket_monitor(socket, ENDPOINT, EVENTS) != 0) {
-        log_warn(LOG_BUS, "connections are not bounded: %s",
-                 zmq_strerror(zmq_errno()));
-        return NULL;
-    }
-    guard = g_new0(struct bus_guard, 1);
-    guard->socket = socket;
-    guard->port = port;
-    guard->connections_max = connections_max;
-    guard->connections =
-        g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
-    guard->events = zmq_socket(context, ZMQ_PAIR);
-    zmq_setsockopt(guard->events, ZMQ_LINGER, &linger_ms, sizeof(linger_ms));
-    zmq_connect(guard->events, ENDPOINT);
-    return guard;
-}
-
 /* A descriptor may have been closed and used again by now. */
 static bool
 is_bus_connection(const struct bus_guard *guard, int fd)
@@ -112,7 +93,7 @@
     close_excess(guard);
 }
 
-/* Returns false when there is no event. */
+/* Returns false once there will be no more. */
 static bool
 handle_event(struct bus_guard *guard)
 {
@@ -121,47 +102,87 @@
     uint32_t fd;
     char address[256];
 
-    if (zmq_recv(guard->events, event, sizeof(event), ZMQ_DONTWAIT) !=
-        (int)EVENT_BYTES) {
-        return false;
+    if (zmq_recv(guard->events, event, sizeof(event), 0) != (int)EVENT_BYTES) {
+        return zmq_errno() == EINTR;
     }
     memcpy(&number, event, sizeof(number));
     memcpy(&fd, event + sizeof(number), sizeof(fd));
-    zmq_recv(guard->events, address, sizeof(address), ZMQ_DONTWAIT);
+    zmq_recv(guard->events, address, sizeof(address), 0);
+    if (number == ZMQ_EVENT_MONITOR_STOPPED) {
+        return false;
+    }
+    g_mutex_lock(&guard->mutex);
     if (number == ZMQ_EVENT_ACCEPTED) {
         add_connection(guard, (int)fd);
     }
     else {
         g_hash_table_remove(guard->connections, GINT_TO_POINTER((int)fd));
     }
+    g_mutex_unlock(&guard->mutex);
     return true;
 }
 
-void
-bus_guard_poll(struct bus_guard *guard)
+static gpointer
+run_guard(gpointer data)
 {
+    struct bus_guard *guard = data;
+
     while (handle_event(guard)) {
     }
+    return NULL;
+}
+
+struct bus_guard *
+bus_guard_new(void *context, void *socket, uint16_t port,
+              uint32_t connections_max)
+{
+    struct bus_guard *guard;
+    const int linger_ms = 0;
+
+    if (zmq_socket_monitor(socket, ENDPOINT, EVENTS) != 0) {
+        log_warn(LOG_BUS, "connections are not bounded: %s",
+                 zmq_strerror(zmq_errno()));
+        return NULL;
+    }
+    guard = g_new0(struct bus_guard, 1);
+    guard->socket = socket;
+    guard->port = port;
+    guard->connections_max = connections_max;
+    guard->connections =
+        g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
+    guard->events = zmq_socket(context, ZMQ_PAIR);
+    zmq_setsockopt(guard->events, ZMQ_LINGER, &linger_ms, sizeof(linger_ms));
+    zmq_connect(guard->events, ENDPOINT);
+    g_mutex_init(&guard->mutex);
+    guard->thread = g_thread_new("bus-guard", run_guard, guard);
+    return guard;
 }
 
 void
 bus_guard_note_message(struct bus_guard *guard, int fd)
 {
-    struct connection *connection =
-        g_hash_table_lookup(guard->connections, GINT_TO_POINTER(fd));
+    struct connection *connection;
 
+    g_mutex_lock(&guard->mutex);
+    connection = g_hash_table_lookup(guard->connections, GINT_TO_POINTER(fd));
     if (connection != NULL) {
         connection->heard = ++guard->last_number;
     }
+    g_mutex_unlock(&guard->mutex);
 }
 
 struct bus_guard_counters
-bus_guard_counters(const struct bus_guard *guard)
+bus_guard_counters(struct bus_guard *guard)
 {
-    return (struct bus_guard_counters){
+    struct bus_guard_counters counters;
+
+    g_mutex_lock(&guard->mutex);
+    counters = (struct bus_guard_counters){
         .connections = g_hash_table_size(guard->connections),
         .connections_max = guard->connections_max,
         .closed = guard->closed};
+    g_mutex_unlock(&guard->mutex);
+    return counters;
 }
 
 void
@@ -169,7 +190,9 @@
 {
     if (guard != NULL) {
         zmq_socket_monitor(guard->socket, NULL, 0);
+        g_thread_join(guard->thread);
         zmq_close(guard->events);
+        g_mutex_clear(&guard->mutex);
         g_hash_table_destroy(guard->connections);
         g_free(guard);
     }
--- a/node/busguard.h
+++ b/node/busguard.h
@@ -4,7 +4,9 @@
  * bound on connections. The guard follows them by the events of the listening
  * socket, and shuts one down for each that is too many: first one that has
  * sent no message yet, then the one that was silent for longest. ZeroMQ closes
- * it, and a host connects again.
+ * it, and a host connects again. ZeroMQ accepts on a thread of its own, so the
+ * guard has one too: the loop may be late. All functions may be called on the
+ * loop's thread only.
  */
 #ifndef FP_BUSGUARD_H
 #define FP_BUSGUARD_H
@@ -24,15 +26,13 @@
 struct bus_guard *bus_guard_new(void *context, void *socket, uint16_t port,
                                 uint32_t connections_max);
 
-/* Handles events; call it in each iteration of the loop. */
-void bus_guard_poll(struct bus_guard *guard);
-
 /* A message came over the connection with this descriptor. */
 void bus_guard_note_message(struct bus_guard *guard, int fd);
 
-struct bus_guard_counters bus_guard_counters(const struct bus_guard *guard);
+struct bus_guard_counters bus_guard_counters(struct bus_guard *guard);
 
-/* Call it before the socket is closed. Does nothing for NULL. */
+/* Waits for the guard's thread. Call it before the socket is closed. Does
+ * nothing for NULL. */
 void bus_guard_free(struct bus_guard *guard);
 
 #endif /* FP_BUSGUARD_H */
