Answers of targets and of the policy are bounded together

What callers saw: 60 targets whose answers are 4 MiB and stop short of their last byte took the leader to 200 to 214 MB, where 64 are allowed.

Cause: each answer had a bound, their sum had none.

Change: the bodies that are being received may hold a 32nd of the memory together. Without room the one that holds the most for the longest is dropped and its call ends as not answered; another target's answer goes on. 4 KiB each, and one however large, are always received.

Metric answers_dropped_total; host.full names the server.

--- a/base/event.c
+++ b/base/event.c
@@ -22,7 +22,7 @@
     [EVENT_HOST_FULL] =
         {"host.full", 5,
          "host listener refused requests connections input_bytes "
-         "answer_bytes",
+         "answer_bytes connecting server",
          "a listener of the host refused requests, answers or "
          "connections, beyond its bounds"},
     [EVENT_NODE_ENDED] = {"node.ended", 5, "host in_flight",
--- a/node/edge.h
+++ b/node/edge.h
@@ -20,6 +20,7 @@
     const struct settings *settings;
     /* Connections that the edge may open at once; 0: no bound. */
     uint32_t connections_max;
+    uint64_t answers_max_bytes; /* of all answers that it receives; the same */
     /* Returns whether this host's state is fresh and already holds the
      * announced target unchanged. The edge then acknowledges the announcement
      * without asking the leader. */
@@ -39,8 +40,10 @@
     /* Return parts of the edge, valid until close(). */
     const struct order_channel *(*get_order_channel)(void *edge);
     const struct policy_client *(*get_policy_client)(void *edge);
-    /* Orders and queries that found no connection within connections_max. */
+    /* Orders and queries that found no connection within connections_max, and
+     * those whose answers had no room. */
     uint64_t (*count_refused)(const void *edge);
+    uint64_t (*count_dropped)(const void *edge);
     /* Path of the load balancer's readiness check. */
     const char *readiness_path;
 };
--- a/node/entry.c
+++ b/node/entry.c
@@ -11,6 +11,7 @@
 #define BUS_FDS_DIVISOR 2u
 #define BUS_MEMORY_DIVISOR 16u
 #define BUS_RECEIVE_BYTES_MIN 16384u
+#define ANSWERS_MEMORY_DIVISOR 32u
 /* What a connection and a request take, beside their bytes. */
 #define CONNECTION_BYTES 8192u
 #define REQUEST_BYTES 16384u
@@ -148,6 +149,12 @@
                reserved / 4);
 }
 
+uint64_t
+entry_answers_max_bytes(const struct entry_limits *limits)
+{
+    return ((uint64_t)limits->memory_mb << 20) / ANSWERS_MEMORY_DIVISOR;
+}
+
 struct entry_bus_bounds
 entry_bus_bounds(const struct entry_limits *limits)
 {
--- a/node/entry.h
+++ b/node/entry.h
@@ -78,6 +78,10 @@
 uint32_t entry_opened_max(const struct entry_limits *limits,
                           uint32_t listeners);
 
+/* The most that answers of targets and of the policy hold together; 0: no
+ * bound. */
+uint64_t entry_answers_max_bytes(const struct entry_limits *limits);
+
 /* Bounds on the connections that others open to the bus; 0: none. */
 struct entry_bus_bounds {
     uint32_t connections;
--- a/node/fetch.c
+++ b/node/fetch.c
@@ -612,6 +612,18 @@
     plain_client_set_connections_max(fetcher->plain, connections_max);
 }
 
+void
+fetcher_set_bodies_max(struct fetcher *fetcher, uint64_t max_bytes)
+{
+    plain_client_set_bodies_max(fetcher->plain, max_bytes);
+}
+
+uint64_t
+fetcher_dropped(const struct fetcher *fetcher)
+{
+    return plain_client_dropped(fetcher->plain);
+}
+
 uint64_t
 fetcher_refused(const struct fetcher *fetcher)
 {
--- a/node/fetch.h
+++ b/node/fetch.h
@@ -81,6 +81,12 @@
                                  uint32_t connections_max);
 uint64_t fetcher_refused(const struct fetcher *fetcher);
 
+/* Bounds the sum of the bodies that are being received over plain connections.
+ * Without room the response that holds the most for the longest is dropped,
+ * and its request ends with FP_ERR_ANSWER_TOO_LARGE. */
+void fetcher_set_bodies_max(struct fetcher *fetcher, uint64_t max_bytes);
+uint64_t fetcher_dropped(const struct fetcher *fetcher);
+
 /* The number of requests that have not ended. */
 uint32_t fetcher_in_flight(const struct fetcher *fetcher);
 
--- a/node/fetchplain.c
+++ b/node/fetchplain.c
@@ -11,6 +11,7 @@
 #include "base/event.h"
 #include "base/log.h"
 #include "node/clock.h"
+#include "node/entry.h"
 #include "node/fetchtext.h"
 
 /* The default bound on the open connections, below the 4,096 descriptors of a
@@ -24,6 +25,8 @@
 #define IDLE_PER_SERVER_PERMILLE 1300u
 #define IDLE_BASE 64u
 #define READ_BUFFER_BYTES 65536u
+/* A response of at most this size is received whatever others hold. */
+#define SMALL_BODY_BYTES 4096u
 /* Failures in a row after which a server is reached from any address, and the
  * time until the source address is tried again. */
 #define SOURCE_FAILURES_MAX 2u
@@ -99,7 +102,11 @@
     uint32_t connecting; /* connections that are being opened */
     uint32_t in_flight;
     uint64_t opened;
-    uint64_t refused; /* requests, for lack of a connection */
+    uint64_t refused;          /* requests, for lack of a connection */
+    uint64_t bodies_max_bytes; /* of all responses that are received; 0: no
+                                * bound */
+    uint64_t bodies_bytes;
+    uint64_t dropped; /* responses, for lack of room */
     bool source_logged;
     bool is_freed; /* freed once the last connection is closed */
     uint32_t closing;
@@ -217,6 +224,7 @@
 {
     struct plain_client *client = connection->client;
     struct exchange *exchange = connection->exchange;
+    const uint64_t body_bytes = exchange->body->len;
     struct fetch_response response = {
         .err = err,
         .status = connection->parser.status_code,
@@ -242,6 +250,7 @@
     }
     exchange->done(exchange->ctx, &response);
     free_exchange(exchange);
+    client->bodies_bytes -= body_bytes;
 }
 
 /* Whether another source address may help after a failed connection. A
@@ -370,17 +379,93 @@
     return connection->exchange->is_head ? 1 : 0; /* 1: there is no body */
 }
 
+/* The connection whose response holds the most for the longest; NULL: none
+ * holds more than a small one. */
+static struct connection *
+find_largest_body(const struct plain_client *client, uint64_t now_ms)
+{
+    struct connection *found = NULL;
+    uint64_t found_weight = 0;
+    GHashTableIter iter;
+    struct connection *connection;
+
+    g_hash_table_iter_init(&iter, client->connections);
+    while (g_hash_table_iter_next(&iter, (gpointer *)&connection, NULL)) {
+        const struct exchange *exchange = connection->exchange;
+        const uint64_t weight =
+            exchange == NULL || exchange->body->len <= SMALL_BODY_BYTES
+                ? 0
+                : entry_input_weight(exchange->body->len,
+                                     now_ms - exchange->started_ms);
+
+        if (weight > found_weight) {
+            found = connection;
+            found_weight = weight;
+        }
+    }
+    return found;
+}
+
+static void
+on_body_dropped(uv_timer_t *timer)
+{
+    end_exchange(timer->data, FP_ERR_ANSWER_TOO_LARGE, false);
+}
+
+/* Frees what a response holds; its exchange ends in the next iteration. */
+static void
+drop_body(struct connection *connection)
+{
+    struct exchange *exchange = connection->exchange;
+    struct plain_client *client = connection->client;
+
+    EVENT(EVENT_HOST_FULL, EVENT_STR("listener", "targets"),
+          EVENT_STR("server", connection->server->address),
+          EVENT_INT("answer_bytes", exchange->body->len));
+    client->bodies_bytes -= exchange->body->len;
+    client->dropped++;
+    g_byte_array_free(exchange->body, TRUE);
+    exchange->body = g_byte_array_new();
+    exchange->response_too_large = true;
+    uv_timer_start(&connection->timer, on_body_dropped, 0, 0);
+}
+
+/* Workload: servers that send large responses slowly, or never to the end.
+ * Returns whether a response may take more bytes. */
+static bool
+make_body_room(struct connection *connection, size_t bytes)
+{
+    struct plain_client *client = connection->client;
+    const uint64_t now_ms = clock_mono_ms();
+
+    while (client->bodies_max_bytes != 0 &&
+           client->bodies_bytes + bytes > client->bodies_max_bytes &&
+           connection->exchange->body->len + bytes > SMALL_BODY_BYTES) {
+        struct connection *largest = find_largest_body(client, now_ms);
+
+        if (largest == NULL || largest == connection) {
+            /* One is received, however large. */
+            return client->bodies_bytes == connection->exchange->body->len;
+        }
+        drop_body(largest);
+    }
+    return true;
+}
+
 static int
 on_body(http_parser *parser, const char *data, size_t bytes)
 {
     struct connection *connection = parser->data;
     struct exchange *exchange = connection->exchange;
 
-    if (exchange->body->len + bytes > exchange->body_max_bytes) {
+    if (exchange->response_too_large ||
+        exchange->body->len + bytes > exchange->body_max_bytes ||
+        !make_body_room(connection, bytes)) {
         exchange->response_too_large = true;
         return -1;
     }
     g_byte_array_append(exchange->body, (const guint8 *)data, (guint)bytes);
+    connection->client->bodies_bytes += bytes;
     return 0;
 }
 
@@ -906,6 +991,18 @@
     client->connections_max = connections_max;
 }
 
+void
+plain_client_set_bodies_max(struct plain_client *client, uint64_t max_bytes)
+{
+    client->bodies_max_bytes = max_bytes;
+}
+
+uint64_t
+plain_client_dropped(const struct plain_client *client)
+{
+    return client->dropped;
+}
+
 uint64_t
 plain_client_refused(const struct plain_client *client)
 {
--- a/node/fetchplain.h
+++ b/node/fetchplain.h
@@ -33,6 +33,14 @@
                                       uint32_t connections_max);
 uint64_t plain_client_refused(const struct plain_client *client);
 
+/* Bounds the sum of the bodies that are being received. Without room the
+ * response that holds the most for the longest is dropped, and its request
+ * ends with FP_ERR_ANSWER_TOO_LARGE. Small ones and one large one are always
+ * received. */
+void plain_client_set_bodies_max(struct plain_client *client,
+                                 uint64_t max_bytes);
+uint64_t plain_client_dropped(const struct plain_client *client);
+
 /* The number of requests that have not ended. */
 uint32_t plain_client_in_flight(const struct plain_client *client);
 
--- a/node/fleetmetrics.c
+++ b/node/fleetmetrics.c
@@ -311,6 +311,7 @@
     add_value(out, "ready", sources->ready);
     add_value(out, "reloads_total", sources->reloads);
     add_value(out, "connections_refused_total", sources->connections_refused);
+    add_value(out, "answers_dropped_total", sources->answers_dropped);
     add_value(out, "log_lines_dropped_total", event_dropped_lines());
     add_relay_counters(out, sources->relay);
     add_call_latencies(out, relay_counters(sources->relay));
--- a/node/fleetmetrics.h
+++ b/node/fleetmetrics.h
@@ -16,6 +16,7 @@
     const struct dispatch *dispatch; /* NULL unless this host leads */
     const struct fleet *fleet;       /* not used unless this host leads */
     uint64_t connections_refused;    /* see struct edge_ops */
+    uint64_t answers_dropped;        /* the same */
     bool ready;
     uint64_t reloads; /* of the settings, since the start */
 };
--- a/node/fleetnode.c
+++ b/node/fleetnode.c
@@ -525,6 +525,7 @@
         .dispatch = node->dispatch,
         .fleet = node->fleet,
         .connections_refused = node->edge_ops->count_refused(node->edge),
+        .answers_dropped = node->edge_ops->count_dropped(node->edge),
         .ready = is_ready(node),
         .reloads = node->reloads};
 
@@ -879,17 +880,26 @@
                                 (fleet->metrics != NULL) << ENTRY_METRICS);
 }
 
+static uint64_t
+answers_max_bytes(const struct settings *settings)
+{
+    const struct entry_limits limits = settings_entry_limits(settings);
+
+    return entry_answers_max_bytes(&limits);
+}
+
 static enum fp_err
 open_components(struct fleetnode *node, char *why, unsigned why_bytes)
 {
     const struct settings_fleet *fleet = node->settings->fleet;
     struct relay_ops relay_ops = {NULL, on_call, node};
-    struct edge_context edge_context = {.loop = &node->loop,
-                                        .settings = node->settings,
-                                        .connections_max =
-                                            opened_max(node->settings),
-                                        .is_recorded = is_recorded,
-                                        .is_recorded_ctx = node};
+    struct edge_context edge_context = {
+        .loop = &node->loop,
+        .settings = node->settings,
+        .connections_max = opened_max(node->settings),
+        .answers_max_bytes = answers_max_bytes(node->settings),
+        .is_recorded = is_recorded,
+        .is_recorded_ctx = node};
     char metrics_why[200];
     enum fp_err err = node->settings->data_folder != NULL
                           ? open_replica(node, why, why_bytes)
--- a/tests/fetch_test.cc
+++ b/tests/fetch_test.cc
@@ -630,6 +630,50 @@
     uv_loop_close(&loop);
 }
 
+// Answers that stop short of their end make room for one that does not.
+TEST(Fetch, AnswersAreBoundedTogether)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n";
+    Server endless, ordinary;
+    endless.response = head + std::string(59999, 'x');
+    ordinary.response = head + std::string(60000, 'x');
+    uv_loop_t loop;
+    uv_loop_init(&loop);
+    fetcher *client = fetcher_new(&loop);
+    fetcher_set_bodies_max(client, 100000);
+    enum fp_err errors[3];
+    fetch_request request = {};
+    request.method = "POST";
+    request.body = "{}";
+    request.body_bytes = 2;
+    request.timeout_ms = 5000;
+    request.response_max_bytes = 60000;
+    for (int i = 0; i < 3; i++) {
+        errors[i] = FP_ERR_CORRUPT;
+        request.url = i < 2 ? endless.url.c_str() : ordinary.url.c_str();
+        fetch(client, &request, store_error, &errors[i]);
+        const uint64_t until_ms = clock_mono_ms() + 300;
+        while (clock_mono_ms() < until_ms) {
+            uv_run(&loop, UV_RUN_NOWAIT);
+            usleep(1000);
+        }
+    }
+    EXPECT_EQ(errors[0], FP_ERR_ANSWER_TOO_LARGE);
+    EXPECT_EQ(errors[1], FP_ERR_ANSWER_TOO_LARGE);
+    EXPECT_EQ(errors[2], FP_OK);
+    EXPECT_EQ(fetcher_dropped(client), 2u);
+    fetcher_set_bodies_max(client, 10000); // one is received, however large
+    errors[2] = FP_ERR_CORRUPT;
+    fetch(client, &request, store_error, &errors[2]);
+    while (fetcher_in_flight(client) > 0) {
+        uv_run(&loop, UV_RUN_ONCE);
+    }
+    EXPECT_EQ(errors[2], FP_OK);
+    fetcher_free(client);
+    uv_run(&loop, UV_RUN_DEFAULT);
+    uv_loop_close(&loop);
+}
+
 TEST(Fetch, RequestsInFlightAreCancelled)
 {
     Server server;
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -229,6 +229,10 @@
 node/httpd.c	g_strcmp0(request->method, "GET") != 0	false	Entry.AnswersThat*
 node/entry.c	(limits->max_fds - reserved) / shares->fds	limits->max_fds - reserved	Entry.TheListenersOf*
 node/entry.c	[ENTRY_CONTROL] = {8, 8, 16, 128, 32	[ENTRY_CONTROL] = {8, 4, 8, 32, 8	Entry.TheListenersOf*
+node/fetchplain.c	client->bodies_bytes + bytes > client->bodies_max_bytes	false	Fetch.AnswersAre*
+node/fetchplain.c	        drop_body(largest);\n		Fetch.AnswersAre*
+node/fetchplain.c	return client->bodies_bytes == connection->exchange->body->len;	return false;	Fetch.AnswersAre*
+node/fetchplain.c	    client->bodies_bytes -= body_bytes;\n		Fetch.AnswersAre*
 node/fetchplain.c	client->connecting < client->connections_max / CONNECTING_DIVISOR	true	Fetch.ConnectionsAre*
 node/fetchplain.c	client->connecting += is_connecting ? 1 : -1;	client->connecting += is_connecting ? 1 : 0;	Fetch.ConnectionsAre*
 core/room.c	use->job_bytes + bytes <= limits->job_bytes	true	Room.AJobIsTaken*
--- a/tests/platform/crowd.py
+++ b/tests/platform/crowd.py
@@ -20,6 +20,8 @@
   churn      the same, each of which is cancelled at once
   steps      valid jobs of legal size, of many steps
   targets    announcements, each of another target
+  endless    targets of the crowd, whose answers stop short of their last byte; the
+             address is only that of the ordinary request
   frames     frames of the bus, short of their last byte
   long-frames  the same, of the largest size that the bus takes
 
@@ -44,6 +46,7 @@
 HEAD_BYTES = 300000   # of a head that does not end
 SPEC_BYTES = 4000
 BUS_FRAME_BYTES = 4 << 20
+ANSWER_BYTES = 4 << 20
 AHEAD_REQUESTS = 20000
 CONNECT_S = 3.0
 CROWD_S = 8.0         # at most, for what the crowd sends
@@ -77,10 +80,10 @@
     return head("POST", path, fields) + body.encode()
 
 
-def announcement(number):
-    """Of a target of its own, at an address that nobody listens on."""
+def announcement(number, address=""):
+    """Of a target of its own, by default at an address that nobody listens on."""
     body = json.dumps({
-        "service": "store", "address": "127.0.%d.%d:9" % (
+        "service": "store", "address": address or "127.0.%d.%d:9" % (
             20 + number // 250, 1 + number % 250), "zone": "z1",
         "version": "v1", "slots": 8, "state": "ready", "sequence": 1,
         "capacity": {"cpu": 1000, "mem_mb": 64, "gpu": 0}, "labels": []})
@@ -88,6 +91,46 @@
                 "Host: a\r\nContent-Length: %d\r\n" % len(body)) + body.encode()
 
 
+def serve_endless(server):
+    """Answers each request with a body of the largest size less its last byte."""
+    answer = (b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+              b"Content-Length: %d\r\n\r\n" % ANSWER_BYTES)
+    answer += b" " * (ANSWER_BYTES - 1)
+
+    def serve(client):
+        try:
+            while client.recv(65536):
+                client.sendall(answer)
+        except OSError:
+            pass
+
+    while True:
+        try:
+            client, _ = server.accept()
+        except OSError:
+            return
+        threading.Thread(target=serve, args=(client,), daemon=True).start()
+
+
+def run_endless(options):
+    """Announces as many targets as there are connections, and serves them."""
+    port = parse_address(options.address)[1]
+    for i in range(options.connections):
+        server = socket.socket()
+        server.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        server.bind(("127.0.30.%d" % (1 + i), port))
+        server.listen(64)
+        threading.Thread(target=serve_endless, args=(server,),
+                         daemon=True).start()
+        target = announcement(i, "127.0.30.%d:%d" % (1 + i, port))
+        for _ in range(PROBES):
+            if send_request(options.address, target) == 200:
+                break
+            time.sleep(PROBE_PAUSE_S)
+    time.sleep(CROWD_S / 2)
+    return []
+
+
 def frames(kind, payload, stream, flags=0):
     return struct.pack(">I", len(payload))[1:] + struct.pack(
         ">BBI", kind, flags, stream) + payload
@@ -426,7 +469,8 @@
     if options.kind == "answers" and options.listener == "control":
         grow_config(options)
     watch = Watch(processes)
-    connections = run_crowd(options, path)
+    connections = (run_endless(options) if options.kind == "endless" else
+                   run_crowd(options, path))
     beside = is_answered(options, 1)
     for connection in connections:
         connection.socket.close()
