Hosts of a cell bound what their listener takes in

What callers saw: 300 bodies of legal size that stop short of their last byte took a host that runs filbertpath serve to 131 MB, where its settings allow 64.

Cause: limits of the settings were read, and used for the log and the bus only; the listener of serve had no bounds. The platform does not run this role.

Change: the bounds of clients, as on a front end of a fleet; what is refused is logged once a second. Without limits in the settings nothing changes.

--- a/node/serve.c
+++ b/node/serve.c
@@ -15,6 +15,7 @@
 #include "node/assign.h"
 #include "node/leader.h"
 
+#define ENTRY_INTERVAL_MS 1000u /* checks and logs what is refused */
 #define TICK_INTERVAL_MS 10u
 #define HINT_INTERVAL_MS 150u
 #define ASSIGN_INTERVAL_MS 100u
@@ -317,6 +318,36 @@
     advance_drain(server, now_ms);
 }
 
+static void
+set_entry_bounds(struct server *server)
+{
+    const struct entry_limits limits = settings_entry_limits(server->settings);
+    struct entry_bounds bounds;
+
+    entry_set_bounds(&limits, ENTRY_CLIENTS, &bounds);
+    httpd_set_bounds(server->httpd, &bounds);
+}
+
+static void
+on_entry_timer(void *ctx, uint64_t now_ms)
+{
+    struct server *server = ctx;
+    struct entry_load load;
+    uint64_t refused;
+
+    (void)now_ms;
+    httpd_check_partial(server->httpd);
+    refused = httpd_take_refused(server->httpd);
+    if (refused > 0) {
+        httpd_load(server->httpd, &load);
+        log_warn(LOG_HTTP,
+                 "%llu requests, answers or connections refused: %u requests, "
+                 "%u connections, %llu bytes of input",
+                 (unsigned long long)refused, load.requests, load.connections,
+                 (unsigned long long)load.input_bytes);
+    }
+}
+
 static void
 on_flush(uv_prepare_t *prepare)
 {
@@ -388,8 +419,10 @@
     deps.gateway = server->gateway;
     deps.owner = server->owner;
     server->api = api_new(&deps);
-    return httpd_new(&server->loop, own_host->http, server->settings->tls,
-                     on_http_request, server, &server->httpd, why, why_bytes);
+    err = httpd_new(&server->loop, own_host->http, server->settings->tls,
+                    on_http_request, server, &server->httpd, why, why_bytes);
+    set_entry_bounds(server);
+    return err;
 }
 
 static void
@@ -397,6 +430,8 @@
 {
     timers_subscribe(server->timers, TICK_INTERVAL_MS, on_tick, server);
     timers_subscribe(server->timers, HINT_INTERVAL_MS, on_hint_timer, server);
+    timers_subscribe(server->timers, ENTRY_INTERVAL_MS, on_entry_timer,
+                     server);
     timers_subscribe(server->timers, ASSIGN_INTERVAL_MS, on_assign_timer,
                      server);
     uv_prepare_init(&server->loop, &server->flush_prepare);
--- a/tests/platform/crowd.py
+++ b/tests/platform/crowd.py
@@ -407,6 +407,7 @@
         "readiness": (options.address, head("GET", "/filbertpath/readiness",
                                             "Host: a\r\n")),
         "metrics": (options.address, head("GET", "/metrics", "Host: a\r\n")),
+        "cell": (options.address, head("GET", "/healthz", "Host: a\r\n")),
         "bus": (options.front, post(*job(900000 + number, "x", 1))),
     }[options.listener]
 
@@ -449,7 +450,7 @@
     parser.add_argument("--address", required=True)
     parser.add_argument("--listener", default="clients",
                         choices=["clients", "control", "readiness", "metrics",
-                                 "bus"])
+                                 "bus", "cell"])
     parser.add_argument("--front", required=True)
     parser.add_argument("--control", required=True)
     parser.add_argument("--watch", required=True)
@@ -463,7 +464,7 @@
     path = {"clients": "/batches/00000000000000aa",
             "control": "/filbertpath/config",
             "readiness": "/filbertpath/readiness", "metrics": "/dump",
-            "bus": "/"}[options.listener]
+            "bus": "/", "cell": "/healthz"}[options.listener]
     processes = {name: int(pid) for name, pid in (
         item.split("=") for item in options.watch.split(","))}
     if options.kind == "answers" and options.listener == "control":
