Crowds: messages of the bus that do not end, and long frames at a front end

A process that speaks the protocol of the bus sends complete frames of 64 KiB, each with the flag that another one follows. ZeroMQ keeps them until the message is complete; neither its bound on the size of a frame nor the one on waiting messages counts them.

--- a/tests/platform/crowd.py
+++ b/tests/platform/crowd.py
@@ -24,6 +24,7 @@
              address is only that of the ordinary request
   frames     frames of the bus, short of their last byte
   long-frames  the same, of the largest size that the bus takes
+  parts      complete frames of the bus, of a message that does not end
 
 Then it sends one ordinary request to the same listener, and, when the connections
 are closed, another one. Prints whether the processes live, and whether the memory of
@@ -46,6 +47,7 @@
 HEAD_BYTES = 300000   # of a head that does not end
 SPEC_BYTES = 4000
 BUS_FRAME_BYTES = 4 << 20
+BUS_PARTS = 64
 ANSWER_BYTES = 4 << 20
 AHEAD_REQUESTS = 20000
 CONNECT_S = 3.0
@@ -147,14 +149,25 @@
     return data
 
 
-def bus_frame(frame_bytes):
-    """The greeting of ZMTP 3.0 with mechanism NULL, READY, and the start of a long
-    frame."""
+def bus_handshake():
+    """The greeting of ZMTP 3.0 with mechanism NULL, and READY."""
     greeting = b"\xff" + b"\0" * 8 + b"\x7f\x03\0NULL" + b"\0" * 48
     ready = b"\x05READY\x0bSocket-Type\0\0\0\x06DEALER"
-    return (greeting + b"\x04" + bytes([len(ready)]) + ready +
-            b"\x02" + struct.pack(">Q", frame_bytes) +
-            b"x" * (frame_bytes - 1))
+    return greeting + b"\x04" + bytes([len(ready)]) + ready
+
+
+def bus_frame(frame_bytes, more=False):
+    """A long frame."""
+    return (b"\x03" if more else b"\x02") + struct.pack(
+        ">Q", frame_bytes) + b"x" * frame_bytes
+
+
+def bus_payload(kind):
+    if kind == "parts":
+        return bus_handshake() + bus_frame(
+            BUS_FRAME_BYTES // BUS_PARTS, True) * BUS_PARTS
+    return bus_handshake() + bus_frame(
+        BODY_BYTES if kind == "frames" else BUS_FRAME_BYTES)[:-1]
 
 
 def payloads(kind, path, connections):
@@ -201,8 +214,7 @@
     if kind == "targets":
         return [[announcement(i * 400 + k) for k in range(400)]
                 for i in range(connections)]
-    return [[bus_frame(BODY_BYTES if kind == "frames" else
-                       BUS_FRAME_BYTES)]] * connections
+    return [[bus_payload(kind)]] * connections
 
 
 class Connection:
