Incomplete messages of the bus are bounded

What callers saw: a process that speaks the protocol of the bus could end a host. Nothing was refused, the host ran out of memory.

Cause: ZeroMQ's sockets hold a message until its last byte has come. The size of a frame is bounded, the sum over connections is not, and a message may consist of any number of frames (parts), which no bound counts.

Change: the listening socket of the bus is of type ZMQ_STREAM, which hands over bytes as they come. node/zmtp.c decodes them (pure), node/businlet.c bounds what the decoders hold, before it is held (M/32, one message is always taken; the connection with the most bytes times the time is closed), and what waits for the loop (M/32, then nothing is read). Messages in parts are refused at their first head. The wire stays the same. With CURVE the socket is a ROUTER as before: who has no key sends no message.

--- a/node/bus.c
+++ b/node/bus.c
@@ -50,14 +50,15 @@
     struct bus_ops ops;
     struct bus_counters counters;
     void *context;
-    void *router;
-    struct bus_guard *guard; /* of router; NULL: not bounded */
+    void *listener;          /* of type ROUTER, if inlet is NULL */
+    struct bus_guard *guard; /* of listener; NULL: not bounded */
+    struct bus_inlet *inlet; /* reads listener; NULL with CURVE */
     void *zap;               /* NULL without CURVE */
     GHashTable *peers;       /* host name to struct peer */
-    uv_poll_t router_poll;
+    uv_poll_t router_poll;   /* of listener, with CURVE */
     uv_poll_t zap_poll;
     uv_prepare_t receive_prepare;
-    bool handles_open; /* router_poll and receive_prepare are initialized */
+    bool handles_open; /* receive_prepare is initialized */
 };
 
 static void
@@ -156,14 +157,14 @@
 {
     char from[MSG_HOST_BYTES] = {0};
     zmq_msg_t payload;
-    int length = zmq_recv(bus->router, from, sizeof(from) - 1, ZMQ_DONTWAIT);
+    int length = zmq_recv(bus->listener, from, sizeof(from) - 1, ZMQ_DONTWAIT);
     bool more = true;
 
     if (length < 0) {
         return false;
     }
     zmq_msg_init(&payload);
-    if (zmq_msg_recv(&payload, bus->router, ZMQ_DONTWAIT) >= 0) {
+    if (zmq_msg_recv(&payload, bus->listener, ZMQ_DONTWAIT) >= 0) {
         more = zmq_msg_more(&payload) != 0;
         if (bus->guard != NULL) {
             bus_guard_note_message(bus->guard,
@@ -176,13 +177,20 @@
             bus->counters.malformed++;
         }
     }
-    while (more && zmq_msg_recv(&payload, bus->router, ZMQ_DONTWAIT) >= 0) {
+    while (more && zmq_msg_recv(&payload, bus->listener, ZMQ_DONTWAIT) >= 0) {
         more = zmq_msg_more(&payload) != 0;
     }
     zmq_msg_close(&payload);
     return true;
 }
 
+static void
+on_inlet_message(void *ctx, const char *from_host, const uint8_t *data,
+                 uint32_t size_bytes)
+{
+    deliver(ctx, from_host, data, size_bytes);
+}
+
 static void
 receive_from_router(struct bus *bus)
 {
@@ -191,7 +199,7 @@
 }
 
 /* Receives what a host sends back on the connection that this host opened (see
- * send_through_router()).
+ * send_through_listener()).
  */
 static void
 receive_from_peer(struct peer *peer)
@@ -268,7 +276,8 @@
     struct bus *bus = handle->data;
     GList *peers = g_hash_table_get_values(bus->peers);
 
-    if ((socket_events(bus->router) & ZMQ_POLLIN) != 0) {
+    if (bus->inlet == NULL &&
+        (socket_events(bus->listener) & ZMQ_POLLIN) != 0) {
         receive_from_router(bus);
     }
     for (GList *at = peers; at != NULL; at = at->next) {
@@ -410,47 +419,81 @@
 }
 
 static void
-guard_router(struct bus *bus, const char *address)
+open_router(struct bus *bus)
 {
-    const struct entry_limits limits = settings_entry_limits(bus->settings);
-    const struct entry_bus_bounds bounds = entry_bus_bounds(&limits);
-    char ip[64];
-    uint16_t port;
+    bus->listener = zmq_socket(bus->context, ZMQ_ROUTER);
+    set_common_options(bus->listener);
+    set_int_option(bus->listener, ZMQ_ROUTER_HANDOVER, 1);
+    set_int_option(bus->listener, ZMQ_ROUTER_MANDATORY, 1);
+    set_int_option(bus->listener, ZMQ_HANDSHAKE_IVL, HANDSHAKE_MAX_MS);
+    set_curve_server(bus->listener, bus->settings->curve);
+}
 
-    if (bounds.receive_bytes != 0) {
-        /* The kernel allows twice the size that is set, for its own use. */
-        set_int_option(bus->router, ZMQ_RCVBUF, (int)bounds.receive_bytes / 2);
-    }
-    if (bounds.connections != 0 &&
-        settings_parse_address(address, ip, sizeof(ip), &port)) {
-        bus->guard =
-            bus_guard_new(bus->context, bus->router, port, bounds.connections);
-    }
+static void
+open_stream(struct bus *bus)
+{
+    bus->listener = zmq_socket(bus->context, ZMQ_STREAM);
+    set_common_options(bus->listener);
+    bus_inlet_prepare(bus->listener);
+}
+
+static void
+watch_router(struct bus *bus)
+{
+    watch_socket(bus->loop, &bus->router_poll, bus->listener,
+                 on_router_readable, bus);
+}
+
+static void
+start_inlet(struct bus *bus, uint16_t port,
+            const struct entry_bus_bounds *bounds)
+{
+    const struct bus_inlet_ops ops = {on_inlet_message, bus};
+
+    bus->inlet = bus_inlet_new(bus->loop, bus->listener, port, bounds,
+                               bus->guard, &ops);
 }
 
 static bool
-bind_router(struct bus *bus, char *why, unsigned why_bytes)
+start_listener(struct bus *bus, char *why, unsigned why_bytes)
 {
     const struct settings_host *own =
         settings_find_host(bus->settings, bus->settings->host);
+    const struct entry_limits limits = settings_entry_limits(bus->settings);
+    const struct entry_bus_bounds bounds = entry_bus_bounds(&limits);
     char *endpoint = g_strdup_printf("tcp://%s", own->bus);
-    int rc;
+    char ip[64];
+    uint16_t port = 0;
+    bool bound;
 
-    bus->router = zmq_socket(bus->context, ZMQ_ROUTER);
-    set_common_options(bus->router);
-    set_int_option(bus->router, ZMQ_ROUTER_HANDOVER, 1);
-    set_int_option(bus->router, ZMQ_ROUTER_MANDATORY, 1);
-    set_int_option(bus->router, ZMQ_HANDSHAKE_IVL, HANDSHAKE_MAX_MS);
-    guard_router(bus, own->bus);
+    settings_parse_address(own->bus, ip, sizeof(ip), &port);
     if (bus->settings->curve != NULL) {
-        set_curve_server(bus->router, bus->settings->curve);
+        open_router(bus);
     }
-    rc = zmq_bind(bus->router, endpoint);
-    if (rc != 0) {
-        snprintf(why, why_bytes, "bus %s: %s", own->bus, zmq_strerror(errno));
+    else {
+        open_stream(bus);
+    }
+    if (bounds.receive_bytes != 0) {
+        /* The kernel allows twice the size that is set, for its own use. */
+        set_int_option(bus->listener, ZMQ_RCVBUF,
+                       (int)bounds.receive_bytes / 2);
+    }
+    if (bounds.connections != 0) {
+        bus->guard = bus_guard_new(bus->context, bus->listener, port,
+                                   bounds.connections);
     }
+    bound = zmq_bind(bus->listener, endpoint) == 0;
     g_free(endpoint);
-    return rc == 0;
+    if (!bound) {
+        snprintf(why, why_bytes, "bus %s: %s", own->bus, zmq_strerror(errno));
+    }
+    else if (bus->settings->curve != NULL) {
+        watch_router(bus);
+    }
+    else {
+        start_inlet(bus, port, &bounds);
+    }
+    return bound;
 }
 
 enum fp_err
@@ -473,12 +516,10 @@
         zmq_bind(bus->zap, ZAP_ENDPOINT);
         watch_socket(loop, &bus->zap_poll, bus->zap, on_zap_readable, bus);
     }
-    if (!bind_router(bus, why, why_bytes)) {
+    if (!start_listener(bus, why, why_bytes)) {
         bus_free(bus);
         return FP_ERR_NETWORK;
     }
-    watch_socket(loop, &bus->router_poll, bus->router, on_router_readable,
-                 bus);
     uv_prepare_init(loop, &bus->receive_prepare);
     bus->receive_prepare.data = bus;
     uv_prepare_start(&bus->receive_prepare, on_prepare);
@@ -524,14 +565,17 @@
  * which that host opened.
  */
 static int
-send_through_router(struct bus *bus, const char *host,
-                    const struct fp_blob *blob)
+send_through_listener(struct bus *bus, const char *host,
+                      const struct fp_blob *blob)
 {
-    if (zmq_send(bus->router, host, strlen(host), ZMQ_DONTWAIT | ZMQ_SNDMORE) <
-        0) {
+    if (bus->inlet != NULL) {
+        return bus_inlet_send(bus->inlet, host, blob) ? 0 : -1;
+    }
+    if (zmq_send(bus->listener, host, strlen(host),
+                 ZMQ_DONTWAIT | ZMQ_SNDMORE) < 0) {
         return -1;
     }
-    return zmq_send(bus->router, blob->data, blob->size_bytes, ZMQ_DONTWAIT);
+    return zmq_send(bus->listener, blob->data, blob->size_bytes, ZMQ_DONTWAIT);
 }
 
 void
@@ -569,7 +613,7 @@
              ? zmq_send(peer->dealer, blob.data, blob.size_bytes, ZMQ_DONTWAIT)
              : -1;
     if (rc < 0 && may_send_back(bus, peer)) {
-        rc = send_through_router(bus, host, &blob);
+        rc = send_through_listener(bus, host, &blob);
     }
     if (rc >= 0) {
         bus->counters.sent++;
@@ -609,6 +653,13 @@
                               : (struct bus_guard_counters){0};
 }
 
+struct bus_inlet_counters
+bus_held_counters(const struct bus *bus)
+{
+    return bus->inlet != NULL ? bus_inlet_counters(bus->inlet)
+                              : (struct bus_inlet_counters){0};
+}
+
 static void
 on_prepare_closed(uv_handle_t *handle)
 {
@@ -627,14 +678,15 @@
         uv_poll_stop(&bus->zap_poll);
         uv_close((uv_handle_t *)&bus->zap_poll, NULL);
     }
-    if (bus->handles_open) {
+    if (bus->handles_open && bus->inlet == NULL) {
         uv_poll_stop(&bus->router_poll);
         uv_close((uv_handle_t *)&bus->router_poll, NULL);
     }
     g_hash_table_destroy(bus->peers);
+    bus_inlet_free(bus->inlet);
     bus_guard_free(bus->guard);
-    if (bus->router != NULL) {
-        zmq_close(bus->router);
+    if (bus->listener != NULL) {
+        zmq_close(bus->listener);
     }
     if (bus->zap != NULL) {
         zmq_close(bus->zap);
--- a/node/bus.h
+++ b/node/bus.h
@@ -1,9 +1,10 @@
 /* bus.h -- typed messages between hosts, over ZeroMQ
  *
- * One ROUTER socket receives messages from all hosts; one DEALER socket per
- * host sends to it. A message for which there is no live connection is refused
- * at once, so the sender knows that it wasn't sent. With CURVE, only hosts
- * whose public keys are in the settings may connect.
+ * One socket receives messages from all hosts; one DEALER socket per host
+ * sends to it. The former is read by node/businlet.c; with CURVE, it is a
+ * ROUTER socket, and only hosts whose public keys are in the settings may
+ * connect. A message for which there is no live connection is refused at once,
+ * so the sender knows that it wasn't sent.
  */
 #ifndef FP_BUS_H
 #define FP_BUS_H
@@ -12,6 +13,7 @@
 
 #include "core/msg.h"
 #include "node/busguard.h"
+#include "node/businlet.h"
 #include "node/settings.h"
 
 struct bus_ops {
@@ -77,6 +79,9 @@
 /* Connections that others opened; all 0 where they are not bounded. */
 struct bus_guard_counters bus_connection_counters(const struct bus *bus);
 
+/* What these connections hold; all 0 with CURVE. */
+struct bus_inlet_counters bus_held_counters(const struct bus *bus);
+
 /* Closes the sockets. The loop must run once more to close the bus's handles,
  * which releases its memory. Does nothing for NULL.
  */
--- a/node/busguard.c
+++ b/node/busguard.c
@@ -35,16 +35,15 @@
     uint64_t closed;
 };
 
-/* A descriptor may have been closed and used again by now. */
-static bool
-is_bus_connection(const struct bus_guard *guard, int fd)
+bool
+bus_shut_down_connection(int fd, uint16_t port)
 {
     struct sockaddr_in address = {.sin_family = AF_UNSPEC};
     socklen_t bytes = sizeof(address);
 
     return getsockname(fd, (struct sockaddr *)&address, &bytes) == 0 &&
-           address.sin_family == AF_INET &&
-           ntohs(address.sin_port) == guard->port;
+           address.sin_family == AF_INET && ntohs(address.sin_port) == port &&
+           shutdown(fd, SHUT_RDWR) == 0;
 }
 
 static struct connection *
@@ -73,8 +72,7 @@
            g_hash_table_size(guard->connections) > guard->connections_max) {
         const struct connection *connection = find_least_used(guard);
 
-        if (is_bus_connection(guard, connection->fd)) {
-            shutdown(connection->fd, SHUT_RDWR);
+        if (bus_shut_down_connection(connection->fd, guard->port)) {
             guard->closed++;
         }
         g_hash_table_remove(guard->connections,
@@ -171,6 +169,14 @@
     g_mutex_unlock(&guard->mutex);
 }
 
+void
+bus_guard_forget(struct bus_guard *guard, int fd)
+{
+    g_mutex_lock(&guard->mutex);
+    g_hash_table_remove(guard->connections, GINT_TO_POINTER(fd));
+    g_mutex_unlock(&guard->mutex);
+}
+
 struct bus_guard_counters
 bus_guard_counters(struct bus_guard *guard)
 {
--- a/node/entry.c
+++ b/node/entry.c
@@ -3,6 +3,8 @@
 
 #include <glib.h>
 
+#include "core/msg.h"
+
 /* Descriptors kept for everything but connections of the listeners: files, the
  * bus, connections to targets. */
 #define RESERVED_FDS_DIVISOR 4u
@@ -11,6 +13,10 @@
 #define BUS_FDS_DIVISOR 2u
 #define BUS_MEMORY_DIVISOR 16u
 #define BUS_RECEIVE_BYTES_MIN 16384u
+#define BUS_PARTIAL_MEMORY_DIVISOR 32u
+#define BUS_WAITING_MEMORY_DIVISOR 32u
+/* The largest message, with its head. */
+#define BUS_PARTIAL_BYTES_MIN (MSG_MAX_BYTES + 65536u)
 #define ANSWERS_MEMORY_DIVISOR 32u
 /* What a connection and a request take, beside their bytes. */
 #define CONNECTION_BYTES 8192u
@@ -162,6 +168,11 @@
     struct entry_bus_bounds bounds = {.connections = reserved_fds(limits) /
                                                      BUS_FDS_DIVISOR};
 
+    if (memory > 0) {
+        bounds.partial_bytes =
+            MAX(memory / BUS_PARTIAL_MEMORY_DIVISOR, BUS_PARTIAL_BYTES_MIN);
+        bounds.waiting_bytes = memory / BUS_WAITING_MEMORY_DIVISOR;
+    }
     if (memory > 0 && bounds.connections > 0) {
         bounds.receive_bytes =
             (uint32_t)CLAMP(memory / BUS_MEMORY_DIVISOR / bounds.connections,
--- a/node/entry.h
+++ b/node/entry.h
@@ -82,10 +82,15 @@
  * bound. */
 uint64_t entry_answers_max_bytes(const struct entry_limits *limits);
 
+/* What ZeroMQ reads ahead for a connection of the bus: two buffers. */
+#define ENTRY_BUS_CONNECTION_BYTES 36864u
+
 /* Bounds on the connections that others open to the bus; 0: none. */
 struct entry_bus_bounds {
     uint32_t connections;
     uint32_t receive_bytes; /* unread in the kernel, for each */
+    uint64_t partial_bytes; /* of incomplete messages; one is always taken */
+    uint64_t waiting_bytes; /* of complete ones, with which no more are read */
 };
 struct entry_bus_bounds entry_bus_bounds(const struct entry_limits *limits);
 
--- a/node/fleetmetrics.c
+++ b/node/fleetmetrics.c
@@ -34,16 +34,23 @@
 {
     const struct bus_counters *counters = bus_counters(bus);
     const struct bus_guard_counters connections = bus_connection_counters(bus);
+    const struct bus_inlet_counters held = bus_held_counters(bus);
 
     add_value(out, "bus_sent_total", counters->sent);
     add_value(out, "bus_sent_bytes_total", counters->sent_bytes);
     add_value(out, "bus_received_total", counters->received);
     add_value(out, "bus_received_bytes_total", counters->received_bytes);
     add_value(out, "bus_refused_total", counters->refused);
-    add_value(out, "bus_malformed_total", counters->malformed);
+    add_value(out, "bus_malformed_total",
+              counters->malformed + held.malformed);
     add_value(out, "bus_connections", connections.connections);
     add_value(out, "bus_connections_max", connections.connections_max);
-    add_value(out, "bus_closed_total", connections.closed);
+    add_value(out, "bus_closed_total", connections.closed + held.closed);
+    add_value(out, "bus_partial_bytes", held.partial_bytes);
+    add_value(out, "bus_partial_bytes_max", held.partial_max_bytes);
+    add_value(out, "bus_pauses_total", held.pauses);
+    add_value(out, "bus_waiting_bytes", held.waiting_bytes);
+    add_value(out, "bus_waiting_bytes_max", held.waiting_max_bytes);
 }
 
 /* What the clients' listener holds, its bounds and how often they were met. */
--- a/node/fleetnode.c
+++ b/node/fleetnode.c
@@ -81,6 +81,7 @@
     bool trim_due;
     uint64_t trimmed_ms;
     uint64_t bus_closed; /* connections, when last logged */
+    uint64_t bus_pauses; /* of reading, when last logged */
 };
 
 /* ---- leadership and replicated state ------------------------------------ */
@@ -745,13 +746,18 @@
 {
     const struct bus_guard_counters counters =
         bus_connection_counters(bus_of(node));
+    const struct bus_inlet_counters held = bus_held_counters(bus_of(node));
+    const uint64_t closed = counters.closed + held.closed;
 
-    if (counters.closed > node->bus_closed) {
-        EVENT(EVENT_HOST_FULL, EVENT_STR("host", node->settings->host),
-              EVENT_STR("listener", "bus"),
-              EVENT_INT("refused", counters.closed - node->bus_closed),
-              EVENT_INT("connections", counters.connections));
-        node->bus_closed = counters.closed;
+    if (closed > node->bus_closed || held.pauses > node->bus_pauses) {
+        EVENT(
+            EVENT_HOST_FULL, EVENT_STR("host", node->settings->host),
+            EVENT_STR("listener", "bus"),
+            EVENT_INT("refused", closed - node->bus_closed),
+            EVENT_INT("connections", counters.connections),
+            EVENT_INT("input_bytes", held.partial_bytes + held.waiting_bytes));
+        node->bus_closed = closed;
+        node->bus_pauses = held.pauses;
     }
 }
 
--- a/tests/entry_test.cc
+++ b/tests/entry_test.cc
@@ -14,6 +14,7 @@
 #include <vector>
 
 extern "C" {
+#include "core/msg.h"
 #include "node/entry.h"
 #include "node/httpd.h"
 }
@@ -94,8 +95,27 @@
     }
 }
 
+TEST(Entry, TheBusOfAHostKeepsWithinAQuarterOfItsMemory)
+{
+    for (entry_limits limits : {entry_limits{64, 400, 0}, entry_limits{120, 3075, 1500},
+                                entry_limits{256, 4096, 1000000},
+                                entry_limits{260, 4100, 1000000}}) {
+        struct entry_bus_bounds bus = entry_bus_bounds(&limits);
+        EXPECT_LT((uint64_t)bus.connections *
+                          (bus.receive_bytes + ENTRY_BUS_CONNECTION_BYTES) +
+                      bus.partial_bytes + bus.waiting_bytes,
+                  (uint64_t)limits.memory_mb << 18);
+        // The largest message is taken when nothing else is.
+        EXPECT_GT(bus.partial_bytes, MSG_MAX_BYTES);
+        EXPECT_GT(bus.waiting_bytes, 0u);
+    }
+}
+
 TEST(Entry, WithoutLimitsThereAreNoBounds)
 {
+    entry_limits unknown = {0, 0, 0};
+    EXPECT_EQ(entry_bus_bounds(&unknown).partial_bytes, 0u);
+    EXPECT_EQ(entry_bus_bounds(&unknown).waiting_bytes, 0u);
     entry_bounds none = bounds_of(0, 0, 0);
     entry_load load = load_of(1u << 20, 0, 1u << 20, 1ull << 40);
     EXPECT_EQ(entry_admit_connection(&none, &load), ENTRY_TAKE);
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -315,6 +315,11 @@
 core/planrun.c	is_last_moment = target->departed ||	is_last_moment = false ||	Departed.TheRunsOfARemovedTargetStartElsewhereOnceThey*
 core/fleet.c	           (known->leaving || !known->departed) &&\n		Departed.ATargetThatAnnounces*
 core/fleet.c	bool departed = leaving && !restarted && target->rec.departed;	bool departed = false;	Departed.ALeavingTargetThatHas*
+node/zmtp.c	(flags & FLAG_MORE) != 0 || 		Zmtp.PartsOfAMessage*
+node/zmtp.c	size > (is_command ? COMMAND_MAX_BYTES : zmtp->message_max_bytes)	false	Zmtp.APeerThat*
+node/zmtp.c	    return body_room(zmtp, zmtp->position_bytes +	    return 0 * body_room(zmtp, zmtp->position_bytes +	Zmtp.MessagesCome*
+node/zmtp.c	MAX(needed_bytes, 2 * zmtp->room_bytes)	zmtp->body_bytes	Zmtp.AnIncomplete*
+node/entry.c	MAX(memory / BUS_PARTIAL_MEMORY_DIVISOR, BUS_PARTIAL_BYTES_MIN)	memory / BUS_PARTIAL_MEMORY_DIVISOR	Entry.TheBusOf*
 LIST
 echo "$CAUGHT passed, $MISSED failed"
 [ "$MISSED" = 0 ]
