An order that a dark target never got is no crash under its task

What callers saw (LOST): an accepted job was shown as failed, and no task of it had failed or crashed targets so often.

Cause: after one crash under a task its next starts are trials. A trial that its target never confirmed counted as a crash at its start, as nothing else is started beside it. But the order may not have reached the target: it was dark, or had crashed before and was just back under its ID.

Change: such a start is "unsure" unless the connections of the target broke right after the order and the target was not back too soon for that.

Tests: Crash.AnOrderThatADarkTarget*, Crash.AnOrderToATarget* failed before (2 starts, job failed).

--- a/core/plancrash.c
+++ b/core/plancrash.c
@@ -20,6 +20,11 @@
 /* A start crashes its target within this time, which includes the order's way
  * to the target. */
 #define START_CRASH_MS 300u
+/* A target that crashes at a start is not back before this time. */
+#define RESTART_MIN_MS 1000u
+/* So many starts after which the target was lost, whatever is known of them:
+ * the next ones count in full. */
+#define UNSURE_STARTS_MAX 3u
 /* A run that is older than this is never taken for the cause of a crash. */
 #define LATE_CRASH_MAX_MS 10000u
 /* Losses of targets with a common cause are noticed within this time of each
@@ -93,6 +98,38 @@
     return ran_ms(run) < within_ms;
 }
 
+/* Number of other runs of the task by whose start a target may have crashed.
+ */
+static uint32_t
+other_crashes(const struct plan_run *run)
+{
+    const struct crashes *crashes = task_of(run)->crashes;
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; crashes != NULL && i < crashes->count; i++) {
+        count += crashes->entries[i].run != run->run_number &&
+                 crashes->entries[i].evidence != CRASH_PRESENT;
+    }
+    return count;
+}
+
+/* Whether the start of a run that its target has not confirmed has crashed it.
+ * An order to a target that is dark, or that has crashed before and is just
+ * back, has no answer either. */
+static bool
+has_start_crashed(const struct plan_run *run, uint64_t now_ms)
+{
+    const struct plan_target *target = run->target;
+
+    if (!run->is_trial) {
+        return false;
+    }
+    return other_crashes(run) >= UNSURE_STARTS_MAX ||
+           (target->closed && target->silent_ms >= run->ordered_ms &&
+            target->silent_ms < run->ordered_ms + START_CRASH_MS &&
+            now_ms >= run->ordered_ms + RESTART_MIN_MS);
+}
+
 /* ---- evidence ----------------------------------------------------------- */
 
 static void
@@ -126,7 +163,7 @@
 }
 
 void
-plan_suspect_run(struct plan *plan, struct plan_run *run)
+plan_suspect_run(struct plan *plan, struct plan_run *run, uint64_t now_ms)
 {
     struct plan_task *task = task_of(run);
 
@@ -134,24 +171,34 @@
         run->is_open_crash = true;
         task->open_crashes++;
         add_evidence(plan, run->step, &run->task, run->run_number,
-                     run->active_since_ms == 0 && !run->is_trial ? CRASH_UNSURE
-                                                                 : CRASH_OPEN,
+                     run->active_since_ms == 0 &&
+                             !has_start_crashed(run, now_ms)
+                         ? CRASH_UNSURE
+                         : CRASH_OPEN,
                      0);
     }
 }
 
-void
-plan_unsuspect_run(struct plan *plan, struct plan_run *run)
+/* Returns whether it was open. */
+static bool
+end_open_crash(struct plan_run *run)
 {
     struct plan_task *task = task_of(run);
+    const bool was_open = run->is_open_crash;
 
-    if (run->is_open_crash) {
-        run->is_open_crash = false;
-        if (task != NULL) {
-            task->open_crashes--;
-            add_evidence(plan, run->step, &run->task, run->run_number,
-                         CRASH_WITHDRAWN, 0);
-        }
+    run->is_open_crash = false;
+    if (was_open && task != NULL) {
+        task->open_crashes--;
+    }
+    return was_open;
+}
+
+void
+plan_unsuspect_run(struct plan *plan, struct plan_run *run)
+{
+    if (end_open_crash(run) && task_of(run) != NULL) {
+        add_evidence(plan, run->step, &run->task, run->run_number,
+                     CRASH_WITHDRAWN, 0);
     }
 }
 
@@ -260,7 +307,7 @@
 
             if (run->step != NULL && is_suspect(run) &&
                 (closed || plan_is_step_suspected(run->step))) {
-                plan_suspect_run(plan, run);
+                plan_suspect_run(plan, run, now_ms);
             }
         }
     }
@@ -368,10 +415,11 @@
 }
 
 /* A lease that ran out after calls without answers is no sign of a crash by
- * itself: the target may have been cut off. */
-static void
+ * itself: the target may have been cut off. Returns whether the loss of the
+ * target is evidence. */
+static bool
 judge_run(struct plan *plan, const struct plan_run *run,
-          const struct suspects *found, bool is_crash)
+          const struct suspects *found, bool is_crash, uint64_t now_ms)
 {
     const struct plan_task *task = task_of(run);
     enum crash_evidence evidence = CRASH_PRESENT;
@@ -379,16 +427,17 @@
     if (is_suspect(run) &&
         (is_crash || crashes_verdict(task->crashes) != CRASH_NOT_SUSPECTED)) {
         evidence = found->several_jobs ? CRASH_SHARED : CRASH_ALONE;
-        if (run->active_since_ms == 0 && !run->is_trial) {
+        if (run->active_since_ms == 0 && !has_start_crashed(run, now_ms)) {
             evidence = CRASH_UNSURE;
         }
     }
     else if (!is_suspect(run) &&
              (found->runs > 0 || ran_ms(run) > LATE_CRASH_MAX_MS)) {
-        return;
+        return false;
     }
     add_evidence(plan, run->step, &run->task, run->run_number, evidence,
                  ran_ms(run));
+    return true;
 }
 
 static void
@@ -434,9 +483,10 @@
         if (run->is_judged) {
             continue;
         }
-        if (run->step != NULL && loss != LOSS_LEFT && !crash.is_common) {
+        if (run->step != NULL && loss != LOSS_LEFT && !crash.is_common &&
             judge_run(plan, run, &found,
-                      loss == LOSS_CRASHED || target->closed);
+                      loss == LOSS_CRASHED || target->closed, now_ms)) {
+            end_open_crash(run);
         }
         run->is_judged = true;
         plan_unsuspect_run(plan, run);
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -428,7 +428,8 @@
 /* The silent target answers again, as the same incarnation. */
 void plan_end_silence(struct plan *plan, struct plan_target *target);
 /* A start of the run broke the connection. */
-void plan_suspect_run(struct plan *plan, struct plan_run *run);
+void plan_suspect_run(struct plan *plan, struct plan_run *run,
+                      uint64_t now_ms);
 /* The run is removed or its target answers again. */
 void plan_unsuspect_run(struct plan *plan, struct plan_run *run);
 /* Judges the runs of a lost target and reports them, before they are removed.
--- a/core/planrun.c
+++ b/core/planrun.c
@@ -542,7 +542,7 @@
         plan->counters.starts_unknown++;
         if (run->state == RUN_STARTING) {
             if (answer == ORDER_CLOSED) {
-                plan_suspect_run(plan, run);
+                plan_suspect_run(plan, run, now_ms);
             }
             plan_order_stop(plan, run, "its start has no answer", now_ms);
             plan_detach_run(plan, run);
--- a/tests/crash_test.cc
+++ b/tests/crash_test.cc
@@ -32,6 +32,7 @@
     uint64_t down_ms = 3000, crash_after_ms = 10, call_ms = 200;
     bool keeps_id = false;
     bool ends_connections = true; // a crashed target; else calls time out
+    bool confirms_starts = true;  // also of a task that crashes its target
     size_t handled = 0, crashed_targets = 0, next_id = 0;
     uint32_t term = 2;
 
@@ -156,6 +157,11 @@
                               ? run_ms[order.task.job_id]
                               : 1000;
             host->ends[name_of(order.task)] = now_ms + ms;
+            if (crashes_target(order.task) && !confirms_starts) {
+                crash(*host);
+                answer_start(order, ends_connections ? ORDER_CLOSED : ORDER_UNKNOWN);
+                continue;
+            }
             if (crashes_target(order.task)) {
                 host->crash_ms = host->crash_ms != 0
                                      ? host->crash_ms
@@ -352,6 +358,54 @@
     EXPECT_EQ(sim.starts["0000000000000001.0.0.0"], 2);
 }
 
+// A task whose target crashes before it answers the order to start it.
+class CrashUnanswered : public ::testing::TestWithParam<bool> {};
+
+TEST_P(CrashUnanswered, ATaskWhoseStartsHaveNoAnswerIsGivenUp)
+{
+    CrashSim sim;
+    sim.confirms_starts = false;
+    sim.ends_connections = GetParam();
+    sim.keeps_id = true;
+    expect_given_up(sim, {.count = 3}, STARTS_MAX);
+}
+
+INSTANTIATE_TEST_SUITE_P(Crash, CrashUnanswered, ::testing::Bool());
+
+// One target has crashed under the only task of a job; the order to start it again
+// goes to a target that has lost its power, or is just back under its ID, and has no
+// answer.
+void expect_lost_order_forgiven(bool ends_connections, uint64_t back_after_ms)
+{
+    const std::string task = "0000000000000001.0.0.0";
+    CrashSim sim;
+    sim.configure({"q"});
+    sim.keeps_id = true;
+    sim.add_hosts(6);
+    sim.become_leader();
+    sim.crashes_target = [&](const fleet_task_id &) { return sim.starts[task] <= 2; };
+    sim.submit(1, {{.count = 1}});
+    sim.run_for(100);
+    ASSERT_EQ(sim.crashed_targets, 1u);
+    sim.confirms_starts = false;
+    sim.ends_connections = ends_connections;
+    sim.down_ms = back_after_ms;
+    sim.run_for(20000);
+    EXPECT_EQ(sim.crashed_targets, 2u);
+    EXPECT_EQ(sim.starts[task], 3);
+    EXPECT_EQ(sim.state_of(1), JOB_COMPLETED);
+}
+
+TEST(Crash, AnOrderThatADarkTargetNeverGotIsNoCrashUnderItsTask)
+{
+    expect_lost_order_forgiven(false, 600);
+}
+
+TEST(Crash, AnOrderToATargetThatHasJustComeBackIsNoCrashUnderItsTask)
+{
+    expect_lost_order_forgiven(true, 60);
+}
+
 // Each leader is lost before it is certain that the targets have crashed.
 TEST(Crash, LeadersThatAreLostDoNotBeginAnew)
 {
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -320,6 +320,10 @@
 node/zmtp.c	    return body_room(zmtp, zmtp->position_bytes +	    return 0 * body_room(zmtp, zmtp->position_bytes +	Zmtp.MessagesCome*
 node/zmtp.c	MAX(needed_bytes, 2 * zmtp->room_bytes)	zmtp->body_bytes	Zmtp.AnIncomplete*
 node/entry.c	MAX(memory / BUS_PARTIAL_MEMORY_DIVISOR, BUS_PARTIAL_BYTES_MIN)	memory / BUS_PARTIAL_MEMORY_DIVISOR	Entry.TheBusOf*
+core/plancrash.c	now_ms >= run->ordered_ms + RESTART_MIN_MS	true	Crash.AnOrderToATarget*
+core/plancrash.c	(target->closed && target->silent_ms >= run->ordered_ms &&	(target->silent_ms >= run->ordered_ms &&	Crash.AnOrderThatADark*
+core/plancrash.c	other_crashes(run) >= UNSURE_STARTS_MAX ||	false ||	*ATaskWhoseStartsHaveNoAnswer*
+core/plancrash.c	            end_open_crash(run);	            ;	*ATaskWhoseStartsHaveNoAnswer*
 LIST
 echo "$CAUGHT passed, $MISSED failed"
 [ "$MISSED" = 0 ]
