--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -22,6 +22,8 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 HOST = "shop.example"
+CORE_MEMORY_MB = 256
+METRICS_PORTS = [9464, 9465]  # of the deploy file, on each machine
 # The bounds of a small deployment.
 BOUNDS = {"contact_ms": 3000, "drain_ms": 2000, "grace_s": 6,
           "config_apply_ms": 2000, "quota_window_s": 5, "quota_overage": 0.1,
@@ -89,21 +91,16 @@
     return re.sub(r"\{\{([^#^/}][^}]*)\}\}", fill, text)
 
 
-def find_free_ports(hosts, count):
-    """The first of so many ports in a row that are free on all hosts."""
-    for _ in range(100):
-        base = random.randrange(20000, 30000)
-        try:
-            for host in hosts:
-                for port in list(range(base, base + count)) + [9464, 9465]:
-                    with socket.socket() as probe:
-                        probe.setsockopt(socket.SOL_SOCKET,
-                                         socket.SO_REUSEADDR, 1)
-                        probe.bind((host, port))
-            return base
-        except OSError:
-            continue
-    raise CannotRun("no free ports")
+def are_free(hosts, ports):
+    try:
+        for host in hosts:
+            for port in ports:
+                with socket.socket() as probe:
+                    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                    probe.bind((host, port))
+        return True
+    except OSError:
+        return False
 
 
 # ---- HTTP -------------------------------------------------------------------
@@ -154,21 +151,29 @@
 # ---- the system -------------------------------------------------------------
 
 class Fleet:
-    """Three core machines and some fronts, started as the deploy file says."""
+    """Three core machines and some fronts, started as the deploy file says, on
+    addresses and ports that nobody uses."""
 
     def __init__(self, record, fronts=1):
         self.record = record
-        self.folder = tempfile.mkdtemp(prefix="review3.")
         with open(os.path.join(ROOT, "deploy/system.toml"), "rb") as file:
             self.roles = tomllib.load(file)["roles"]
-        block = random.randrange(20, 200)
-        self.cores = ["127.%d.0.%d" % (block, i + 1) for i in range(3)]
-        self.fronts = ["127.%d.1.%d" % (block, i + 1) for i in range(fronts)]
-        self.minion_ip = "127.%d.2." % block
-        self.base = find_free_ports(self.cores + self.fronts, 12)
         self.processes = {}
         self.tasks = []
+        self.before = asyncio.all_tasks()  # that end() leaves alone
         self.files = []
+        for _ in range(100):
+            self.base = random.randrange(20000, 30000)
+            block = random.randrange(20, 200)
+            self.cores = ["127.%d.0.%d" % (block, i + 1) for i in range(3)]
+            self.fronts = ["127.%d.1.%d" % (block, i + 1)
+                           for i in range(fronts)]
+            self.minion_ip = "127.%d.2." % block
+            if are_free(self.cores + self.fronts,
+                        [*range(self.base, self.base + 12), *METRICS_PORTS]):
+                self.folder = tempfile.mkdtemp(prefix="review3.")
+                return
+        raise CannotRun("no free ports")
 
     def settings_of(self, ip, role, first_start):
         is_core = role["on"] == "core"
@@ -182,7 +187,7 @@
                 {"control": "%s:%d" % (ip, self.base + 8)} if is_core else
                 {"front": "%s:%d" % (ip, self.base + 9),
                  "readiness": "%s:%d" % (ip, self.base + 10)},
-            "limits": {"memory_mb": 256 if is_core else 260, "max_fds": 4096,
+            "limits": {"memory_mb": CORE_MEMORY_MB if is_core else 260, "max_fds": 4096,
                        "link_mbps": 1000.0,
                        "disk_mb": 128 if is_core else 0}}
         if is_core:
@@ -217,8 +222,10 @@
         self.processes[ip].send_signal(number)
 
     async def end(self):
-        for task in self.tasks:
+        others = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in others - self.before:
             task.cancel()
+        await asyncio.gather(*(others - self.before), return_exceptions=True)
         for process in self.processes.values():
             if process.returncode is None:
                 process.send_signal(signal.SIGKILL)
@@ -328,13 +335,16 @@
 # ---- minions ----------------------------------------------------------------
 
 class Minion:
-    """A minion that keeps to PROTOCOL.md. Its tasks last as their spec says.
+    """A minion that keeps to PROTOCOL.md. Its tasks last as their spec says, which
+    may also let a task's first runs fail.
 
     Between it and the system is a proxy, whose address it announces. The proxy
     passes requests on; hold_back(path, body), if set, returns for how many seconds
     a request is held back: it then gets no response, and reaches the minion late.
     """
 
+    failures = {}  # task -> runs that have begun and will fail, on all minions
+
     def __init__(self, fleet, judge, number):
         self.fleet = fleet
         self.record = fleet.record
@@ -345,7 +355,7 @@
         self.is_up = False
         self.cut = False  # no packet passes the proxy, either way
         self.hold_back = None
-        self.fails = 0  # ms after which each task that starts here fails; 0: none
+        self.closes = False  # ends each connection with its first response
         self.capacity = {"cpu": 16000, "mem_mb": 32768, "gpu": 0}
         self.state = "ready"
         self.lives = 0
@@ -451,9 +461,11 @@
             return 409, "old"
         if order["deadline_ms"] <= self.clock():
             return 409, "late"
-        ms, how = json.loads(order["spec"])["ms"], "done"
-        if self.fails:
-            ms, how = self.fails, "failed"
+        spec = json.loads(order["spec"])
+        ms, how = spec["ms"], "done"
+        if self.failures.get(task, 0) < spec.get("failures", 0):
+            ms, how = spec["fails_ms"], "failed"
+            self.failures[task] = self.failures.get(task, 0) + 1
         self.runs[task] = [run, self.clock() + ms, how]
         self.record.add(self.id, "run %d of %s begins" % (run, task))
         self.judge.on_start(self, task, run)
@@ -567,6 +579,13 @@
                 answer = head + await upstream[0].readexactly(length)
                 while self.cut:
                     await asyncio.sleep(0.02)
+                if self.closes:
+                    writer.write(answer.replace(
+                        b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n", 1))
+                    await writer.drain()
+                    upstream[1].close()
+                    writer.close()
+                    return
                 writer.write(answer)
         except (asyncio.IncompleteReadError, asyncio.CancelledError, OSError):
             pass
@@ -641,18 +660,20 @@
     record = Record(folder)
     record.add("case", "with the disruption" if TROUBLE else
                "without the disruption")
-    fleet = Fleet(record, fronts)
     judge = Judge(record)
+    fleet = None
     try:
+        fleet = Fleet(record, fronts)
         group = [Minion(fleet, judge, i) for i in range(minions)]
         await fleet.start()
         await case(fleet, judge, group)
         code = BROKEN if judge.broken else HELD
-    except CannotRun as reason:
-        record.add("case", "cannot run: %s" % reason)
+    except Exception as reason:  # of the case or of a stand-in
+        record.add("case", "cannot run: %r" % reason)
         code = NOT_RUN
     finally:
-        await fleet.end()
+        if fleet is not None:
+            await fleet.end()
     record.add("case", {HELD: "the rule held", BROKEN: "the rule was broken",
                         NOT_RUN: "the case could not run"}[code])
     return code
