--- a/review/11/case.py
+++ b/review/11/case.py
@@ -10,6 +10,7 @@
 JOB = "5c0e7a21d94b36f8"
 LATE_S = 8.0  # orders may be carried out 2 to 12 s later
 DOWN_S = 1.5
+FIRST_LIFE_S = 5.0  # of the minions before the job: their clocks run from 0
 
 
 async def case(fleet, judge, group):
@@ -28,6 +29,7 @@
     await fleet.configure(fleet3.make_config())
     await fleet.wait_ready()
     await fleet3.start_minions(fleet, group)
+    await asyncio.sleep(FIRST_LIFE_S)
     for minion in group:
         minion.hold_back = hold_back(minion)
     status, _ = await client.call(fleet.front(), "POST", JOB,
