Review case 11: a killed core machine and a lost disk end the cell

A successor has joined for 6 s; a core machine is removed without SIGTERM, and 0.4 s later another one loses its disk. There is no leader from then on.

The late start order is case 14 now.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,61 +1,81 @@
-"""A start order without a response reaches the minion's next life: the task, which
-has ended done, runs again."""
+"""A core machine is replaced and removed for good, without SIGTERM. Right after that
+one of the others loses its disk: there is no leader any more, and all that was accepted
+gets no answer."""
 import asyncio
 import os
+import shutil
+import signal
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 import fleet3
 
-JOB = "5c0e7a21d94b36f8"
-LATE_S = 8.0  # orders may be carried out 2 to 12 s later
-DOWN_S = 1.5
-FIRST_LIFE_S = 5.0  # of the minions before the job: their clocks run from 0
+CATCH_UP_S = 4.0  # from the start of a new machine until it is no loss
+RECOVERY_S = 12.0
+FINISH_S = 14.0
+CONTACT_S = 3.0
+GAP_S = 0.4  # between the removal and the loss of the disk
+DOWN_S = 1.0
+JOBS = ["5c0e7a21d94b%04x" % i for i in range(10)]
 
 
-async def case(fleet, judge, group):
-    client = fleet3.Client(fleet.record)
-    held = []
+async def lose_power(fleet, ip):
+    fleet.signal(ip, signal.SIGKILL)
+    await fleet.processes[ip].wait()
 
-    def hold_back(minion):
-        def decide(path, order):
-            if (fleet3.TROUBLE and not held and path.endswith("run-start") and
-                    order["task"].startswith(JOB)):
-                held.append(minion)
-                return LATE_S
-            return 0
-        return decide
 
+async def case(fleet, judge, group):
+    client = fleet3.Client(fleet.record)
     await fleet.configure(fleet3.make_config())
     await fleet.wait_ready()
     await fleet3.start_minions(fleet, group)
-    await asyncio.sleep(FIRST_LIFE_S)
-    for minion in group:
-        minion.hold_back = hold_back(minion)
-    status, _ = await client.call(fleet.front(), "POST", JOB,
-                                  fleet3.make_job(400))
-    if status != 200:
-        raise fleet3.CannotRun("the job was not accepted")
-
-    async def is_completed():
-        _, answer = await client.call(fleet.front(), "GET", JOB)
-        await asyncio.sleep(0.2)
-        return (answer or {}).get("state") == "completed"
-    await fleet3.wait_for("the job is completed", is_completed, 10)
-    await fleet3.wait_for("its end is taken note of", lambda: judge.noted, 10)
+
+    successor = fleet.add_core()
+    await fleet.start_node(successor)
+    await asyncio.sleep(CATCH_UP_S + 2)
+    for job in JOBS:
+        status, _ = await client.call(fleet.front(), "POST", job,
+                                      fleet3.make_job(500))
+        if status != 200:
+            raise fleet3.CannotRun("a job was not accepted")
+    await fleet.configure(fleet3.make_config(version=2))
+    leader = await fleet3.wait_for("a leader is known", fleet.leader, 5)
+    removed, emptied = [ip for ip in fleet.cores
+                        if ip not in (leader, successor)]
     if fleet3.TROUBLE:
-        minion = held[0]
-        if judge.starts[0][1] != minion.id:
-            raise fleet3.CannotRun("the second copy went elsewhere")
-        minion.crash()
+        fleet.record.add("platform", "%s leads; %s is removed for good" % (
+            leader, removed))
+        await lose_power(fleet, removed)
+        fleet.cores.remove(removed)
+        await asyncio.sleep(GAP_S)
+        await lose_power(fleet, emptied)
+        shutil.rmtree(os.path.join(fleet.folder, emptied))
+        fleet.record.add("platform", "the disk of %s is lost" % emptied)
         await asyncio.sleep(DOWN_S)
-        minion.start()
-        await fleet3.wait_for("the new life is known", lambda:
-                              minion.acked_beats and minion.holds_answered > 1,
-                              5)
-        fleet.record.add("case", "the system calls the new life of %s"
-                         % minion.id)
-    await asyncio.sleep(LATE_S + 2)
+        await fleet.start_node(emptied)
+    await asyncio.sleep(RECOVERY_S + FINISH_S)
+
+    until = fleet.record.seconds() + CONTACT_S + 2
+    lost = set(JOBS)
+    while lost and fleet.record.seconds() < until:
+        for job in sorted(lost):
+            status, _ = await client.call(fleet.front(), "GET", job, timeout=1)
+            if status == 200:
+                lost.discard(job)
+        await asyncio.sleep(0.3)
+    answered = 0
+    for ip in fleet.cores:
+        status, _ = await fleet3.request(fleet.control(ip), "GET",
+                                         "/filbertpath/config", timeout=1)
+        fleet.record.add("operator", "reads the configuration at %s: %d" % (
+            ip, status))
+        answered += status == 200
+    if lost:
+        judge.report("LOST", "%d of %d accepted jobs get no answer %.0f s after "
+                     "all machines are back" % (len(lost), len(JOBS),
+                                                RECOVERY_S + FINISH_S))
+    if not answered:
+        judge.report("CONFIG", "the configuration doesn't come at any machine")
 
 
 fleet3.main(case, __file__)
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,7 +1,6 @@
-"""A configuration lowers max_attempts to what a waiting task has used up: its job is
-neither run nor shown as failed, however long its callers ask."""
+"""A start order without a response reaches the minion's next life: the task, which
+has ended done, runs again."""
 import asyncio
-import json
 import os
 import sys
 
@@ -9,50 +8,54 @@
 import fleet3
 
 JOB = "5c0e7a21d94b36f8"
-OTHER = "5c0e7a21d94b36f9"
-IDLE_S = 3.0  # for which the rule lets a job have nothing running
-ENDED = ("completed", "failed", "cancelled")
-
-
-def is_running(judge, job):
-    return any(judge.running[task] for task in judge.running
-               if task.startswith(job))
+LATE_S = 8.0  # orders may be carried out 2 to 12 s later
+DOWN_S = 1.5
+FIRST_LIFE_S = 5.0  # of the minions before the job: their clocks run from 0
 
 
 async def case(fleet, judge, group):
     client = fleet3.Client(fleet.record)
-    await fleet.configure(fleet3.make_config(max_attempts=3))
+    held = []
+
+    def hold_back(minion):
+        def decide(path, order):
+            if (fleet3.TROUBLE and not held and path.endswith("run-start") and
+                    order["task"].startswith(JOB)):
+                held.append(minion)
+                return LATE_S
+            return 0
+        return decide
+
+    await fleet.configure(fleet3.make_config())
     await fleet.wait_ready()
     await fleet3.start_minions(fleet, group)
-
-    # The first two runs of JOB fail, both on the minion that OTHER leaves free.
-    job = fleet3.make_job(500, cpu=16000)
-    job["spec"] = json.dumps({"ms": 500, "failures": 2, "fails_ms": 500})
-    await client.call(fleet.front(), "POST", JOB, job)
-    await asyncio.sleep(0.2)
-    await client.call(fleet.front(), "POST", OTHER,
-                      fleet3.make_job(6000, count=2, cpu=16000))
-
-    def has_failed_twice():
-        runs = [run for _, _, task, run in judge.starts if task.startswith(JOB)]
-        return len(runs) == 2 and not is_running(judge, JOB)
-    await fleet3.wait_for("two runs of the job have failed", has_failed_twice, 5)
-    if fleet3.TROUBLE:
-        await fleet.configure(fleet3.make_config(version=2, max_attempts=2))
-    await fleet3.wait_for("the minions are idle",
-                          lambda: not is_running(judge, OTHER), 15)
-    idle_since = fleet.record.seconds()
-    state = "unknown"
-    while fleet.record.seconds() < idle_since + 20 and state not in ENDED:
-        if is_running(judge, JOB):
-            idle_since = fleet.record.seconds()
+    await asyncio.sleep(FIRST_LIFE_S)
+    for minion in group:
+        minion.hold_back = hold_back(minion)
+    status, _ = await client.call(fleet.front(), "POST", JOB,
+                                  fleet3.make_job(400))
+    if status != 200:
+        raise fleet3.CannotRun("the job was not accepted")
+
+    async def is_completed():
         _, answer = await client.call(fleet.front(), "GET", JOB)
-        state = (answer or {}).get("state", state)
-        await asyncio.sleep(0.5)
-    idle = fleet.record.seconds() - idle_since
-    if state not in ENDED and idle > IDLE_S:
-        judge.report("LOST", "the job is shown as %s and had nothing running "
-                     "for %.1f s, while all minions were idle" % (state, idle))
+        await asyncio.sleep(0.2)
+        return (answer or {}).get("state") == "completed"
+    await fleet3.wait_for("the job is completed", is_completed, 10)
+    await fleet3.wait_for("its end is taken note of", lambda: judge.noted, 10)
+    if fleet3.TROUBLE:
+        minion = held[0]
+        if judge.starts[0][1] != minion.id:
+            raise fleet3.CannotRun("the second copy went elsewhere")
+        minion.crash()
+        await asyncio.sleep(DOWN_S)
+        minion.start()
+        await fleet3.wait_for("the new life is known", lambda:
+                              minion.acked_beats and minion.holds_answered > 1,
+                              5)
+        fleet.record.add("case", "the system calls the new life of %s"
+                         % minion.id)
+    await asyncio.sleep(LATE_S + 2)
 
 
 fleet3.main(case, __file__)
--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -166,6 +166,7 @@
             self.base = random.randrange(20000, 30000)
             block = random.randrange(20, 200)
             self.cores = ["127.%d.0.%d" % (block, i + 1) for i in range(3)]
+            self.seeds = self.cores[:]
             self.fronts = ["127.%d.1.%d" % (block, i + 1)
                            for i in range(fronts)]
             self.minion_ip = "127.%d.2." % block
@@ -181,7 +182,7 @@
             "node_name": "%s-%s" % (role["on"], ip), "ip": ip,
             "zone": "z1", "region": "r1",
             "internal_ports": [self.base, self.base + 7],
-            "seeds": ["%s:%d" % (host, self.base + 8) for host in self.cores],
+            "seeds": ["%s:%d" % (host, self.base + 8) for host in self.seeds],
             "bootstrap": first_start, "bounds": BOUNDS,
             "listen_addrs":
                 {"control": "%s:%d" % (ip, self.base + 8)} if is_core else
@@ -212,6 +213,12 @@
             stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log)
         self.record.add("platform", "starts %s" % ip)
 
+    def add_core(self):
+        """A new core machine at a new address; returns that."""
+        ip = self.cores[0].rsplit(".", 1)[0] + ".%d" % (len(self.cores) + 1)
+        self.cores.append(ip)
+        return ip
+
     async def start(self):
         for ip in self.cores + self.fronts:
             await self.start_node(ip, first_start=True)
