--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -105,11 +105,15 @@
 
 # ---- HTTP -------------------------------------------------------------------
 
+def to_json(body):
+    return json.dumps(body, separators=(",", ":"))
+
+
 async def request(address, method, path, body=None, headers=None, timeout=3.0,
                   source=None):
     """Returns (status, object); (0, None) without a whole response."""
     host, port = address.rsplit(":", 1)
-    data = b"" if body is None else json.dumps(body).encode()
+    data = b"" if body is None else to_json(body).encode()
     fields = {"Host": address, "Content-Type": "application/json",
               "Content-Length": str(len(data)), "Connection": "close"}
     fields.update(headers or {})
@@ -295,7 +299,7 @@
 
 
 def make_config(version=1, tenants=None, **route):
-    queue = {"name": "r-a", "host": HOST, "path_prefix": "/work/",
+    queue = {"name": "r-a", "host": HOST, "path_prefix": "/jobs/",
              "type": "unsafe", "timeout_ms": 3000, "target_latency_ms": 3000,
              "priority": 1, "service": "store", "max_attempts": 3,
              "stretch": 4.0, "allow_anonymous": False}
@@ -316,7 +320,7 @@
 
 
 class Client:
-    def __init__(self, record, name="client", key="key-one", prefix="/work/"):
+    def __init__(self, record, name="client", key="key-one", prefix="/jobs/"):
         self.record = record
         self.name = name
         self.key = key
