Fence off late orders to the former incarnation of a target

Cause: the fence on an order was the leader's term. A target forgets its fence when it starts again under its ID, so within a term nothing told a late order to its former incarnation from a current one. The stop that the plan sends to a new incarnation needs the record of the run, which goes with its end.

Change: below the term the fence counts the sessions that the leader has opened, or opened anew, in its term. The first answered call makes a new incarnation refuse all that was sent before, whatever became of the run. The count is the leader's for all targets, so that one that was removed and comes back has a higher number too; when the numbers are used up, leadership is handed over. Event target.session.

Fence.* and two mutants guard the numbers.

--- a/base/event.c
+++ b/base/event.c
@@ -74,6 +74,11 @@
     [EVENT_TARGET_ANNOUNCED] =
         {"target.known", 200, "id service address leaving born",
          "a target announced itself or changed its announcement"},
+    [EVENT_TARGET_SESSION] =
+        {"target.session", 200, "id born fence",
+         "the leader opened a session with a target, or with its next "
+         "incarnation; once that has obeyed an order with this fence, it "
+         "refuses those of earlier sessions"},
     [EVENT_TARGET_UNRESPONSIVE] =
         {"target.silent", 100, "id answer",
          "a lease renewal failed; the target gets no starts"},
--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -5,6 +5,7 @@
 
 #include "base/event.h"
 #include "base/log.h"
+#include "core/fence.h"
 #include "node/dispatchpriv.h"
 
 /* Run numbers for the runs of inherited tasks in each term. */
@@ -625,6 +626,12 @@
     dispatch_tick_queries(dispatch, now_ms);
 }
 
+bool
+dispatch_needs_new_term(const struct dispatch *dispatch)
+{
+    return dispatch->last_session >= FENCE_SESSION_MAX;
+}
+
 void
 dispatch_flush(struct dispatch *dispatch, uint64_t now_ms)
 {
--- a/node/dispatch.h
+++ b/node/dispatch.h
@@ -85,6 +85,10 @@
  * below, is on the monotonic clock. */
 void dispatch_tick(struct dispatch *dispatch, uint64_t now_ms);
 
+/* Whether the numbers of sessions with targets are used up in this term: only
+ * in a new one can late orders of earlier sessions be told apart again. */
+bool dispatch_needs_new_term(const struct dispatch *dispatch);
+
 /* Runs a scheduling pass; call once per iteration of the event loop. */
 void dispatch_flush(struct dispatch *dispatch, uint64_t now_ms);
 
--- a/node/dispatchlane.c
+++ b/node/dispatchlane.c
@@ -3,6 +3,7 @@
 
 #include "base/event.h"
 #include "base/log.h"
+#include "core/fence.h"
 #include "node/dispatchpriv.h"
 
 #define HOLD_WAIT_MS 1800u /* a hold call waits this long for a new end */
@@ -89,16 +90,33 @@
     return session->granted_deadline_ms;
 }
 
+static uint64_t
+session_fence(const struct target_session *session)
+{
+    return fence_token(
+        raft_term(replica_raft(session->dispatch->deps.replica)),
+        session->number);
+}
+
+/* Numbers a session that is opened, or opened anew, within the term. */
+static void
+number_session(struct target_session *session)
+{
+    session->number = ++session->dispatch->last_session;
+    EVENT(EVENT_TARGET_SESSION, EVENT_STR("id", session->id),
+          EVENT_INT("born", session->born_ms),
+          EVENT_INT("fence", session_fence(session)));
+}
+
 static struct order_head
 make_order_head(struct target_session *session,
                 const struct fleet_target *target, uint32_t timeout_ms,
                 uint64_t now_ms)
 {
-    struct order_head head = {
-        .target = target,
-        .fence = raft_term(replica_raft(session->dispatch->deps.replica)),
-        .deadline_ms = grant_lease(session, now_ms),
-        .timeout_ms = timeout_ms};
+    struct order_head head = {.target = target,
+                              .fence = session_fence(session),
+                              .deadline_ms = grant_lease(session, now_ms),
+                              .timeout_ms = timeout_ms};
 
     session->dispatch->orders_sent++;
     return head;
@@ -656,6 +674,9 @@
     session->added_ms = added_ms;
     session->outage_known = target->is_out;
     g_hash_table_insert(dispatch->sessions, session->id, session);
+    if (added_ms != 0) {
+        number_session(session);
+    }
 }
 
 bool
@@ -684,6 +705,7 @@
     /* Set first: the plan may order stops, whose answers then come from the
      * new incarnation. */
     session->born_ms = target->rec.born_ms;
+    number_session(session);
     plan_target_restarted(dispatch->plan, target, now_ms);
     session->announced = 0;
     session->hold_in_flight = false;
--- a/node/dispatchpriv.h
+++ b/node/dispatchpriv.h
@@ -21,6 +21,7 @@
     struct dispatch *dispatch;
     char id[FLEET_NAME_BYTES];
     uint64_t born_ms;    /* start time of the target's incarnation */
+    uint64_t number;     /* of the session in this term; see core/fence.h */
     uint64_t announced;  /* highest sequence of its announcements */
     bool hold_in_flight; /* a hold call is not answered yet */
     bool ends_in_flight; /* a proposal of ends is not committed yet */
@@ -76,6 +77,8 @@
     bool lease_in_flight; /* a proposal of their length is not answered yet */
     uint64_t next_lease_ms; /* no such proposal before this */
     GHashTable *sessions;   /* target ID to struct target_session */
+    uint64_t last_session;  /* number of the newest session; 0: those that the
+                             * term began with */
     GHashTable *helpers;    /* host to struct policy_helper */
     struct dispatch_policy_counters policy;
     struct query_pace pace;
--- a/node/fleetnode.c
+++ b/node/fleetnode.c
@@ -694,6 +694,9 @@
     if (node->dispatch != NULL) {
         dispatch_tick(node->dispatch, now_ms);
     }
+    if (node->dispatch != NULL && dispatch_needs_new_term(node->dispatch)) {
+        replica_step_down(node->replica);
+    }
     advance_drain(node, now_ms);
 }
 
--- a/node/orders.h
+++ b/node/orders.h
@@ -13,7 +13,7 @@
 /* The part that all orders have in common. */
 struct order_head {
     const struct fleet_target *target;
-    uint64_t fence;       /* higher for each new leader */
+    uint64_t fence;       /* see core/fence.h */
     uint64_t deadline_ms; /* end of the lease, on the target's clock; 0: the
                            * lease is left as it is */
     uint32_t timeout_ms;  /* longest wait for the answer */
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -7,6 +7,7 @@
 extern "C" {
 #include "base/histogram.h"
 #include "core/ends.h"
+#include "core/fence.h"
 #include "core/members.h"
 }
 
@@ -441,6 +442,28 @@
     EXPECT_EQ(ends_number_to_ack(&marks), 7u);
 }
 
+// ---- fences ----------------------------------------------------------------
+
+// A start order to a former incarnation was carried out by the next one: both
+// had the token of the leader's term.
+TEST(Fence, TheNextIncarnationRefusesOrdersToTheOneBefore)
+{
+    EXPECT_LT(fence_token(7, 0), fence_token(7, 1));
+    EXPECT_LT(fence_token(7, 1), fence_token(7, 2));
+}
+
+TEST(Fence, NoSessionReachesTheNextTerm)
+{
+    EXPECT_LT(fence_token(7, FENCE_SESSION_MAX), fence_token(8, 0));
+    EXPECT_LT(fence_token(7, FENCE_SESSION_MAX + 1ull), fence_token(8, 0));
+    EXPECT_LT(fence_token(7, UINT64_MAX), fence_token(8, 0));
+}
+
+TEST(Fence, ATokenIsExactInJson)
+{
+    EXPECT_LT(fence_token((1u << 27) - 1, FENCE_SESSION_MAX), 1ull << 53);
+}
+
 // ---- members ---------------------------------------------------------------
 
 TEST(Members, AHostThatLostItsDataJoinsWithANewReplica)
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -167,6 +167,8 @@
 core/planrun.c	set_unplanned_size(plan, run);	(void)set_unplanned_size;	Plan.RunsOfAnEnded*
 core/planrun.c	run->size = run->target->capacity;	run->size.cpu_milli = 0;	Plan.ARunOfAnUnknown*
 core/planinherit.c	if (!target->runs_known) {	if (false) {	Plan.ATeamLimitHolds*
+core/fence.c	term << FENCE_SESSION_BITS | session	term << FENCE_SESSION_BITS	Fence.TheNextIncarnation*
+core/fence.c	if (session > FENCE_SESSION_MAX) {	if (false) {	Fence.NoSessionReaches*
 core/ends.c	ack->previous_call_ms != 0 &&		Ends.*
 core/ends.c	ack->stored_number > ack->acked_number	ack->stored_number != 0	Ends.*
 node/fetch.c	if (transfer->opened_before_ms != 0 &&	if (false &&	Fetch.OpenedBefore*
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -3,7 +3,7 @@
 operator and callers, which use the platform's protocol on loopback.
 
   standin.py targets --count N --control HOST:PORT,... [--late SHARE]
-                     [--lost SHARE] [--restart SECONDS] [--resize SECONDS]
+                     [--outlive] [--lost SHARE] [--restart SECONDS] [--resize SECONDS]
                      [--depart SECONDS]
                      [--zones N] [--evacuated FILE] [--invalid SHARE] [--seed N]
   standin.py configure --control HOST:PORT,... --version N
@@ -316,6 +316,7 @@
         self.deaf_until = 0
         self.state = "ready"
         self.sequence = 0
+        self.known_born_ms = 0  # of the last acknowledged announcement
         self.writers = set()
         self.restart()
 
@@ -337,6 +338,7 @@
         self.born_ms = int(time.time() * 1000)
         self.start_time = time.monotonic()
         self.fencing_token = 0
+        self.holds_when_known = 0
         self.lease_end_ms = 0
         self.highest_run = {}
         self.ended_runs = []
@@ -549,9 +551,16 @@
         if path.endswith("run-stop"):
             return self.stop_run(body)
         if path.endswith("hold"):
+            self.holds_when_known += self.known_born_ms == self.born_ms
             return await self.list_runs(body)
         return 200, {"clock_ms": self.clock_ms()}
 
+    async def wait_for_next_life(self, born_ms):
+        """Waits until the leader has called a later incarnation. A call that was
+        on its way when that became known may be the first one; hence two."""
+        while self.born_ms == born_ms or self.holds_when_known < 2:
+            await asyncio.sleep(0.02)
+
     async def handle_request(self, path, fields, body):
         born_ms = self.born_ms
         if time.monotonic() < self.down_until:
@@ -564,6 +573,10 @@
             draw = self.rng.random()
             if draw < self.options.late:
                 # Carries out the order seconds later and does not answer.
+                if self.options.outlive:
+                    await self.wait_for_next_life(born_ms)
+                    await self.handle_order(path, body)
+                    return None
                 await asyncio.sleep(1.5 + 2 * self.rng.random())
                 if self.born_ms == born_ms:
                     await self.handle_order(path, body)
@@ -592,6 +605,7 @@
                     self.rng.choice(controls), "PUT",
                     "/filbertpath/instances/" + self.id, body, timeout=1)
                 if 200 <= status < 300:
+                    self.known_born_ms = body["born"]
                     break
             if self.old_announcement and self.rng.random() < 0.3:
                 await request(self.rng.choice(controls), "PUT",
@@ -860,6 +874,9 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=30)
     parser.add_argument("--late", type=float, default=0)
+    parser.add_argument("--outlive", action="store_true",
+                        help="late orders reach the next incarnation, once the "
+                        "leader has called that")
     parser.add_argument("--lost", type=float, default=0)
     parser.add_argument("--failures", type=float, default=0)
     parser.add_argument("--restart", type=float, default=0)
