A model of substitutes for lost disks while the list of voters changes

Where a list has four voters, a replica with an empty disk may stand for the voter that it was, if the list is known to be committed; and until the newest list is, a quorum needs a majority of the list before it as well.

--- a/tests/models.sh
+++ b/tests/models.sh
@@ -35,6 +35,12 @@
 check_model restart NOT_RECORDED some
 check_model restart ANY_REQUEST some
 check_model restart ANY_TERM some
+# With two entries, by hand: see the model.
+check_model substitute MAX_LENGTH=1 0
+check_model substitute UNKNOWN_LIST some
+check_model substitute ONE_LIST some
+check_model substitute ODD_LIST some
+check_model substitute TWO_SUBSTITUTES some
 check_model raft "" 0
 check_model raft WIPED_VOTES some
 check_model raft NO_CATCH_UP some
