A replica with an empty disk stands for the voter that it was

Cause: of four voters two are left, which elect nobody, and only a leader can admit the replica with the empty disk.

In a list of an even number of voters (four or more) that is known to be committed one voter may be represented by a replica on its host that is no member. Until the newest list is known to be committed, a majority of the list before is needed as well. A leader appends a committed list of four, or the one after it, once more, so that this is known after a restart. Votes, commits and leases use the same quorums.

--- a/core/raft.c
+++ b/core/raft.c
@@ -49,30 +49,10 @@
 bool
 raft_is_voter(const struct raft *raft, uint64_t id)
 {
-    const struct fp_list *list = &raftlog_membership(&raft->log)->members.list;
-    const struct raft_member *member = list->items;
+    const struct raft_member *member =
+        raft_find_member(raft_members(raft), id);
 
-    for (uint32_t i = 0; i < list->count; i++) {
-        if (member[i].id == id && member[i].role == RAFT_VOTER) {
-            return true;
-        }
-    }
-    return false;
-}
-
-uint32_t
-raft_voter_count(const struct raft *raft)
-{
-    const struct fp_list *list = &raftlog_membership(&raft->log)->members.list;
-    const struct raft_member *member = list->items;
-    uint32_t count = 0;
-
-    for (uint32_t i = 0; i < list->count; i++) {
-        if (member[i].role == RAFT_VOTER) {
-            count++;
-        }
-    }
-    return count;
+    return member != NULL && member->role == RAFT_VOTER;
 }
 
 uint64_t
@@ -153,46 +133,64 @@
     raft->ops.state_changed(raft->ops.ctx);
 }
 
-/* Asks the voters on a host for their votes; all hosts for NULL. */
+/* A request for votes that is being sent. */
+struct vote_request {
+    struct raft *raft;
+    struct msg_vote msg;
+    const char *host; /* the only one that is asked; NULL: all are */
+};
+
 static void
-request_votes(struct raft *raft, const char *host, bool pre, bool transfer)
+send_vote_request(void *ctx, uint64_t id, const char *host)
 {
-    const struct fp_list *list = &raftlog_membership(&raft->log)->members.list;
-    const struct raft_member *member = list->items;
-    struct msg_vote msg = {
-        .from_id = raft->id,
-        .term = pre ? raft->term + 1 : raft->term,
-        .pre = pre,
-        .transfer = transfer,
-        .last_index = raftlog_last_index(&raft->log),
-        .last_term = raftlog_last_term(&raft->log),
-    };
+    struct vote_request *request = ctx;
+    struct raft *raft = request->raft;
 
-    for (uint32_t i = 0; i < list->count; i++) {
-        if (member[i].role == RAFT_VOTER && member[i].id != raft->id &&
-            (host == NULL || strcmp(member[i].host, host) == 0)) {
-            msg.to_id = member[i].id;
-            raft->ops.send(raft->ops.ctx, msg.to_id, &MSG_VOTE_SCHEMA, &msg,
-                           pre ? 0 : raft->last_write);
-        }
+    if (request->host == NULL || strcmp(host, request->host) == 0) {
+        request->msg.to_id = id;
+        raft->ops.send(raft->ops.ctx, id, &MSG_VOTE_SCHEMA, &request->msg,
+                       request->msg.pre ? 0 : raft->last_write);
     }
 }
 
+/* Asks the replicas on a host for their votes; all hosts for NULL. */
+static void
+request_votes(struct raft *raft, const char *host, bool pre, bool transfer)
+{
+    struct vote_request request = {
+        .raft = raft,
+        .host = host,
+        .msg = {
+            .from_id = raft->id,
+            .term = pre ? raft->term + 1 : raft->term,
+            .pre = pre,
+            .transfer = transfer,
+            .last_index = raftlog_last_index(&raft->log),
+            .last_term = raftlog_last_term(&raft->log),
+        }};
+
+    raft_for_each_elector(raft, send_vote_request, &request);
+}
+
 /* A candidate counts its own vote only once it is on disk; raft_synced() adds
  * it.
  */
 static void
 add_vote(struct raft *raft, uint64_t id)
 {
-    if (raft_is_voter(raft, id)) {
-        g_hash_table_add(raft->votes_granted, g_memdup2(&id, sizeof(id)));
-    }
+    g_hash_table_add(raft->votes_granted, g_memdup2(&id, sizeof(id)));
+}
+
+static uint64_t
+vote_of(const struct raft *raft, uint64_t id)
+{
+    return g_hash_table_contains(raft->votes_granted, &id);
 }
 
 static bool
 has_quorum(const struct raft *raft)
 {
-    return g_hash_table_size(raft->votes_granted) * 2 > raft_voter_count(raft);
+    return raft_quorum_value(raft, vote_of) > 0;
 }
 
 static void
@@ -772,6 +770,7 @@
     }
     switch (type) {
     case MSG_HELLO:
+        raft_note_substitute(raft, msg);
         raft_leader_on_hello(raft, msg, now_ms);
         break;
     case MSG_APPEND:
--- a/core/raft.h
+++ b/core/raft.h
@@ -11,7 +11,9 @@
  *   - a freshness lease for each follower, so that a host that is cut off
  *     knows that its copy of the state may be stale;
  *   - observers, which follow the log without a vote or a disk;
- *   - membership changes, one at a time;
+ *   - membership changes, one at a time; in a list of an even number of voters
+ *     a quorum may have one replica with an empty disk in the place of a voter
+ *     on its host: see docs/design/takeover.md;
  *   - replica identities that belong to a data folder: a replica that lost its
  *     disk gets a new one.
  */
--- a/core/raftlead.c
+++ b/core/raftlead.c
@@ -62,40 +62,35 @@
     }
 }
 
-/* Returns the highest value that a majority of the voters has reached, of
- * match_index or else of acked_ms; own is the value of this replica.
- */
 static uint64_t
-quorum_value(const struct raft *raft, uint64_t own, bool use_match_index)
+match_index_of(const struct raft *raft, uint64_t id)
 {
-    const struct fp_list *list = &raftlog_membership(&raft->log)->members.list;
-    const struct raft_member *member = list->items;
-    uint64_t values[MSG_MAX_MEMBERS];
-    uint32_t count = 0;
+    const struct follower *follower = find_follower(raft, id);
 
-    for (uint32_t i = 0; i < list->count; i++) {
-        const struct follower *follower = find_follower(raft, member[i].id);
-        uint64_t value = 0;
-        uint32_t at = count;
+    if (id == raft->id) {
+        return raft->synced_index;
+    }
+    return follower != NULL ? follower->match_index : 0;
+}
 
-        if (member[i].role != RAFT_VOTER) {
-            continue;
-        }
-        if (member[i].id == raft->id) {
-            value = own;
-        }
-        else if (follower != NULL) {
-            value =
-                use_match_index ? follower->match_index : follower->acked_ms;
-        }
-        while (at > 0 && values[at - 1] < value) {
-            values[at] = values[at - 1];
-            at--;
-        }
-        values[at] = value;
-        count++;
+/* When the newest message was sent that a replica has answered; its own are as
+ * if answered at once. */
+static uint64_t
+acked_ms_of(const struct raft *raft, uint64_t id)
+{
+    const struct follower *follower = find_follower(raft, id);
+
+    if (id == raft->id) {
+        return UINT64_MAX;
     }
-    return count == 0 ? 0 : values[count / 2];
+    return follower != NULL ? follower->acked_ms : 0;
+}
+
+/* As of acked_ms_of(), for a quorum; now_ms where this replica is one. */
+static uint64_t
+quorum_acked_ms(const struct raft *raft, uint64_t now_ms)
+{
+    return MIN(raft_quorum_value(raft, acked_ms_of), now_ms);
 }
 
 /* A follower grants no vote for election_min_ms after it received an append,
@@ -105,7 +100,7 @@
 static void
 renew_lease(struct raft *raft, uint64_t now_ms)
 {
-    uint64_t acked_ms = quorum_value(raft, now_ms, false);
+    uint64_t acked_ms = quorum_acked_ms(raft, now_ms);
     uint64_t span_ms = raft->timing.election_min_ms *
                        (1000 - raft->timing.drift_permille) / 1000;
 
@@ -117,7 +112,7 @@
 static void
 commit_by_quorum(struct raft *raft)
 {
-    uint64_t index = quorum_value(raft, raft->synced_index, true);
+    uint64_t index = raft_quorum_value(raft, match_index_of);
 
     /* Entries of older terms are committed only along with an entry of the
      * current term. */
@@ -237,7 +232,7 @@
 }
 
 static void
-append_members(struct raft *raft, struct raft_members *members)
+append_members(struct raft *raft, const struct raft_members *members)
 {
     struct fp_blob data;
 
@@ -309,8 +304,9 @@
     update_followers(raft, now_ms);
 }
 
-/* Makes one learner a voter if all that is committed is on its disk. */
-static void
+/* Makes one learner a voter if all that is committed is on its disk. Returns
+ * whether it did. */
+static bool
 promote_learner(struct raft *raft)
 {
     const struct fp_list *list = &raft_members(raft)->list;
@@ -322,9 +318,10 @@
         if (member[i].role == RAFT_LEARNER && follower != NULL &&
             follower->match_index >= raft->commit_index) {
             set_member_role(raft, member[i].id, RAFT_VOTER);
-            return;
+            return true;
         }
     }
+    return false;
 }
 
 static void
@@ -339,7 +336,9 @@
         raft->pending_learner_id = 0;
         return;
     }
-    promote_learner(raft);
+    if (!promote_learner(raft) && !raft_voters_recorded(raft)) {
+        append_members(raft, raft_members(raft));
+    }
 }
 
 static void
@@ -440,7 +439,7 @@
     renew_lease(raft, now_ms);
     /* A leader that no majority has answered for an election timeout may have
      * been replaced. */
-    if (quorum_value(raft, now_ms, false) + raft->timing.election_max_ms <
+    if (quorum_acked_ms(raft, now_ms) + raft->timing.election_max_ms <
             now_ms &&
         raft->leading_since_ms + raft->timing.election_max_ms < now_ms) {
         raft_become_follower(raft, raft->term, now_ms);
@@ -657,7 +656,8 @@
     if (find_member(raft_members(raft), id, NULL) == NULL) {
         return FP_ERR_NOT_FOUND;
     }
-    if (raft_is_voter(raft, id) && raft_voter_count(raft) == 1) {
+    if (raft_is_voter(raft, id) &&
+        raft_count_voters(raft_members(raft)) == 1) {
         return FP_ERR_NOT_ALLOWED;
     }
     remove_member(raft, id);
--- a/core/raftpriv.h
+++ b/core/raftpriv.h
@@ -1,5 +1,5 @@
 /* raftpriv.h -- types and functions shared by raft.c (roles, elections,
- * followers) and raftlead.c (the leader)
+ * followers), raftlead.c (the leader) and raftquorum.c (who decides)
  */
 #ifndef FP_RAFTPRIV_H
 #define FP_RAFTPRIV_H
@@ -44,6 +44,17 @@
     uint64_t last_index; /* last entry that it makes durable; 0: none */
 };
 
+/* A replica that is no member, on the host of a voter: that lost its disk.
+ * Where a list has an even number of voters, any two majorities share two of
+ * them, so that one of these may be replaced by a replica that remembers
+ * nothing. It votes and acknowledges in the voter's place until that is
+ * removed.
+ */
+struct substitute {
+    uint64_t id; /* 0: none is known */
+    char host[MSG_HOST_BYTES];
+};
+
 /* A snapshot that is being received in chunks. */
 struct incoming_snapshot {
     uint64_t last_index;
@@ -82,7 +93,8 @@
     uint64_t fresh_until_ms;      /* end of the freshness lease */
     uint64_t next_fresh_index;    /* to be applied before the next lease */
     uint64_t next_fresh_until_ms; /* end of the next freshness lease */
-    GHashTable *votes_granted;    /* IDs of voters, while a candidate */
+    GHashTable *votes_granted;    /* IDs of replicas, while a candidate */
+    struct substitute substitute; /* the last one that announced itself */
     struct incoming_snapshot incoming_snapshot;
 
     /* Leader only. */
@@ -112,7 +124,30 @@
 uint64_t raft_track_write(struct raft *raft, uint64_t write,
                           uint64_t last_index);
 bool raft_is_voter(const struct raft *raft, uint64_t id);
-uint32_t raft_voter_count(const struct raft *raft);
+
+/* raftquorum.c */
+/* Returns what a replica has reached, such as an index that is on its disk. */
+typedef uint64_t (*raft_value_of)(const struct raft *raft, uint64_t id);
+/* Returns the highest value that a quorum has reached: a majority of the
+ * newest list, and of the one before it where substitutes may have counted in
+ * that and the newest is not known to be committed. In a list that is, of an
+ * even number of voters, one may be represented by its substitute. */
+uint64_t raft_quorum_value(const struct raft *raft, raft_value_of value_of);
+/* Records the sender of a greeting if it is on the host of a voter and no
+ * member. */
+void raft_note_substitute(struct raft *raft, const struct msg_hello *msg);
+/* Calls visit for each other replica that may count in a quorum. */
+typedef void (*raft_visit_elector)(void *ctx, uint64_t id, const char *host);
+void raft_for_each_elector(const struct raft *raft, raft_visit_elector visit,
+                           void *ctx);
+/* Whether the log shows, also after a restart, that the newest voters were
+ * committed, or that does not matter for them. */
+bool raft_voters_recorded(const struct raft *raft);
+const struct raft_member *raft_find_member(const struct raft_members *members,
+                                           uint64_t id);
+uint32_t raft_count_voters(const struct raft_members *members);
+bool raft_same_voters(const struct raft_members *a,
+                      const struct raft_members *b);
 
 /* raftlead.c */
 void raft_become_leader(struct raft *raft, uint64_t now_ms);
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -100,6 +100,12 @@
 core/failures.c	if (failures->runs[i] == run_number) {	if (failures->runs[i] >= run_number) {	Fleet.FailedRuns*
 core/failures.c	if (failures->runs[i] == run_number) {	if (failures->runs[i] >= run_number) {	Plan.FailuresOfAnEarlier*
 core/failures.c	if (failures->runs[i] == run_number) {	if (false) {	Fleet.AFailedRunIsCountedOnce*
+core/raftquorum.c	    return before != NULL ? before : raft_members(raft);	    return raft_members(raft);	Raft.AVoterThatIsNotC*
+core/raftquorum.c	    if (before != NULL && has_substitutes(before)) {	    if (false) {	Raft.ARemovalIsNot*
+core/raftquorum.c	voters >= SUBSTITUTE_VOTERS_MIN && voters % 2 == 0	voters >= 3	Raft.Substitutes*
+core/raftquorum.c	    if (substitute->id == 0 ||	    if (true ||	Raft.AReplacedHostAnd*
+core/raftquorum.c	    return raft_same_voters(&before->members, &newest->members) ||	    return true ||	Raft.AllRestart*
+core/raftquorum.c	before != NULL && i < before->list.count	false	Raft.AVoterDecides*
 core/raftlead.c	!is_heard(raft, follower, now_ms)	false	Raft.ASilentMember*
 core/raft.c	set_pre_vote_timer(raft, now_ms);\n    if	reset_election_timer(raft, now_ms);\n    if	Raft.LostRequests*
 core/raft.c	if (raft->state == RAFT_PRE_CANDIDATE && !raft->disk_failed) {	if (false) {	Raft.ALeaderIsFoundSoon*
@@ -119,7 +125,7 @@
 core/raft.c	return msg->last_index >= raftlog_last_index(&raft->log);	return true;	Raft.*
 core/raft.c	    raft->leader_heard_ms = now_ms;\n    raft->election_at_ms =	    raft->election_at_ms =	Raft.NoSecond*
 core/raftlead.c	if (raft_leader_ready(raft, now_ms)) {	if (true) {	Raft.Holds*
-core/raftlead.c	uint64_t index = quorum_value(raft, raft->synced_index, true);	uint64_t index = quorum_value(raft, raftlog_last_index(&raft->log), true);	Raft.LeaderCounts*
+core/raftlead.c	        return raft->synced_index;	        return raftlog_last_index(&raft->log);	Raft.LeaderCounts*
 core/cellwork.c	else if (!cell_fits(target, &task->job->rec)) {	else if (false) {	Cell.*
 core/cellwork.c	else if (!cell_within_limits(task->job->team, &task->job->rec, 1)) {	else if (false) {	Cell.*
 core/cellwork.c	item->attempt != task->attempt + 1) {	false) {	Cell.*
--- a/tests/raft_test.cc
+++ b/tests/raft_test.cc
@@ -304,6 +304,247 @@
     }
 }
 
+// Cuts hosts a and b off from all others, and loses what is on its way between.
+void cut_off_pair(Simulation &sim, int a, int b)
+{
+    auto in_pair = [&](int i) { return i == a || i == b; };
+    for (int i = 0; i < (int)sim.nodes.size(); i++) {
+        for (int j = 0; j < (int)sim.nodes.size(); j++) {
+            sim.link_cut[i][j] = in_pair(i) != in_pair(j);
+        }
+    }
+    for (Message &m : sim.network) {
+        free_message(m);
+    }
+    sim.network.clear();
+}
+
+bool is_listed(const Node *n, uint64_t id, raft_role role)
+{
+    const fp_list *list = &raft_members(n->replica)->list;
+    const raft_member *member = (const raft_member *)list->items;
+    for (uint32_t i = 0; i < list->count; i++) {
+        if (member[i].id == id && member[i].role == role) {
+            return true;
+        }
+    }
+    return false;
+}
+
+// Guards against LOST: a voter was removed by the two that were in touch, one of
+// these lost its disk, and the others elected a leader of four without the change
+// and without what was accepted after it.
+TEST(Raft, ARemovalIsNotUndoneByASubstitute)
+{
+    for (uint64_t seed = 1; seed <= 40; seed++) {
+        Simulation sim(seed);
+        ASSERT_TRUE(form_four_voters(sim)) << "seed " << seed;
+        Node *leader = current_leader(sim);
+        const int removed = (leader->number + 1) % 4;
+        const int lost = (leader->number + 2) % 4;
+        cut_off_pair(sim, leader->number, lost);
+        ASSERT_EQ(raft_member_remove(leader->replica,
+                                     raft_id(sim.nodes[removed]->replica)),
+                  FP_OK);
+        for (int i = 0; i < 10; i++) {
+            propose(sim);
+            run_for(sim, 20);
+        }
+        crash(leader);
+        leader->restart_ms = UINT64_MAX;
+        crash(sim.nodes[lost].get());
+        sim.nodes[lost]->disk = Disk();
+        sim.nodes[lost]->restart_ms = 0;
+        memset(sim.link_cut, 0, sizeof(sim.link_cut));
+        run_for(sim, 5000);
+        leader->restart_ms = 0;
+        ASSERT_TRUE(run_until_leader(sim, 10000)) << "seed " << seed;
+        run_for(sim, 1000);
+        EXPECT_EQ(sim.failure, "") << "seed " << seed;
+        tear_down(sim);
+    }
+}
+
+// The same where the list grows: the change to four is in two logs and not
+// committed, and the other two of three commit without it.
+TEST(Raft, AVoterThatIsNotCommittedElectsNobodyWithASubstitute)
+{
+    for (uint64_t seed = 1; seed <= 40; seed++) {
+        Simulation sim(seed);
+        create_nodes(sim, 4, 0);
+        sim.lossy = false;
+        raft_bootstrap(sim.nodes[0]->replica, sim.nodes[0]->now());
+        for (int i = 1; i < 3; i++) {
+            ASSERT_TRUE(run_until_leader(sim, 5000) &&
+                        add_member(sim, i, 10000));
+        }
+        run_for(sim, 500);
+        Node *leader = current_leader(sim);
+        ASSERT_NE(leader, nullptr);
+        const uint64_t new_id = raft_id(sim.nodes[3]->replica);
+        raft_member_add(leader->replica, new_id, sim.nodes[3]->host.c_str(),
+                        leader->now());
+        for (int i = 0; i < 5000; i++) {
+            if (is_listed(leader, new_id, RAFT_VOTER)) {
+                break;
+            }
+            run_for(sim, 1);
+        }
+        ASSERT_TRUE(is_listed(leader, new_id, RAFT_VOTER));
+        cut_off_pair(sim, leader->number, 3);
+        run_for(sim, 3000);
+        ASSERT_NE(current_leader(sim), leader);
+        for (int i = 0; i < 10; i++) {
+            propose(sim);
+            run_for(sim, 30);
+        }
+        EXPECT_GE(sim.acked.size(), 5u) << "seed " << seed;
+        // One of the two that committed is down, the other one loses its disk.
+        const int lost = (leader->number + 1) % 3;
+        Node *down = sim.nodes[(leader->number + 2) % 3].get();
+        crash(down);
+        down->restart_ms = UINT64_MAX;
+        crash(sim.nodes[lost].get());
+        sim.nodes[lost]->disk = Disk();
+        sim.nodes[lost]->restart_ms = 0;
+        memset(sim.link_cut, 0, sizeof(sim.link_cut));
+        EXPECT_FALSE(run_until_leader(sim, 6000)) << "seed " << seed;
+        down->restart_ms = 0;
+        EXPECT_TRUE(run_until_leader(sim, 10000)) << "seed " << seed;
+        run_for(sim, 1000);
+        EXPECT_EQ(sim.failure, "") << "seed " << seed;
+        tear_down(sim);
+    }
+}
+
+// A removal that is in one log only needs the vote and the acknowledgement of the
+// voter that it removes, while another one is gone.
+TEST(Raft, AVoterDecidesUntilItsRemovalIsCommitted)
+{
+    for (uint64_t seed = 1; seed <= 20; seed++) {
+        Simulation sim(seed);
+        ASSERT_TRUE(form_four_voters(sim)) << "seed " << seed;
+        Node *leader = current_leader(sim);
+        Node *gone = sim.nodes[(leader->number + 1) % 4].get();
+        const int removed = (leader->number + 2) % 4;
+        cut_off_pair(sim, leader->number, leader->number);
+        ASSERT_EQ(raft_member_remove(leader->replica,
+                                     raft_id(sim.nodes[removed]->replica)),
+                  FP_OK);
+        run_for(sim, 50);
+        crash(gone);
+        gone->restart_ms = UINT64_MAX;
+        crash(leader);
+        leader->restart_ms = 0;
+        memset(sim.link_cut, 0, sizeof(sim.link_cut));
+        run_for(sim, 3000);
+        EXPECT_TRUE(run_until_leader(sim, 10000)) << "seed " << seed;
+        EXPECT_EQ(sim.failure, "") << "seed " << seed;
+        tear_down(sim);
+    }
+}
+
+// What a leader of four rests on with a substitute is known after a restart of all:
+// as soon as the lost disk is back, or while the list is being changed.
+TEST(Raft, AllRestartBesideASubstituteAndFindALeader)
+{
+    for (uint64_t seed = 1; seed <= 60; seed++) {
+        Simulation sim(seed);
+        ASSERT_TRUE(form_four_voters(sim)) << "seed " << seed;
+        propose(sim);
+        run_for(sim, 500);
+        const int gone = (int)(seed % 4);
+        const int lost = (gone + 1 + (int)(seed / 4 % 3)) % 4;
+        crash(sim.nodes[gone].get());
+        sim.nodes[gone]->restart_ms = UINT64_MAX;
+        run_for(sim, 100);
+        crash(sim.nodes[lost].get());
+        sim.nodes[lost]->disk = Disk();
+        sim.nodes[lost]->restart_ms = 0;
+        for (int i = 0; i < 4; i++) {
+            run_for(sim, 100 + sim.random_below(2500));
+            for (auto &n : sim.nodes) {
+                if (n->number != gone) {
+                    crash(n.get());
+                    n->restart_ms = sim.now_ms + sim.random_below(200);
+                }
+            }
+        }
+        EXPECT_TRUE(run_until_leader(sim, 10000)) << "seed " << seed;
+        EXPECT_TRUE(add_member(sim, lost, 10000)) << "seed " << seed;
+        EXPECT_EQ(sim.failure, "") << "seed " << seed;
+        tear_down(sim);
+    }
+}
+
+// Changes the list of four to six hosts at random.
+void change_list(Simulation &sim)
+{
+    Node *leader = current_leader(sim);
+    Node *n = sim.nodes[sim.random_below((uint32_t)sim.nodes.size())].get();
+    if (leader == nullptr || n->replica == nullptr) {
+        return;
+    }
+    const uint64_t id = raft_id(n->replica);
+    if (!is_listed(leader, id, RAFT_VOTER)) {
+        raft_member_add(leader->replica, id, n->host.c_str(), leader->now());
+    }
+    else if (raft_members(leader->replica)->list.count > 3) {
+        raft_member_remove(leader->replica, id);
+    }
+}
+
+// One host at a time has lost its disk and is no voter again yet.
+TEST(Raft, SubstitutesHoldWhileTheListChanges)
+{
+    const uint64_t first = seed_from_env(1);
+    for (uint64_t seed = first; seed < first + runs_from_env(150); seed++) {
+        Simulation sim(seed);
+        const int hosts = 4 + (int)(seed % 3);
+        create_nodes(sim, hosts, 0);
+        sim.lossy = false;
+        raft_bootstrap(sim.nodes[0]->replica, sim.nodes[0]->now());
+        for (int i = 1; i < 4; i++) {
+            ASSERT_TRUE(run_until_leader(sim, 5000) &&
+                        add_member(sim, i, 10000));
+        }
+        sim.lossy = true;
+        Node *lost = nullptr;
+        for (uint32_t round = 0; round < 40 && sim.failure.empty(); round++) {
+            if (sim.random_chance(0.4)) {
+                inject_failure(sim, hosts);
+            }
+            if (sim.random_chance(0.6)) {
+                change_list(sim);
+            }
+            Node *leader = current_leader(sim);
+            if (lost != nullptr && leader != nullptr &&
+                lost->replica != nullptr &&
+                is_listed(leader, raft_id(lost->replica), RAFT_VOTER) &&
+                raft_member_add(leader->replica, raft_id(lost->replica),
+                                lost->host.c_str(),
+                                leader->now()) == FP_OK) {
+                lost = nullptr; // its change is committed
+            }
+            if (lost == nullptr && sim.random_chance(0.2)) {
+                lost = sim.nodes[sim.random_below((uint32_t)hosts)].get();
+                crash(lost);
+                lost->disk = Disk();
+                lost->restart_ms = sim.now_ms + sim.random_below(1500);
+            }
+            for (uint32_t i = sim.random_below(8); i > 0; i--) {
+                propose(sim);
+                run_for(sim, sim.random_below(60));
+            }
+            run_for(sim, sim.random_below(800));
+        }
+        ASSERT_EQ(sim.failure, "")
+            << "replay: FILBERTPATH_SEED=" << seed
+            << " build/unit --gtest_filter=Raft.Substitutes*";
+        tear_down(sim);
+    }
+}
+
 // One disk is lost at a random time among other failures of four voters.
 TEST(Raft, FourVotersHoldUnderRandomFailures)
 {
--- a/tests/sessions/fleet-replaced-core.sh
+++ b/tests/sessions/fleet-replaced-core.sh
@@ -1,5 +1,5 @@
 # A core host is replaced, the new one first; another one is lost as soon as the old one
-# has gone. The cell bears that loss.
+# has gone. The cell bears that loss: one that is down, and one that lost its disk.
 . tests/platform/lib.sh
 NEW=127.0.0.4
 add_host() {
@@ -43,6 +43,19 @@
 expect_state "three vote" 10 has_voters 3
 sleep 1
 
+echo "-- one more joins; the leader is killed for good, and another one's disk is lost with it"
+NEW=127.0.0.6
+add_host
+LEFT=$(leader)
+LOST=$(others "$LEFT" | head -n 1)
+kill_node "$LEFT"
+kill_node "$LOST"
+rm -rf "${WORK:?}/$LOST"
+mkdir "$WORK/$LOST"
+remove_host "$LEFT"
+start_node "$LOST" false "$WORK/$LOST"
+expect_state "a host leads" 10 has_leader
+submit_jobs --count 5 --seed 12 --patience 20
 configure --version 2
 kill -USR2 "${PIDS[targets]}"
 wait_for_exit targets
