Acknowledge ends to targets that close their connections

Cause: the acknowledgement waited for a connection older than the last answered call, as the proof that it doesn't reach the next incarnation, whose ends begin at 1 again. A server need not keep connections open.

Change: once the next incarnation has been called, its fence refuses old numbers. One that nobody has called has ends only of starts that reached it. So, where there is no old connection, the number goes over any, if a call was answered since the last start was sent, and no start without an answer may be on its way. Until then the target is called without delay.

Not mended: responses without a length, which are refused as incomplete. Ends.* and Plan.AStartIsOnItsWay*, three mutants.

--- a/core/plan.h
+++ b/core/plan.h
@@ -348,6 +348,13 @@
 void plan_start_resent(struct fleet_target *target,
                        const struct fleet_task_id *task, uint32_t run_number);
 
+/* Whether a copy of a start order for a run that has not ended may still reach
+ * the target, or a later incarnation: it has no answer, and was sent less than
+ * PLAN_LATE_ORDER_MS ago. */
+#define PLAN_LATE_ORDER_MS 15000u
+bool plan_start_is_on_its_way(const struct fleet_target *target,
+                              uint64_t now_ms);
+
 /* Takes a target's list of its runs. Call plan_run_ended() first for the ends
  * in the same answer. */
 void plan_runs_listed(struct plan *plan, struct fleet_target *target,
--- a/core/planrun.c
+++ b/core/planrun.c
@@ -584,6 +584,23 @@
     }
 }
 
+bool
+plan_start_is_on_its_way(const struct fleet_target *target, uint64_t now_ms)
+{
+    const struct plan_target *ptarget = target->plan;
+
+    for (guint i = 0; i < ptarget->runs->len; i++) {
+        const struct plan_run *run = ptarget->runs->pdata[i];
+
+        if ((run->start_in_flight || run->start_resent ||
+             run->active_since_ms == 0) &&
+            now_ms < run->ordered_ms + PLAN_LATE_ORDER_MS) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 plan_stop_answered(struct plan *plan, struct fleet_target *target,
                    const struct fleet_task_id *task, uint32_t run_number,
--- a/node/dispatchlane.c
+++ b/node/dispatchlane.c
@@ -244,6 +244,7 @@
 
     pending->start.target = target;
     pending->start_sent_us = clock_mono_us();
+    ends_start_sent(&session->ends_ack, clock_mono_ms());
     orders->start(orders->channel, &head, &pending->start, on_start_answered,
                   pending);
 }
@@ -588,9 +589,8 @@
     session = session_of(pending->dispatch, target);
     session->hold_in_flight = false;
     update_clock(session, reply, now_ms);
-    if (reply->answer == ORDER_NOT_SENT && pending->ack_number != 0) {
-        /* No connection was old enough for an acknowledgement. */
-        ends_call_unanswered(&session->ends_ack);
+    if (reply->answer == ORDER_NOT_SENT && pending->needs_old_connection) {
+        ends_lack_old_connection(&session->ends_ack);
         session->next_hold_ms = now_ms;
     }
     else if (reply->answer != ORDER_DONE) {
@@ -618,7 +618,8 @@
 {
     uint64_t end_ms;
 
-    if (!session->runs_listed || !session->has_clock || session->ends_cut) {
+    if (!session->runs_listed || !session->has_clock || session->ends_cut ||
+        ends_await_call(&session->ends_ack)) {
         return 0;
     }
     if (now_ms >= session->dispatch->last_unanswered_ms + LOSSY_PERIOD_MS) {
@@ -645,8 +646,15 @@
         dispatch_add_pending(session->dispatch, session);
 
     pending->sent_ms = now_ms;
-    pending->ack_number = ends_number_to_ack(&session->ends_ack);
-    if (pending->ack_number != 0) {
+    if (ends_await_call(&session->ends_ack)) {
+        pending->ack_number = ends_number_for_any_connection(
+            &session->ends_ack, plan_start_is_on_its_way(target, now_ms));
+    }
+    else {
+        pending->ack_number = ends_number_to_ack(&session->ends_ack);
+        pending->needs_old_connection = pending->ack_number != 0;
+    }
+    if (pending->needs_old_connection) {
         head.opened_before_ms = session->ends_ack.last_call_ms;
     }
     session->hold_in_flight = true;
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -442,6 +442,46 @@
     EXPECT_EQ(ends_number_to_ack(&marks), 7u);
 }
 
+// Guards against LOST: targets that end each connection with its response never got
+// an acknowledgement, and after 500 ends on each nothing started any more.
+TEST(Ends, ATargetThatClosesItsConnectionsIsAcknowledged)
+{
+    ends_ack marks = {};
+    ends_mark_stored(&marks, 7);
+    ends_call_answered(&marks, 0, 100);
+    ends_call_answered(&marks, 0, 200);
+    EXPECT_EQ(ends_number_for_any_connection(&marks, false), 0u)
+        << "an old connection may be there";
+    EXPECT_EQ(ends_number_to_ack(&marks), 7u);
+    ends_lack_old_connection(&marks);
+    EXPECT_TRUE(ends_await_call(&marks));
+    EXPECT_EQ(ends_number_for_any_connection(&marks, false), 7u);
+    ends_call_answered(&marks, 7, 300);
+    EXPECT_FALSE(ends_await_call(&marks));
+    EXPECT_EQ(ends_number_for_any_connection(&marks, false), 0u);
+}
+
+// The next incarnation, which nobody has called, has an end only of a start that has
+// reached it: it must not forget that.
+TEST(Ends, NoAcknowledgementMeetsAStartOnAnyConnection)
+{
+    ends_ack marks = {};
+    ends_mark_stored(&marks, 7);
+    ends_call_answered(&marks, 0, 100);
+    ends_call_answered(&marks, 0, 200);
+    ends_lack_old_connection(&marks);
+    EXPECT_EQ(ends_number_for_any_connection(&marks, true), 0u)
+        << "a start is on its way";
+    ends_start_sent(&marks, 200);
+    EXPECT_EQ(ends_number_for_any_connection(&marks, false), 0u)
+        << "a start may have reached the next incarnation";
+    ends_call_answered(&marks, 0, 250);
+    EXPECT_EQ(ends_number_for_any_connection(&marks, false), 7u)
+        << "that was not so: this one has answered since";
+    ends_call_unanswered(&marks);
+    EXPECT_EQ(ends_number_for_any_connection(&marks, false), 0u);
+}
+
 // ---- fences ----------------------------------------------------------------
 
 // A start order to a former incarnation was carried out by the next one: both
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -177,6 +177,9 @@
 core/fence.c	if (session > FENCE_SESSION_MAX) {	if (false) {	Fence.NoSessionReaches*
 core/ends.c	ack->previous_call_ms != 0 &&		Ends.*
 core/ends.c	ack->stored_number > ack->acked_number	ack->stored_number != 0	Ends.*
+core/ends.c	ack->last_call_ms > ack->last_start_ms	true	Ends.NoAcknowledgementMeets*
+core/ends.c	 && !start_on_its_way &&	 &&	Ends.NoAcknowledgementMeets*
+core/planrun.c	now_ms < run->ordered_ms + PLAN_LATE_ORDER_MS	false	Plan.AStartIsOnItsWay*
 node/fetch.c	if (transfer->opened_before_ms != 0 &&	if (false &&	Fetch.OpenedBefore*
 core/planhold.c	search.slots->len >= member_count(step)	true	Plan.AGang*
 core/planhold.c	return step->def->lasting ||\n           now_ms + run_time_ms > target->reserved_from_ms;	return true;	Plan.ShortWork*
--- a/tests/plan_test.cc
+++ b/tests/plan_test.cc
@@ -625,6 +625,28 @@
 
 // Regression: a retransmitted start order reached the target after its
 // restart, when the task had already been started on another target.
+// An acknowledgement of ends over any connection waits for these.
+TEST(Plan, AStartIsOnItsWayUntilItIsAnsweredOrLongPast)
+{
+    FleetSim sim;
+    sim.configure({"q"});
+    sim.put_target("t1", 1000);
+    sim.become_leader();
+    sim.submit(1, {{.count = 1}});
+    sim.run_pass();
+    const fleet_target *target = sim.find_target("t1");
+    EXPECT_TRUE(plan_start_is_on_its_way(target, sim.now_ms));
+    sim.confirm_start(sim.start_orders[0]);
+    EXPECT_FALSE(plan_start_is_on_its_way(target, sim.now_ms));
+    plan_start_resent(sim.find_target("t1"), &sim.start_orders[0].task,
+                      sim.start_orders[0].run);
+    EXPECT_TRUE(plan_start_is_on_its_way(target, sim.now_ms))
+        << "the first copy had no answer";
+    EXPECT_FALSE(
+        plan_start_is_on_its_way(target, sim.now_ms + PLAN_LATE_ORDER_MS))
+        << "a lasting task would hold up all acknowledgements";
+}
+
 TEST(Plan, AnUnansweredStartIsStoppedOnARestartedTarget)
 {
     FleetSim sim;
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -134,10 +134,11 @@
         return int(head.split()[1]), None
 
 
-async def serve(address, handler, writers=None, on_lost=None):
+async def serve(address, handler, writers=None, on_lost=None, closes=""):
     """Serves HTTP. handler(path, headers, object) returns (status, object or
     bytes), or None to leave the request unanswered. Open connections are added to the
-    set writers. on_lost() is called for an answer whose caller has gone."""
+    set writers. on_lost() is called for an answer whose caller has gone. closes:
+    "header" or "silently", if each connection ends with its first response."""
     async def on_connection(reader, writer):
         if writers is not None:
             writers.add(writer)
@@ -159,9 +160,12 @@
                 status, obj = answer
                 data = (obj if isinstance(obj, bytes)
                         else json.dumps(obj).encode())
+                head = b"" if closes != "header" else b"Connection: close\r\n"
                 writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json"
-                             b"\r\nContent-Length: %d\r\n\r\n"
-                             % (status, len(data)) + data)
+                             b"\r\n%sContent-Length: %d\r\n\r\n"
+                             % (status, head, len(data)) + data)
+                if closes:
+                    break
         except (asyncio.IncompleteReadError, ConnectionError, OSError):
             pass
         if writers is not None:
@@ -616,7 +620,9 @@
             await asyncio.sleep(0.5)
 
     async def run(self):
-        await serve(self.address, self.handle_request, self.writers)
+        await serve(self.address, self.handle_request, self.writers,
+                    closes=["header", "silently"][self.number % 2]
+                    if self.options.closes else "")
         asyncio.ensure_future(self.keep_announcing())
         while True:
             self.end_due_runs()
@@ -877,6 +883,9 @@
     parser.add_argument("--outlive", action="store_true",
                         help="late orders reach the next incarnation, once the "
                         "leader has called that")
+    parser.add_argument("--closes", action="store_true",
+                        help="targets close each connection with its response, "
+                        "every other one without a header that says so")
     parser.add_argument("--lost", type=float, default=0)
     parser.add_argument("--failures", type=float, default=0)
     parser.add_argument("--restart", type=float, default=0)
