Log what decides an election while no leader is known

Event leader.missing, every two seconds on each replica that knows no leader: for how long, term, index and term of its newest entry, what is committed, the hosts of its newest list of voters, and the votes that it was granted last. The lines of all replicas tell a lost majority from a log that is behind, and from a list that differs.

--- a/base/event.c
+++ b/base/event.c
@@ -45,6 +45,12 @@
                            "no leader answers; calls are refused immediately"},
     [EVENT_LEADER_FOUND] = {"leader.heard", 5, "leader silent_ms",
                             "a leader answers again"},
+    [EVENT_LEADER_MISSING] =
+        {"leader.missing", 10,
+         "for_ms term last last_term commit voters votes",
+         "this replica knows no leader; last: index of its newest entry; "
+         "voters: hosts of its newest list; votes: those that it was granted "
+         "last"},
     [EVENT_LINES_DROPPED] =
         {"lines.left_out", 50, "of count",
          "lines of an event were dropped: rate limit exceeded "
--- a/base/event.h
+++ b/base/event.h
@@ -30,6 +30,7 @@
     EVENT_DISK_RECOVERED,
     EVENT_LEADER_LOST,
     EVENT_LEADER_FOUND,
+    EVENT_LEADER_MISSING,
     EVENT_LINES_DROPPED,
     EVENT_TEXT,
     /* leadership, membership, configuration and targets */
--- a/core/raft.c
+++ b/core/raft.c
@@ -924,6 +924,18 @@
     return raftlog_last_index(&raft->log);
 }
 
+uint64_t
+raft_last_term(const struct raft *raft)
+{
+    return raftlog_last_term(&raft->log);
+}
+
+uint32_t
+raft_votes(const struct raft *raft)
+{
+    return g_hash_table_size(raft->votes_granted);
+}
+
 uint32_t
 raft_log_length(const struct raft *raft)
 {
--- a/core/raft.h
+++ b/core/raft.h
@@ -200,7 +200,8 @@
  * raft_leader_host() returns "" when no leader is known; raft_entry_at()
  * returns NULL for an entry that is not in memory; raft_is_empty(): it has
  * neither entries, nor a term, nor a leader; raft_log_length() counts
- * the entries in memory.
+ * the entries in memory; raft_votes() is the number of replicas that have
+ * granted their vote or pre-vote in the newest election of this one.
  */
 enum raft_state raft_state(const struct raft *raft);
 uint64_t raft_term(const struct raft *raft);
@@ -209,6 +210,8 @@
 uint64_t raft_commit_index(const struct raft *raft);
 uint64_t raft_applied_index(const struct raft *raft);
 uint64_t raft_last_index(const struct raft *raft);
+uint64_t raft_last_term(const struct raft *raft);
+uint32_t raft_votes(const struct raft *raft);
 uint32_t raft_log_length(const struct raft *raft);
 const char *raft_leader_host(const struct raft *raft);
 const struct raft_members *raft_members(const struct raft *raft);
--- a/node/replica.c
+++ b/node/replica.c
@@ -13,6 +13,7 @@
 
 #define TICK_INTERVAL_MS 10u
 #define HELLO_INTERVAL_MS 300u
+#define LEADER_MISSING_INTERVAL_MS 2000u
 #define LEAVE_INTERVAL_MS 100u /* between two hellos of a host that leaves */
 #define DEFERRED_MAX 65536u    /* messages that wait for a sync */
 /* Pauses before a disk that failed is written again. */
@@ -390,6 +391,47 @@
     send_hello(replica, NULL);
 }
 
+/* Logs what decides whether an election can succeed here: of hosts that find
+ * no leader, these lines together show whether a majority of a list is there.
+ */
+static void
+log_missing_leader(struct replica *replica, uint64_t now_ms)
+{
+    const struct raft *raft = replica->raft;
+    const struct fp_list *list = &raft_members(raft)->list;
+    const struct raft_member *member = list->items;
+    GString *voters;
+
+    if (replica->disk == NULL || raft_leader_host(raft)[0] != '\0') {
+        replica->leaderless_ms = 0;
+        return;
+    }
+    if (replica->leaderless_ms == 0) {
+        replica->leaderless_ms = now_ms;
+        replica->missing_logged_ms = now_ms;
+    }
+    if (now_ms < replica->missing_logged_ms + LEADER_MISSING_INTERVAL_MS) {
+        return;
+    }
+    replica->missing_logged_ms = now_ms;
+    voters = g_string_new(NULL);
+    for (uint32_t i = 0; i < list->count; i++) {
+        if (member[i].role == RAFT_VOTER) {
+            g_string_append_printf(voters, "%s%s", voters->len > 0 ? " " : "",
+                                   member[i].host);
+        }
+    }
+    EVENT(EVENT_LEADER_MISSING,
+          EVENT_INT("for_ms", now_ms - replica->leaderless_ms),
+          EVENT_INT("term", raft_term(raft)),
+          EVENT_INT("last", raft_last_index(raft)),
+          EVENT_INT("last_term", raft_last_term(raft)),
+          EVENT_INT("commit", raft_commit_index(raft)),
+          EVENT_STR("voters", voters->str),
+          EVENT_INT("votes", raft_votes(raft)));
+    g_string_free(voters, TRUE);
+}
+
 /* Returns the size of the log at which a snapshot is due. While one is taken
  * the folder holds two snapshots and two logs. Entries are in memory too.
  */
@@ -454,6 +496,7 @@
 
     retry_disk(replica, now_ms);
     raft_tick(replica->raft, now_ms);
+    log_missing_leader(replica, now_ms);
     if (!replica->leading && raft_leader_ready(replica->raft, now_ms)) {
         replica->leading = true;
         replica->ops.on_leadership_changed(replica->ops.ctx, true);
--- a/node/replicapriv.h
+++ b/node/replicapriv.h
@@ -64,12 +64,14 @@
     struct bus *bus;
     uv_prepare_t flush_prepare;
     uint64_t run_id;
-    uint64_t synced_write;        /* number of the last synced write */
-    GQueue deferred;              /* struct deferred_message */
-    GHashTable *host_names;       /* identity to host name */
-    GHashTable *proposals;        /* request ID to struct proposal */
-    GHashTable *proposers;        /* log index to struct proposer */
-    GHashTable *queries;          /* request ID to struct query */
+    uint64_t leaderless_ms;     /* since when no leader is known; 0: one is */
+    uint64_t missing_logged_ms; /* when that was last logged */
+    uint64_t synced_write;      /* number of the last synced write */
+    GQueue deferred;            /* struct deferred_message */
+    GHashTable *host_names;     /* identity to host name */
+    GHashTable *proposals;      /* request ID to struct proposal */
+    GHashTable *proposers;      /* log index to struct proposer */
+    GHashTable *queries;        /* request ID to struct query */
     GHashTable *received_queries; /* query ID to struct received_query */
     /* Starts at a random number, so that a reply to a request of an earlier
      * process on this host matches no request of this one. */
