--- a/tests/platform/operators.py
+++ b/tests/platform/operators.py
@@ -811,6 +811,7 @@
     options = parser.parse_args()
     options.late = options.lost = options.invalid = 0.0
     options.failures = options.resize = options.restart = options.deaf = 0
+    options.outlive = options.closes = False
     options.zones = 1
     test = Test(options)
     options.port = options.port + 7  # of the targets
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -630,6 +630,8 @@
     parser.add_argument("--fronts", type=int, default=2)
     options = parser.parse_args()
     options.late = options.lost = 0.01
+    options.outlive = False
+    options.closes = options.seed % 5 == 0
     options.failures = options.resize = 0
     options.zones = 2
     options.invalid = 0.02
