Give up tasks that come to a lowered limit of attempts

Cause: apply_end() compares the failures of a task with the limit only when one more failed run is applied; the scheduler withholds starts by the limit in force. A task that comes to its limit otherwise may not start and is ended by nobody: by a configuration, a queue that comes back with a lower limit, or a last run that is lost, stopped or refused after the change.

Evidence: the log of the case says "its attempts are used up" in 24 step.waits lines, once a second to the end of the run; other reasons (no room, the team's limit, held) would be named there. No line was missing to tell the hypotheses apart.

Change: the leader gives up a task that has neither a run nor attempts left for 0.5 s and commits the end of its last failed run once more. A failure counts once for each run, so nothing is added, but the state compares it with the limit again, and fails the job, unless the limit has risen or the task is done. A run at work may still be done. After a takeover a task waits until the targets that may run it have listed their runs. Configurations, takeovers and runs that are gone mark the tasks to look at.

--- a/base/event.c
+++ b/base/event.c
@@ -114,6 +114,10 @@
         {"task.suspected", 200, "id run evidence verdict ran_ms",
          "evidence on a task whose target crashed, or that cleared it; with "
          "the verdict proven its job fails"},
+    [EVENT_TASK_USED_UP] =
+        {"task.used_up", 200, "id run max_attempts",
+         "a task without a run has failed as often as its queue allows now, "
+         "which it had not when it failed last, by run; its job fails"},
     [EVENT_TARGET_REMOVED] = {"target.removed", 100, "id",
                               "a target was removed from the state"},
     [EVENT_TARGET_REFUSED] = {"target.refused", 10,
--- a/bench/simlead.c
+++ b/bench/simlead.c
@@ -280,6 +280,14 @@
     sim_apply(ctx, &FLEET_CRASHES_SCHEMA, &crashes);
 }
 
+static void
+repeat_ends(void *ctx, const struct fp_list *items)
+{
+    struct fleet_run_ends ends = {.items = *items};
+
+    sim_apply(ctx, &FLEET_RUN_ENDS_SCHEMA, &ends);
+}
+
 /* Has no effect: simulated runs have no pace. */
 static void
 set_pace(void *ctx, const struct fleet_target *target,
@@ -488,6 +496,7 @@
                                  .set_pace = set_pace,
                                  .query_policy = query_policy,
                                  .store_evidence = store_evidence,
+                                 .repeat_ends = repeat_ends,
                                  .ctx = sim};
 
     sim->reconciled = false;
--- a/cli/explain.c
+++ b/cli/explain.c
@@ -31,8 +31,9 @@
     const struct log_line *failed_call;
     const struct log_line *run_lost;
     const struct log_line *run_unanswered;
-    const struct log_line *moved;  /* a run left an evacuated data centre */
-    const struct log_line *proven; /* a task crashes its targets */
+    const struct log_line *moved;   /* a run left an evacuated data centre */
+    const struct log_line *proven;  /* a task crashes its targets */
+    const struct log_line *used_up; /* a task has come to a lower limit */
     const struct log_line *run_failed;
     const struct log_line *longest_wait;
     const struct log_line *slowest_answer; /* of the placement policy */
@@ -170,6 +171,9 @@
             history->proven = line;
         }
     }
+    else if (strcmp(event, "task.used_up") == 0) {
+        history->used_up = line;
+    }
     else if (strcmp(event, "run.stopped") == 0 &&
              strcmp(string_field(line, "why"), PLAN_EVACUATED_REASON) == 0) {
         history->moved = line;
@@ -324,6 +328,13 @@
                string_field(history->proven, "id"),
                integer_field(history->proven, "run"));
     }
+    else if (strcmp(state, "failed") == 0 && history->used_up != NULL) {
+        printf("Cause: task %s had failed as often as its queue allows since "
+               "a change of the configuration, %lld times, and had no run "
+               "left.\n",
+               string_field(history->used_up, "id"),
+               integer_field(history->used_up, "max_attempts"));
+    }
     else if (strcmp(state, "failed") == 0) {
         printf("Cause: a task reached its queue's limit of attempts; %u runs "
                "failed, the last one on target %s.\n",
--- a/core/plan.c
+++ b/core/plan.c
@@ -314,6 +314,7 @@
             task->checkpoint != NULL) {
             pjob->started = true;
         }
+        pjob->has_failures = pjob->has_failures || task->failures.count > 0;
     }
 }
 
@@ -354,6 +355,7 @@
     for (uint32_t i = 0; i < pjob->step_count; i++) {
         plan_open_step(plan, &pjob->steps[i]);
     }
+    plan_review_job_attempts(plan, pjob);
 }
 
 void
@@ -461,7 +463,7 @@
     }
 }
 
-/* A queue may have moved to another service. */
+/* A queue may have moved to another service, or allow fewer attempts. */
 void
 plan_config_changed(struct plan *plan)
 {
@@ -474,6 +476,7 @@
 
         if (pjob != NULL) {
             pjob->pool = get_or_add_pool(plan, job->queue->conf.service);
+            plan_review_job_attempts(plan, pjob);
         }
     }
     plan->dirty = true;
@@ -600,12 +603,13 @@
     plan->long_queries_blocked = false;
     plan->next_pass_ms = now_ms + IDLE_PASS_INTERVAL_MS;
     plan->counters.passes++;
+    plan_survey_unlisted(plan);
+    plan_give_up_tasks(plan, now_ms);
     remove_closed_steps(plan);
     remove_ended_jobs(plan);
     plan_sort_open_steps(plan, now_ms);
     plan_update_cold(plan, now_ms);
     plan_update_pools(plan, now_ms);
-    plan_survey_unlisted(plan);
     evacuate_leaving_targets(plan, now_ms);
     plan_move_evacuated_runs(plan, now_ms);
     for (guint i = 0; i < plan->open_steps->len; i++) {
@@ -653,6 +657,7 @@
     plan->ops = *ops;
     plan->copies = plan_copies_new();
     plan->ended_jobs = g_ptr_array_new();
+    plan->reviews = plan_reviews_new();
     plan->open_steps = g_ptr_array_new();
     plan->upcoming_steps = g_ptr_array_new();
     plan->querying_steps = g_ptr_array_new();
@@ -715,6 +720,7 @@
     g_free(plan->evidence.items);
     plan_copies_free(plan->copies);
     g_ptr_array_free(plan->ended_jobs, TRUE);
+    g_array_free(plan->reviews, TRUE);
     g_hash_table_destroy(plan->pools);
     g_hash_table_destroy(plan->queue_ratios);
     g_free(plan);
--- a/core/plan.h
+++ b/core/plan.h
@@ -23,6 +23,7 @@
  *   planinherit.c inherited work that unreachable targets may run
  *   planevac.c   evacuated data centres, and cold targets
  *   plancrash.c  crashes of targets, and the runs that may have caused them
+ *   planattempts.c tasks that have used up their attempts
  *   planticket.c queries to the placement policy
  *   planpack.c   how well a task fits a target
  *   planspeed.c  how fast targets run work
@@ -193,6 +194,11 @@
     /* Stores evidence in the fleet's state: proposes items, a list of struct
      * fleet_task_crash that is valid during the call, as FLEET_CRASHES. */
     void (*store_evidence)(void *ctx, const struct fp_list *items);
+    /* Proposes items, a list of struct fleet_run_end that is valid during the
+     * call, as FLEET_RUN_ENDS: failures that were counted before. Each is of a
+     * task that has no run and no attempts left by the limit that is in force
+     * now. The state compares it with its limit again when it applies them. */
+    void (*repeat_ends)(void *ctx, const struct fp_list *items);
     void (*on_target_crashed)(void *ctx, const struct plan_crash *crash);
     /* A target gets no starts for for_ms, after so many failures in a row. */
     void (*on_target_backoff)(void *ctx, const struct fleet_target *target,
@@ -277,6 +283,8 @@
     uint64_t common_losses; /* of them, with a common cause */
     uint64_t trials; /* starts of suspected tasks, apart from other starts */
     uint64_t tasks_given_up;     /* since they crash their targets */
+    uint64_t jobs_over_limit;    /* reported to fail: a task came to its limit
+                                  * on failures other than by a failure */
     uint64_t evacuated_runs;     /* stopped to go on in another data centre */
     uint64_t copies;             /* second runs of tasks; in starts as well */
     uint64_t copies_won;         /* ended first */
--- a/core/plancopy.c
+++ b/core/plancopy.c
@@ -405,7 +405,6 @@
 {
     const struct plan_step *step = run->step;
     const struct plan_task *task;
-    uint32_t max_attempts;
 
     if (step == NULL || !plan_allows_copies(plan, step) || step->job->ended ||
         run->state != RUN_ACTIVE || run->detached ||
@@ -413,11 +412,10 @@
         return false;
     }
     task = &step->job->tasks[run->task_number];
-    max_attempts = step->job->job->queue->conf.max_attempts;
     return !task->done && task->runs == 1 && task->copies == 1 &&
            now_ms >= task->not_before_ms && task->crashes == NULL &&
            task->open_crashes == 0 && !plan_is_step_suspected(step) &&
-           (max_attempts == 0 || task->failures.count + 2 <= max_attempts);
+           plan_has_attempts(step, run->task_number, 2);
 }
 
 /* Probability, per mille, that a run that is as old as the straggler on this
--- a/core/planfit.c
+++ b/core/planfit.c
@@ -329,12 +329,9 @@
 may_start_task(const struct plan_step *step, uint32_t number, uint64_t now_ms)
 {
     const struct plan_task *task = &step->job->tasks[number];
-    uint32_t max_attempts = step->job->job->queue->conf.max_attempts;
 
     return !task->done && task->runs == 0 && now_ms >= task->not_before_ms &&
-           plan_may_crash_again(task) &&
-           (step->def->lasting || max_attempts == 0 ||
-            task->failures.count < max_attempts);
+           plan_may_crash_again(task) && plan_has_attempts(step, number, 1);
 }
 
 /* Why may_start_task() is false for a task without a run. */
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -201,6 +201,7 @@
     uint32_t open_crashes;   /* runs that may have crashed targets that do not
                               * answer now */
     uint64_t not_before_ms;  /* no start before this */
+    bool in_review;          /* in plan->reviews */
     char *checkpoint;        /* latest known; NULL: none */
 };
 
@@ -220,6 +221,9 @@
     uint64_t turn_until_ms;    /* end of the last one */
     struct plan_step *steps;   /* by occurrence, then step */
     bool has_crashes;          /* a task has or had crashes or open_crashes */
+    bool has_failures;         /* a task has failures */
+    uint64_t next_report_ms;   /* no report of a task that has used up its
+                                * attempts before this; 0: there was none */
     uint32_t step_count;
     struct plan_task *tasks;
     GQueue runs;        /* struct plan_run of its steps, by their job_link */
@@ -258,6 +262,8 @@
     struct plan_copies *copies; /* see plancopy.c */
     GPtrArray *ended_jobs;      /* struct plan_job that may have runs left */
     struct fp_list evidence;    /* struct fleet_task_crash to be stored */
+    GArray *reviews;            /* see planattempts.c: tasks that may have used
+                                 * up their attempts */
     struct fleet_resources unlisted_capacity; /* of targets whose runs are not
                                                * known yet; set by each pass */
     uint32_t unlisted_targets;                /* their number */
@@ -458,6 +464,22 @@
 /* Passes new evidence on to be stored. */
 void plan_store_evidence(struct plan *plan);
 
+/* planattempts.c */
+
+GArray *plan_reviews_new(void);
+/* Whether so many more runs of a task may fail within its queue's limit. */
+bool plan_has_attempts(const struct plan_step *step, uint32_t task_number,
+                       uint32_t runs);
+/* Looks at a task in the next pass if its attempts are used up. Call when it
+ * has lost a run. */
+void plan_review_attempts(struct plan *plan, struct plan_step *step,
+                          uint32_t task_number);
+/* The same for all tasks of a job. Call when its limit may have changed. */
+void plan_review_job_attempts(struct plan *plan, struct plan_job *job);
+/* Reports tasks that have used up their attempts and have no run, so that
+ * their jobs fail. */
+void plan_give_up_tasks(struct plan *plan, uint64_t now_ms);
+
 /* planevac.c */
 
 /* Whether the target may get starts, queries and reservations. */
--- a/core/planrun.c
+++ b/core/planrun.c
@@ -267,6 +267,7 @@
         if (!run->detached) {
             plan_release_task(plan, step, task);
         }
+        plan_review_attempts(plan, step, run->task_number);
     }
     plan_unsuspect_run(plan, run);
     plan_unlink_run(run);
@@ -416,6 +417,7 @@
         struct plan_task *task = &step->job->tasks[i];
 
         failures_add(&task->failures, run_number);
+        step->job->has_failures = true;
         task->not_before_ms =
             now_ms + (task->failures.count - 1) * RETRY_AFTER_FAILURE_MS;
     }
--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -748,6 +748,7 @@
                                  .on_target_crashed =
                                      dispatch_log_target_crashed,
                                  .store_evidence = dispatch_store_evidence,
+                                 .repeat_ends = dispatch_repeat_ends,
                                  .on_target_backoff = log_target_backoff,
                                  .ctx = dispatch};
     GHashTableIter iter;
--- a/node/dispatchpriv.h
+++ b/node/dispatchpriv.h
@@ -4,6 +4,7 @@
  *   dispatchlane.c orders to targets, leases, ends of runs
  *   dispatchask.c  queries to the placement policy
  *   dispatchcrash.c crashes of targets: events, evidence in the log
+ *   dispatchattempts.c tasks that have used up their attempts
  *   dispatchevac.c orders to evacuate data centres
  *   dispatchlease.c length of the leases of targets
  */
@@ -213,6 +214,9 @@
 
 /* Callbacks of struct plan_ops; ctx is a struct dispatch. */
 void dispatch_store_evidence(void *ctx, const struct fp_list *items);
+
+/* dispatchattempts.c: operation of the plan. */
+void dispatch_repeat_ends(void *ctx, const struct fp_list *items);
 void dispatch_log_run_lost(void *ctx, const struct plan_lost_run *lost);
 void dispatch_log_target_crashed(void *ctx, const struct plan_crash *crash);
 
--- a/node/fleetmetrics.c
+++ b/node/fleetmetrics.c
@@ -135,6 +135,7 @@
     add_value(out, "targets_lost_common_total", counters->common_losses);
     add_value(out, "crash_trials_total", counters->trials);
     add_value(out, "tasks_given_up_total", counters->tasks_given_up);
+    add_value(out, "jobs_over_limit_total", counters->jobs_over_limit);
     add_value(out, "evacuated_runs_total", counters->evacuated_runs);
     add_value(out, "copies_total", counters->copies);
     add_value(out, "copies_won_total", counters->copies_won);
--- a/tests/liveness_random_test.cc
+++ b/tests/liveness_random_test.cc
@@ -20,6 +20,7 @@
 struct Mix {
     uint32_t hopeless = 1; // gangs that the policy grants too few targets
     bool moves = false;    // the queue's service changes
+    bool limits = false;   // the number of attempts changes
 };
 
 void add_targets(LiveWorld &world)
@@ -67,8 +68,18 @@
     return job;
 }
 
+void change_limit(LiveWorld &world)
+{
+    world.sim.max_attempts = 1 + world.below(5);
+    configure(world, "svc");
+    world.log("limit " + std::to_string(world.sim.max_attempts));
+}
+
 void inject_fault(LiveWorld &world, const Mix &mix)
 {
+    if (mix.limits && world.chance(30)) {
+        change_limit(world);
+    }
     Machine &m =
         world.machines["t" + std::to_string(world.below(24))];
     switch (world.below(mix.moves ? 9 : 8)) {
@@ -202,17 +213,23 @@
 
 TEST(LivenessRandom, WhatCouldRunRunsAfterFaults)
 {
-    expect_no_failure(60, {.hopeless = 1, .moves = false});
+    expect_no_failure(60, {.hopeless = 1, .moves = false, .limits = false});
 }
 
 TEST(LivenessRandom, WhatCouldRunRunsAfterQueuesMoved)
 {
-    expect_no_failure(60, {.hopeless = 1, .moves = true});
+    expect_no_failure(60, {.hopeless = 1, .moves = true, .limits = false});
+}
+
+// Nor does a job wait for good whose task may start no more.
+TEST(LivenessRandom, WhatCouldRunRunsAfterLimitsChanged)
+{
+    expect_no_failure(60, {.hopeless = 1, .moves = false, .limits = true});
 }
 
 TEST(LivenessRandom, WhatCouldRunRunsBesideHopelessGangs)
 {
-    expect_no_failure(60, {.hopeless = 15, .moves = false});
+    expect_no_failure(60, {.hopeless = 15, .moves = false, .limits = false});
 }
 
 } // namespace
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -86,10 +86,10 @@
 core/plancrash.c	return !step->is_trial || !has_new_run(target, step->job, now_ms);	return true || !has_new_run(target, step->job, now_ms);	Crash.ATrialIsHeldApart*
 core/crashes.c	if (run <= crashes->cleared_run) {	if (false) {	Crash.EvidenceOfARun*
 core/crashes.c	started >= CRASHES_OPEN_MAX)	false)	Crash.LeadersThatAreLost*
-core/planfit.c	           plan_may_crash_again(task) &&\n		Crash.LeadersThatAreLost*
+core/planfit.c	plan_may_crash_again(task) && 		Crash.LeadersThatAreLost*
 core/planlist.c	    plan_clear_survivor(plan, run, requested_ms);	    (void)requested_ms;	Crash.ATaskThatOutlives*
 core/fleet.c	if (crashes_verdict(task->crashes) == CRASH_PROVEN) {	if (false) {	Crash.ATaskWith*
-core/planfit.c	           plan_may_crash_again(task) &&\n		Replay.ATaskThatCrashes*
+core/planfit.c	plan_may_crash_again(task) && 		Replay.ATaskThatCrashes*
 core/fleetsave.c	        task->crashes = load_crashes(&saved_task[i]);	        (void)load_crashes;	Crash.EvidenceIsRestored*
 core/fleet.c	(!restarted && target->rec.sequence > rec->sequence)	false	Capacity.ALateAnnouncement*
 core/fleet.c	(!restarted && target->rec.sequence > rec->sequence)	false	Replay.NoTargetIsOver*
@@ -159,7 +159,7 @@
 core/fleet.c	            fleet_end_outage(target);	            ;	Plan.TheRecordOfAnOutage*
 core/plan.c	if (run->start_in_flight || run->last_listed_ms == 0 ||	if (run->last_listed_ms == 0 ||	Plan.AnUnansweredStartIsStopped*
 core/planlist.c	else if (run->stop_confirmed_ms != 0 &&\n                 run->stop_confirmed_ms < requested_ms) {	else if (run->stop_confirmed_ms != 0) {	Plan.AnUnanswered*
-core/planfit.c	task->failures.count < max_attempts);	true);	Plan.NoStart*
+core/planfit.c	 && plan_has_attempts(step, number, 1);	;	Plan.NoStart*
 core/planfit.c	count_step_runs(target, step) + target->members <\n                step->def->spread);	true);	Plan.AtMost*
 core/planfit.c	count_step_runs(target, step) + target->members <\n                step->def->spread);	count_step_runs(target, step) < step->def->spread);	Plan.AGangThatIsSpread*
 core/planfit.c	step->wait_reason = "its team is at its limit";\n            return;	step->wait_reason = "its team is at its limit";	Plan.ATeamLimit*
@@ -220,7 +220,7 @@
 core/planticket.c	        rank = plan_count_fitting(target, &used, &size) > 0 ? 1ull << 32 : 0;	        rank = 0;	Pack.AQueryNamesTargetsThatAreFree*
 core/planpack.c	if (capacity == 0 || used + size >= capacity) {	if (capacity == 0) {	Pack.ATargetThatShrank*
 core/plancopy.c	plan->params.policy->copies && step->def->duplicates &&	plan->params.policy->copies &&	Copy.NothingIsDoubled*
-core/plancopy.c	task->failures.count + 2 <= max_attempts	max_attempts > 0	Copy.AttemptsAreKept*
+core/plancopy.c	plan_has_attempts(step, run->task_number, 2)	true	Copy.AttemptsAreKept*
 core/plancopy.c	task->runs == 1 && task->copies == 1 &&		Copy.AStraggler*
 core/plancopy.c	plan_team_allows(plan, step->job->job->team, size) &&		Copy.TheTeamLimit*
 core/plancopy.c	budget->extra + extra <= budget->work * EXTRA_WORK_PERMILLE / 1000	true	Copy.ExtraWork*
@@ -335,6 +335,14 @@
 core/plancrash.c	(target->closed && target->silent_ms >= run->ordered_ms &&	(target->silent_ms >= run->ordered_ms &&	Crash.AnOrderThatADark*
 core/plancrash.c	other_crashes(run) >= UNSURE_STARTS_MAX ||	false ||	*ATaskWhoseStartsHaveNoAnswer*
 core/plancrash.c	            end_open_crash(run);	            ;	*ATaskWhoseStartsHaveNoAnswer*
+core/planattempts.c	            plan_is_held(plan, step->job)) {	            false) {	Attempts.ANewLeader*
+core/planattempts.c	        !has_run(step, step->first_task + id->index) &&		Attempts.ARunAtWork*
+core/planattempts.c	now_ms < step->job->next_report_ms ||		Attempts.AReportThat*
+core/planattempts.c	now_ms < review.since_ms + REVIEW_MS ||		Attempts.ALimitThatRisesAgain*
+core/planattempts.c	step->def->gang ? step->def->count : 1;\n\n    for (uint32_t i = 0; i < count; i++) {\n        if (tasks[i]	1;\n\n    for (uint32_t i = 0; i < count; i++) {\n        if (tasks[i]	Attempts.AGangWaits*
+core/planrun.c	        plan_review_attempts(plan, step, run->task_number);		Attempts.AJobFailsWhoseLast*
+core/plan.c	            plan_review_job_attempts(plan, pjob);		Attempts.AJobFailsWhoseTaskWaits*
+core/plan.c	    plan_review_job_attempts(plan, pjob);\n}	}	Attempts.AJobIsGivenUp*
 LIST
 echo "$CAUGHT passed, $MISSED failed"
 [ "$MISSED" = 0 ]
--- a/tests/plan_world.h
+++ b/tests/plan_world.h
@@ -62,6 +62,11 @@
     uint64_t config_version = 0;
     // How long the policy takes for a query, and for each target in it.
     uint32_t advice_us = 20000, advice_each_us = 1000;
+    uint32_t max_attempts = 3; // of each queue
+    // Reports of tasks that have used up their attempts. They are committed at
+    // once unless drops_reports is true.
+    std::vector<fleet_run_end> reports;
+    bool drops_reports = false;
     // Services of queues that are on another one than configure() says.
     std::map<std::string, std::string> queue_services;
 
@@ -126,7 +131,7 @@
             queue->priority = priority++;
             queue->objective_ms = 1000;
             queue->stretch_permille = 2000;
-            queue->max_attempts = 3;
+            queue->max_attempts = max_attempts;
             queue->open = true;
             queue->advised = advised;
             queue->advice_us = advice_us;
@@ -230,6 +235,7 @@
         ops.on_run_lost = on_run_lost;
         ops.on_target_crashed = on_target_crashed;
         ops.store_evidence = on_evidence;
+        ops.repeat_ends = on_repeated_ends;
         ops.ctx = this;
         planner = plan_new(fleet_state, &params, &ops, now_ms);
         for (guint i = 0; i < planner->targets->len; i++) {
@@ -497,6 +503,17 @@
         crashes.items = *items;
         self(ctx)->apply_change(&FLEET_CRASHES_SCHEMA, &crashes);
     }
+    static void on_repeated_ends(void *ctx, const fp_list *items)
+    {
+        const auto *end = (const fleet_run_end *)items->items;
+        const std::vector<fleet_run_end> ends(end, end + items->count);
+        for (const fleet_run_end &item : ends) {
+            self(ctx)->reports.push_back(item);
+            if (!self(ctx)->drops_reports) {
+                self(ctx)->commit_end(item);
+            }
+        }
+    }
     static void on_pace(void *ctx, const fleet_target *target,
                         const fleet_task_id *task, uint32_t run,
                         uint32_t percent)
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -738,6 +738,9 @@
 async def run_configure(options):
     config = dict(CONFIG if options.site == "shop" else yard_config(),
                   version=options.version)
+    if options.max_attempts:
+        config["routes"] = [dict(route, max_attempts=options.max_attempts)
+                            for route in config["routes"]]
     for _ in range(100):
         for address in options.control.split(","):
             status, _ = await request(address, "PUT", "/filbertpath/config",
@@ -923,6 +926,8 @@
     parser.add_argument("--until-ms", type=int, default=0,
                         help="all tasks end at this time, ms since 1970")
     parser.add_argument("--version", type=int, default=1)
+    parser.add_argument("--max-attempts", type=int, default=0,
+                        help="of all queues; 0: as they are")
     options = parser.parse_args()
     run = {"targets": run_targets, "configure": run_configure,
            "jobs": run_jobs}[options.mode]
--- a/tests/sessions/explain.sh
+++ b/tests/sessions/explain.sh
@@ -1,6 +1,7 @@
 # "explain" finds in the logs of two hosts why a job was late or rejected: answers of
 # the placement policy that name no target with room, a lost leader, a job on time, a rejected job, a lost target, a wait for the team's
-# limit with log lines missing, a data centre that is evacuated, an unknown ID.
+# limit with log lines missing, a data centre that is evacuated, a lower limit of
+# attempts, an unknown ID.
 LOGS=$(mktemp -d)
 cat >"$LOGS/one" <<'LINES'
 {"at":100.000,"event":"job.accepted","id":"00000000000000a1","queue":"q","team":"t","tasks":1,"chain_ms":700,"objective_ms":1300,"config":3}
@@ -28,8 +29,12 @@
 {"at":116.190,"event":"policy.answered","id":"00000000000000a7.0.0","asker":"10.0.0.7","granted":0,"error":"corrupt","status":404,"bytes":2,"unread":0,"took_ms":190,"policy_ms":188}
 {"at":117.200,"event":"step.waits","id":"00000000000000a7.0.0","why":"no room on a target with a good ticket","idle":1,"waited_ms":1200,"named":9,"granted":4,"refused":3,"asking":2,"expired":1,"fitting":0,"free_cpu":9000,"free_accel":0}
 {"at":119.000,"event":"job.ended","id":"00000000000000a7","state":"completed","took_ms":3000,"objective_ms":1300}
+{"at":120.000,"event":"job.accepted","id":"00000000000000a8","queue":"q","team":"t","tasks":1,"chain_ms":700,"objective_ms":1300,"config":3}
+{"at":120.500,"event":"run.ended","id":"00000000000000a8.0.0.0","run":1,"target":"t-5","how":"failed"}
+{"at":121.000,"event":"task.used_up","id":"00000000000000a8.0.0.0","run":1,"max_attempts":1}
+{"at":121.002,"event":"job.ended","id":"00000000000000a8","state":"failed","took_ms":1002,"objective_ms":1300}
 LINES
-for id in 00000000000000a7 00000000000000a1 00000000000000a2 00000000000000a3 00000000000000a4 00000000000000a5 00000000000000a6 00000000000000ff; do
+for id in 00000000000000a8 00000000000000a7 00000000000000a1 00000000000000a2 00000000000000a3 00000000000000a4 00000000000000a5 00000000000000a6 00000000000000ff; do
     "$FP" explain $id "$LOGS/two" "$LOGS/one" | sed "s|$LOGS/||"
 done
 rm -rf "$LOGS"
