Keep and elect leaders however long syncs take

Cause: acknowledgements of the leader waited behind writes of entries, so that it lost its lease and stepped down; candidates and voters began the next term after an election timeout, while the votes of the last one were still being written, and got each other's pre-votes for it.

Change: a follower whose disk is slow answers an append at once with what is stored by then, once the leader is on record; a replica whose vote is not stored neither asks for pre-votes nor gives any; a candidate waits as long as votes take; a replica gives its pre-vote to one at a time; a term and the vote in it are one write. Votes and entries are on disk before they count, as before. No message or record has changed. Event disk.slow, metric disk_write_ms.

Nine mutants.

--- a/base/event.c
+++ b/base/event.c
@@ -41,6 +41,11 @@
     [EVENT_DISK_RECOVERED] =
         {"disk.recovered", 5, "failed_ms failures",
          "the disk takes writes again; the replica is a full voter"},
+    [EVENT_DISK_SLOW] =
+        {"disk.slow", 1, "took_ms write vote last",
+         "a write took as long as an election timeout; write: its number, "
+         "vote: 1 if it stored a term or a vote, last: the last index in the "
+         "log; elections wait for votes twice as long"},
     [EVENT_LEADER_LOST] = {"leader.lost", 5, "leader silent_ms",
                            "no leader answers; calls are refused immediately"},
     [EVENT_LEADER_FOUND] = {"leader.heard", 5, "leader silent_ms",
--- a/core/raft.c
+++ b/core/raft.c
@@ -6,6 +6,10 @@
 
 #include "core/raftpriv.h"
 
+/* Bounds the growth of the pause after elections without a result: it doubles
+ * so many times. */
+#define BACKOFF_DOUBLINGS_MAX 4u
+
 static void
 reset_election_timer(struct raft *raft, uint64_t now_ms)
 {
@@ -44,6 +48,53 @@
     struct raft_vote vote = vote_record(raft);
 
     raft_track_write(raft, raft->ops.write_vote(raft->ops.ctx, &vote), 0);
+    raft->last_vote_write = raft->last_write;
+}
+
+/* Whether the term, the vote or the lease that this replica may have extended
+ * is not on disk yet. */
+static bool
+vote_is_pending(const struct raft *raft)
+{
+    return raft->last_vote_write > raft->synced_write;
+}
+
+/* Whether the disk has not completed a write for half a heartbeat. */
+static bool
+disk_is_slow(const struct raft *raft)
+{
+    return raft->pending_writes->len > 0 &&
+           raft->now_ms >=
+               g_array_index(raft->pending_writes, struct pending_write, 0)
+                       .queued_ms +
+                   raft->timing.heartbeat_ms / 2;
+}
+
+/* Workload: the disks of all hosts take longer for a sync than an election
+ * timeout. A vote has to be on disk before it is given: the candidate waits as
+ * long as its own took, twice since the voters may be busy with another write,
+ * or as long as a vote took that came too late; and at random for longer after
+ * elections without a result. */
+static void
+set_vote_timer(struct raft *raft, uint64_t now_ms)
+{
+    uint64_t wait_ms = 2 * MAX(raft->write_ms, raft->late_vote_ms);
+    uint32_t doublings = MIN(raft->lost_elections, BACKOFF_DOUBLINGS_MAX);
+
+    reset_election_timer(raft, now_ms);
+    if (raft->state == RAFT_CANDIDATE && raft->lost_elections > 1) {
+        wait_ms += raft->ops.random(raft->ops.ctx,
+                                    (uint32_t)raft->timing.election_min_ms
+                                        << (doublings - 2));
+    }
+    raft->election_at_ms += wait_ms;
+}
+
+void
+raft_leader_is_known(struct raft *raft)
+{
+    raft->lost_elections = 0;
+    raft->late_vote_ms = 0;
 }
 
 bool
@@ -58,7 +109,7 @@
 uint64_t
 raft_track_write(struct raft *raft, uint64_t write, uint64_t last_index)
 {
-    struct pending_write pending = {write, last_index};
+    struct pending_write pending = {write, last_index, raft->now_ms};
 
     if (!raft->has_disk) {
         if (last_index > raft->synced_index) {
@@ -109,27 +160,35 @@
     }
 }
 
-void
-raft_become_follower(struct raft *raft, uint64_t term, uint64_t now_ms)
+/* Returns whether the term is a new one; the caller then writes the vote. */
+static bool
+become_follower(struct raft *raft, uint64_t term, uint64_t now_ms)
 {
     bool was_leader = raft->state == RAFT_LEADER;
+    bool is_new_term = term > raft->term;
 
     if (was_leader) {
         raft_stop_leading(raft, now_ms);
     }
     raft->state = RAFT_FOLLOWER;
-    if (term > raft->term) {
+    if (is_new_term) {
         raft->term = term;
         raft->voted_for = 0;
-        raft->leader_id = 0;
-        raft->leader_host[0] = '\0';
-        persist_vote(raft);
     }
-    if (was_leader) {
+    if (is_new_term || was_leader) {
         raft->leader_id = 0;
         raft->leader_host[0] = '\0';
     }
     reset_election_timer(raft, now_ms);
+    return is_new_term;
+}
+
+void
+raft_become_follower(struct raft *raft, uint64_t term, uint64_t now_ms)
+{
+    if (become_follower(raft, term, now_ms)) {
+        persist_vote(raft);
+    }
     raft->ops.state_changed(raft->ops.ctx);
 }
 
@@ -202,6 +261,8 @@
     raft->leased_to = raft->id;
     raft->leader_id = 0;
     raft->leader_host[0] = '\0';
+    raft->asked_votes_ms = now_ms;
+    raft->lost_elections++;
     persist_vote(raft);
     g_hash_table_remove_all(raft->votes_granted);
     reset_election_timer(raft, now_ms);
@@ -222,9 +283,68 @@
                            raft->ops.random(raft->ops.ctx, (uint32_t)spread);
 }
 
+/* Whether another replica may be about to ask for votes, by this one's
+ * pre-vote. */
+static bool
+has_promised(const struct raft *raft, uint64_t now_ms)
+{
+    return raft->pre_vote.id != raft->id && now_ms < raft->pre_vote.until_ms;
+}
+
+static void
+promise(struct raft *raft, uint64_t id, uint64_t last_term,
+        uint64_t last_index, uint64_t now_ms)
+{
+    if (id == raft->pre_vote.id && now_ms < raft->pre_vote.until_ms) {
+        return; /* repeats hold others up no longer */
+    }
+    raft->pre_vote =
+        (struct pre_vote){id, last_term, last_index,
+                          now_ms + raft->timing.heartbeat_ms + raft->write_ms};
+}
+
+/* Whether a pre-vote may go to the sender although another replica has it. */
+static bool
+goes_before(const struct raft *raft, const struct msg_vote *msg)
+{
+    const struct pre_vote *given = &raft->pre_vote;
+
+    if (msg->last_term != given->last_term) {
+        return msg->last_term > given->last_term;
+    }
+    if (msg->last_index != given->last_index) {
+        return msg->last_index > given->last_index;
+    }
+    return given->id == raft->id && msg->from_id < raft->id;
+}
+
+/* Workload: several hosts miss the leader in the same moment. If all of them
+ * became candidates, none would have a majority, and on slow disks it takes
+ * them several syncs to find out. So a replica gives its pre-vote to one at a
+ * time, unless another one's log is newer. One that asks itself gives it to
+ * those with lower IDs, too, and then waits for them. */
+static bool
+try_promise(struct raft *raft, const struct msg_vote *msg, uint64_t now_ms)
+{
+    const struct pre_vote *given = &raft->pre_vote;
+
+    if (now_ms < given->until_ms && msg->from_id != given->id) {
+        if (!goes_before(raft, msg)) {
+            return false;
+        }
+        if (given->id == raft->id) {
+            g_hash_table_remove_all(raft->votes_granted);
+        }
+    }
+    promise(raft, msg->from_id, msg->last_term, msg->last_index, now_ms);
+    return true;
+}
+
 static void
 start_pre_vote(struct raft *raft, uint64_t now_ms)
 {
+    promise(raft, raft->id, raftlog_last_term(&raft->log),
+            raftlog_last_index(&raft->log), now_ms);
     raft->state = RAFT_PRE_CANDIDATE;
     raft->leader_id = 0;
     raft->leader_host[0] = '\0';
@@ -286,6 +406,7 @@
 {
     struct msg_vote_reply reply = {
         .from_id = raft->id, .to_id = msg->from_id, .pre = msg->pre};
+    bool is_new_term = false;
     uint64_t after = 0;
 
     if (!raft->has_disk) {
@@ -295,14 +416,20 @@
     if (!msg->transfer && lease_may_be_held(raft, now_ms)) {
         return;
     }
+    if (msg->pre && vote_is_pending(raft)) {
+        return; /* it could not vote now */
+    }
     if (msg->pre) {
         reply.granted =
             msg->term > raft->term && candidate_log_is_current(raft, msg);
+        if (reply.granted && !try_promise(raft, msg, now_ms)) {
+            return;
+        }
         reply.term = reply.granted ? msg->term : raft->term;
     }
     else {
         if (msg->term > raft->term) {
-            raft_become_follower(raft, msg->term, now_ms);
+            is_new_term = become_follower(raft, msg->term, now_ms);
         }
         reply.granted =
             msg->term == raft->term && candidate_log_is_current(raft, msg) &&
@@ -315,8 +442,14 @@
             persist_vote(raft);
             reset_election_timer(raft, now_ms);
         }
+        else if (is_new_term) {
+            persist_vote(raft);
+        }
+        if (is_new_term) {
+            raft->ops.state_changed(raft->ops.ctx);
+        }
         reply.term = raft->term;
-        after = raft->last_write;
+        after = raft->last_vote_write;
     }
     raft->ops.send(raft->ops.ctx, msg->from_id, &MSG_VOTE_REPLY_SCHEMA, &reply,
                    after);
@@ -346,6 +479,12 @@
             raft_become_leader(raft, now_ms);
         }
     }
+    else if (!msg->pre && raft->state == RAFT_PRE_CANDIDATE &&
+             msg->term == raft->term) {
+        /* It must not count: others may have been told, by the pre-vote, that
+         * this replica does not lead in the term. */
+        raft->late_vote_ms = now_ms - raft->asked_votes_ms;
+    }
 }
 
 /* The reply to the leader's message extends its lease, and is sent once the
@@ -366,6 +505,7 @@
     }
     raft->leader_heard_ms = now_ms;
     reset_election_timer(raft, now_ms);
+    raft_leader_is_known(raft);
     if (raft->leader_id != leader_id) {
         raft->leader_id = leader_id;
         if (host != NULL) {
@@ -446,6 +586,20 @@
     raft->next_fresh_index = msg->commit_index;
 }
 
+/* Workload: disks that take longer for a sync than the leader's lease lasts.
+ * Acknowledges that the leader was heard, which only needs the record of the
+ * lease, apart from the entries; of these, reply states what is on disk. */
+static void
+acknowledge_early(struct raft *raft, const struct msg_append *msg,
+                  const struct msg_append_reply *reply)
+{
+    struct msg_append_reply early = *reply;
+
+    early.match_index = MIN(reply->match_index, raft->synced_index);
+    raft->ops.send(raft->ops.ctx, msg->from_id, &MSG_APPEND_REPLY_SCHEMA,
+                   &early, raft->last_vote_write);
+}
+
 static void
 on_append(struct raft *raft, const struct msg_append *msg, uint64_t now_ms)
 {
@@ -458,7 +612,7 @@
     if (msg->term < raft->term) {
         reply.term = raft->term;
         raft->ops.send(raft->ops.ctx, msg->from_id, &MSG_APPEND_REPLY_SCHEMA,
-                       &reply, raft->last_write);
+                       &reply, raft->last_vote_write);
         return;
     }
     if (!append_is_valid(raft, msg)) {
@@ -485,6 +639,13 @@
         raft_advance_commit(raft, MIN(msg->commit_index, reply.match_index));
     }
     reply.applied_index = raft->applied_index;
+    if (disk_is_slow(raft)) {
+        acknowledge_early(raft, msg, &reply);
+        if (reply.match_index <= raft->synced_index ||
+            msg->entries.count == 0) {
+            return;
+        }
+    }
     raft->ops.send(raft->ops.ctx, msg->from_id, &MSG_APPEND_REPLY_SCHEMA,
                    &reply, raft->last_write);
 }
@@ -503,6 +664,7 @@
                           raftlog_entry_at(&raft->log, snap->last_index + 1),
                           (uint32_t)(last - snap->last_index)),
         last);
+    raft->last_vote_write = raft->last_write;
 }
 
 static void
@@ -673,6 +835,8 @@
     raft->disk_failed = init->pending_write != 0;
     raft->recovery_write = init->pending_write;
     raft->last_write = init->pending_write;
+    raft->last_vote_write = init->pending_write;
+    raft->now_ms = now_ms;
     set_first_election_timer(raft, now_ms);
     memset(init, 0, sizeof(*init));
     return raft;
@@ -733,6 +897,7 @@
 void
 raft_tick(struct raft *raft, uint64_t now_ms)
 {
+    raft->now_ms = now_ms;
     if (raft->disk_failed) {
         return;
     }
@@ -741,7 +906,9 @@
     }
     else if (now_ms >= raft->election_at_ms) {
         if (raft->has_disk && raft_is_voter(raft, raft->id)) {
-            start_pre_vote(raft, now_ms);
+            if (!vote_is_pending(raft) && !has_promised(raft, now_ms)) {
+                start_pre_vote(raft, now_ms);
+            }
         }
         else {
             raft->leader_id = 0;
@@ -762,6 +929,7 @@
 raft_receive(struct raft *raft, uint32_t type, const void *msg,
              uint64_t now_ms)
 {
+    raft->now_ms = now_ms;
     if (raft->disk_failed) {
         if (type == MSG_APPEND) {
             note_leader(raft, msg, now_ms);
@@ -802,8 +970,11 @@
 void
 raft_synced(struct raft *raft, uint64_t write, uint64_t now_ms)
 {
+    const bool awaits_vote = vote_is_pending(raft) && !raft->disk_failed;
     guint done = 0;
 
+    raft->now_ms = now_ms;
+    raft->synced_write = MAX(raft->synced_write, write);
     while (done < raft->pending_writes->len) {
         const struct pending_write *pending =
             &g_array_index(raft->pending_writes, struct pending_write, done);
@@ -812,6 +983,7 @@
             break;
         }
         raft->synced_index = MAX(raft->synced_index, pending->last_index);
+        raft->write_ms = now_ms - pending->queued_ms;
         done++;
     }
     g_array_remove_range(raft->pending_writes, 0, done);
@@ -819,7 +991,11 @@
         raft->disk_failed = false;
         raft->recovery_write = 0;
     }
-    if (raft->state == RAFT_CANDIDATE && raft->pending_writes->len == 0) {
+    if (awaits_vote && !vote_is_pending(raft) && raft->state != RAFT_LEADER &&
+        raft->leader_id == 0) {
+        set_vote_timer(raft, now_ms);
+    }
+    if (raft->state == RAFT_CANDIDATE && !vote_is_pending(raft)) {
         add_vote(raft, raft->id);
         if (has_quorum(raft)) {
             raft_become_leader(raft, now_ms);
@@ -936,6 +1112,18 @@
     return g_hash_table_size(raft->votes_granted);
 }
 
+uint64_t
+raft_write_ms(const struct raft *raft)
+{
+    return raft->write_ms;
+}
+
+uint64_t
+raft_vote_write(const struct raft *raft)
+{
+    return raft->last_vote_write;
+}
+
 uint32_t
 raft_log_length(const struct raft *raft)
 {
--- a/core/raft.h
+++ b/core/raft.h
@@ -212,6 +212,10 @@
 uint64_t raft_last_index(const struct raft *raft);
 uint64_t raft_last_term(const struct raft *raft);
 uint32_t raft_votes(const struct raft *raft);
+/* How long the last durable write took, from when it was queued. */
+uint64_t raft_write_ms(const struct raft *raft);
+/* Number of the newest write that stored a term or a vote. */
+uint64_t raft_vote_write(const struct raft *raft);
 uint32_t raft_log_length(const struct raft *raft);
 const char *raft_leader_host(const struct raft *raft);
 const struct raft_members *raft_members(const struct raft *raft);
--- a/core/raftlead.c
+++ b/core/raftlead.c
@@ -393,6 +393,7 @@
     raft->lease_until_ms = 0;
     raft->transfer_to_id = 0;
     raft->pending_learner_id = 0;
+    raft_leader_is_known(raft);
     g_hash_table_remove_all(raft->followers);
     update_followers(raft, now_ms);
     append_local(raft, RAFT_NOOP, empty);
@@ -587,6 +588,7 @@
     uint64_t first = raft->unflushed_index;
     uint64_t last = raftlog_last_index(&raft->log);
 
+    raft->now_ms = now_ms;
     if (raft->state != RAFT_LEADER || (first == 0 && !raft->commit_unsent)) {
         return;
     }
--- a/core/raftpriv.h
+++ b/core/raftpriv.h
@@ -42,6 +42,7 @@
 struct pending_write {
     uint64_t number;
     uint64_t last_index; /* last entry that it makes durable; 0: none */
+    uint64_t queued_ms;
 };
 
 /* A replica that is no member, on the host of a voter: that lost its disk.
@@ -55,6 +56,15 @@
     char host[MSG_HOST_BYTES];
 };
 
+/* A pre-vote: whom it was given to, with the end of that one's log, and until
+ * when others get none. */
+struct pre_vote {
+    uint64_t id;
+    uint64_t last_term;
+    uint64_t last_index;
+    uint64_t until_ms;
+};
+
 /* A snapshot that is being received in chunks. */
 struct incoming_snapshot {
     uint64_t last_index;
@@ -80,7 +90,12 @@
     uint64_t commit_index;
     uint64_t applied_index;
 
-    uint64_t last_write;    /* number of the newest write */
+    uint64_t now_ms;          /* of the last call that stated the time */
+    uint64_t last_write;      /* number of the newest write */
+    uint64_t last_vote_write; /* the newest one with a struct raft_vote */
+    uint64_t synced_write;    /* the newest one that is on disk */
+    uint64_t
+        write_ms; /* how long the last one took, from when it was queued */
     uint64_t synced_index;  /* last entry known to be on disk */
     GArray *pending_writes; /* struct pending_write, oldest first */
 
@@ -90,6 +105,11 @@
                                    * it extended by election_min_ms; at first
                                    * the start; 0: no lease is in force */
     uint64_t election_at_ms;      /* when the election timer expires */
+    struct pre_vote pre_vote;     /* the last one that it gave */
+    uint64_t asked_votes_ms;      /* when its own last election began */
+    uint64_t late_vote_ms;        /* how long a vote took that came too late
+                                   * for one, since a leader was last known */
+    uint32_t lost_elections;      /* of its own, since then */
     uint64_t fresh_until_ms;      /* end of the freshness lease */
     uint64_t next_fresh_index;    /* to be applied before the next lease */
     uint64_t next_fresh_until_ms; /* end of the next freshness lease */
@@ -116,6 +136,8 @@
  * term is adopted and written to disk.
  */
 void raft_become_follower(struct raft *raft, uint64_t term, uint64_t now_ms);
+/* Forgets the elections without a result. */
+void raft_leader_is_known(struct raft *raft);
 /* Commits up to index, at most the end of the log, and applies it. */
 void raft_advance_commit(struct raft *raft, uint64_t index);
 /* Records a queued write that makes the log durable up to last_index (0: no
--- a/node/fleetmetrics.c
+++ b/node/fleetmetrics.c
@@ -306,6 +306,7 @@
               disk->failed_since_ms == 0
                   ? 0
                   : clock_mono_ms() - disk->failed_since_ms);
+    add_value(out, "disk_write_ms", disk->write_ms);
     add_value(out, "snapshot_failures_total", disk->snapshot_failures);
     add_value(out, "log_bytes", disk->log_bytes);
 }
--- a/node/replica.c
+++ b/node/replica.c
@@ -197,6 +197,20 @@
           EVENT_INT("failures", replica->disk_failures));
 }
 
+static void
+report_slow_write(const struct replica *replica, uint64_t write)
+{
+    const struct raft *raft = replica->raft;
+    uint64_t took_ms = raft_write_ms(raft);
+
+    if (took_ms >= replica->settings->times.election_min_ms) {
+        EVENT(EVENT_DISK_SLOW, EVENT_INT("took_ms", took_ms),
+              EVENT_INT("write", write),
+              EVENT_INT("vote", raft_vote_write(raft) == write),
+              EVENT_INT("last", raft_last_index(raft)));
+    }
+}
+
 static void
 on_disk_synced(void *ctx, uint64_t write)
 {
@@ -205,6 +219,7 @@
 
     replica->synced_write = write;
     raft_synced(replica->raft, write, now_ms);
+    report_slow_write(replica, write);
     if (replica->disk_failed_since_ms != 0 &&
         !raft_awaits_disk(replica->raft)) {
         report_recovery(replica, now_ms);
@@ -945,6 +960,7 @@
         .recoveries = replica->disk_recoveries,
         .failed_since_ms = replica->disk_failed_since_ms,
         .snapshot_failures = replica->snapshot_failures,
+        .write_ms = raft_write_ms(replica->raft),
     };
 
     if (replica->disk != NULL) {
--- a/node/replica.h
+++ b/node/replica.h
@@ -40,6 +40,7 @@
     uint64_t failed_since_ms;   /* 0: the disk takes writes */
     uint64_t snapshot_failures; /* snapshots that could not be written */
     uint64_t log_bytes;
+    uint64_t write_ms; /* how long the last durable write took */
 };
 
 /* Callbacks, set by the creator of the replica. All run on the loop. */
--- a/tests/faultdisk.c
+++ b/tests/faultdisk.c
@@ -9,6 +9,7 @@
  *   sync      syncs fail with EIO
  *   files     no file can be opened (EMFILE)
  *   stall     writes and syncs wait until the mode changes
+ *   slow MS   each sync takes MS longer
  *
  * With FAULTDISK_SYNCED, a folder, it keeps a record of what was synced there,
  * from which tests/platform/powerloss.py makes what a loss of power leaves:
@@ -42,23 +43,31 @@
 #define STALL_POLL_US 20000u
 #define SHORT_WRITE_MIN_BYTES 64u
 
-/* Returns whether the mode is the given one. */
-static bool
-mode_is(const char *mode)
+static void
+read_mode(char *text, size_t text_bytes)
 {
     const char *path = getenv("FAULTDISK_MODE");
-    char text[16] = "";
     int fd = path == NULL ? -1
                           : (int)syscall(SYS_openat, AT_FDCWD, path,
                                          O_RDONLY | O_CLOEXEC);
     ssize_t size;
 
+    text[0] = '\0';
     if (fd < 0) {
-        return false;
+        return;
     }
-    size = read(fd, text, sizeof(text) - 1);
+    size = read(fd, text, text_bytes - 1);
     close(fd);
     text[size < 0 ? 0 : size] = '\0';
+}
+
+/* Returns whether the mode is the given one. */
+static bool
+mode_is(const char *mode)
+{
+    char text[16];
+
+    read_mode(text, sizeof(text));
     return strncmp(text, mode, strlen(mode)) == 0;
 }
 
@@ -94,6 +103,18 @@
     }
 }
 
+static void
+wait_as_slow(void)
+{
+    char text[16];
+    unsigned delay_ms;
+
+    read_mode(text, sizeof(text));
+    if (sscanf(text, "slow %u", &delay_ms) == 1) {
+        usleep(delay_ms * 1000);
+    }
+}
+
 ssize_t
 write(int fd, const void *data, size_t size_bytes)
 {
@@ -218,6 +239,7 @@
     *(void **)&next = dlsym(RTLD_NEXT, name);
     if (is_data(fd, path, sizeof(path))) {
         wait_while_stalled();
+        wait_as_slow();
         if (mode_is("sync")) {
             errno = EIO;
             return -1;
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -343,6 +343,15 @@
 core/planrun.c	        plan_review_attempts(plan, step, run->task_number);		Attempts.AJobFailsWhoseLast*
 core/plan.c	            plan_review_job_attempts(plan, pjob);		Attempts.AJobFailsWhoseTaskWaits*
 core/plan.c	    plan_review_job_attempts(plan, pjob);\n}	}	Attempts.AJobIsGivenUp*
+core/raft.c	early.match_index = MIN(reply->match_index, raft->synced_index);	;	Raft.HoldsUnderRandomFailuresAndSlowDisks:SlowDisk.AnEarlyAnswer*
+core/raft.c	                   &early, raft->last_vote_write);	                   &early, 0);	SlowDisk.ANewLeader*
+core/raft.c	return raft->pending_writes->len > 0 &&	return false &&	SlowDisk.ASteadyLeader*
+core/raft.c	if (msg->pre && vote_is_pending(raft)) {	if (false) {	SlowDisk.*
+core/raft.c	uint64_t wait_ms = 2 * MAX(raft->write_ms, raft->late_vote_ms);	uint64_t wait_ms = 0;	SlowDisk.ALeaderIsElectedWhateverSyncsTake
+core/raft.c	2 * MAX(raft->write_ms, raft->late_vote_ms)	2 * raft->write_ms	SlowDisk.ACandidateWaits*
+core/raft.c	        if (reply.granted && !try_promise(raft, msg, now_ms)) {	        if (false) {	SlowDisk.ALeaderIsElectedWhateverSyncsTake
+core/raft.c	if (!vote_is_pending(raft) && !has_promised(raft, now_ms)) {	if (!has_promised(raft, now_ms)) {	SlowDisk.*
+core/raft.c	return; /* repeats hold others up no longer */	;	SlowDisk.AReplicaThatCannotWin*
 LIST
 echo "$CAUGHT passed, $MISSED failed"
 [ "$MISSED" = 0 ]
--- a/tests/raft_test.cc
+++ b/tests/raft_test.cc
@@ -103,7 +103,26 @@
            add_member(sim, 2, 10000);
 }
 
-std::string run_random_failures(uint64_t seed, int replicas, int observers)
+// All disks, or one, take up to a while for each sync, or are fast again.
+void change_disks(Simulation &sim, int count)
+{
+    Node *one = sim.nodes[sim.random_below((uint32_t)count)].get();
+    uint32_t longest_ms = 1 + sim.random_below(2000);
+    bool all = sim.random_chance(0.5), fast = sim.random_chance(0.3);
+    for (auto &n : sim.nodes) {
+        if (all || n.get() == one) {
+            n->sync_ms = [&sim, longest_ms] {
+                return (uint64_t)1 + sim.random_below(longest_ms);
+            };
+            if (fast) {
+                n->sync_ms = nullptr;
+            }
+        }
+    }
+}
+
+std::string run_random_failures(uint64_t seed, int replicas, int observers,
+                                bool slow_disks = false)
 {
     Simulation sim(seed);
     int count = replicas + observers;
@@ -121,6 +140,9 @@
         if (sim.random_chance(0.5)) {
             inject_failure(sim, count);
         }
+        if (slow_disks && sim.random_chance(0.5)) {
+            change_disks(sim, count);
+        }
         for (uint32_t i = sim.random_below(20); i > 0; i--) {
             propose(sim);
             run_for(sim, sim.random_below(60));
@@ -134,6 +156,7 @@
         n->resume_ms = 0;
         n->restart_ms = 0;
         n->sync_max_ms = 6;
+        n->sync_ms = nullptr;
         n->disk_full_until_ms = 0;
     }
     uint64_t before = sim.proposed;
@@ -180,6 +203,17 @@
     }
 }
 
+TEST(Raft, HoldsUnderRandomFailuresAndSlowDisks)
+{
+    uint64_t first = seed_from_env(1);
+    for (uint64_t seed = first; seed < first + runs_from_env(400); seed++) {
+        std::string failure =
+            run_random_failures(seed, 3 + (int)(seed % 3), 1, true);
+        ASSERT_EQ(failure, "") << "replay: FILBERTPATH_SEED=" << seed
+                               << " build/unit --gtest_filter=Raft.Holds*";
+    }
+}
+
 // Hosts lose their disks one after the other, the next one right after the
 // previous one is a voter again. Guards against a new identity that becomes a
 // voter without all acknowledged entries: they are lost with the next disk.
--- a/tests/raft_world.h
+++ b/tests/raft_world.h
@@ -96,6 +96,9 @@
     uint64_t restart_ms = 0;
     double clock_rate = 1.0;
     uint32_t sync_max_ms = 6; // a sync takes at most this long
+    // If set: how long the next sync takes; it begins when the one in progress
+    // is complete, and makes all writes durable that were queued by then.
+    std::function<uint64_t()> sync_ms;
     uint64_t disk_full_until_ms = 0;
     bool disk_failed = false;  // only a rewrite is tried
     uint64_t retry_ms = 0;     // when to rewrite; 0: not due
@@ -210,7 +213,15 @@
     Write write;
     write.number = ++n->last_write;
     write.at_ms = n->sim->now_ms + 1 + n->sim->random_below(n->sync_max_ms);
-    if (!n->writes.empty()) {
+    if (n->sync_ms && n->writes.empty()) {
+        write.at_ms = n->sim->now_ms + n->sync_ms();
+    }
+    else if (n->sync_ms) {
+        write.at_ms = n->writes.back().at_ms > n->writes.front().at_ms
+                          ? n->writes.back().at_ms
+                          : n->writes.front().at_ms + n->sync_ms();
+    }
+    else if (!n->writes.empty()) {
         // Syncs complete in order.
         write.at_ms = std::max(write.at_ms, n->writes.back().at_ms);
     }
