Run tasks above their team's limit, one at a time

What callers saw: jobs were accepted and waited for good on idle targets, where one of their tasks needs more than the cap of its team: a cap that falls, or one that is lower from the start.

Cause: is_team_within_limit() compared the usage with the task added with the cap, whatever the team used.

Change (core/planteam.c): a team under half of its limit may start one task beyond it, or a gang of which all but one member fit. Other work of the team is held back for it, five seconds of ten, from two seconds on. A gang that could never run is refused at the call with 429 and a minute to come back; one that was accepted before waits, and step.waits says why. After a takeover what may run on targets without a list counts, as before.

--- a/core/fleet.h
+++ b/core/fleet.h
@@ -47,6 +47,9 @@
     /* Needed by inherited tasks that may be running on targets that have not
      * listed their runs yet; maintained by the scheduler. */
     struct fleet_resources unlocated;
+    /* The scheduler's step for which other work of the team is held back;
+     * maintained by the scheduler; NULL: none. */
+    const void *kept_for;
 };
 
 struct fleet_task {
--- a/core/plan.c
+++ b/core/plan.c
@@ -538,8 +538,9 @@
     }
 }
 
-static bool
-is_due(const struct plan *plan, const struct plan_step *step, uint64_t now_ms)
+bool
+plan_is_due(const struct plan *plan, const struct plan_step *step,
+            uint64_t now_ms)
 {
     return step->due_ms == 0 ||
            (int64_t)now_ms + plan->wall_offset_ms >= (int64_t)step->due_ms;
@@ -610,12 +611,13 @@
     plan_sort_open_steps(plan, now_ms);
     plan_update_cold(plan, now_ms);
     plan_update_pools(plan, now_ms);
+    plan_survey_teams(plan, now_ms);
     evacuate_leaving_targets(plan, now_ms);
     plan_move_evacuated_runs(plan, now_ms);
     for (guint i = 0; i < plan->open_steps->len; i++) {
         struct plan_step *step = plan->open_steps->pdata[i];
 
-        if (!is_due(plan, step, now_ms)) {
+        if (!plan_is_due(plan, step, now_ms)) {
             continue;
         }
         if (plan_hold_step(plan, step)) {
--- a/core/plan.h
+++ b/core/plan.h
@@ -19,6 +19,7 @@
  *   planadmit.c  admission of jobs
  *   planfit.c    placement of a step's tasks
  *   plancopy.c   second runs of stragglers
+ *   planteam.c   limits of teams
  *   planhold.c   capacity reserved for large tasks
  *   planinherit.c inherited work that unreachable targets may run
  *   planevac.c   evacuated data centres, and cold targets
@@ -301,7 +302,8 @@
 
 /* Whether a job is admitted. */
 struct plan_admission {
-    enum fp_err err;         /* FP_OK: admitted; FP_ERR_BUSY */
+    enum fp_err err;         /* FP_OK: admitted; FP_ERR_BUSY; FP_ERR_LIMIT: a
+                              * gang can never run */
     uint32_t retry_after_ms; /* when to submit it again */
     const char *reason;      /* of a refusal; free text, for the log */
 };
@@ -315,8 +317,11 @@
                       const struct plan_ops *ops, uint64_t now_ms);
 void plan_free(struct plan *plan);
 
-/* Decides on a job that is offered, and counts a refusal. */
-struct plan_admission plan_admit(struct plan *plan);
+/* Decides on a job that is offered, and counts a refusal. team NULL: it has
+ * none. */
+struct plan_admission plan_admit(struct plan *plan,
+                                 const struct fleet_submit *job,
+                                 const struct fleet_team *team);
 
 /* Changes of the fleet's state; see struct fleet_ops. */
 void plan_job_added(struct plan *plan, struct fleet_job *job, uint64_t now_ms);
--- a/core/plancopy.c
+++ b/core/plancopy.c
@@ -384,7 +384,7 @@
                        budget->waiting.cpu_milli, size->cpu_milli) &&
            leaves_room(pool->capacity.accel, pool->used.accel,
                        budget->waiting.accel, size->accel) &&
-           plan_team_allows(plan, step->job->job->team, size) &&
+           plan_team_allows(plan, step, 1) &&
            budget->extra + extra <= budget->work * EXTRA_WORK_PERMILLE / 1000;
 }
 
--- a/core/planfit.c
+++ b/core/planfit.c
@@ -127,37 +127,6 @@
                 step->def->spread);
 }
 
-static bool
-is_within_limit(uint64_t limit, uint64_t used, uint64_t unlocated,
-                uint64_t size)
-{
-    return limit == 0 || used + unlocated + size <= limit;
-}
-
-/* Whether the team's usage stays within its limit with work of this size
- * added. At the start of a leader's term, targets that have not listed their
- * runs yet may be full of the team's inherited work: their capacity counts as
- * used, up to the size of that work. */
-static bool
-is_team_within_limit(const struct plan *plan, const struct fleet_team *team,
-                     const struct fleet_resources *size)
-{
-    const struct fleet_resources *unlisted = &plan->unlisted_capacity;
-
-    if (team == NULL) {
-        return true;
-    }
-    return is_within_limit(team->limit.cpu_milli, team->used.cpu_milli,
-                           MIN(unlisted->cpu_milli, team->unlocated.cpu_milli),
-                           size->cpu_milli) &&
-           is_within_limit(team->limit.memory_mb, team->used.memory_mb,
-                           MIN(unlisted->memory_mb, team->unlocated.memory_mb),
-                           size->memory_mb) &&
-           is_within_limit(team->limit.accel, team->used.accel,
-                           MIN(unlisted->accel, team->unlocated.accel),
-                           size->accel);
-}
-
 /* Workload: targets of unlike speed. Work with little slack keeps away
  * from slow ones, in particular the last tasks of a chain; to work that can
  * wait, and still be in time there, they are the same. */
@@ -492,8 +461,8 @@
             }
             continue;
         }
-        if (!is_team_within_limit(plan, step->job->job->team, &size)) {
-            step->wait_reason = "its team is at its limit";
+        if (!plan_team_allows(plan, step, 1)) {
+            step->wait_reason = plan_team_reason(step);
             return;
         }
         target = find_best_target(plan, step, &size, NULL,
@@ -516,9 +485,6 @@
 place_gang(struct plan *plan, struct plan_step *step, uint64_t now_ms)
 {
     const struct fleet_resources size = plan_task_size(step->def);
-    struct fleet_resources gang_size = {size.cpu_milli * step->def->count,
-                                        size.memory_mb * step->def->count,
-                                        size.accel * step->def->count};
     struct plan_target **chosen;
     uint32_t run_number = 0;
 
@@ -539,8 +505,8 @@
             MAX(run_number,
                 step->job->tasks[step->first_task + i].next_run_number);
     }
-    if (!is_team_within_limit(plan, step->job->job->team, &gang_size)) {
-        step->wait_reason = "its team is at its limit";
+    if (!plan_team_allows(plan, step, step->def->count)) {
+        step->wait_reason = plan_team_reason(step);
         return;
     }
     chosen = g_new0(struct plan_target *, step->def->count);
@@ -569,10 +535,3 @@
         place_tasks(plan, step, now_ms);
     }
 }
-
-bool
-plan_team_allows(const struct plan *plan, const struct fleet_team *team,
-                 const struct fleet_resources *size)
-{
-    return is_team_within_limit(plan, team, size);
-}
--- a/core/planpriv.h
+++ b/core/planpriv.h
@@ -348,6 +348,9 @@
 
 /* plan.c */
 
+/* Whether the occurrence is due. */
+bool plan_is_due(const struct plan *plan, const struct plan_step *step,
+                 uint64_t now_ms);
 /* Removes a run that cannot go on, as its target was lost or started again. */
 void plan_drop_lost_run(struct plan *plan, struct plan_run *run,
                         uint64_t now_ms);
@@ -464,6 +467,21 @@
 /* Passes new evidence on to be stored. */
 void plan_store_evidence(struct plan *plan);
 
+/* planteam.c */
+
+/* Whether so many tasks of the step may start, as far as its team's limits go.
+ */
+bool plan_team_allows(const struct plan *plan, const struct plan_step *step,
+                      uint32_t count);
+/* Whether all of the step may ever run at once, if it is a gang. team may be
+ * NULL. */
+bool plan_fits_team(const struct fleet_team *team,
+                    const struct fleet_step *def);
+/* Why plan_team_allows() is false. */
+const char *plan_team_reason(const struct plan_step *step);
+/* Decides for which step other work of each team is held back. */
+void plan_survey_teams(struct plan *plan, uint64_t now_ms);
+
 /* planattempts.c */
 
 GArray *plan_reviews_new(void);
@@ -524,10 +542,6 @@
 /* Whether a task of the step could start on the target if that were empty. */
 bool plan_could_fit(const struct plan_target *target,
                     const struct plan_step *step);
-/* Whether the team stays within its limits with work of this size added. team
- * may be NULL. */
-bool plan_team_allows(const struct plan *plan, const struct fleet_team *team,
-                      const struct fleet_resources *size);
 /* Starts as many tasks of the step as possible. */
 void plan_place_step(struct plan *plan, struct plan_step *step,
                      uint64_t now_ms);
--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -201,11 +201,12 @@
  * leader that is ready has applied all entries of earlier terms, so what it
  * does not know will not be committed. */
 static enum fp_err
-admit_job(struct dispatch *dispatch, uint64_t id, uint64_t job_bytes,
-          const struct fleet_team *team, struct plan_admission *admission)
+admit_job(struct dispatch *dispatch, const struct fleet_submit *job,
+          uint64_t job_bytes, const struct fleet_team *team,
+          struct plan_admission *admission)
 {
-    if (!g_hash_table_contains(dispatch->submitting, &id)) {
-        *admission = plan_admit(dispatch->plan);
+    if (!g_hash_table_contains(dispatch->submitting, &job->id)) {
+        *admission = plan_admit(dispatch->plan, job, team);
         if (admission->err == FP_OK) {
             *admission = dispatch_admit_to_room(dispatch, job_bytes, team);
         }
@@ -240,7 +241,8 @@
     }
     call->job.id = id;
     if (answer.err == FP_OK) {
-        answer.err = admit_job(dispatch, id, job_bytes, team, &admission);
+        answer.err =
+            admit_job(dispatch, &call->job, job_bytes, team, &admission);
         answer.retry_after_ms = admission.retry_after_ms;
     }
     if (answer.err != FP_OK) {
