Forget queues that no configuration and no job refers to

Cause: set_queues() kept a queue for each host and prefix that any configuration had had, and nothing counted the jobs that refer to it.

Change: a queue counts its jobs, ended ones included, and is removed once it is neither configured nor has any; the scheduler then forgets what it learned of it. The configuration and the jobs are replicated, so replicas agree.

Tests: Fleet.QueuesOfFormerConfigurationsAreForgotten and Fleet.AQueueIsForgottenWithItsLastJob fail without the removals (three mutants, all caught) and pass with them; with sanitizers too. The same cause for teams is on the list of known failures with a test.

--- a/bench/simlead.c
+++ b/bench/simlead.c
@@ -456,6 +456,16 @@
     }
 }
 
+static void
+on_queue_removed(void *ctx, struct fleet_queue *queue)
+{
+    struct sim *sim = ctx;
+
+    if (sim->plan != NULL) {
+        plan_queue_removed(sim->plan, queue);
+    }
+}
+
 static void
 on_evacuation_changed(void *ctx, const struct fleet_data_centre *data_centre)
 {
@@ -476,6 +486,7 @@
                               .job_added = on_job_added,
                               .job_ended = on_job_ended,
                               .job_removed = on_job_removed,
+                              .queue_removed = on_queue_removed,
                               .evacuation_changed = on_evacuation_changed,
                               .ctx = sim};
 }
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -416,6 +416,7 @@
                   FLEET_PATH_BYTES);
         g_ptr_array_add(fleet->queues, job->queue);
     }
+    job->queue->jobs++;
     if (job->submit.team[0] != '\0') {
         job->team = fleet_ensure_team(fleet, job->submit.team);
     }
@@ -622,6 +623,7 @@
 remove_expired_jobs(struct fleet *fleet)
 {
     struct fleet_job *job = g_queue_peek_head(&fleet->ended_jobs);
+    struct fleet_queue *queue;
 
     while (job != NULL &&
            job->ended_ms + fleet->retention_ms < fleet->now_ms) {
@@ -630,7 +632,10 @@
             fleet->ops.job_removed(fleet->ops.ctx, job);
         }
         count_job_bytes(fleet, job, 0);
+        queue = job->queue;
+        queue->jobs--;
         g_hash_table_remove(fleet->jobs, &job->submit.id);
+        fleet_drop_unused_queue(fleet, queue);
         job = g_queue_peek_head(&fleet->ended_jobs);
     }
 }
@@ -724,6 +729,9 @@
     }
     fleet->now_ms = MAX(fleet->now_ms, change->head.at_ms);
     fleet_apply_decoded(fleet, type, change, answer);
+    if (type == FLEET_CONFIG) {
+        fleet_drop_unused_queues(fleet);
+    }
     answer->version = fleet->config.version;
     remove_expired_jobs(fleet);
     fp_record_free(schema, change);
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -15,11 +15,12 @@
 #include "core/fleetrec.h"
 #include "core/shares.h"
 
-/* A queue. It is kept after a configuration drops it, since its jobs refer to
- * it. */
+/* A queue. It is kept after a configuration drops it for as long as jobs refer
+ * to it. */
 struct fleet_queue {
     struct fleet_queue_conf conf;
-    bool configured;       /* part of the current configuration */
+    bool configured; /* part of the current configuration */
+    uint32_t jobs;   /* that refer to it, those that have ended as well */
     uint32_t waiting_jobs; /* jobs that have had no run yet; maintained by
                             * the scheduler */
     /* Runs lost with a target, counted by this host while it led; maintained
@@ -100,9 +101,9 @@
     GQueue orders; /* change IDs of the last orders on it, oldest first */
 };
 
-/* Callbacks on changes of the state; each may be NULL. target_removed and
- * job_removed are called before the object is freed. restarted: a known target
- * has a new incarnation. */
+/* Callbacks on changes of the state; each may be NULL. target_removed,
+ * job_removed and queue_removed are called before the object is freed.
+ * restarted: a known target has a new incarnation. */
 struct fleet_ops {
     void (*config_changed)(void *ctx);
     void (*target_changed)(void *ctx, struct fleet_target *target,
@@ -113,6 +114,7 @@
     void (*job_removed)(void *ctx, struct fleet_job *job);
     void (*evacuation_changed)(void *ctx,
                                const struct fleet_data_centre *data_centre);
+    void (*queue_removed)(void *ctx, struct fleet_queue *queue);
     void *ctx;
 };
 
@@ -125,7 +127,7 @@
     uint32_t lease_ms; /* longest lease of a target that may be in force; 0:
                         * not stored; see core/lease.h */
     struct fleet_config config;
-    GPtrArray *queues; /* struct fleet_queue; entries are never removed */
+    GPtrArray *queues;          /* struct fleet_queue */
     GHashTable *queues_by_host; /* host to GPtrArray of configured queues,
                                  * longest prefix first */
     GHashTable *services;     /* name to struct fleet_service_conf, borrowed */
--- a/core/fleetconf.c
+++ b/core/fleetconf.c
@@ -108,6 +108,44 @@
     g_hash_table_destroy(moved);
 }
 
+static bool
+is_unused(const struct fleet_queue *queue)
+{
+    return !queue->configured && queue->jobs == 0;
+}
+
+static void
+report_removed(struct fleet *fleet, struct fleet_queue *queue)
+{
+    if (fleet->ops.queue_removed != NULL) {
+        fleet->ops.queue_removed(fleet->ops.ctx, queue);
+    }
+}
+
+void
+fleet_drop_unused_queue(struct fleet *fleet, struct fleet_queue *queue)
+{
+    if (is_unused(queue)) {
+        report_removed(fleet, queue);
+        g_ptr_array_remove_fast(fleet->queues, queue);
+    }
+}
+
+/* Workload: each of many configurations adds some hundred queues and removes
+ * as many. */
+void
+fleet_drop_unused_queues(struct fleet *fleet)
+{
+    for (guint i = fleet->queues->len; i > 0; i--) {
+        struct fleet_queue *queue = fleet->queues->pdata[i - 1];
+
+        if (is_unused(queue)) {
+            report_removed(fleet, queue);
+            g_ptr_array_remove_index_fast(fleet->queues, i - 1);
+        }
+    }
+}
+
 void
 fleet_save_removed_queues(const struct fleet *fleet,
                           struct fleet_snapshot *snap)
--- a/core/fleetpriv.h
+++ b/core/fleetpriv.h
@@ -36,6 +36,10 @@
 struct fleet_queue *fleet_find_queue_exact(const struct fleet *fleet,
                                            const char *host,
                                            const char *prefix);
+/* Removes a queue that is neither configured nor has jobs; or all of them.
+ * Not while a snapshot is being loaded, whose jobs come after its queues. */
+void fleet_drop_unused_queue(struct fleet *fleet, struct fleet_queue *queue);
+void fleet_drop_unused_queues(struct fleet *fleet);
 /* Queues that were removed from the configuration keep their settings for the
  * jobs that were accepted on them. Those with live jobs are part of a
  * snapshot, and are loaded before its jobs. */
--- a/core/plan.c
+++ b/core/plan.c
@@ -482,6 +482,12 @@
     plan->dirty = true;
 }
 
+void
+plan_queue_removed(struct plan *plan, const struct fleet_queue *queue)
+{
+    g_hash_table_remove(plan->queue_ratios, queue);
+}
+
 void
 plan_reconciled(struct plan *plan)
 {
--- a/core/plan.h
+++ b/core/plan.h
@@ -330,6 +330,7 @@
 void plan_target_changed(struct plan *plan, struct fleet_target *target);
 void plan_target_removed(struct plan *plan, struct fleet_target *target);
 void plan_config_changed(struct plan *plan);
+void plan_queue_removed(struct plan *plan, const struct fleet_queue *queue);
 /* An evacuation was ordered or withdrawn. */
 void plan_evacuation_changed(struct plan *plan);
 
--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -619,6 +619,13 @@
     plan_job_removed(dispatch->plan, job);
 }
 
+void
+dispatch_queue_removed(struct dispatch *dispatch,
+                       const struct fleet_queue *queue)
+{
+    plan_queue_removed(dispatch->plan, queue);
+}
+
 /* ---- lifecycle ---------------------------------------------------------- */
 
 void
--- a/node/dispatch.h
+++ b/node/dispatch.h
@@ -102,6 +102,8 @@
 void dispatch_job_added(struct dispatch *dispatch, struct fleet_job *job);
 void dispatch_job_ended(struct dispatch *dispatch, struct fleet_job *job);
 void dispatch_job_removed(struct dispatch *dispatch, struct fleet_job *job);
+void dispatch_queue_removed(struct dispatch *dispatch,
+                            const struct fleet_queue *queue);
 
 const struct dispatch_times *dispatch_times(const struct dispatch *dispatch);
 const struct plan_counters *dispatch_counters(const struct dispatch *dispatch);
--- a/node/fleetnode.c
+++ b/node/fleetnode.c
@@ -195,6 +195,16 @@
     }
 }
 
+static void
+on_queue_removed(void *ctx, struct fleet_queue *queue)
+{
+    struct fleetnode *node = ctx;
+
+    if (node->dispatch != NULL) {
+        dispatch_queue_removed(node->dispatch, queue);
+    }
+}
+
 static void
 on_evacuation_changed(void *ctx, const struct fleet_data_centre *data_centre)
 {
@@ -818,10 +828,9 @@
                                     .on_hello = on_hello,
                                     .ctx = node};
     const struct fleet_ops fleet_ops = {
-        on_config_changed,     on_target_changed,
-        on_target_removed,     on_job_added,
-        on_job_ended,          on_job_removed,
-        on_evacuation_changed, node};
+        on_config_changed,     on_target_changed, on_target_removed,
+        on_job_added,          on_job_ended,      on_job_removed,
+        on_evacuation_changed, on_queue_removed,  node};
     enum fp_err err;
 
     node->fleet = fleet_new(node->settings->fleet->job_retention_ms);
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -245,6 +245,64 @@
     EXPECT_EQ(restored.find_job(1)->state, JOB_FAILED);
 }
 
+// Hundreds of configurations, each with other queues. Guards against memory that
+// grows with each change for as long as the process lives.
+TEST(Fleet, QueuesOfFormerConfigurationsAreForgotten)
+{
+    FleetSim sim;
+    sim.configure({"first"});
+    sim.put_target("t1");
+    sim.become_leader(1024, &PLAN_POLICY_CONTENDED);
+    sim.submit(1, {{.count = 1}}, "first");
+    sim.submit(2, {{.count = 1, .cpu_milli = 90000}}, "first");
+    sim.run_pass();
+    sim.confirm_starts();
+    sim.now_ms += 500;
+    sim.end_run(sim.start_orders[0], RUN_DONE);
+    EXPECT_GT(g_hash_table_size(sim.planner->queue_ratios), 0u);
+    for (int i = 0; i < 400; i++) {
+        sim.configure({"a" + std::to_string(i), "b" + std::to_string(i)});
+        EXPECT_LE(sim.fleet_state->queues->len, 3u) << "the two, and first";
+    }
+    EXPECT_EQ(sim.fleet_state->queues->len, 3u) << "a live job refers to it";
+    EXPECT_STREQ(sim.find_job(2)->queue->conf.service, "svc");
+    plan_free(sim.planner);
+    sim.planner = nullptr;
+    sim.restart_from_snapshot();
+    EXPECT_EQ(sim.fleet_state->queues->len, 3u);
+    EXPECT_STREQ(sim.find_job(2)->queue->conf.service, "svc");
+}
+
+// The same of teams.
+TEST(Fleet, TeamsOfFormerConfigurationsAreForgotten)
+{
+    FleetSim sim;
+    for (int i = 0; i < 400; i++) {
+        sim.configure({"q"}, false, 0,
+                      {{"a" + std::to_string(i), 1},
+                       {"b" + std::to_string(i), 1}});
+    }
+    EXPECT_LE(g_hash_table_size(sim.fleet_state->teams), 2u);
+}
+
+TEST(Fleet, AQueueIsForgottenWithItsLastJob)
+{
+    FleetSim sim;
+    sim.configure({"first"});
+    sim.put_target("t1");
+    sim.become_leader();
+    sim.submit(1, {{.count = 1}}, "first");
+    sim.run_pass();
+    sim.configure({"q"});
+    sim.end_run(sim.start_orders[0], RUN_DONE);
+    EXPECT_EQ(sim.fleet_state->queues->len, 2u) << "its state can be read";
+    sim.now_ms += 200000; // beyond the retention of ended jobs
+    sim.submit(2, {{.count = 1}}, "q");
+    sim.run_pass();
+    EXPECT_EQ(sim.find_job(1), nullptr);
+    EXPECT_EQ(sim.fleet_state->queues->len, 1u);
+}
+
 TEST(Fleet, EndsOfUnknownTasksAreIgnored)
 {
     FleetSim sim;
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -357,6 +357,9 @@
 core/planteam.c	            team->kept_for = step;	            ;	TeamLimit.SmallWork*
 core/planteam.c	           (waited_ms - KEEP_AFTER_MS) / KEEP_MS % 2 == 0 &&		TeamLimit.ALargeTask*
 core/planadmit.c	if (!plan_fits_team(team, &step[i])) {	if (false) {	TeamLimit.AGangThatCannotRunIsRefused
+core/fleet.c	        fleet_drop_unused_queues(fleet);	        ;	Fleet.QueuesOfFormer*
+core/fleet.c	        fleet_drop_unused_queue(fleet, queue);	        ;	Fleet.AQueueIsForgotten*
+core/fleetconf.c	return !queue->configured && queue->jobs == 0;	return !queue->configured;	Fleet.QueuesOfFormer*
 LIST
 echo "$CAUGHT passed, $MISSED failed"
 [ "$MISSED" = 0 ]
--- a/tests/plan_world.h
+++ b/tests/plan_world.h
@@ -80,6 +80,7 @@
                             on_job_ended,
                             on_job_removed,
                             on_evacuation_changed,
+                            on_queue_removed,
                             this};
     }
     ~FleetSim()
@@ -466,6 +467,12 @@
             plan_evacuation_changed(self(ctx)->planner);
         }
     }
+    static void on_queue_removed(void *ctx, fleet_queue *queue)
+    {
+        if (self(ctx)->planner) {
+            plan_queue_removed(self(ctx)->planner, queue);
+        }
+    }
     static void on_start(void *ctx, const plan_start *start)
     {
         self(ctx)->start_orders.push_back({start->target->rec.id, start->task,
