--- a/core/raft.c
+++ b/core/raft.c
@@ -6,9 +6,9 @@
 
 #include "core/raftpriv.h"
 
-/* Bounds the growth of the pause after elections without a result: it doubles
- * so many times. */
-#define BACKOFF_DOUBLINGS_MAX 4u
+/* Elections without a result after which the pause before the next one, which
+ * begins with the second and doubles with each, grows no more. */
+#define BACKOFF_ELECTIONS_MAX 4u
 
 static void
 reset_election_timer(struct raft *raft, uint64_t now_ms)
@@ -79,13 +79,13 @@
 set_vote_timer(struct raft *raft, uint64_t now_ms)
 {
     uint64_t wait_ms = 2 * MAX(raft->write_ms, raft->late_vote_ms);
-    uint32_t doublings = MIN(raft->lost_elections, BACKOFF_DOUBLINGS_MAX);
+    uint32_t elections = MIN(raft->lost_elections, BACKOFF_ELECTIONS_MAX);
 
     reset_election_timer(raft, now_ms);
-    if (raft->state == RAFT_CANDIDATE && raft->lost_elections > 1) {
+    if (raft->state == RAFT_CANDIDATE && elections > 1) {
         wait_ms += raft->ops.random(raft->ops.ctx,
                                     (uint32_t)raft->timing.election_min_ms
-                                        << (doublings - 2));
+                                        << (elections - 2));
     }
     raft->election_at_ms += wait_ms;
 }
--- a/tests/raft_slow_disk_test.cc
+++ b/tests/raft_slow_disk_test.cc
@@ -136,11 +136,12 @@
     }
 }
 
-TEST(SlowDisk, ALeaderIsElectedWhateverSyncsTake)
+// The leader is lost for a second, or for good.
+void expect_election(int hosts)
 {
     for (uint64_t sync_ms : SYNCS_MS) {
         for (uint64_t seed = 1; seed <= 20; seed++) {
-            SlowCell cell(seed, 3);
+            SlowCell cell(seed, hosts);
             cell.set_syncs([sync_ms] { return sync_ms; });
             run_for(cell.sim, 2000);
             ASSERT_NE(cell.leading(), nullptr) << sync_ms << " ms";
@@ -152,21 +153,9 @@
     }
 }
 
-TEST(SlowDisk, ALeaderOfFiveIsElectedWhateverSyncsTake)
-{
-    for (uint64_t sync_ms : SYNCS_MS) {
-        for (uint64_t seed = 1; seed <= 10; seed++) {
-            SlowCell cell(seed, 5);
-            cell.set_syncs([sync_ms] { return sync_ms; });
-            run_for(cell.sim, 2000);
-            ASSERT_NE(cell.leading(), nullptr) << sync_ms << " ms";
-            cell.kill(cell.leading(), seed % 2 ? 1000 : NEVER_MS);
-            uint64_t took_ms = cell.accept_one(60000);
-            EXPECT_LE(took_ms, bound_ms(sync_ms))
-                << "sync " << sync_ms << " ms, seed " << seed;
-        }
-    }
-}
+TEST(SlowDisk, ALeaderIsElectedWhateverSyncsTake) { expect_election(3); }
+
+TEST(SlowDisk, ALeaderOfFiveIsElectedWhateverSyncsTake) { expect_election(5); }
 
 // Work goes on meanwhile, so that there is always a write in progress.
 TEST(SlowDisk, ASteadyLeaderIsNotLostWhateverSyncsTake)
