Renew leases of targets while their ends are being stored

Cause: a target was not called for its lists, nor for its lease, while the ends that it had listed last were not committed.

Change: meanwhile a target is called for its lease alone, from half of it on; the lists in such an answer are not read, as they would repeat the ends.

--- a/node/dispatchlane.c
+++ b/node/dispatchlane.c
@@ -604,6 +604,11 @@
         session->next_hold_ms = now_ms + HOLD_RETRY_MS;
         plan_target_silent(session->dispatch->plan, target, false, now_ms);
     }
+    else if (pending->only_renews) {
+        ends_call_answered(&session->ends_ack, pending->ack_number,
+                           pending->sent_ms);
+        session->next_hold_ms = now_ms;
+    }
     else {
         ends_call_answered(&session->ends_ack, pending->ack_number,
                            pending->sent_ms);
@@ -646,6 +651,7 @@
         dispatch_add_pending(session->dispatch, session);
 
     pending->sent_ms = now_ms;
+    pending->only_renews = session->ends_in_flight;
     if (ends_await_call(&session->ends_ack)) {
         pending->ack_number = ends_number_for_any_connection(
             &session->ends_ack, plan_start_is_on_its_way(target, now_ms));
@@ -806,12 +812,25 @@
     return session->lost && now_ms >= session->lost_ms + REMOVAL_DELAY_MS;
 }
 
+/* Workload: the disks of the replicas take longer to store ends than a lease
+ * lasts. A target lists the ends at once as long as they are not acknowledged,
+ * so it is not called for its lists before they are stored; but it is for its
+ * lease, in good time. */
+static bool
+needs_renewal(const struct target_session *session, uint64_t now_ms)
+{
+    return session->ends_in_flight && !session->lost &&
+           now_ms + session->dispatch->deps.settings->fleet->lease_ms / 2 >=
+               session->leases_over_ms;
+}
+
 static void
 tick_session(struct target_session *session, uint64_t now_ms)
 {
     const bool lapses = !session->lost && now_ms >= session->leases_over_ms;
-    const bool calls = !session->hold_in_flight && !session->ends_in_flight &&
-                       now_ms >= session->next_hold_ms;
+    const bool calls =
+        !session->hold_in_flight && now_ms >= session->next_hold_ms &&
+        (!session->ends_in_flight || needs_renewal(session, now_ms));
     struct fleet_target *target;
 
     dispatch_tick_outage(session, now_ms);
--- a/node/dispatchpriv.h
+++ b/node/dispatchpriv.h
@@ -63,6 +63,7 @@
     uint64_t sent_ms;    /* when a proposal, query or hold call was sent */
     uint64_t ack_number; /* last end that a hold call acknowledges; 0: none */
     bool needs_old_connection; /* the same call: see core/ends.h */
+    bool only_renews;          /* the same call: its lists are not read */
     uint64_t start_sent_us;  /* when the last copy of a start order was sent */
     bool resent;             /* a start order was sent a second time */
     struct plan_start start; /* the start order; points to the copies below */
