A founder waits for no votes

Cause: the wait for votes, added with the slow disks, followed each write of a term, also that of the founding, in which nobody has voted.

Test: SlowDisk.AFounderLeadsOnceItHasStoredWhatItNeeds fails without the condition (a mutant) and passes with it.

--- a/core/raft.c
+++ b/core/raft.c
@@ -970,7 +970,8 @@
 void
 raft_synced(struct raft *raft, uint64_t write, uint64_t now_ms)
 {
-    const bool awaits_vote = vote_is_pending(raft) && !raft->disk_failed;
+    const bool awaits_vote =
+        vote_is_pending(raft) && raft->voted_for != 0 && !raft->disk_failed;
     guint done = 0;
 
     raft->now_ms = now_ms;
--- a/tests/raft_slow_disk_test.cc
+++ b/tests/raft_slow_disk_test.cc
@@ -338,6 +338,20 @@
     }
 }
 
+// What is stored when a cell is founded is no vote: nobody else asks for one.
+TEST(SlowDisk, AFounderLeadsOnceItHasStoredWhatItNeeds)
+{
+    for (uint64_t sync_ms : SYNCS_MS) {
+        Simulation sim(sync_ms);
+        create_nodes(sim, 1, 0);
+        sim.nodes[0]->sync_ms = [sync_ms] { return sync_ms; };
+        raft_bootstrap(sim.nodes[0]->replica, sim.nodes[0]->now());
+        // The founding, what was read, its own vote, its first entry.
+        EXPECT_TRUE(run_until_leader(sim, 4 * sync_ms + 50)) << sync_ms;
+        tear_down(sim);
+    }
+}
+
 // Takeovers on fast disks stay as fast as they were.
 TEST(SlowDisk, TakeoversOnFastDisksTakeOneElectionTimeout)
 {
