--- a/core/raft.h
+++ b/core/raft.h
@@ -10,6 +10,9 @@
  *     there is no other leader;
  *   - a freshness lease for each follower, so that a host that is cut off
  *     knows that its copy of the state may be stale;
+ *   - disks that are slower than elections and leases: a leader is answered
+ *     before entries are on disk, and elections wait for votes as long as
+ *     they take to store; see docs/design/takeover.md;
  *   - observers, which follow the log without a vote or a disk;
  *   - membership changes, one at a time; in a list of an even number of voters
  *     a quorum may have one replica with an empty disk in the place of a voter
