--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -360,7 +360,7 @@
 core/fleet.c	        fleet_drop_unused_queues(fleet);	        ;	Fleet.QueuesOfFormer*
 core/fleet.c	        fleet_drop_unused_queue(fleet, queue);	        ;	Fleet.AQueueIsForgotten*
 core/fleetconf.c	return !queue->configured && queue->jobs == 0;	return !queue->configured;	Fleet.QueuesOfFormer*
-core/raft.c	                             raft->voted_for != 0 && !raft->disk_failed;	                             !raft->disk_failed;	SlowDisk.AFounder*
+core/raft.c	raft->voted_for != 0 && !raft->disk_failed;	!raft->disk_failed;	SlowDisk.AFounder*
 LIST
 echo "$CAUGHT passed, $MISSED failed"
 [ "$MISSED" = 0 ]
